Set up the workspace, the design page and the interfaces between the parts

Cause: nothing exists yet, and several people will work on parts in parallel. Conclusion: the parts can be written against these types.

--- /dev/null
+++ b/crates/plantainlever-test-support/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, builders and checkers for tests.
--- /dev/null
+++ b/src/bin/plantainlever/main.rs
@@ -0,0 +1,2 @@
+//! Command-line entry point.
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! Scheduler for colocated latency-critical services and batch work.
+//!
+//! Entry processes route callers' requests to targets and place tasks on workers of several failure domains. They keep
+//! nothing: what must last is in the platform's table service. docs/design.md explains the parts and their reasons.
+
+pub mod catalogue;
+pub mod clock;
+pub mod config;
+pub mod domain;
+pub mod error;
+pub mod local;
+pub mod ops;
+pub mod peer;
+pub mod platform;
+pub mod policy;
+pub mod request;
+pub mod task;
+pub mod telemetry;
+pub mod worker;
--- /dev/null
+++ b/src/local.rs
@@ -0,0 +1,9 @@
+//! In-memory platform, workers and targets on loopback.
+//!
+//! They speak the same protocols as the real services. `dev` runs on them, and the tests put faults in front of them.
+
+pub mod history;
+pub mod server;
+
+pub use history::{Entry, History};
+pub use server::{JsonServer, Reply};
--- /dev/null
+++ b/src/local/history.rs
@@ -0,0 +1,89 @@
+//! What the stand-ins saw, in order, for the checker that the tests share and for the summary of `dev --once`.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use crate::platform::table::{CommitResult, Transaction};
+use crate::platform::worker::{AttemptRef, AttemptState};
+use crate::worker::Resources;
+
+/// One thing that happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Entry {
+    /// A worker started an attempt.
+    AttemptStarted {
+        /// The worker.
+        worker: String,
+        /// Its domain.
+        domain: String,
+        /// The attempt.
+        attempt: AttemptRef,
+        /// Catalogue entry.
+        entry: String,
+        /// What it may use.
+        resources: Resources,
+        /// Capacity of the worker.
+        capacity: Resources,
+        /// Checkpoint it resumed from.
+        checkpoint: Option<String>,
+    },
+    /// An attempt ended.
+    AttemptEnded {
+        /// The worker.
+        worker: String,
+        /// The attempt.
+        attempt: AttemptRef,
+        /// How it ended.
+        state: AttemptState,
+    },
+    /// An executor began to run a request.
+    RequestStarted {
+        /// The target.
+        target: String,
+        /// Request id as received.
+        request_id: String,
+        /// The caller's idempotency key, if any.
+        key: Option<String>,
+        /// The body.
+        body: Vec<u8>,
+        /// Requests that occupy a slot, this one included.
+        in_flight: u32,
+        /// Open connections.
+        connections: u32,
+    },
+    /// An executor finished a request.
+    RequestEnded {
+        /// The target.
+        target: String,
+        /// Request id as received.
+        request_id: String,
+    },
+    /// The table decided a transaction.
+    Transaction {
+        /// The transaction.
+        transaction: Transaction,
+        /// Its result.
+        result: CommitResult,
+    },
+}
+
+/// The record. Cloning shares it.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    entries: Arc<Mutex<Vec<(Instant, Entry)>>>,
+}
+
+impl History {
+    /// Adds an entry with the current time.
+    pub fn record(&self, entry: Entry) {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        // The time is taken under the lock, so that entries are in time order.
+        entries.push((Instant::now(), entry));
+    }
+
+    /// All entries so far.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<(Instant, Entry)> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
--- /dev/null
+++ b/src/ops.rs
@@ -0,0 +1,8 @@
+//! What a process does: one module per duty, each with its own thread.
+//!
+//! Rules are in `policy` and the aggregates; the modules here carry messages between them and the outside.
+
+pub mod api;
+pub mod context;
+
+pub use context::Context;
--- /dev/null
+++ b/src/ops/api.rs
@@ -0,0 +1,64 @@
+//! The operators' and callers' interface below `/v1`, apart from requests to services.
+//!
+//! Each resource has a module with one function per method. They take an [`ApiRequest`] and never see the HTTP library.
+
+use serde::Serialize;
+
+use crate::error::{ApiError, ApiErrorBody};
+
+/// A request to the interface.
+#[derive(Debug)]
+pub struct ApiRequest<'a> {
+    /// HTTP method in upper case.
+    pub method: &'a str,
+    /// Path segments after `/v1`.
+    pub segments: Vec<&'a str>,
+    /// Query without the question mark.
+    pub query: &'a str,
+    /// Headers in the order received.
+    pub headers: &'a [(String, String)],
+    /// The body.
+    pub body: &'a [u8],
+}
+
+impl ApiRequest<'_> {
+    /// The first header with this name, in any case.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(header, _)| header.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+/// An answer of the interface.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ApiResponse {
+    /// HTTP status.
+    pub status: u16,
+    /// JSON.
+    pub body: Vec<u8>,
+}
+
+impl ApiResponse {
+    /// Encodes a value.
+    #[must_use]
+    pub fn json(status: u16, value: &impl Serialize) -> Self {
+        match serde_json::to_vec(value) {
+            Ok(body) => Self { status, body },
+            Err(error) => Self::error(&ApiError::new(
+                500,
+                "encoding-failed",
+                format!("the answer cannot be encoded: {error}"),
+                "report this as a defect",
+            )),
+        }
+    }
+
+    /// Encodes an error.
+    #[must_use]
+    pub fn error(error: &ApiError) -> Self {
+        // The error type holds only text and numbers, which always encode.
+        let body = serde_json::to_vec(&ApiErrorBody { error }).unwrap_or_default();
+        Self { status: error.status, body }
+    }
+}
--- /dev/null
+++ b/src/task.rs
@@ -0,0 +1,36 @@
+//! Tasks: their life cycle, their rows in the table, and their identity.
+
+pub mod lifecycle;
+pub mod row;
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+pub use lifecycle::{Ended, Pending, Running, Task};
+pub use row::{TaskRow, TaskState};
+
+/// Identity of a task. Unique across failure domains and restarts.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct TaskId(String);
+
+impl TaskId {
+    /// Wraps an identity that was generated or read earlier.
+    #[must_use]
+    pub fn new(id: impl Into<String>) -> Self {
+        Self(id.into())
+    }
+
+    /// The identity as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,9 @@
+//! Logs, metrics and traces.
+
+pub mod event;
+pub mod metrics;
+pub mod trace;
+
+pub use event::Event;
+pub use metrics::Metrics;
+pub use trace::Span;
--- /dev/null
+++ b/src/telemetry/event/process.rs
@@ -0,0 +1,15 @@
+//! Events of the process's life: numbers 100 to 199.
+
+use log::Level;
+
+use super::Event;
+
+/// The process has started and serves.
+pub const STARTED: Event = Event::new(100, Level::Info, "started");
+/// A planned stop has begun.
+pub const STOPPING: Event = Event::new(101, Level::Info, "stopping");
+/// The process ends after a planned stop.
+pub const STOPPED: Event = Event::new(102, Level::Info, "stopped");
+
+/// All events of this module.
+pub const ALL: &[Event] = &[STARTED, STOPPING, STOPPED];
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! Test suite.
