Declare the modules of the parts

Change: every planned module exists with its module doc, and the directory of known entry processes is part of the context.

--- /dev/null
+++ b/crates/plantainlever-test-support/src/checker.rs
@@ -0,0 +1,1 @@
+//! Reads a history and reports every broken promise.
--- a/crates/plantainlever-test-support/src/lib.rs
+++ b/crates/plantainlever-test-support/src/lib.rs
@@ -1,1 +1,7 @@
 //! Stand-ins, builders and checkers for tests.
+
+pub mod checker;
+pub mod fault;
+pub mod process;
+pub mod site;
+pub mod wait;
--- /dev/null
+++ b/crates/plantainlever-test-support/src/process.rs
@@ -0,0 +1,1 @@
+//! Starts, signals and ends entry processes.
--- /dev/null
+++ b/crates/plantainlever-test-support/src/site.rs
@@ -0,0 +1,1 @@
+//! Builds a platform with workers, targets and entry processes.
--- /dev/null
+++ b/crates/plantainlever-test-support/src/wait.rs
@@ -0,0 +1,1 @@
+//! Waits for a condition with a bound.
--- a/src/local.rs
+++ b/src/local.rs
@@ -2,6 +2,12 @@
 //!
 //! They speak the same protocols as the real services. `dev` runs on them, and the tests put faults in front of them.
 
+pub mod objects;
+pub mod table;
+pub mod target;
+pub mod vms;
+pub mod worker;
+
 pub mod history;
 pub mod server;
 
--- /dev/null
+++ b/src/local/objects.rs
@@ -0,0 +1,1 @@
+//! In-memory object store.
--- /dev/null
+++ b/src/local/table.rs
@@ -0,0 +1,1 @@
+//! In-memory table service.
--- /dev/null
+++ b/src/local/target.rs
@@ -0,0 +1,1 @@
+//! Executor that runs requests in threads.
--- /dev/null
+++ b/src/local/vms.rs
@@ -0,0 +1,1 @@
+//! VM list kept in memory.
--- /dev/null
+++ b/src/local/worker.rs
@@ -0,0 +1,1 @@
+//! Worker that runs tasks as timers.
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -2,6 +2,15 @@
 //!
 //! Rules are in `policy` and the aggregates; the modules here carry messages between them and the outside.
 
+pub mod dispatch;
+pub mod drain;
+pub mod entry;
+pub mod front;
+pub mod keys;
+pub mod membership;
+pub mod schedule;
+pub mod sync;
+
 pub mod api;
 pub mod context;
 
--- a/src/ops/api.rs
+++ b/src/ops/api.rs
@@ -2,6 +2,11 @@
 //!
 //! Each resource has a module with one function per method. They take an [`ApiRequest`] and never see the HTTP library.
 
+pub mod catalogue;
+pub mod domains;
+pub mod status;
+pub mod tasks;
+
 use serde::Serialize;
 
 use crate::error::{ApiError, ApiErrorBody};
--- /dev/null
+++ b/src/ops/api/catalogue.rs
@@ -0,0 +1,1 @@
+//! `/v1/catalogue`: reads and edits documents.
--- /dev/null
+++ b/src/ops/api/domains.rs
@@ -0,0 +1,1 @@
+//! `/v1/domains`: reads and sets the domains' states.
--- /dev/null
+++ b/src/ops/api/status.rs
@@ -0,0 +1,1 @@
+//! `/v1/status`: what an operator looks at first.
--- /dev/null
+++ b/src/ops/api/tasks.rs
@@ -0,0 +1,1 @@
+//! `/v1/tasks`: submits, shows and cancels tasks.
--- a/src/ops/context.rs
+++ b/src/ops/context.rs
@@ -6,6 +6,7 @@
 use crate::catalogue::copy::SharedCatalogue;
 use crate::clock::Clock;
 use crate::config::Settings;
+use crate::peer::{Directory, Peers};
 use crate::platform::objects::Objects;
 use crate::platform::table::Table;
 use crate::platform::vms::{VmList, VmListing};
@@ -33,6 +34,10 @@
     pub catalogue: SharedCatalogue,
     /// The newest VM list received.
     pub vm_listing: SharedVmListing,
+    /// Calls to other entry processes.
+    pub peers: Arc<dyn Peers>,
+    /// Other entry processes that are known.
+    pub directory: Directory,
     /// Metrics.
     pub metrics: Metrics,
     /// Set once a planned stop begins.
--- /dev/null
+++ b/src/ops/dispatch.rs
@@ -0,0 +1,1 @@
+//! Sends requests to targets, directly or through a peer.
--- /dev/null
+++ b/src/ops/drain.rs
@@ -0,0 +1,1 @@
+//! The planned stop of a process.
--- /dev/null
+++ b/src/ops/entry.rs
@@ -0,0 +1,1 @@
+//! Puts the duties of an entry process together.
--- /dev/null
+++ b/src/ops/front.rs
@@ -0,0 +1,1 @@
+//! Accepts callers and operators over HTTP.
--- /dev/null
+++ b/src/ops/keys.rs
@@ -0,0 +1,1 @@
+//! Records idempotency keys before the dispatch.
--- /dev/null
+++ b/src/ops/membership.rs
@@ -0,0 +1,1 @@
+//! Exchanges heartbeats with the entry processes of the domain.
--- /dev/null
+++ b/src/ops/sync.rs
@@ -0,0 +1,1 @@
+//! Follows the catalogue, the domain states, the members and the VM list.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,6 +4,8 @@
 //! synchronous: callers block on [`Peers`], and the handler's slow methods run on the node's own worker threads so that
 //! heartbeats are never delayed behind a forwarded request.
 
+pub mod directory;
+pub mod membership;
 pub mod message;
 pub mod node;
 
@@ -12,6 +14,7 @@
 
 use thiserror::Error;
 
+pub use directory::{Directory, Member};
 pub use message::{
     ForwardedAnswer, ForwardedRequest, HandOver, HandOverReply, Heartbeat, HeartbeatReply,
     HoldAnswer, HoldQuery, RecordKey, RecordKeyReply, Relay, RelayReply,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -3,6 +3,10 @@
 //! The rest of the program sees only these traits, so a rule can be tested against a stand-in that loses an answer or
 //! is down, and the HTTP clients stay small. The message types are also the JSON bodies on the wire.
 
+pub mod group_commit;
+pub mod http;
+pub mod relay;
+
 pub mod objects;
 pub mod table;
 pub mod target;
--- /dev/null
+++ b/src/platform/group_commit.rs
@@ -0,0 +1,1 @@
+//! Joins transactions of many threads into fewer writes.
--- /dev/null
+++ b/src/platform/http.rs
@@ -0,0 +1,1 @@
+//! Shared parts of the HTTP clients.
--- /dev/null
+++ b/src/platform/relay.rs
@@ -0,0 +1,1 @@
+//! Reaches the table through a peer when the direct way is cut.
--- /dev/null
+++ b/src/policy/admission.rs
@@ -0,0 +1,1 @@
+//! Decides which requests wait for a slot and which are refused early.
--- /dev/null
+++ b/src/policy/evacuation.rs
@@ -0,0 +1,1 @@
+//! Decides how fast a domain is emptied and filled again.
--- /dev/null
+++ b/src/policy/interference.rs
@@ -0,0 +1,1 @@
+//! Learns how much one entry slows another from lagging measurements.
--- /dev/null
+++ b/src/policy/placement.rs
@@ -0,0 +1,1 @@
+//! Chooses the worker for a task.
--- /dev/null
+++ b/src/policy/preemption.rs
@@ -0,0 +1,1 @@
+//! Chooses what to evict for urgent work.
--- /dev/null
+++ b/src/policy/queue.rs
@@ -0,0 +1,1 @@
+//! Orders waiting tasks and marks those that can never run.
--- /dev/null
+++ b/src/policy/retry.rs
@@ -0,0 +1,1 @@
+//! Backoff and retry budgets.
--- /dev/null
+++ b/src/policy/routing.rs
@@ -0,0 +1,1 @@
+//! Chooses the target of a request.
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,5 +1,8 @@
 //! Callers' requests: their outcome and their life cycle.
 
+pub mod key;
+pub mod lifecycle;
+
 use std::fmt;
 
 /// Header that carries the [`Outcome`].
--- /dev/null
+++ b/src/request/key.rs
@@ -0,0 +1,1 @@
+//! Idempotency keys and their records.
--- /dev/null
+++ b/src/request/lifecycle.rs
@@ -0,0 +1,1 @@
+//! Life cycle of a request as typestate.
--- /dev/null
+++ b/src/worker/quarantine.rs
@@ -0,0 +1,1 @@
+//! Takes workers that fail unlike their peers out of use.
--- /dev/null
+++ b/tests/testsuite/platform.rs
@@ -0,0 +1,1 @@
+//! Tests of the platform clients and the catalogue.
--- /dev/null
+++ b/tests/testsuite/promises.rs
@@ -0,0 +1,1 @@
+//! Tests of the ten promises over real processes.
--- /dev/null
+++ b/tests/testsuite/requests.rs
@@ -0,0 +1,1 @@
+//! Tests of the request path.
--- /dev/null
+++ b/tests/testsuite/schedule.rs
@@ -0,0 +1,1 @@
+//! Tests of holds and scheduling.
--- /dev/null
+++ b/tests/testsuite/settings.rs
@@ -0,0 +1,1 @@
+//! Tests of settings.
--- /dev/null
+++ b/tests/testsuite/telemetry.rs
@@ -0,0 +1,1 @@
+//! Tests of logs, metrics and traces.
