--- a/crates/plantainlever-test-support/src/lib.rs
+++ b/crates/plantainlever-test-support/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, builders and checkers for tests.
 
+pub mod caller;
 pub mod checker;
 pub mod fault;
 pub mod process;
