--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Test suite.
 
+#![allow(clippy::unwrap_used, reason = "a failed unwrap is a failed test")]
+
 mod cli;
 mod peer;
 mod platform;
