--- a/src/worker/pool.rs
+++ b/src/worker/pool.rs
@@ -1,12 +1,16 @@
 //! The workers of one failure domain and the commitments on them.
 //!
 //! The domain scheduler is the only writer. Nothing outside this module changes a sum, so the sums always equal the
-//! commitments, and no commitment is accepted that passes the capacity.
+//! commitments, and no commitment is accepted that passes the capacity. The index of entries follows every change of the
+//! commitments, because each of them passes through `insert`, `release` or `remove`.
+
+pub mod index;
 
 use std::collections::BTreeMap;
 
 use thiserror::Error;
 
+use self::index::{EntryIndex, Resident};
 use super::Resources;
 use crate::catalogue::Class;
 use crate::platform::worker::AttemptRef;
@@ -36,6 +40,10 @@
     /// Invariant: the sum over `commitments`.
     committed: Resources,
     commitments: BTreeMap<AttemptRef, Commitment>,
+    /// Service whose executor shares the VM without a commitment.
+    service: Option<String>,
+    /// Invariant: the counts over `commitments` and `service` by entry.
+    residents: Vec<Resident>,
     /// False while the worker must not receive anything new: not yet heard from, quarantined, or leaving.
     open: bool,
 }
@@ -82,6 +90,41 @@
     pub fn commitments(&self) -> &BTreeMap<AttemptRef, Commitment> {
         &self.commitments
     }
+
+    /// Service whose executor shares the VM without a commitment.
+    #[must_use]
+    pub fn service(&self) -> Option<&str> {
+        self.service.as_deref()
+    }
+
+    /// The commitments and the service of the VM, counted by entry.
+    #[must_use]
+    pub fn residents(&self) -> &[Resident] {
+        &self.residents
+    }
+
+    /// The entry of each commitment and of the service.
+    fn entry_names(&self) -> impl Iterator<Item = &str> {
+        let committed = self.commitments.values().map(|commitment| commitment.entry.as_str());
+        committed.chain(self.service.as_deref())
+    }
+
+    fn count_resident(&mut self, added: Resident) {
+        match self.residents.iter_mut().find(|resident| resident.entry == added.entry) {
+            Some(resident) => resident.count += added.count,
+            None => self.residents.push(added),
+        }
+    }
+
+    fn discount_resident(&mut self, entry: index::EntryNumber) {
+        let Some(at) = self.residents.iter().position(|resident| resident.entry == entry) else {
+            return;
+        };
+        self.residents[at].count -= 1;
+        if self.residents[at].count == 0 {
+            self.residents.swap_remove(at);
+        }
+    }
 }
 
 /// Why a commitment was refused.
@@ -115,19 +158,30 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Pool {
     workers: BTreeMap<String, Worker>,
+    /// Invariant: counts exactly the commitments and services of all workers.
+    entries: EntryIndex,
 }
 
 impl Pool {
     /// Adds a worker, or updates the rack, address and capacity of a known one. A new worker is closed.
     pub fn upsert(&mut self, name: &str, rack: &str, address: &str, capacity: Resources) {
         let worker = self.workers.entry(name.to_owned()).or_insert_with(|| Worker {
-            rack: String::new(),
+            rack: rack.to_owned(),
             address: String::new(),
             capacity,
             committed: Resources::default(),
             commitments: BTreeMap::new(),
+            service: None,
+            residents: Vec::new(),
             open: false,
         });
+        if worker.rack != rack {
+            for entry in worker.entry_names() {
+                // The new rack is counted first, so that the entry keeps its number.
+                self.entries.add(entry, rack);
+                self.entries.subtract(entry, &worker.rack);
+            }
+        }
         rack.clone_into(&mut worker.rack);
         address.clone_into(&mut worker.address);
         worker.capacity = capacity;
@@ -135,7 +189,30 @@
 
     /// Removes a worker and returns its commitments.
     pub fn remove(&mut self, name: &str) -> BTreeMap<AttemptRef, Commitment> {
-        self.workers.remove(name).map(|worker| worker.commitments).unwrap_or_default()
+        let Some(worker) = self.workers.remove(name) else { return BTreeMap::new() };
+        for entry in worker.entry_names() {
+            self.entries.subtract(entry, &worker.rack);
+        }
+        worker.commitments
+    }
+
+    /// Sets the service whose executor shares the VM, as the VM list says. It needs no commitment, but its tail latency
+    /// is what placement protects.
+    pub fn set_service(&mut self, name: &str, service: Option<&str>) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if worker.service.as_deref() == service {
+            return;
+        }
+        if let Some(old) = worker.service.take()
+            && let Some(entry) = self.entries.subtract(&old, &worker.rack)
+        {
+            worker.discount_resident(entry);
+        }
+        if let Some(new) = service {
+            let entry = self.entries.add(new, &worker.rack);
+            worker.count_resident(Resident { entry, class: Class::LatencyCritical, count: 1 });
+            worker.service = Some(new.to_owned());
+        }
     }
 
     /// Opens or closes a worker for new work. Commitments stay.
@@ -157,6 +234,12 @@
         &self.workers
     }
 
+    /// The entries with commitments.
+    #[must_use]
+    pub fn entries(&self) -> &EntryIndex {
+        &self.entries
+    }
+
     /// Commits resources for a new attempt.
     ///
     /// # Errors
@@ -186,8 +269,7 @@
                 asked: commitment.resources,
             });
         }
-        worker.committed = worker.committed.saturating_add(&commitment.resources);
-        worker.commitments.insert(attempt.clone(), commitment);
+        Self::insert(&mut self.entries, worker, attempt, commitment);
         Ok(())
     }
 
@@ -197,15 +279,28 @@
         if worker.commitments.contains_key(attempt) {
             return;
         }
-        worker.committed = worker.committed.saturating_add(&commitment.resources);
-        worker.commitments.insert(attempt.clone(), commitment);
+        Self::insert(&mut self.entries, worker, attempt, commitment);
     }
 
     /// Releases the commitment of an attempt that has ended.
     pub fn release(&mut self, name: &str, attempt: &AttemptRef) {
         let Some(worker) = self.workers.get_mut(name) else { return };
-        if let Some(commitment) = worker.commitments.remove(attempt) {
-            worker.committed = worker.committed.saturating_sub(&commitment.resources);
+        let Some(commitment) = worker.commitments.remove(attempt) else { return };
+        worker.committed = worker.committed.saturating_sub(&commitment.resources);
+        if let Some(entry) = self.entries.subtract(&commitment.entry, &worker.rack) {
+            worker.discount_resident(entry);
         }
     }
+
+    fn insert(
+        entries: &mut EntryIndex,
+        worker: &mut Worker,
+        attempt: &AttemptRef,
+        commitment: Commitment,
+    ) {
+        worker.committed = worker.committed.saturating_add(&commitment.resources);
+        let entry = entries.add(&commitment.entry, &worker.rack);
+        worker.count_resident(Resident { entry, class: commitment.class, count: 1 });
+        worker.commitments.insert(attempt.clone(), commitment);
+    }
 }
--- /dev/null
+++ b/tests/testsuite/policy/placement.rs
@@ -0,0 +1,110 @@
+//! Placement and the pool's index.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use plantainlever::catalogue::Class;
+use plantainlever::policy::interference::InterferenceModel;
+use plantainlever::policy::placement::{Candidate, NoWorker, choose};
+use plantainlever::worker::{Pool, Resources};
+
+use super::{attempt, commitment, pool};
+
+fn candidate<'a>(cpu_millis: u64, excluded: &'a BTreeSet<String>) -> Candidate<'a> {
+    Candidate {
+        entry: "standings",
+        class: Class::Batch,
+        resources: Resources::new(cpu_millis, cpu_millis, 0),
+        excluded,
+        checkpoint_on: None,
+    }
+}
+
+fn names(list: &[&str]) -> BTreeSet<String> {
+    list.iter().map(|name| (*name).to_owned()).collect()
+}
+
+/// Guards against work on a closed, excluded or occupied worker.
+#[test]
+fn filter_leaves_only_the_worker_that_may_be_used() {
+    let mut pool = pool(4, 2);
+    pool.set_open("w0", false);
+    pool.commit("w1", &attempt("a"), commitment("x", Class::Batch, 15_000)).unwrap();
+    let excluded = names(&["w2"]);
+    let chosen = choose(&pool, &candidate(2000, &excluded), &InterferenceModel::default());
+    assert_eq!(chosen, Ok("w3"));
+}
+
+/// Guards against a task that can never run being kept as one that waits, and the reverse.
+#[test]
+fn refusal_says_whether_waiting_can_help() {
+    let mut pool = pool(2, 2);
+    let model = InterferenceModel::default();
+    let none = names(&[]);
+    assert_eq!(choose(&pool, &candidate(16_001, &none), &model), Err(NoWorker::TooLarge));
+    pool.set_open("w0", false);
+    pool.set_open("w1", false);
+    assert_eq!(choose(&pool, &candidate(16_000, &none), &model), Err(NoWorker::Full));
+    let both = names(&["w0", "w1"]);
+    assert_eq!(choose(&pool, &candidate(100, &both), &model), Err(NoWorker::AllExcluded));
+    assert_eq!(choose(&Pool::default(), &candidate(100, &none), &model), Err(NoWorker::Full));
+}
+
+/// Guards against all tasks of an entry being lost with one rack.
+#[test]
+fn tasks_of_an_entry_spread_over_racks() {
+    let mut pool = pool(6, 2);
+    let none = names(&[]);
+    for number in 0..3 {
+        let model = InterferenceModel::default();
+        let chosen = choose(&pool, &candidate(1000, &none), &model).unwrap().to_owned();
+        let placed = commitment("standings", Class::Batch, 1000);
+        pool.commit(&chosen, &attempt(&number.to_string()), placed).unwrap();
+    }
+    let by_rack = pool.entries().by_rack("standings").unwrap();
+    assert_eq!(by_rack.values().copied().collect::<Vec<_>>(), [1, 1, 1]);
+}
+
+/// Guards against the index drifting from the commitments, which would make placement trust false counts.
+#[test]
+fn index_equals_a_recount_after_random_changes() {
+    arbtest::arbtest(|u| {
+        let mut pool = pool(4, 2);
+        for _ in 0..u.int_in_range(0..=60)? {
+            let worker = format!("w{}", u.int_in_range(0..=4)?);
+            let task = attempt(&u.int_in_range(0..=9)?.to_string());
+            let entry = format!("e{}", u.int_in_range(0..=3)?);
+            match u.int_in_range(0..=5)? {
+                0 | 1 => drop(pool.commit(&worker, &task, commitment(&entry, Class::Batch, 4000))),
+                2 => pool.adopt(&worker, &task, commitment(&entry, Class::Batch, 4000)),
+                3 => pool.release(&worker, &task),
+                4 => pool.set_service(&worker, u.arbitrary::<bool>()?.then_some("e0")),
+                _ if u.arbitrary()? => drop(pool.remove(&worker)),
+                _ => pool.upsert(&worker, &entry, "127.0.0.1:1", Resources::new(16_000, 65_536, 0)),
+            }
+            assert_index_equals_recount(&pool);
+        }
+        Ok(())
+    });
+}
+
+fn assert_index_equals_recount(pool: &Pool) {
+    let mut racks: BTreeMap<String, BTreeMap<String, u32>> = BTreeMap::new();
+    for worker in pool.workers().values() {
+        let mut on_worker: BTreeMap<String, u32> = BTreeMap::new();
+        let committed = worker.commitments().values().map(|commitment| commitment.entry.as_str());
+        for entry in committed.chain(worker.service()) {
+            *on_worker.entry(entry.to_owned()).or_default() += 1;
+            let by_rack = racks.entry(entry.to_owned()).or_default();
+            *by_rack.entry(worker.rack().to_owned()).or_default() += 1;
+        }
+        let indexed = worker.residents().iter().map(|resident| {
+            (pool.entries().name(resident.entry).expect("indexed").to_owned(), resident.count)
+        });
+        assert_eq!(indexed.collect::<BTreeMap<_, _>>(), on_worker);
+    }
+    let indexed = pool
+        .entries()
+        .entries()
+        .map(|(name, _)| (name.to_owned(), pool.entries().by_rack(name).expect("indexed").clone()));
+    assert_eq!(indexed.collect::<BTreeMap<_, _>>(), racks);
+}
--- /dev/null
+++ b/tests/testsuite/policy/queue.rs
@@ -0,0 +1,120 @@
+//! Order of waiting tasks, limits and verdicts.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use plantainlever::catalogue::{Class, Document, Entry, EntryLimits, Owner};
+use plantainlever::policy::placement::NoWorker;
+use plantainlever::policy::queue::{Limits, Unplaceable, Waiting, WaitingQueue};
+use plantainlever::task::TaskId;
+use plantainlever::worker::Resources;
+
+fn entry(max_running: Option<u64>) -> Document {
+    Document::Entry(Entry {
+        owner: "team".to_owned(),
+        class: Class::Batch,
+        limits: EntryLimits {
+            per_task: Resources::new(1000, 1000, 0),
+            max_running,
+            max_attempts: 5,
+        },
+        priority: 0,
+        exclusive: None,
+        idempotent: None,
+        p99_target_ms: None,
+        domains: Vec::new(),
+    })
+}
+
+fn documents(max_running: Option<u64>, quota: Resources) -> BTreeMap<String, Document> {
+    BTreeMap::from([
+        ("a".to_owned(), entry(max_running)),
+        ("b".to_owned(), entry(None)),
+        ("team".to_owned(), Document::Owner(Owner { quota })),
+    ])
+}
+
+fn unlimited() -> Limits {
+    let quota = Resources::new(u64::MAX, u64::MAX, u64::MAX);
+    Limits::new(&documents(None, quota), "d1", &domains(&["d1"]))
+}
+
+fn domains(list: &[&str]) -> BTreeSet<String> {
+    list.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn waiting(id: &str, entry: &str, class: Class, priority: u8, submitted_ms: u64) -> Waiting {
+    Waiting {
+        id: TaskId::new(id),
+        entry: entry.to_owned(),
+        owner: "team".to_owned(),
+        class,
+        priority,
+        submitted_ms,
+        resources: Resources::new(1000, 1000, 0),
+        failed_on: BTreeSet::new(),
+        checkpoint_on: None,
+    }
+}
+
+fn started(queue: &mut WaitingQueue, limits: &mut Limits) -> Vec<String> {
+    let selection = queue.select(limits, usize::MAX, |_| Ok("w".to_owned()));
+    selection.started.iter().map(|(id, _)| id.as_str().to_owned()).collect()
+}
+
+/// Guards against old batch work being started before urgent work.
+#[test]
+fn urgent_goes_first_then_priority_then_age() {
+    let mut queue = WaitingQueue::default();
+    queue.push(waiting("old-batch", "a", Class::Batch, 9, 0));
+    queue.push(waiting("young", "a", Class::LatencyCritical, 1, 20));
+    queue.push(waiting("aged", "b", Class::LatencyCritical, 1, 10));
+    queue.push(waiting("important", "b", Class::LatencyCritical, 2, 30));
+    let order = started(&mut queue, &mut unlimited());
+    assert_eq!(order, ["important", "aged", "young", "old-batch"]);
+    assert!(queue.is_empty());
+}
+
+/// Guards against the domains' shares adding up to more, or less, than the limit that the operator set.
+#[test]
+fn shares_of_the_domains_add_up_to_the_limit() {
+    let all = domains(&["d1", "d2", "d3"]);
+    for limit in 1..8 {
+        let quota = Resources::new(limit * 1000, u64::MAX, 0);
+        let mut total = 0;
+        for domain in &all {
+            let mut queue = WaitingQueue::default();
+            for number in 0..10 {
+                queue.push(waiting(&number.to_string(), "a", Class::Batch, 0, number));
+            }
+            let mut limits = Limits::new(&documents(Some(limit), quota), domain, &all);
+            let count = started(&mut queue, &mut limits).len();
+            total += count;
+            assert!(count as u64 <= limit.div_ceil(3), "limit {limit}, {domain} started {count}");
+        }
+        assert!(total as u64 <= limit, "limit {limit}, started {total}");
+    }
+}
+
+/// Guards against a task that can never run holding up what is behind it, or waiting without a reason.
+#[test]
+fn unplaceable_task_is_marked_and_delays_nothing() {
+    let mut queue = WaitingQueue::default();
+    let mut huge = waiting("huge", "a", Class::LatencyCritical, 9, 0);
+    huge.resources = Resources::new(1_000_000, 1, 0);
+    queue.push(huge.clone());
+    queue.push(waiting("orphan", "deleted", Class::LatencyCritical, 9, 0));
+    queue.push(waiting("small", "a", Class::Batch, 0, 5));
+    let selection = queue.select(&mut unlimited(), usize::MAX, |task| {
+        if task.resources.cpu_millis > 16_000 {
+            Err(NoWorker::TooLarge)
+        } else {
+            Ok("w".to_owned())
+        }
+    });
+    assert_eq!(selection.started, [(TaskId::new("small"), "w".to_owned())]);
+    let too_large = Unplaceable::TooLarge { resources: huge.resources };
+    let no_entry = Unplaceable::NoEntry { entry: "deleted".to_owned() };
+    let expected = [(TaskId::new("huge"), too_large), (TaskId::new("orphan"), no_entry)];
+    assert_eq!(selection.unplaceable, expected);
+    assert!(queue.is_empty());
+}
