--- a/src/ops/api.rs
+++ b/src/ops/api.rs
@@ -4,6 +4,7 @@
 
 pub mod catalogue;
 pub mod domains;
+mod edit;
 pub mod status;
 pub mod tasks;
 
--- a/src/ops/context.rs
+++ b/src/ops/context.rs
@@ -7,6 +7,7 @@
 use crate::clock::Clock;
 use crate::config::Settings;
 use crate::peer::{Directory, Peers};
+use crate::platform::group_commit::GroupCommit;
 use crate::platform::objects::Objects;
 use crate::platform::table::Table;
 use crate::platform::vms::{VmList, VmListing};
@@ -24,6 +25,8 @@
     pub clock: Arc<dyn Clock>,
     /// Table service.
     pub table: Arc<dyn Table>,
+    /// Table transactions, joined into fewer writes.
+    pub commits: GroupCommit,
     /// Object store.
     pub objects: Arc<dyn Objects>,
     /// VM list service.
--- a/src/platform/group_commit.rs
+++ b/src/platform/group_commit.rs
@@ -1,1 +1,274 @@
-//! Joins transactions of many threads into fewer writes.
+//! Joins the transactions of many threads into fewer table writes.
+//!
+//! The table takes several hundred writes a second from all processes together, so each process sends few. One thread
+//! collects what the others submit and commits transactions that do not overlap as one. On a conflict only the members
+//! whose own conditions failed are told so; the others are committed again without them.
+//!
+//! A merged write has an operation id of its own. The members' ids are remembered here, so that a repeated submission
+//! in the same process gets the first result; [`CommitFailure::Unknown`] names the id that the table knows.
+
+mod merge;
+mod settle;
+mod worker;
+
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, SyncSender, TrySendError};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use thiserror::Error;
+
+use self::settle::Settler;
+use self::worker::Worker;
+use super::PlatformError;
+use super::table::{CommitResult, Table, Transaction};
+use crate::clock::Clock;
+use crate::config::Settings;
+use crate::telemetry::Metrics;
+
+/// Transactions that wait for the thread; further ones are refused.
+const RING: usize = 4096;
+
+/// Why a transaction has no result.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub enum CommitFailure {
+    /// The table could not be reached or refused the transaction. It had no effect and never will.
+    #[error("not committed: {cause}")]
+    NotCommitted {
+        /// The last error.
+        cause: PlatformError,
+    },
+    /// The deadline passed before the transaction was sent. It had no effect.
+    #[error("not committed: the deadline passed before the transaction was sent")]
+    Expired,
+    /// Too many transactions wait. It had no effect.
+    #[error("not committed: {RING} transactions wait already")]
+    Overloaded,
+    /// The process stops. It had no effect.
+    #[error("not committed: the process stops")]
+    Closed,
+    /// It may have taken effect or may still do so.
+    #[error("the outcome of the write {operation} is unknown: {cause}")]
+    Unknown {
+        /// The operation id under which the table knows the write.
+        operation: String,
+        /// The last error.
+        cause: PlatformError,
+    },
+}
+
+impl CommitFailure {
+    /// True if the transaction certainly had no effect and never will.
+    #[must_use]
+    pub fn had_no_effect(&self) -> bool {
+        !matches!(self, Self::Unknown { .. })
+    }
+}
+
+/// The group commit thread could not be started.
+#[derive(Debug, Error)]
+#[error("cannot start the group commit thread")]
+pub struct GroupCommitError {
+    #[from]
+    source: std::io::Error,
+}
+
+type CommitReply = Result<CommitResult, CommitFailure>;
+
+/// The submission waits and may be withdrawn.
+const WAITING: u8 = 0;
+/// The thread has taken the submission and will answer it.
+const TAKEN: u8 = 1;
+/// The submitter has given up; the transaction is never sent.
+const WITHDRAWN: u8 = 2;
+
+/// Decides between the thread and the submitter's deadline.
+#[derive(Clone, Debug, Default)]
+struct Claim(Arc<AtomicU8>);
+
+impl Claim {
+    fn take(&self) -> bool {
+        self.change(TAKEN)
+    }
+
+    fn withdraw(&self) -> bool {
+        self.change(WITHDRAWN)
+    }
+
+    fn change(&self, to: u8) -> bool {
+        self.0.compare_exchange(WAITING, to, Ordering::SeqCst, Ordering::SeqCst).is_ok()
+    }
+}
+
+/// A transaction with the way back to its submitter.
+#[derive(Debug)]
+struct Submission {
+    txn: Transaction,
+    deadline: Instant,
+    claim: Claim,
+    reply: SyncSender<CommitReply>,
+    /// True once the thread has decided to answer it.
+    taken: bool,
+    /// True if it must not be merged.
+    alone: bool,
+}
+
+impl Submission {
+    /// Takes it for the thread. False if the submitter has given up.
+    fn take(&mut self) -> bool {
+        self.taken = self.taken || self.claim.take();
+        self.taken
+    }
+
+    fn answer(self, reply: CommitReply) {
+        // The submitter waits for the answer; it can only be missing if its thread panicked.
+        let _ = self.reply.send(reply);
+    }
+}
+
+#[derive(Debug)]
+enum Message {
+    Submit(Submission),
+    Close,
+}
+
+#[derive(Debug)]
+enum Mode {
+    Thread { ring: SyncSender<Message>, thread: Mutex<Option<JoinHandle<()>>> },
+    Inline(Box<Mutex<Worker>>),
+}
+
+/// Handle of the group commit thread. Cloning shares it.
+#[derive(Clone, Debug)]
+pub struct GroupCommit {
+    mode: Arc<Mode>,
+    clock: Arc<dyn Clock>,
+}
+
+impl GroupCommit {
+    /// Starts the thread. `process` makes the operation ids of merged writes unique.
+    ///
+    /// # Errors
+    ///
+    /// If no thread can be started.
+    pub fn start(
+        table: Arc<dyn Table>,
+        clock: Arc<dyn Clock>,
+        metrics: Metrics,
+        cfg: &Settings,
+        process: &str,
+    ) -> Result<Self, GroupCommitError> {
+        let interval = Duration::from_secs(1) / cfg.limits.writes_per_second.max(1);
+        let worker = new_worker(table, Arc::clone(&clock), metrics, cfg, process, interval);
+        let (ring, waiting) = mpsc::sync_channel(RING);
+        let thread = std::thread::Builder::new()
+            .name("group-commit".to_owned())
+            .spawn(move || run(worker, &waiting))?;
+        let mode = Mode::Thread { ring, thread: Mutex::new(Some(thread)) };
+        Ok(Self { mode: Arc::new(mode), clock })
+    }
+
+    /// Commits in the submitter's thread, one transaction per write and without a bound on the rate.
+    ///
+    /// For tests with a manual clock, in which no other thread may move the time.
+    #[must_use]
+    pub fn inline(
+        table: Arc<dyn Table>,
+        clock: Arc<dyn Clock>,
+        metrics: Metrics,
+        cfg: &Settings,
+        process: &str,
+    ) -> Self {
+        let worker = new_worker(table, Arc::clone(&clock), metrics, cfg, process, Duration::ZERO);
+        Self { mode: Arc::new(Mode::Inline(Box::new(Mutex::new(worker)))), clock }
+    }
+
+    /// Commits a transaction and waits for its own result.
+    ///
+    /// The answer comes at most two call timeouts after the deadline, which is the time of an attempt in progress and of
+    /// the question what became of it. The same operation id submitted again gets the first result.
+    ///
+    /// # Errors
+    ///
+    /// Any [`CommitFailure`]; only after [`CommitFailure::Unknown`] the transaction may have had an effect.
+    pub fn submit(&self, txn: &Transaction, deadline: Instant) -> CommitReply {
+        let (reply, answer) = mpsc::sync_channel(1);
+        let claim = Claim::default();
+        let submission = Submission {
+            txn: txn.clone(),
+            deadline,
+            claim: claim.clone(),
+            reply,
+            taken: false,
+            alone: false,
+        };
+        match &*self.mode {
+            Mode::Inline(worker) => {
+                let mut worker = worker.lock().unwrap_or_else(PoisonError::into_inner);
+                worker.push(submission);
+                worker.finish();
+            }
+            Mode::Thread { ring, .. } => {
+                ring.try_send(Message::Submit(submission)).map_err(|error| match error {
+                    TrySendError::Full(_) => CommitFailure::Overloaded,
+                    TrySendError::Disconnected(_) => CommitFailure::Closed,
+                })?;
+            }
+        }
+        let wait = deadline.saturating_duration_since(self.clock.now());
+        match answer.recv_timeout(wait) {
+            Ok(reply) => reply,
+            Err(RecvTimeoutError::Timeout) if claim.withdraw() => Err(CommitFailure::Expired),
+            Err(_) => answer.recv().unwrap_or(Err(CommitFailure::Closed)),
+        }
+    }
+
+    /// Commits what was submitted so far and ends the thread. Other handles get [`CommitFailure::Closed`] from then on.
+    pub fn close(self) {
+        let Mode::Thread { ring, thread } = &*self.mode else { return };
+        // An error means that another handle has closed it.
+        let _ = ring.send(Message::Close);
+        let thread = thread.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(thread) = thread {
+            // A panic of the thread has been reported by the panic hook.
+            let _ = thread.join();
+        }
+    }
+}
+
+fn new_worker(
+    table: Arc<dyn Table>,
+    clock: Arc<dyn Clock>,
+    metrics: Metrics,
+    cfg: &Settings,
+    process: &str,
+    interval: Duration,
+) -> Worker {
+    let timeout = cfg.timing.platform_timeout();
+    let settler =
+        Settler::new(table, Arc::clone(&clock), cfg.limits.retry_percent, timeout, interval);
+    Worker::new(settler, clock, metrics, process)
+}
+
+/// Body of the thread.
+fn run(mut worker: Worker, ring: &Receiver<Message>) {
+    loop {
+        if worker.is_idle() {
+            match ring.recv() {
+                Ok(Message::Submit(submission)) => worker.push(submission),
+                Ok(Message::Close) | Err(_) => return,
+            }
+        }
+        // More transactions arrive while the rate does not allow a write.
+        worker.pace();
+        while worker.has_room() {
+            match ring.try_recv() {
+                Ok(Message::Submit(submission)) => worker.push(submission),
+                Ok(Message::Close) => return worker.finish(),
+                Err(_) => break,
+            }
+        }
+        worker.commit_group();
+    }
+}
--- /dev/null
+++ b/src/platform/group_commit/merge.rs
@@ -0,0 +1,92 @@
+//! Which transactions may share one table write.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::platform::table::{Condition, Transaction, Write};
+
+/// Most transactions in one write.
+const MAX_TRANSACTIONS: usize = 256;
+
+/// Most conditions and writes in one write; bounds the size of the request.
+const MAX_STEPS: usize = 4096;
+
+/// Transactions that can be committed together.
+///
+/// Invariant: no key that one member writes is read or written by another, and members that share a condition's key
+/// have the same conditions on it. So the order of the members does not matter, and a failed key tells exactly which
+/// members would have failed alone.
+#[derive(Debug, Default)]
+pub(super) struct Group<'a> {
+    members: Vec<&'a Transaction>,
+    operations: BTreeSet<&'a str>,
+    conditions: BTreeMap<&'a str, Vec<&'a Condition>>,
+    written: BTreeSet<&'a str>,
+    steps: usize,
+}
+
+impl<'a> Group<'a> {
+    /// Adds a transaction if the invariant allows it.
+    pub(super) fn try_add(&mut self, txn: &'a Transaction) -> bool {
+        let steps = self.steps + txn.conditions.len() + txn.writes.len();
+        let full = self.members.len() >= MAX_TRANSACTIONS || steps > MAX_STEPS;
+        if !self.members.is_empty() && (full || !self.is_compatible(txn)) {
+            return false;
+        }
+        for (key, conditions) in conditions_by_key(txn) {
+            self.conditions.entry(key).or_insert(conditions);
+        }
+        self.written.extend(txn.writes.iter().map(write_key));
+        self.operations.insert(&txn.operation);
+        self.members.push(txn);
+        self.steps = steps;
+        true
+    }
+
+    fn is_compatible(&self, txn: &Transaction) -> bool {
+        let writes_apart = txn
+            .writes
+            .iter()
+            .map(write_key)
+            .all(|key| !self.written.contains(key) && !self.conditions.contains_key(key));
+        let conditions_agree = conditions_by_key(txn).iter().all(|(key, conditions)| {
+            !self.written.contains(key)
+                && self.conditions.get(key).is_none_or(|held| held == conditions)
+        });
+        !self.operations.contains(txn.operation.as_str()) && writes_apart && conditions_agree
+    }
+
+    /// The one transaction that does what all members do. A lone member keeps its operation id.
+    pub(super) fn merged(&self, operation: String) -> Transaction {
+        if let [only] = self.members[..] {
+            return only.clone();
+        }
+        let conditions = self.conditions.values().flatten().copied().cloned().collect();
+        let writes = self.members.iter().flat_map(|txn| txn.writes.iter().cloned()).collect();
+        Transaction { operation, conditions, writes }
+    }
+}
+
+fn conditions_by_key(txn: &Transaction) -> BTreeMap<&str, Vec<&Condition>> {
+    let mut by_key: BTreeMap<&str, Vec<&Condition>> = BTreeMap::new();
+    for condition in &txn.conditions {
+        by_key.entry(condition.key()).or_default().push(condition);
+    }
+    by_key
+}
+
+fn write_key(write: &Write) -> &str {
+    match write {
+        Write::Put { key, .. } | Write::Delete { key } => key,
+    }
+}
+
+/// The keys out of `failed` that a transaction has conditions on, in the order of its conditions.
+pub(super) fn own_failures(txn: &Transaction, failed: &[String]) -> Vec<String> {
+    let mut own: Vec<String> = Vec::new();
+    for key in txn.conditions.iter().map(Condition::key) {
+        if failed.iter().any(|it| it == key) && !own.iter().any(|it| it == key) {
+            own.push(key.to_owned());
+        }
+    }
+    own
+}
--- /dev/null
+++ b/src/platform/group_commit/settle.rs
@@ -0,0 +1,140 @@
+//! Brings one table write to a certain outcome, if that is possible before the deadline.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::clock::Clock;
+use crate::platform::PlatformError;
+use crate::platform::table::{CommitResult, OperationQuery, OperationStatus, Table, Transaction};
+use crate::policy::retry::{Backoff, RetryBudget};
+
+/// Bound of the first delay between attempts.
+const BACKOFF_BASE: Duration = Duration::from_millis(50);
+
+/// Bound of all delays between attempts.
+const BACKOFF_CAP: Duration = Duration::from_millis(500);
+
+/// Retries that can be saved up; enough for a restart of the store.
+const RETRY_BURST: u32 = 10;
+
+/// What became of a write.
+#[derive(Debug)]
+pub(super) enum Settled {
+    /// The table decided it.
+    Decided(CommitResult),
+    /// It had no effect and never will: no attempt can have arrived, or the table refused it.
+    NotCommitted {
+        /// The last error.
+        cause: PlatformError,
+    },
+    /// An attempt may have arrived, and the table has now been told never to commit it.
+    Forbidden {
+        /// The error that made the outcome unknown.
+        cause: PlatformError,
+    },
+    /// It may have taken effect or may still do so.
+    Unknown {
+        /// The last error.
+        cause: PlatformError,
+    },
+}
+
+/// Sends writes at a bounded rate.
+#[derive(Debug)]
+pub(super) struct Settler {
+    table: Arc<dyn Table>,
+    clock: Arc<dyn Clock>,
+    budget: RetryBudget,
+    /// Time kept free before a deadline to ask for the outcome.
+    call_timeout: Duration,
+    /// Least time between two calls.
+    interval: Duration,
+    /// No call is made before.
+    next_call: Instant,
+}
+
+impl Settler {
+    pub(super) fn new(
+        table: Arc<dyn Table>,
+        clock: Arc<dyn Clock>,
+        retry_percent: u32,
+        call_timeout: Duration,
+        interval: Duration,
+    ) -> Self {
+        let next_call = clock.now();
+        let budget = RetryBudget::prefilled(retry_percent, RETRY_BURST);
+        Self { table, clock, budget, call_timeout, interval, next_call }
+    }
+
+    /// Waits until the rate allows a call, and counts it.
+    pub(super) fn pace(&mut self) {
+        let now = self.clock.now();
+        let wait = self.next_call.saturating_duration_since(now);
+        if !wait.is_zero() {
+            self.clock.sleep(wait);
+        }
+        self.next_call = self.next_call.max(now) + self.interval;
+    }
+
+    /// Commits a write. The caller has called [`Settler::pace`] for the first attempt.
+    pub(super) fn commit(&mut self, txn: &Transaction, deadline: Instant) -> Settled {
+        self.budget.record_attempt();
+        let mut backoff = Backoff::new(BACKOFF_BASE, BACKOFF_CAP);
+        let latest = deadline.checked_sub(self.call_timeout).unwrap_or(deadline);
+        let mut uncertain = false;
+        loop {
+            let cause = match self.table.commit(txn) {
+                Ok(result) => return Settled::Decided(result),
+                Err(cause) => cause,
+            };
+            uncertain |= !cause.had_no_effect();
+            let refused = matches!(cause, PlatformError::Refused { .. });
+            let delay = backoff.next_delay(self.clock.now(), latest, rand::random());
+            match delay.filter(|_| !refused && self.budget.try_retry()) {
+                Some(delay) => {
+                    self.clock.sleep(delay);
+                    self.pace();
+                }
+                None if uncertain => return self.resolve(&txn.operation, deadline, cause),
+                None => return Settled::NotCommitted { cause },
+            }
+        }
+    }
+
+    /// True if attempts for this deadline end because of the deadline, and not because of the retry budget.
+    pub(super) fn is_late(&self, deadline: Instant) -> bool {
+        self.clock.now() + self.call_timeout + BACKOFF_CAP >= deadline
+    }
+
+    /// Asks what became of a write whose outcome is unknown, and forbids it if the table has not seen it.
+    ///
+    /// Asks once even if the deadline has passed, so that the caller learns the truth whenever that is possible.
+    pub(super) fn resolve(
+        &mut self,
+        operation: &str,
+        deadline: Instant,
+        cause: PlatformError,
+    ) -> Settled {
+        let query = OperationQuery { operation: operation.to_owned(), forbid: true };
+        let mut backoff = Backoff::new(BACKOFF_BASE, BACKOFF_CAP);
+        loop {
+            self.pace();
+            let error = match self.table.operation(&query) {
+                Ok(OperationStatus::Decided { result }) if !is_forbidden(&result) => {
+                    return Settled::Decided(result);
+                }
+                Ok(_) => return Settled::Forbidden { cause },
+                Err(error) => error,
+            };
+            match backoff.next_delay(self.clock.now(), deadline, rand::random()) {
+                Some(delay) => self.clock.sleep(delay),
+                None => return Settled::Unknown { cause: error },
+            }
+        }
+    }
+}
+
+/// True for the result that the table keeps for a forbidden operation.
+fn is_forbidden(result: &CommitResult) -> bool {
+    matches!(result, CommitResult::Conflict { failed } if failed.is_empty())
+}
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,1 +1,200 @@
-//! Shared parts of the HTTP clients.
+//! HTTP clients of the platform's services.
+//!
+//! A caller decides by [`PlatformError`] whether it may repeat a call, so the mapping is strict: only an error of the
+//! connector, which runs before anything is written, counts as unreachable. Everything after that, a broken pooled
+//! connection and an answer with a 5xx status included, may have had an effect.
+
+mod clients;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use ureq::Agent;
+use ureq::http::Response;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::{ConnectionDetails, Connector, TcpConnector};
+
+use super::PlatformError;
+use crate::telemetry::Metrics;
+
+pub use clients::{HttpObjects, HttpTable, HttpVmList, HttpWorkers};
+
+/// Largest answer that is read.
+const MAX_ANSWER_BYTES: u64 = 256 << 20;
+
+/// Longest part of a refusal's body that goes into an error message, in characters.
+const MAX_MESSAGE_CHARS: usize = 300;
+
+/// Idle connections that a client keeps.
+const IDLE_CONNECTIONS: usize = 128;
+
+/// Marks an error as one of the connector.
+#[derive(Debug, thiserror::Error)]
+#[error("{cause}")]
+struct ConnectFailed {
+    cause: String,
+}
+
+/// Opens TCP connections and marks its errors, so that they can be told from later ones.
+#[derive(Debug, Default)]
+struct MarkingConnector {
+    tcp: TcpConnector,
+}
+
+impl Connector for MarkingConnector {
+    type Out = <TcpConnector as Connector<()>>::Out;
+
+    fn connect(
+        &self,
+        details: &ConnectionDetails<'_>,
+        chained: Option<()>,
+    ) -> Result<Option<Self::Out>, ureq::Error> {
+        self.tcp.connect(details, chained).map_err(|error| {
+            ureq::Error::Other(Box::new(ConnectFailed { cause: error.to_string() }))
+        })
+    }
+}
+
+/// Makes one attempt per call.
+#[derive(Clone, Debug)]
+struct HttpClient {
+    /// Name of the service in errors.
+    service: &'static str,
+    agent: Agent,
+    /// Bound of a whole call.
+    timeout: Duration,
+    metrics: Metrics,
+}
+
+impl HttpClient {
+    fn new(service: &'static str, timeout: Duration, metrics: Metrics) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .max_redirects_will_error(false)
+            // A proxy from the environment would hide whether the service itself was reached.
+            .proxy(None)
+            .timeout_global(Some(timeout))
+            // Half of the time, so that a relay can still be tried before the caller's own deadline.
+            .timeout_connect(Some(timeout / 2))
+            .max_idle_connections(IDLE_CONNECTIONS)
+            .build();
+        let agent =
+            Agent::with_parts(config, MarkingConnector::default(), DefaultResolver::default());
+        Self { service, agent, timeout, metrics }
+    }
+
+    /// Posts JSON and decodes the answer.
+    fn post<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        req: &Q,
+    ) -> Result<A, PlatformError> {
+        let (status, answer) = self.send(address, path, req)?;
+        self.decode(status, &answer)
+    }
+
+    /// Posts JSON and ignores the content of the answer.
+    fn command(
+        &self,
+        address: &str,
+        path: &str,
+        req: &impl Serialize,
+    ) -> Result<(), PlatformError> {
+        let (status, answer) = self.send(address, path, req)?;
+        self.check(status, &answer)
+    }
+
+    fn send(
+        &self,
+        address: &str,
+        path: &str,
+        req: &impl Serialize,
+    ) -> Result<(u16, Vec<u8>), PlatformError> {
+        let body = serde_json::to_vec(req).map_err(|error| self.refused(0, &error.to_string()))?;
+        let sent = self
+            .agent
+            .post(format!("http://{address}{path}"))
+            .header("Content-Type", "application/json")
+            .send(&body[..]);
+        self.finish(address, sent)
+    }
+
+    /// Puts a body and ignores the content of the answer.
+    fn put(&self, address: SocketAddr, path: &str, body: &[u8]) -> Result<(), PlatformError> {
+        let sent = self.agent.put(format!("http://{address}{path}")).send(body);
+        let (status, answer) = self.finish(&address.to_string(), sent)?;
+        self.check(status, &answer)
+    }
+
+    /// Gets a path.
+    fn get(&self, address: SocketAddr, path: &str) -> Result<(u16, Vec<u8>), PlatformError> {
+        let sent = self.agent.get(format!("http://{address}{path}")).call();
+        self.finish(&address.to_string(), sent)
+    }
+
+    fn finish(
+        &self,
+        address: &str,
+        sent: Result<Response<ureq::Body>, ureq::Error>,
+    ) -> Result<(u16, Vec<u8>), PlatformError> {
+        let mut response = sent.map_err(|error| self.call_error(address, error))?;
+        let status = response.status().as_u16();
+        let body = response.body_mut().with_config().limit(MAX_ANSWER_BYTES).read_to_vec();
+        Ok((status, body.map_err(|error| self.no_answer(error.to_string()))?))
+    }
+
+    fn call_error(&self, address: &str, error: ureq::Error) -> PlatformError {
+        match error {
+            ureq::Error::Other(other) if other.is::<ConnectFailed>() => {
+                PlatformError::Unreachable {
+                    service: self.service,
+                    address: address.to_owned(),
+                    cause: other.to_string(),
+                }
+            }
+            // The address is not a URL, which is found before any connection.
+            ureq::Error::BadUri(_) | ureq::Error::Http(_) | ureq::Error::HostNotFound => {
+                PlatformError::Unreachable {
+                    service: self.service,
+                    address: address.to_owned(),
+                    cause: error.to_string(),
+                }
+            }
+            error => self.no_answer(error.to_string()),
+        }
+    }
+
+    fn no_answer(&self, cause: String) -> PlatformError {
+        PlatformError::NoAnswer { service: self.service, waited: self.timeout, cause }
+    }
+
+    fn refused(&self, status: u16, message: &str) -> PlatformError {
+        let message = message.chars().take(MAX_MESSAGE_CHARS).collect();
+        PlatformError::Refused { service: self.service, status, message }
+    }
+
+    /// Maps the status: 2xx is an answer and 4xx a refusal. The protocols do not say that a 5xx had no effect.
+    fn check(&self, status: u16, body: &[u8]) -> Result<(), PlatformError> {
+        let message = String::from_utf8_lossy(body);
+        match status {
+            200..=299 => Ok(()),
+            400..=499 => Err(self.refused(status, &message)),
+            _ => {
+                let message: String = message.chars().take(MAX_MESSAGE_CHARS).collect();
+                Err(self.no_answer(format!("status {status}: {message}")))
+            }
+        }
+    }
+
+    fn decode<A: DeserializeOwned>(&self, status: u16, body: &[u8]) -> Result<A, PlatformError> {
+        self.check(status, body)?;
+        serde_json::from_slice(body).map_err(|error| PlatformError::Malformed {
+            service: self.service,
+            cause: error.to_string(),
+        })
+    }
+}
--- a/src/platform/relay.rs
+++ b/src/platform/relay.rs
@@ -1,1 +1,309 @@
-//! Reaches the table through a peer when the direct way is cut.
+//! The table service through a peer.
+//!
+//! A domain that is cut off from the table may still reach processes that are not. [`RelayedTable`] calls the table
+//! directly and, while that fails, through peers. The answering side calls [`answer`] with its direct client only, so a
+//! relayed call is never relayed again. A commit keeps its operation id on every way, so a second way may repeat it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::PlatformError;
+use super::table::{
+    CommitResult, OperationQuery, OperationStatus, ReadRequest, ReadResponse, Table, Transaction,
+};
+use crate::clock::Clock;
+use crate::config::Settings;
+use crate::peer::{Directory, PeerError, Peers, Relay, RelayReply};
+use crate::telemetry::event::platform::{RELAY_ENDED, RELAY_STARTED};
+
+/// Name of the service in errors.
+const SERVICE: &str = "table service through a peer";
+
+/// Time between attempts to call the table directly again. An attempt may cost a whole connection timeout.
+const DIRECT_RETRY: Duration = Duration::from_secs(5);
+
+/// Peers that one call tries; bounds the time of a call while nothing is reachable.
+const MAX_PEERS: usize = 2;
+
+/// Where this process can be found, so that it never asks itself.
+#[derive(Clone, Debug)]
+pub struct OwnAddress {
+    /// Name of the process.
+    pub process: String,
+    /// `IP:PORT` of its peer interface.
+    pub peer_address: String,
+}
+
+/// The way that the next call takes first.
+#[derive(Clone, Debug, PartialEq)]
+enum Way {
+    Direct,
+    /// Through the peer, until the direct way is tried again.
+    Peer {
+        address: String,
+        retry_direct_at: Instant,
+    },
+}
+
+#[derive(Debug)]
+struct State {
+    way: Way,
+    /// Peers are tried from this place of the list on, so that each call after a failure tries others.
+    next_peer: usize,
+}
+
+/// A table that is called directly or, while that fails, through peers.
+#[derive(Debug)]
+pub struct RelayedTable {
+    direct: Arc<dyn Table>,
+    peers: Arc<dyn Peers>,
+    directory: Directory,
+    clock: Arc<dyn Clock>,
+    own: OwnAddress,
+    domain: String,
+    /// Domain and address of the peers in the settings.
+    seeds: Vec<(String, String)>,
+    timeout: Duration,
+    state: Mutex<State>,
+}
+
+impl RelayedTable {
+    /// Wraps the direct client.
+    #[must_use]
+    pub fn new(
+        direct: Arc<dyn Table>,
+        peers: Arc<dyn Peers>,
+        directory: Directory,
+        clock: Arc<dyn Clock>,
+        cfg: &Settings,
+        own: OwnAddress,
+    ) -> Self {
+        let address = |address: SocketAddr| address.to_string();
+        let seeds =
+            cfg.peers.iter().map(|peer| (peer.domain.clone(), address(peer.address))).collect();
+        Self {
+            direct,
+            peers,
+            directory,
+            clock,
+            own,
+            domain: cfg.domain.clone(),
+            seeds,
+            timeout: cfg.timing.platform_timeout(),
+            state: Mutex::new(State { way: Way::Direct, next_peer: 0 }),
+        }
+    }
+
+    /// The direct client, for answering peers.
+    #[must_use]
+    pub fn direct(&self) -> &Arc<dyn Table> {
+        &self.direct
+    }
+
+    /// Makes a call on the way that worked last, then on the others.
+    fn call<A: DeserializeOwned>(
+        &self,
+        direct: impl Fn(&dyn Table) -> Result<A, PlatformError>,
+        relay: impl Fn() -> Result<Relay, PlatformError>,
+    ) -> Result<A, PlatformError> {
+        let mut failures = Failures::default();
+        let way = self.lock().way.clone();
+        let now = self.clock.now();
+        let known = match way {
+            Way::Peer { address, retry_direct_at } if now < retry_direct_at => Some(address),
+            _ => None,
+        };
+        if let Some(address) = &known {
+            match self.through(address, relay()?) {
+                Ok(answer) => return Ok(answer),
+                Err(error) => failures.add(error),
+            }
+        }
+        match direct(self.direct.as_ref()) {
+            Ok(answer) => {
+                self.use_direct();
+                return Ok(answer);
+            }
+            Err(error) if is_final(&error) => return Err(failures.with(error)),
+            Err(error) => failures.add(error),
+        }
+        for address in self.candidates(known.as_deref()) {
+            match self.through(&address, relay()?) {
+                Ok(answer) => {
+                    self.use_peer(address);
+                    return Ok(answer);
+                }
+                Err(error) => failures.add(error),
+            }
+        }
+        self.lock().way = Way::Direct;
+        Err(failures.into_error())
+    }
+
+    fn through<A: DeserializeOwned>(
+        &self,
+        address: &str,
+        relay: Relay,
+    ) -> Result<A, PlatformError> {
+        match self.peers.relay(address, relay, self.timeout) {
+            Ok(RelayReply::Answer(answer)) => serde_json::from_str(&answer).map_err(|error| {
+                PlatformError::Malformed { service: SERVICE, cause: error.to_string() }
+            }),
+            Ok(RelayReply::Failed { no_effect: true, cause }) => Err(PlatformError::Unreachable {
+                service: SERVICE,
+                address: address.to_owned(),
+                cause,
+            }),
+            Err(PeerError::Unreachable { address, cause }) => {
+                Err(PlatformError::Unreachable { service: SERVICE, address, cause })
+            }
+            Ok(RelayReply::Failed { no_effect: false, cause })
+            | Err(PeerError::NoAnswer { cause, .. }) => {
+                Err(PlatformError::NoAnswer { service: SERVICE, waited: self.timeout, cause })
+            }
+        }
+    }
+
+    /// Peers to try: those of other domains first, because the own domain is likely cut off as a whole.
+    fn candidates(&self, tried: Option<&str>) -> Vec<String> {
+        let members = self.directory.snapshot();
+        let known = members
+            .values()
+            .filter(|member| member.process != self.own.process)
+            .map(|member| (member.domain.clone(), member.peer_address.clone()));
+        let mut others = Vec::new();
+        let mut own = Vec::new();
+        for (domain, address) in known.chain(self.seeds.iter().cloned()) {
+            let list = if domain == self.domain { &mut own } else { &mut others };
+            let is_self = address == self.own.peer_address;
+            if !is_self && tried != Some(address.as_str()) && !list.contains(&address) {
+                list.push(address);
+            }
+        }
+        let mut state = self.lock();
+        let start = state.next_peer;
+        state.next_peer = start.wrapping_add(MAX_PEERS);
+        rotate(&mut others, start);
+        rotate(&mut own, start);
+        others.extend(own);
+        others.truncate(MAX_PEERS);
+        others
+    }
+
+    fn use_direct(&self) {
+        let mut state = self.lock();
+        if state.way != Way::Direct {
+            state.way = Way::Direct;
+            RELAY_ENDED.emit(format_args!("the table service answers directly"));
+        }
+    }
+
+    fn use_peer(&self, address: String) {
+        let mut state = self.lock();
+        if state.way == Way::Direct {
+            RELAY_STARTED.emit(format_args!("the table service is called through {address}"));
+        }
+        state.way = Way::Peer { address, retry_direct_at: self.clock.now() + DIRECT_RETRY };
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn rotate(list: &mut [String], start: usize) {
+    if !list.is_empty() {
+        list.rotate_left(start % list.len());
+    }
+}
+
+/// True if another way would give the same answer.
+fn is_final(error: &PlatformError) -> bool {
+    matches!(error, PlatformError::Refused { .. } | PlatformError::Malformed { .. })
+}
+
+/// The errors of one call on all its ways.
+#[derive(Debug, Default)]
+struct Failures {
+    /// The error to report: the last one that may have had an effect, otherwise the first one.
+    reported: Option<PlatformError>,
+}
+
+impl Failures {
+    fn add(&mut self, error: PlatformError) {
+        if self.reported.is_none() || !error.had_no_effect() {
+            self.reported = Some(error);
+        }
+    }
+
+    /// A refusal on one way does not undo a possible effect on another one.
+    fn with(mut self, error: PlatformError) -> PlatformError {
+        match self.reported.take() {
+            Some(reported) if !reported.had_no_effect() => reported,
+            _ => error,
+        }
+    }
+
+    fn into_error(self) -> PlatformError {
+        self.reported.unwrap_or(PlatformError::Unreachable {
+            service: SERVICE,
+            address: String::new(),
+            cause: "no way to the table service is known".to_owned(),
+        })
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<String, PlatformError> {
+    serde_json::to_string(value).map_err(|error| PlatformError::Refused {
+        service: SERVICE,
+        status: 0,
+        message: error.to_string(),
+    })
+}
+
+impl Table for RelayedTable {
+    fn read(&self, req: &ReadRequest) -> Result<ReadResponse, PlatformError> {
+        self.call(|table| table.read(req), || encode(req).map(Relay::Read))
+    }
+
+    fn commit(&self, txn: &Transaction) -> Result<CommitResult, PlatformError> {
+        self.call(|table| table.commit(txn), || encode(txn).map(Relay::Commit))
+    }
+
+    fn operation(&self, query: &OperationQuery) -> Result<OperationStatus, PlatformError> {
+        self.call(|table| table.operation(query), || encode(query).map(Relay::Operation))
+    }
+}
+
+/// Answers a peer with this process's direct client.
+#[must_use]
+pub fn answer(direct: &dyn Table, msg: &Relay) -> RelayReply {
+    match msg {
+        Relay::Read(req) => pass(req, |req| direct.read(&req)),
+        Relay::Commit(txn) => pass(txn, |txn| direct.commit(&txn)),
+        Relay::Operation(query) => pass(query, |query| direct.operation(&query)),
+    }
+}
+
+fn pass<Q: DeserializeOwned, A: Serialize>(
+    req: &str,
+    call: impl FnOnce(Q) -> Result<A, PlatformError>,
+) -> RelayReply {
+    let req = match serde_json::from_str(req) {
+        Ok(req) => req,
+        Err(error) => return RelayReply::Failed { no_effect: true, cause: error.to_string() },
+    };
+    match call(req) {
+        Ok(answer) => match serde_json::to_string(&answer) {
+            Ok(answer) => RelayReply::Answer(answer),
+            Err(error) => RelayReply::Failed { no_effect: false, cause: error.to_string() },
+        },
+        Err(error) => {
+            RelayReply::Failed { no_effect: error.had_no_effect(), cause: error.to_string() }
+        }
+    }
+}
