Carry a caller's request to a target and back

Cause: the request path had interfaces only. Change: the front takes requests from tiny_http through a bounded ring, the dispatcher finds a slot by power of two choices and admission with early refusal, the HTTP client sends a request exactly once, and requests without a free slot go through a peer. Heartbeats with the membership rules, the planned stop and an executor stand-in are included. Ruled out: one pooled client per executor, because ureq reuses a connection before the request id has been compared; each connection has an agent of its own instead. Conclusion: thin and complete for one process.

--- /dev/null
+++ b/src/ops/dispatch/slots.rs
@@ -0,0 +1,209 @@
+//! Slots and the requests that wait for them.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc::{self, SyncSender};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use crate::catalogue::Class;
+use crate::clock::Clock;
+use crate::ops::membership::ShareCell;
+use crate::platform::target::TargetHealth;
+use crate::platform::vms::VmListing;
+use crate::policy::admission::{Admission, Refusal};
+
+use super::executors::{ExecutorLimits, Executors, Slot, SlotEnd};
+
+/// Why no slot was given.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum NoSlot {
+    /// Refused at once.
+    Refused(Refusal),
+    /// Shed for urgent work, or the deadline passed in the queue.
+    Expired,
+}
+
+#[derive(Debug)]
+struct State {
+    executors: Executors,
+    admission: Admission,
+    /// The channel of each waiting request by ticket. Invariant: exactly the tickets in `admission`.
+    waiters: BTreeMap<u64, SyncSender<Option<Slot>>>,
+    next_ticket: u64,
+    listing: Arc<VmListing>,
+}
+
+/// The slots of a process. All methods are short; waiting happens outside the lock.
+#[derive(Debug)]
+pub(super) struct Slots {
+    domain: String,
+    clock: Arc<dyn Clock>,
+    shares: ShareCell,
+    state: Mutex<State>,
+}
+
+impl Slots {
+    pub(super) fn new(
+        domain: &str,
+        clock: Arc<dyn Clock>,
+        shares: ShareCell,
+        limits: ExecutorLimits,
+        queue_length: usize,
+    ) -> Self {
+        let state = State {
+            executors: Executors::new(limits),
+            admission: Admission::new(queue_length),
+            waiters: BTreeMap::new(),
+            next_ticket: 0,
+            listing: Arc::default(),
+        };
+        Self { domain: domain.to_owned(), clock, shares, state: Mutex::new(state) }
+    }
+
+    /// Follows the VM list if it changed.
+    pub(super) fn follow(&self, listing: &Arc<VmListing>) {
+        let mut state = self.lock();
+        if !Arc::ptr_eq(&state.listing, listing) {
+            state.listing = Arc::clone(listing);
+            state.executors.follow(listing, &self.domain);
+        }
+    }
+
+    pub(super) fn addresses(&self) -> Vec<(String, String)> {
+        self.lock().executors.addresses()
+    }
+
+    pub(super) fn serves(&self, service: &str) -> bool {
+        self.lock().executors.serves(service)
+    }
+
+    pub(super) fn free_slots(&self) -> u32 {
+        let now = self.clock.now();
+        if self.shares.current(now).is_none() {
+            return 0;
+        }
+        self.lock().executors.free_slots(now)
+    }
+
+    pub(super) fn on_report(&self, name: &str, asked_at: Instant, report: Option<TargetHealth>) {
+        let share = self.shares.current(self.clock.now());
+        let mut state = self.lock();
+        state.executors.on_report(name, asked_at, report, share.as_ref());
+        self.grant(&mut state);
+    }
+
+    /// Takes a slot without waiting. Requests that wait come first.
+    pub(super) fn try_take(&self, service: &str, avoid: &[String]) -> Option<Slot> {
+        let now = self.clock.now();
+        let share = self.shares.current(now);
+        let mut state = self.lock();
+        if state.admission.waiting_for(service) > 0 {
+            return None;
+        }
+        state.executors.take(service, avoid, share.as_ref(), draws(), now)
+    }
+
+    /// Takes a slot, waiting until `deadline` at most.
+    pub(super) fn take(
+        &self,
+        service: &str,
+        class: Class,
+        deadline: Instant,
+    ) -> Result<Slot, NoSlot> {
+        if let Some(slot) = self.try_take(service, &[]) {
+            return Ok(slot);
+        }
+        let (tx, rx) = mpsc::sync_channel(1);
+        let ticket = self.enqueue(service, class, deadline, tx)?;
+        // A slot may have become free between the two steps.
+        self.grant(&mut self.lock());
+        let remaining = deadline.saturating_duration_since(self.clock.now());
+        if let Ok(granted) = rx.recv_timeout(remaining) {
+            return granted.ok_or(NoSlot::Expired);
+        }
+        let mut state = self.lock();
+        state.admission.remove(service, ticket);
+        state.waiters.remove(&ticket);
+        drop(state);
+        // A grant sent before the removal is in the channel.
+        match rx.try_recv() {
+            Ok(Some(slot)) => {
+                self.release(&slot, None);
+                Err(NoSlot::Expired)
+            }
+            _ => Err(NoSlot::Expired),
+        }
+    }
+
+    /// Gives a slot back; `None` if it was not used.
+    pub(super) fn release(&self, slot: &Slot, end: Option<SlotEnd>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        match end {
+            Some(end) => state.executors.release(slot, end, now),
+            None => state.executors.release_unused(slot),
+        }
+        self.grant(&mut state);
+    }
+
+    fn enqueue(
+        &self,
+        service: &str,
+        class: Class,
+        deadline: Instant,
+        tx: SyncSender<Option<Slot>>,
+    ) -> Result<u64, NoSlot> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let rate = state.executors.rate(service, now);
+        let ticket = state.next_ticket;
+        state.next_ticket += 1;
+        let admitted = state
+            .admission
+            .offer(service, ticket, class, deadline, now, rate)
+            .map_err(NoSlot::Refused)?;
+        state.waiters.insert(ticket, tx);
+        if let Some(shed) = admitted.shed {
+            state.answer(shed, None);
+        }
+        Ok(ticket)
+    }
+
+    /// Gives free slots to waiting requests and drops those that are too late.
+    fn grant(&self, state: &mut State) {
+        let now = self.clock.now();
+        let Some(share) = self.shares.current(now) else { return };
+        let services: Vec<String> = state.admission.services().map(str::to_owned).collect();
+        for service in services {
+            let mean = state.executors.rate(&service, now).mean;
+            for late in state.admission.expire(&service, now, mean) {
+                state.answer(late, None);
+            }
+            while state.admission.waiting_for(&service) > 0 {
+                let slot = state.executors.take(&service, &[], Some(&share), draws(), now);
+                let Some(slot) = slot else { break };
+                match state.admission.next(&service) {
+                    Some(ticket) => state.answer(ticket, Some(slot)),
+                    None => state.executors.release_unused(&slot),
+                }
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn answer(&mut self, ticket: u64, slot: Option<Slot>) {
+        if let Some(tx) = self.waiters.remove(&ticket) {
+            // The channel holds one message and gets one, and its receiver is alive while the ticket is in the queue.
+            let _ = tx.try_send(slot);
+        }
+    }
+}
+
+fn draws() -> [u64; 2] {
+    [rand::random(), rand::random()]
+}
--- /dev/null
+++ b/src/ops/front/routes.rs
@@ -0,0 +1,233 @@
+//! Which part answers a request.
+
+use std::time::Duration;
+
+use super::FrontAnswer;
+use super::server::{BodyError, IncomingRequest};
+use crate::catalogue::Document;
+use crate::error::ApiError;
+use crate::ops::Context;
+use crate::ops::api::{ApiRequest, ApiResponse};
+use crate::ops::dispatch::{Dispatched, Dispatcher, ServiceRequest};
+use crate::request::Outcome;
+use crate::telemetry::Span;
+use crate::telemetry::trace::TRACEPARENT;
+
+/// Header with the time that the caller waits, in milliseconds.
+const DEADLINE_MS: &str = "Plantainlever-Deadline-Ms";
+
+/// Headers of a caller that a target sees.
+const PASSED_ON: &[&str] = &["accept", "content-type"];
+
+/// Answers requests to one resource of the interface.
+pub type Handler = fn(&Context, &ApiRequest) -> ApiResponse;
+
+/// The resources below `/v1`, by their first path segment.
+#[derive(Clone, Debug, Default)]
+pub struct ApiRoutes {
+    routes: Vec<(&'static str, Handler)>,
+}
+
+impl ApiRoutes {
+    /// Adds a resource.
+    #[must_use]
+    pub fn with(mut self, segment: &'static str, handler: Handler) -> Self {
+        self.routes.push((segment, handler));
+        self
+    }
+
+    fn find(&self, segment: &str) -> Option<Handler> {
+        self.routes.iter().find(|(name, _)| *name == segment).map(|(_, handler)| *handler)
+    }
+}
+
+/// All that the front answers.
+#[derive(Debug)]
+pub(super) struct Routes {
+    cx: Context,
+    dispatcher: Dispatcher,
+    api: ApiRoutes,
+}
+
+impl Routes {
+    pub(super) fn new(cx: Context, dispatcher: Dispatcher, api: ApiRoutes) -> Self {
+        Self { cx, dispatcher, api }
+    }
+
+    pub(super) fn answer(&self, req: &mut IncomingRequest) -> FrontAnswer {
+        let headers = req.headers();
+        let body = match req.read_body(self.cx.cfg.limits.max_body_bytes) {
+            Ok(body) => body,
+            Err(error) => return FrontAnswer::error(&self.body_error(error), Outcome::NotRun),
+        };
+        let (path, query) = req.url().split_once('?').unwrap_or((req.url(), ""));
+        let segments: Vec<&str> = path.split('/').skip(1).collect();
+        let method = req.method();
+        match segments.as_slice() {
+            ["healthz"] => status(200, "alive"),
+            ["readyz"] if self.cx.stop.is_draining() => status(503, "stopping"),
+            ["readyz"] => status(200, "ready"),
+            ["v1", "services", service, rest @ ..] => {
+                let mut target_path = format!("/{}", rest.join("/"));
+                if !query.is_empty() {
+                    target_path = format!("{target_path}?{query}");
+                }
+                let call = Call { service, method, path: target_path, headers, body };
+                self.call_service(call)
+                    .unwrap_or_else(|error| FrontAnswer::error(&error, Outcome::NotRun))
+            }
+            ["v1", resource, ..] => match self.api.find(resource) {
+                Some(handler) => {
+                    let request = ApiRequest {
+                        method: &method,
+                        segments: segments[1..].to_vec(),
+                        query,
+                        headers: &headers,
+                        body: &body,
+                    };
+                    let response = handler(&self.cx, &request);
+                    let outcome = api_outcome(response.status);
+                    FrontAnswer::json(&response, outcome)
+                }
+                None => FrontAnswer::error(&unknown_route(path), Outcome::NotRun),
+            },
+            _ => FrontAnswer::error(&unknown_route(path), Outcome::NotRun),
+        }
+    }
+
+    fn call_service(&self, call: Call<'_>) -> Result<FrontAnswer, ApiError> {
+        let copy = self.cx.catalogue.snapshot();
+        let Some(Document::Entry(entry)) = copy.document(call.service) else {
+            return Err(unknown_service(call.service));
+        };
+        let deadline = self.deadline(header(&call.headers, DEADLINE_MS))?;
+        let span = Span::start("front", header(&call.headers, TRACEPARENT));
+        let idempotent = entry.idempotent.unwrap_or_else(|| is_idempotent(&call.method));
+        let passed_on = |name: &str| PASSED_ON.contains(&name.to_ascii_lowercase().as_str());
+        let req = ServiceRequest {
+            id: format!("{:016x}", rand::random::<u64>()),
+            service: call.service.to_owned(),
+            method: call.method,
+            path: call.path,
+            headers: call.headers.into_iter().filter(|(name, _)| passed_on(name)).collect(),
+            body: call.body,
+            deadline: self.cx.clock.now() + deadline,
+            idempotent,
+        };
+        let dispatched = self.dispatcher.dispatch(&req, &span);
+        let traceparent = (TRACEPARENT.to_owned(), span.traceparent());
+        span.close();
+        let mut answer = to_answer(dispatched);
+        answer.headers.push(traceparent);
+        Ok(answer)
+    }
+
+    fn deadline(&self, header: Option<&str>) -> Result<Duration, ApiError> {
+        let timing = &self.cx.cfg.timing;
+        let Some(text) = header else { return Ok(timing.default_deadline()) };
+        let longest = timing.max_deadline();
+        match text.trim().parse::<u64>().map(Duration::from_millis) {
+            Ok(deadline) if !deadline.is_zero() && deadline <= longest => Ok(deadline),
+            _ => Err(ApiError::new(
+                400,
+                "malformed-header",
+                format!("{DEADLINE_MS} is {text:?}"),
+                format!("send a number of milliseconds from 1 to {}", longest.as_millis()),
+            )),
+        }
+    }
+
+    fn body_error(&self, error: BodyError) -> ApiError {
+        let limit = self.cx.cfg.limits.max_body_bytes;
+        match error {
+            BodyError::TooLarge => ApiError::new(
+                413,
+                "body-too-large",
+                format!("the body is longer than {limit} bytes"),
+                "send less, or ask the operators to raise limits.max_body_bytes",
+            ),
+            BodyError::TooSlow => ApiError::new(
+                408,
+                "body-too-slow",
+                "the body did not arrive in time",
+                "send the body without pauses",
+            ),
+            BodyError::Broken => ApiError::new(
+                400,
+                "body-broken",
+                "the body ended early or is not encoded as announced",
+                "check Content-Length and Transfer-Encoding",
+            ),
+        }
+    }
+}
+
+/// A request to a service as received.
+struct Call<'a> {
+    service: &'a str,
+    method: String,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+fn to_answer(dispatched: Dispatched) -> FrontAnswer {
+    match dispatched {
+        Dispatched::Completed(answer) => FrontAnswer {
+            status: answer.status,
+            outcome: Outcome::Completed,
+            headers: answer.headers,
+            body: answer.body,
+        },
+        Dispatched::NotRun { cause } => {
+            let error = ApiError::new(503, "not-run", cause, "the request can be sent again");
+            FrontAnswer::error(&error, Outcome::NotRun)
+        }
+        Dispatched::Unknown { cause } => {
+            let hint =
+                "it may have run; look for its effect, or repeat it with its Idempotency-Key";
+            FrontAnswer::error(&ApiError::new(504, "unknown", cause, hint), Outcome::Unknown)
+        }
+    }
+}
+
+/// An answer of the interface below 500 says what was done; a 5xx of an edit may hide an effect.
+fn api_outcome(status: u16) -> Outcome {
+    match status {
+        ..400 => Outcome::Completed,
+        400..500 => Outcome::NotRun,
+        _ => Outcome::Unknown,
+    }
+}
+
+fn status(status: u16, text: &str) -> FrontAnswer {
+    let response = ApiResponse::json(status, &serde_json::json!({ "status": text }));
+    FrontAnswer::json(&response, Outcome::Completed)
+}
+
+fn header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    let found = headers.iter().find(|(header, _)| header.eq_ignore_ascii_case(name));
+    found.map(|(_, value)| value.as_str())
+}
+
+fn is_idempotent(method: &str) -> bool {
+    matches!(method, "GET" | "HEAD" | "OPTIONS" | "PUT" | "DELETE")
+}
+
+fn unknown_route(path: &str) -> ApiError {
+    ApiError::new(
+        404,
+        "unknown-route",
+        format!("nothing answers at {path:?}"),
+        "see docs/design.md for the paths",
+    )
+}
+
+fn unknown_service(service: &str) -> ApiError {
+    ApiError::new(
+        404,
+        "unknown-service",
+        format!("the catalogue has no entry {service:?}"),
+        "list the entries with `plantainlever catalogue list`",
+    )
+}
--- a/src/ops/membership.rs
+++ b/src/ops/membership.rs
@@ -1,1 +1,326 @@
 //! Exchanges heartbeats with the entry processes of the domain.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use thiserror::Error;
+
+use super::Context;
+use crate::peer::directory;
+use crate::peer::membership::{Change, Membership, Share, Timeouts};
+use crate::peer::{Heartbeat, HeartbeatReply, PeerError};
+use crate::platform::table::{Transaction, Write};
+use crate::telemetry::event::peer as event;
+
+/// Ticks in each heartbeat period, so that a pause is noticed soon.
+const TICKS_PER_HEARTBEAT: u32 = 5;
+
+/// Silence after which the member row of a lost process is deleted.
+const ROW_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Why the duty could not start.
+#[derive(Debug, Error)]
+pub enum MembershipError {
+    /// No thread.
+    #[error("cannot start the heartbeat thread")]
+    Thread {
+        /// The system's error.
+        #[source]
+        source: std::io::Error,
+    },
+}
+
+/// The own part of the slots, shared with the dispatcher.
+#[derive(Clone, Debug)]
+pub struct ShareCell {
+    source: ShareSource,
+}
+
+#[derive(Clone, Debug)]
+enum ShareSource {
+    Whole(Instant),
+    Members(Arc<Mutex<State>>),
+}
+
+impl ShareCell {
+    /// For a process that is alone in its domain, as `dev` is.
+    #[must_use]
+    pub fn whole(since: Instant) -> Self {
+        Self { source: ShareSource::Whole(since) }
+    }
+
+    /// The own part, or `None` while no slots may be used.
+    #[must_use]
+    pub fn current(&self, now: Instant) -> Option<Share> {
+        match &self.source {
+            ShareSource::Whole(since) => Some(Share::whole(*since)),
+            ShareSource::Members(state) => lock(state).rules.share(now),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    rules: Membership,
+    /// Free slots by process, from its last heartbeat or acknowledgement.
+    free_slots: BTreeMap<String, u32>,
+    /// Processes that are stopping on plan.
+    stopping: BTreeSet<String>,
+    /// Peers with a heartbeat under way.
+    sending: BTreeSet<String>,
+    /// Own free slots, told to the peers.
+    own_free_slots: u32,
+    /// Lost processes whose rows are to be deleted, with the time of the loss.
+    lost: BTreeMap<String, Instant>,
+}
+
+/// The heartbeat duty.
+#[derive(Debug)]
+pub struct Heartbeats {
+    cx: Context,
+    state: Arc<Mutex<State>>,
+}
+
+/// The running thread.
+#[derive(Debug)]
+pub struct HeartbeatThread {
+    thread: JoinHandle<()>,
+}
+
+impl Heartbeats {
+    /// Prepares the duty; [`Self::start`] begins to send.
+    #[must_use]
+    pub fn new(cx: Context) -> Arc<Self> {
+        let timing = &cx.cfg.timing;
+        let timeouts = Timeouts {
+            share_lease: timing.share_lease(),
+            member_timeout: timing.member_timeout(),
+            pause_limit: timing.pause_limit(),
+        };
+        let state = State {
+            rules: Membership::new(&cx.process, timeouts, cx.clock.now()),
+            free_slots: BTreeMap::new(),
+            stopping: BTreeSet::new(),
+            sending: BTreeSet::new(),
+            own_free_slots: 0,
+            lost: BTreeMap::new(),
+        };
+        Arc::new(Self { cx, state: Arc::new(Mutex::new(state)) })
+    }
+
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// If the thread cannot be started.
+    pub fn start(self: &Arc<Self>) -> Result<HeartbeatThread, MembershipError> {
+        let duty = Arc::clone(self);
+        let thread = std::thread::Builder::new()
+            .name("heartbeat".to_owned())
+            .spawn(move || duty.run())
+            .map_err(|source| MembershipError::Thread { source })?;
+        Ok(HeartbeatThread { thread })
+    }
+
+    /// The own part of the slots, for the dispatcher.
+    #[must_use]
+    pub fn shares(&self) -> ShareCell {
+        ShareCell { source: ShareSource::Members(Arc::clone(&self.state)) }
+    }
+
+    /// Tells the duty how many slots are free.
+    pub fn set_free_slots(&self, free_slots: u32) {
+        lock(&self.state).own_free_slots = free_slots;
+    }
+
+    /// Free slots of the members by process, without those that stop.
+    #[must_use]
+    pub fn headroom(&self) -> BTreeMap<String, u32> {
+        let state = lock(&self.state);
+        let members = state.rules.members().iter().filter(|name| !state.stopping.contains(*name));
+        members
+            .map(|name| (name.clone(), state.free_slots.get(name).copied().unwrap_or(0)))
+            .collect()
+    }
+
+    /// Answers a heartbeat.
+    #[must_use]
+    pub fn on_heartbeat(&self, msg: &Heartbeat) -> HeartbeatReply {
+        let mut state = lock(&self.state);
+        if msg.domain == self.cx.cfg.domain {
+            let change = state.rules.on_heartbeat(&msg.from, self.cx.clock.now());
+            self.note(&mut state, change);
+            state.hear(&msg.from, msg.free_slots, msg.stopping);
+        }
+        HeartbeatReply {
+            from: self.cx.process.clone(),
+            domain: self.cx.cfg.domain.clone(),
+            stopping: self.cx.stop.is_draining(),
+            free_slots: state.own_free_slots,
+        }
+    }
+
+    fn run(self: &Arc<Self>) {
+        let period = self.cx.cfg.timing.heartbeat();
+        let mut sent: Option<Instant> = None;
+        while !self.cx.stop.is_stopped() {
+            let now = self.cx.clock.now();
+            self.tick(now);
+            if sent.is_none_or(|sent| now.saturating_duration_since(sent) >= period) {
+                sent = Some(now);
+                self.send_all();
+                self.delete_rows();
+            }
+            self.cx.clock.sleep(period / TICKS_PER_HEARTBEAT);
+        }
+    }
+
+    fn tick(&self, now: Instant) {
+        let known = self.known();
+        let mut state = lock(&self.state);
+        if let Some(known) = known {
+            state.rules.set_known(&known.into_keys().collect(), now);
+        }
+        for change in state.rules.tick(now) {
+            self.note(&mut state, Some(change));
+        }
+    }
+
+    /// Addresses of the other processes of the domain, by process or, for those only named in the settings, by address.
+    /// `None` until the own row has been read back, or a time has passed in which the table would have answered: a list
+    /// read before the own row was written may lack a process that started at the same time.
+    fn known(&self) -> Option<BTreeMap<String, String>> {
+        let directory = self.cx.directory.snapshot();
+        let domain = &self.cx.cfg.domain;
+        let mut known: BTreeMap<String, String> = directory
+            .values()
+            .filter(|member| member.domain == *domain && member.process != self.cx.process)
+            .map(|member| (member.process.clone(), member.peer_address.clone()))
+            .collect();
+        for seed in self.cx.cfg.peers.iter().filter(|seed| seed.domain == *domain) {
+            let address = seed.address.to_string();
+            if !known.values().any(|known| *known == address) {
+                known.insert(address.clone(), address);
+            }
+        }
+        let listed = directory.contains_key(&self.cx.process);
+        (listed || !self.cx.cfg.peers.is_empty()).then_some(known)
+    }
+
+    /// Sends in one thread per peer, so that a frozen peer delays neither the other heartbeats nor the ticks. A peer that
+    /// has not answered yet gets no second one.
+    fn send_all(self: &Arc<Self>) {
+        let Some(known) = self.known() else { return };
+        for (name, address) in known {
+            if !lock(&self.state).sending.insert(name.clone()) {
+                continue;
+            }
+            let duty = Arc::clone(self);
+            let sender = name.clone();
+            let spawned = std::thread::Builder::new()
+                .name("heartbeat-send".to_owned())
+                .spawn(move || duty.send(&sender, &address));
+            if spawned.is_err() {
+                lock(&self.state).sending.remove(&name);
+            }
+        }
+    }
+
+    fn send(&self, name: &str, address: &str) {
+        let msg = Heartbeat {
+            from: self.cx.process.clone(),
+            domain: self.cx.cfg.domain.clone(),
+            address: self.cx.cfg.peer_listen.to_string(),
+            stopping: self.cx.stop.is_draining(),
+            free_slots: lock(&self.state).own_free_slots,
+        };
+        let sent_at = self.cx.clock.now();
+        let timeout = self.cx.cfg.timing.heartbeat();
+        let result = self.cx.peers.heartbeat(address, msg, timeout);
+        let mut state = lock(&self.state);
+        state.sending.remove(name);
+        match result {
+            Ok(reply) if reply.domain == self.cx.cfg.domain => {
+                let now = self.cx.clock.now();
+                let change = state.rules.on_acknowledged(&reply.from, sent_at, now);
+                self.note(&mut state, change);
+                if reply.from != name {
+                    // Another process answers at this address, so the one with this name is gone.
+                    state.rules.on_refused(name, sent_at);
+                }
+                state.hear(&reply.from, reply.free_slots, reply.stopping);
+            }
+            Err(PeerError::Unreachable { cause, .. }) if cause.contains("refused") => {
+                state.rules.on_refused(name, sent_at);
+            }
+            Ok(_) | Err(_) => {}
+        }
+    }
+
+    fn note(&self, state: &mut State, change: Option<Change>) {
+        match change {
+            Some(Change::Joined(name)) => {
+                state.lost.remove(&name);
+                event::MEMBER_JOINED.emit(format_args!("process={name}"));
+            }
+            Some(Change::Lost(name)) => {
+                event::MEMBER_LOST.emit(format_args!("process={name}"));
+                state.free_slots.remove(&name);
+                state.stopping.remove(&name);
+                state.lost.insert(name, self.cx.clock.now());
+            }
+            Some(Change::Paused) => {
+                event::PAUSED.emit(format_args!("dispatch waits for the peers' answers"));
+            }
+            None => {}
+        }
+    }
+
+    /// Deletes the rows of processes that have been lost for long, so that nobody waits for them at its start.
+    fn delete_rows(&self) {
+        let now = self.cx.clock.now();
+        let old: Vec<String> = lock(&self.state)
+            .lost
+            .iter()
+            .filter(|(_, lost)| now.saturating_duration_since(**lost) >= ROW_TIMEOUT)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in old {
+            let key = directory::row_key(&self.cx.cfg.domain, &name);
+            let txn = Transaction {
+                operation: format!("{}-row-{name}", self.cx.process),
+                conditions: Vec::new(),
+                writes: vec![Write::Delete { key }],
+            };
+            // Names are unique per start, so a delete that is repeated or late removes nothing else.
+            if self.cx.table.commit(&txn).is_ok() {
+                lock(&self.state).lost.remove(&name);
+                self.cx.directory.remove(&name);
+                event::MEMBER_ROW_DELETED.emit(format_args!("process={name}"));
+            }
+        }
+    }
+}
+
+impl HeartbeatThread {
+    /// Waits for the thread, which ends once the context's stop signal is set.
+    pub fn close(self) {
+        // A panic of the thread has been reported by the panic hook.
+        let _ = self.thread.join();
+    }
+}
+
+impl State {
+    fn hear(&mut self, from: &str, free_slots: u32, stopping: bool) {
+        self.free_slots.insert(from.to_owned(), free_slots);
+        if stopping {
+            self.stopping.insert(from.to_owned());
+        }
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -1,1 +1,241 @@
-//! Which peers of the domain count as members, and the share of slots that follows.
+//! Which processes of the domain share the executors, and the own part of the slots.
+//!
+//! The rules are a pure state machine: time is an argument and messages are calls. Three facts keep the sum of the
+//! parts in use within the limits. A process uses slots only while a peer has acknowledged a heartbeat sent less than
+//! `share_lease` ago; a peer drops a member only after `member_timeout`, which is longer, of its own uninterrupted
+//! time; and a process that starts or wakes uses none before all known processes have counted it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+/// Bounds in time.
+#[derive(Clone, Copy, Debug)]
+pub struct Timeouts {
+    /// Greatest age of an acknowledged heartbeat at which slots may be used.
+    pub share_lease: Duration,
+    /// Silence after which a member is dropped.
+    pub member_timeout: Duration,
+    /// Pause between ticks that suspends the own process.
+    pub pause_limit: Duration,
+}
+
+/// The own part of the slots and connections.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Share {
+    /// Position among the members in name order.
+    pub rank: u32,
+    /// Number of members, this process included.
+    pub members: u32,
+    /// When the members changed last. Slots gained by the change wait for a later report of the executor.
+    pub since: Instant,
+}
+
+impl Share {
+    /// The part of a process that is alone.
+    #[must_use]
+    pub fn whole(since: Instant) -> Self {
+        Self { rank: 0, members: 1, since }
+    }
+
+    /// This process's part of `limit` at an executor. The parts of all members add up to `limit`.
+    #[must_use]
+    pub fn of(&self, limit: u32, executor: &str) -> u32 {
+        let members = self.members.max(1);
+        // The remainder starts at a member that depends on the executor, so that no member gets all remainders.
+        let turn = (self.rank + offset(executor) % members) % members;
+        limit / members + u32::from(turn < limit % members)
+    }
+}
+
+/// FNV-1a: the same in every process and build.
+fn offset(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
+/// A change that operators are told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The process is counted from now on.
+    Joined(String),
+    /// The process is no longer counted.
+    Lost(String),
+    /// The own process was paused and suspends dispatch.
+    Paused,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Peer {
+    /// Last message from it, heartbeat or acknowledgement, since the own last pause.
+    heard: Option<Instant>,
+    /// True once it acknowledged a heartbeat sent since the own last pause, or a connection to it was refused.
+    answered: bool,
+    /// When it was first known, or the end of the own last pause.
+    known: Option<Instant>,
+}
+
+/// The state machine of one process.
+#[derive(Debug)]
+pub struct Membership {
+    own: String,
+    timeouts: Timeouts,
+    peers: BTreeMap<String, Peer>,
+    /// Members without this process. Invariant: each is a key of `peers`.
+    members: BTreeSet<String>,
+    /// Last tick.
+    ticked: Instant,
+    /// Start or end of the last pause.
+    resumed: Instant,
+    /// Sending time of the newest acknowledged heartbeat.
+    acknowledged: Option<Instant>,
+    /// When a connection was refused last, by an attempt that began then.
+    refused: Option<Instant>,
+    /// True once all processes known since `resumed` have answered or proved silent.
+    settled: bool,
+    /// True once the addresses of the other processes are known.
+    informed: bool,
+    changed: Instant,
+}
+
+impl Membership {
+    /// Starts with no peer known. No slots are usable before [`Self::set_known`].
+    #[must_use]
+    pub fn new(own: &str, timeouts: Timeouts, now: Instant) -> Self {
+        Self {
+            own: own.to_owned(),
+            timeouts,
+            peers: BTreeMap::new(),
+            members: BTreeSet::new(),
+            ticked: now,
+            resumed: now,
+            acknowledged: None,
+            refused: None,
+            settled: false,
+            informed: false,
+            changed: now,
+        }
+    }
+
+    /// Replaces the list of processes that may be alive. Members stay until they are silent.
+    pub fn set_known(&mut self, known: &BTreeSet<String>, now: Instant) {
+        self.informed = true;
+        self.peers.retain(|name, _| known.contains(name) || self.members.contains(name));
+        for name in known.iter().filter(|name| **name != self.own) {
+            self.peers.entry(name.clone()).or_default().known.get_or_insert(now);
+        }
+    }
+
+    /// Runs the rules that depend on time. Called several times in each heartbeat period.
+    pub fn tick(&mut self, now: Instant) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if now.saturating_duration_since(self.ticked) > self.timeouts.pause_limit {
+            self.resume(now);
+            changes.push(Change::Paused);
+        }
+        self.ticked = now;
+        let timeout = self.timeouts.member_timeout;
+        let is_silent = |peer: &Peer| {
+            let last = peer.heard.max(peer.known);
+            last.is_none_or(|last| now.saturating_duration_since(last) >= timeout)
+        };
+        let lost: Vec<String> = self
+            .members
+            .iter()
+            .filter(|name| self.peers.get(*name).is_none_or(is_silent))
+            .cloned()
+            .collect();
+        for name in lost {
+            self.members.remove(&name);
+            self.changed = now;
+            changes.push(Change::Lost(name));
+        }
+        if self.informed && !self.settled {
+            self.settled = self.peers.values().all(|peer| peer.answered || is_silent(peer));
+        }
+        changes
+    }
+
+    /// A heartbeat came from a process of the domain. It is counted before the acknowledgement is sent.
+    pub fn on_heartbeat(&mut self, from: &str, now: Instant) -> Option<Change> {
+        self.hear(from, now)
+    }
+
+    /// A heartbeat that was sent at `sent_at` has been acknowledged.
+    pub fn on_acknowledged(
+        &mut self,
+        from: &str,
+        sent_at: Instant,
+        now: Instant,
+    ) -> Option<Change> {
+        if sent_at < self.resumed {
+            return None;
+        }
+        self.acknowledged = self.acknowledged.max(Some(sent_at));
+        let change = self.hear(from, now);
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.answered = true;
+        }
+        change
+    }
+
+    /// A connection attempt that began at `sent_at` was refused: the process at that address is gone.
+    pub fn on_refused(&mut self, peer: &str, sent_at: Instant) {
+        if sent_at < self.resumed {
+            return;
+        }
+        self.refused = self.refused.max(Some(sent_at));
+        if let Some(peer) = self.peers.get_mut(peer) {
+            peer.answered = true;
+        }
+    }
+
+    /// The own part, or `None` while no slots may be used. Asked before every dispatch.
+    #[must_use]
+    pub fn share(&self, now: Instant) -> Option<Share> {
+        if now.saturating_duration_since(self.ticked) > self.timeouts.pause_limit || !self.settled {
+            return None;
+        }
+        if !self.members.is_empty() {
+            let answered = self.acknowledged.max(self.refused)?;
+            if now.saturating_duration_since(answered) >= self.timeouts.share_lease {
+                return None;
+            }
+        }
+        let before = self.members.iter().filter(|name| **name < self.own).count();
+        Some(Share {
+            rank: u32::try_from(before).unwrap_or(u32::MAX),
+            members: u32::try_from(self.members.len()).unwrap_or(u32::MAX).saturating_add(1),
+            since: self.changed,
+        })
+    }
+
+    /// Members without this process.
+    #[must_use]
+    pub fn members(&self) -> &BTreeSet<String> {
+        &self.members
+    }
+
+    fn hear(&mut self, from: &str, now: Instant) -> Option<Change> {
+        if from == self.own {
+            return None;
+        }
+        let peer = self.peers.entry(from.to_owned()).or_default();
+        peer.known.get_or_insert(now);
+        peer.heard = Some(now);
+        let joined = self.members.insert(from.to_owned());
+        if joined {
+            self.changed = now;
+        }
+        joined.then(|| Change::Joined(from.to_owned()))
+    }
+
+    /// Restarts all counts: what was heard before the pause says nothing about the time of the pause.
+    fn resume(&mut self, now: Instant) {
+        self.resumed = now;
+        self.settled = false;
+        self.acknowledged = None;
+        self.refused = None;
+        for peer in self.peers.values_mut() {
+            *peer = Peer { heard: None, answered: false, known: Some(now) };
+        }
+    }
+}
--- a/src/telemetry/event/peer.rs
+++ b/src/telemetry/event/peer.rs
@@ -9,5 +9,10 @@
 /// A peer of the domain is no longer counted as a member.
 pub const MEMBER_LOST: Event = Event::new(501, Level::Warn, "member-lost");
 
+/// The own process was paused; it uses no slots before its peers have answered again.
+pub const PAUSED: Event = Event::new(502, Level::Warn, "paused");
+/// The table row of a process that has been lost for long was deleted.
+pub const MEMBER_ROW_DELETED: Event = Event::new(503, Level::Info, "member-row-deleted");
+
 /// All events of this module.
-pub const ALL: &[Event] = &[MEMBER_JOINED, MEMBER_LOST];
+pub const ALL: &[Event] = &[MEMBER_JOINED, MEMBER_LOST, PAUSED, MEMBER_ROW_DELETED];
--- a/src/telemetry/event/request.rs
+++ b/src/telemetry/event/request.rs
@@ -7,5 +7,12 @@
 /// An answer came after its deadline and was dropped.
 pub const LATE_ANSWER: Event = Event::new(300, Level::Info, "late-answer");
 
+/// A request was refused because too many wait for a front thread.
+pub const FRONT_FULL: Event = Event::new(301, Level::Warn, "front-full");
+/// The HTTP server no longer accepts connections.
+pub const ACCEPT_FAILED: Event = Event::new(302, Level::Error, "accept-failed");
+/// A request announced so long a body that its connection was left open unread.
+pub const BODY_ABANDONED: Event = Event::new(303, Level::Warn, "body-abandoned");
+
 /// All events of this module.
-pub const ALL: &[Event] = &[LATE_ANSWER];
+pub const ALL: &[Event] = &[LATE_ANSWER, FRONT_FULL, ACCEPT_FAILED, BODY_ABANDONED];
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -1,1 +1,8 @@
 //! Tests of the request path.
+
+// The lint's exception for tests does not reach helpers of tests.
+#![allow(clippy::unwrap_used)]
+
+mod answers;
+#[allow(dead_code)]
+mod rig;
