Add the command line, the operators' client and the settings check

Cause: operators had no way to reach a process but raw HTTP, and a settings file was decoded with the first error only, without ranges or contradictions.

Ruled out: checking the decoded Settings type. It stops at the first error and has lost the line numbers. The file is decoded into a tree with lines instead, and checked against a table of fields and a table of rules.

Change: commands check, catalogue, domain, task and status over a client in ops/client with typed errors; catalogue apply shows the changes and sends the revision that it read; GET /v1/status with a registry of sources that the duties fill; log.span_percent is a new setting.

--- /dev/null
+++ b/src/bin/plantainlever/cli.rs
@@ -0,0 +1,100 @@
+//! The commands and the options that several of them share.
+
+use bpaf::{OptionParser, Parser, construct, long, short};
+
+use crate::commands::{catalogue, check, domain, status, task};
+use crate::shell::{Shell, Verbosity};
+
+/// Where a process listens unless told otherwise.
+pub const DEFAULT_SERVER: &str = "127.0.0.1:7280";
+
+/// A parsed command line.
+#[derive(Debug)]
+pub enum Command {
+    /// `check`.
+    Check(check::Check),
+    /// `catalogue ...`.
+    Catalogue(catalogue::Catalogue),
+    /// `domain ...`.
+    Domain(domain::Domain),
+    /// `task ...`.
+    Task(task::Task),
+    /// `status`.
+    Status(status::Status),
+}
+
+impl Command {
+    /// Runs the command.
+    pub fn exec(self) -> eyre::Result<()> {
+        match self {
+            Self::Check(command) => command.exec(),
+            Self::Catalogue(command) => command.exec(),
+            Self::Domain(command) => command.exec(),
+            Self::Task(command) => command.exec(),
+            Self::Status(command) => command.exec(),
+        }
+    }
+}
+
+/// The parser of the whole command line.
+pub fn options() -> OptionParser<Command> {
+    let check = check::options().command("check").map(Command::Check);
+    let catalogue = catalogue::options().command("catalogue").map(Command::Catalogue);
+    let domain = domain::options().command("domain").map(Command::Domain);
+    let task = task::options().command("task").map(Command::Task);
+    let status = status::options().command("status").map(Command::Status);
+    construct!([check, catalogue, domain, task, status])
+        .to_options()
+        .descr("Schedules latency-critical services and batch work on the same VMs")
+        .footer("Example: plantainlever dev --once")
+        .version(env!("CARGO_PKG_VERSION"))
+}
+
+/// Options of every command that talks to a process.
+#[derive(Clone, Debug)]
+pub struct Remote {
+    /// `IP:PORT` or `NAME:PORT` of the process.
+    pub server: String,
+    /// How much is printed.
+    pub shell: Shell,
+}
+
+impl Remote {
+    /// A client of the process.
+    pub fn client(&self) -> plantainlever::ops::client::Client {
+        self.shell.detail(format_args!("asking {}", self.server));
+        plantainlever::ops::client::Client::new(&self.server)
+    }
+}
+
+/// The parser of [`Remote`].
+pub fn remote() -> impl Parser<Remote> {
+    let server = long("server")
+        .env("PLANTAINLEVER_SERVER")
+        .help("Process to talk to, or the balancer")
+        .argument::<String>("ADDR")
+        .guard(|server| is_server(server), "the server must be HOST:PORT with a port above 0")
+        .fallback(DEFAULT_SERVER.to_owned())
+        .display_fallback();
+    let shell = shell();
+    construct!(Remote { server, shell })
+}
+
+fn is_server(server: &str) -> bool {
+    let Some((host, port)) = server.rsplit_once(':') else { return false };
+    !host.is_empty() && !host.contains('/') && port.parse::<u16>().is_ok_and(|port| port != 0)
+}
+
+/// The parser of the verbosity.
+pub fn shell() -> impl Parser<Shell> {
+    let quiet =
+        short('q').long("quiet").help("Print results and errors only").req_flag(Verbosity::Quiet);
+    let verbose =
+        short('v').long("verbose").help("Print what is done as well").req_flag(Verbosity::Verbose);
+    construct!([quiet, verbose]).fallback(Verbosity::Normal).map(Shell::new)
+}
+
+/// The parser of `--json`.
+pub fn json() -> impl Parser<bool> {
+    long("json").help("Print JSON instead of a table").switch()
+}
--- /dev/null
+++ b/src/bin/plantainlever/commands/catalogue/list.rs
@@ -0,0 +1,59 @@
+//! `catalogue list`.
+
+use bpaf::{OptionParser, Parser, construct};
+use plantainlever::catalogue::{Class, Document};
+use plantainlever::ops::client::message::NamedDocument;
+
+use crate::cli::{self, Remote};
+use crate::table::Table;
+
+/// Options of `catalogue list`.
+#[derive(Debug)]
+pub struct List {
+    json: bool,
+    remote: Remote,
+}
+
+/// The parser.
+pub fn options() -> OptionParser<List> {
+    let json = cli::json();
+    let remote = cli::remote();
+    construct!(List { json, remote })
+        .to_options()
+        .descr("List the documents of the catalogue")
+        .footer("Example: plantainlever catalogue list --json")
+}
+
+impl List {
+    /// Runs the command.
+    pub fn exec(self) -> eyre::Result<()> {
+        let list = self.remote.client().documents()?;
+        if self.json {
+            self.remote.shell.json(&list)?;
+            return Ok(());
+        }
+        let mut table = Table::new(&["NAME", "KIND", "CLASS", "OWNER", "REVISION"]);
+        for named in &list.documents {
+            table.row(row(named));
+        }
+        self.remote.shell.table(&table)?;
+        self.remote.shell.note(format_args!("at revision {}", list.revision));
+        Ok(())
+    }
+}
+
+fn row(named: &NamedDocument) -> Vec<String> {
+    let (kind, class, owner) = match &named.document {
+        Document::Entry(entry) => ("entry", class_text(entry.class), entry.owner.as_str()),
+        Document::Owner(_) => ("owner", "-", "-"),
+    };
+    let name = named.name.clone();
+    vec![name, kind.to_owned(), class.to_owned(), owner.to_owned(), named.revision.to_string()]
+}
+
+fn class_text(class: Class) -> &'static str {
+    match class {
+        Class::LatencyCritical => "latency-critical",
+        Class::Batch => "batch",
+    }
+}
--- /dev/null
+++ b/src/bin/plantainlever/commands/domain/out.rs
@@ -0,0 +1,64 @@
+//! `domain out`.
+
+use std::time::Duration;
+
+use bpaf::{OptionParser, Parser, construct, long, positional};
+use plantainlever::clock::SystemClock;
+use plantainlever::domain::DomainState;
+use plantainlever::ops::client::evacuation;
+
+use crate::cli::{self, Remote};
+
+/// Longest wait of `--wait` unless told otherwise, in seconds.
+const DEFAULT_TIMEOUT_S: u64 = 600;
+
+/// Options of `domain out`.
+#[derive(Debug)]
+pub struct Out {
+    wait: bool,
+    timeout_s: u64,
+    remote: Remote,
+    name: String,
+}
+
+/// The parser.
+pub fn options() -> OptionParser<Out> {
+    let wait = long("wait").help("Wait until no task runs there; shows how many are left").switch();
+    let timeout_s = long("timeout")
+        .help("Longest wait in seconds")
+        .argument::<u64>("SECONDS")
+        .fallback(DEFAULT_TIMEOUT_S)
+        .display_fallback();
+    let remote = cli::remote();
+    let name = positional::<String>("NAME").help("Failure domain");
+    construct!(Out { wait, timeout_s, remote, name })
+        .to_options()
+        .descr("Take a failure domain out of service: no task starts there after 5 s")
+        .footer("Example: plantainlever domain out dc-a --wait")
+}
+
+impl Out {
+    /// Runs the command.
+    pub fn exec(self) -> eyre::Result<()> {
+        let client = self.remote.client();
+        let shell = &self.remote.shell;
+        client.set_domain(&self.name, DomainState::Out)?;
+        shell.result(format_args!("{} is out; no task starts there after 5 s", self.name))?;
+        if !self.wait {
+            return Ok(());
+        }
+        let timeout = Duration::from_secs(self.timeout_s);
+        let left = evacuation::wait(&client, &SystemClock, &self.name, timeout, |left| {
+            let (running, waiting) = (left.running, left.waiting);
+            shell.note(format_args!("{running} tasks left, {waiting} wait for another worker"));
+        })?;
+        shell.result(format_args!("{} runs no task", self.name))?;
+        if left.waiting > 0 {
+            shell.note(format_args!(
+                "{} tasks wait; \"plantainlever task list\" shows why",
+                left.waiting
+            ));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/bin/plantainlever/commands/task.rs
@@ -0,0 +1,45 @@
+//! `task`: submits, shows and cancels tasks.
+
+mod cancel;
+mod list;
+mod show;
+mod submit;
+
+use bpaf::{OptionParser, Parser, construct};
+
+/// A subcommand.
+#[derive(Debug)]
+pub enum Task {
+    /// `task submit`.
+    Submit(submit::Submit),
+    /// `task list`.
+    List(list::List),
+    /// `task show`.
+    Show(show::Show),
+    /// `task cancel`.
+    Cancel(cancel::Cancel),
+}
+
+/// The parser.
+pub fn options() -> OptionParser<Task> {
+    let submit = submit::options().command("submit").map(Task::Submit);
+    let list = list::options().command("list").map(Task::List);
+    let show = show::options().command("show").map(Task::Show);
+    let cancel = cancel::options().command("cancel").map(Task::Cancel);
+    construct!([submit, list, show, cancel])
+        .to_options()
+        .descr("Submit, show and cancel tasks")
+        .footer("Example: plantainlever task submit count --args '{\"run_ms\":1000}'")
+}
+
+impl Task {
+    /// Runs the subcommand.
+    pub fn exec(self) -> eyre::Result<()> {
+        match self {
+            Self::Submit(command) => command.exec(),
+            Self::List(command) => command.exec(),
+            Self::Show(command) => command.exec(),
+            Self::Cancel(command) => command.exec(),
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/plantainlever/commands/task/list.rs
@@ -0,0 +1,68 @@
+//! `task list`.
+
+use bpaf::{OptionParser, Parser, construct, long};
+use plantainlever::ops::client::message::{TaskView, state_text};
+
+use crate::cli::{self, Remote};
+use crate::table::Table;
+
+/// Options of `task list`.
+#[derive(Debug)]
+pub struct List {
+    state: Option<String>,
+    json: bool,
+    remote: Remote,
+}
+
+/// The parser.
+pub fn options() -> OptionParser<List> {
+    let state = long("state")
+        .help("Only tasks in this state, such as running or unplaceable")
+        .argument::<String>("STATE")
+        .guard(|state| STATES.contains(&state.as_str()), STATES_HINT)
+        .optional();
+    let json = cli::json();
+    let remote = cli::remote();
+    construct!(List { state, json, remote })
+        .to_options()
+        .descr("List the tasks")
+        .footer("Example: plantainlever task list --state unplaceable")
+}
+
+const STATES: &[&str] =
+    &["pending", "running", "evicted", "succeeded", "failed", "cancelled", "unplaceable"];
+
+const STATES_HINT: &str =
+    "allowed: pending, running, evicted, succeeded, failed, cancelled, unplaceable";
+
+impl List {
+    /// Runs the command.
+    pub fn exec(self) -> eyre::Result<()> {
+        let mut tasks = self.remote.client().tasks()?;
+        if let Some(state) = &self.state {
+            tasks.retain(|task| state_text(task.state) == state);
+        }
+        if self.json {
+            self.remote.shell.json(&tasks)?;
+            return Ok(());
+        }
+        let mut table = Table::new(&["ID", "ENTRY", "STATE", "TRY", "DOMAIN", "WORKER", "REASON"]);
+        for task in &tasks {
+            table.row(row(task));
+        }
+        self.remote.shell.table(&table)?;
+        Ok(())
+    }
+}
+
+fn row(task: &TaskView) -> Vec<String> {
+    vec![
+        task.id.clone(),
+        task.entry.clone(),
+        state_text(task.state).to_owned(),
+        task.attempt.to_string(),
+        task.domain.clone(),
+        task.worker.clone().unwrap_or_else(|| "-".to_owned()),
+        task.reason.clone().unwrap_or_else(|| "-".to_owned()),
+    ]
+}
--- /dev/null
+++ b/src/bin/plantainlever/shell.rs
@@ -0,0 +1,87 @@
+//! Output of all commands.
+//!
+//! Results go to standard output, so that they can be piped; progress and errors go to standard error.
+
+use std::fmt;
+use std::io::{self, Write};
+
+use plantainlever::config::SettingsError;
+use serde::Serialize;
+
+use crate::table::Table;
+
+/// How much is printed.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Verbosity {
+    /// Results and errors.
+    Quiet,
+    /// Progress as well.
+    Normal,
+    /// What is done as well.
+    Verbose,
+}
+
+/// Prints.
+#[derive(Clone, Debug)]
+pub struct Shell {
+    verbosity: Verbosity,
+}
+
+impl Shell {
+    /// Creates a shell.
+    pub fn new(verbosity: Verbosity) -> Self {
+        Self { verbosity }
+    }
+
+    /// Prints a result.
+    pub fn result(&self, text: fmt::Arguments<'_>) -> io::Result<()> {
+        writeln!(io::stdout().lock(), "{text}")
+    }
+
+    /// Prints a result as JSON.
+    pub fn json(&self, value: &impl Serialize) -> io::Result<()> {
+        let mut out = io::stdout().lock();
+        serde_json::to_writer_pretty(&mut out, value)?;
+        writeln!(out)
+    }
+
+    /// Prints a table.
+    pub fn table(&self, table: &Table) -> io::Result<()> {
+        write!(io::stdout().lock(), "{table}")
+    }
+
+    /// Prints progress or a remark.
+    pub fn note(&self, text: fmt::Arguments<'_>) {
+        self.to_stderr(Verbosity::Normal, text);
+    }
+
+    /// Prints what is done.
+    pub fn detail(&self, text: fmt::Arguments<'_>) {
+        self.to_stderr(Verbosity::Verbose, text);
+    }
+
+    fn to_stderr(&self, at_least: Verbosity, text: fmt::Arguments<'_>) {
+        if self.verbosity >= at_least {
+            // A closed standard error must not end the command.
+            let _ = writeln!(io::stderr().lock(), "{text}");
+        }
+    }
+}
+
+/// Prints an error with its causes.
+pub fn print_error(report: &eyre::Report) {
+    let mut err = io::stderr().lock();
+    if let Some(settings) = report.downcast_ref::<SettingsError>() {
+        // Each line already begins with FILE:LINE, which editors and scripts follow.
+        let _ = writeln!(err, "{settings}");
+        return;
+    }
+    let mut causes = report.chain();
+    if let Some(error) = causes.next() {
+        // Nothing can be reported once standard error is closed.
+        let _ = writeln!(err, "error: {error}");
+    }
+    for cause in causes {
+        let _ = writeln!(err, "  cause: {cause}");
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -3,11 +3,21 @@
 //! Read once at the start from a YAML file. An unknown key or a value out of range is an error; nothing starts before the
 //! whole file has been checked.
 
+pub mod check;
+pub mod field;
+pub mod load;
+pub mod problem;
+pub mod rules;
+pub mod tree;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+pub use load::{load, parse};
+pub use problem::{Problem, ProblemKind, SettingsError};
+
 /// Settings of an entry process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -71,11 +81,13 @@
     pub level: String,
     /// True to log finished spans.
     pub spans: bool,
+    /// Share of the traces begun here that are logged, in percent. A caller's sampled trace is always logged.
+    pub span_percent: u8,
 }
 
 impl Default for LogSettings {
     fn default() -> Self {
-        Self { level: "info".to_owned(), spans: false }
+        Self { level: "info".to_owned(), spans: false, span_percent: 10 }
     }
 }
 
--- /dev/null
+++ b/src/config/field.rs
@@ -0,0 +1,129 @@
+//! All settings with their types and ranges.
+//!
+//! docs/OPERATIONS.md lists the same settings with unit, default and reason; a test compares the two.
+
+/// A setting that has no further settings below it.
+#[derive(Clone, Copy, Debug)]
+pub struct Field {
+    /// Path from the root, with `[]` for the items of a list.
+    pub path: &'static str,
+    /// Type and range.
+    pub kind: Kind,
+    /// True if a file without it is refused.
+    pub required: bool,
+}
+
+/// Type and range of a setting.
+#[derive(Clone, Copy, Debug)]
+pub enum Kind {
+    /// A name as in the catalogue.
+    Name,
+    /// At least one name, none of them twice.
+    Names,
+    /// An address to listen on; port 0 lets the system pick one.
+    Listen,
+    /// An address to listen on that others are told; port 0 lets the system pick one.
+    ListenAnnounced,
+    /// An address to connect to.
+    Connect,
+    /// One of these words.
+    Choice(&'static [&'static str]),
+    /// `true` or `false`.
+    Bool,
+    /// A whole number from the first to the second, in the named unit, with the reason for the bound.
+    Number(u64, u64, &'static str),
+}
+
+/// Longest start window: an accepted start must end within 5 s of the domain's leaving, less the commit's answer.
+pub const MAX_START_WINDOW_MS: u64 = 4_500;
+
+/// Within this time a leaving target, a lost process or a domain that is out must have taken effect.
+pub const REACTION_BOUND_MS: u64 = 5_000;
+
+const HOUR_MS: u64 = 3_600_000;
+const DAY_MS: u64 = 24 * HOUR_MS;
+
+const fn required(path: &'static str, kind: Kind) -> Field {
+    Field { path, kind, required: true }
+}
+
+const fn optional(path: &'static str, kind: Kind) -> Field {
+    Field { path, kind, required: false }
+}
+
+const fn ms(path: &'static str, min: u64, max: u64) -> Field {
+    optional(path, Kind::Number(min, max, "ms"))
+}
+
+/// All settings of an entry process.
+pub const FIELDS: &[Field] = &[
+    required("name", Kind::Name),
+    required("domain", Kind::Name),
+    required("domains", Kind::Names),
+    required("listen", Kind::Listen),
+    required("peer_listen", Kind::ListenAnnounced),
+    required("peers[].domain", Kind::Name),
+    required("peers[].address", Kind::Connect),
+    required("platform.table", Kind::Connect),
+    required("platform.objects", Kind::Connect),
+    required("platform.vms", Kind::Connect),
+    optional("statsd", Kind::Connect),
+    optional("log.level", Kind::Choice(&["error", "warn", "info", "debug"])),
+    optional("log.spans", Kind::Bool),
+    optional("log.span_percent", Kind::Number(0, 100, "%")),
+    ms("timing.freshness_ms", 10, MAX_START_WINDOW_MS - 1),
+    ms("timing.start_window_ms", 20, MAX_START_WINDOW_MS),
+    ms("timing.scheduler_lease_ms", 10, HOUR_MS),
+    ms("timing.hold_time_ms", 20, HOUR_MS),
+    ms("timing.force_time_ms", 30, DAY_MS),
+    ms("timing.task_lease_ms", 10, HOUR_MS),
+    ms("timing.catalogue_poll_ms", 1, MAX_START_WINDOW_MS),
+    ms("timing.vm_poll_ms", 1, REACTION_BOUND_MS - 1),
+    ms("timing.heartbeat_ms", 1, REACTION_BOUND_MS - 1),
+    ms("timing.share_lease_ms", 1, REACTION_BOUND_MS - 1),
+    ms("timing.member_timeout_ms", 1, REACTION_BOUND_MS - 1),
+    ms("timing.pause_limit_ms", 1, REACTION_BOUND_MS - 1),
+    ms("timing.health_poll_ms", 1, REACTION_BOUND_MS - 1),
+    ms("timing.schedule_tick_ms", 1, MAX_START_WINDOW_MS),
+    ms("timing.inventory_poll_ms", 1, HOUR_MS),
+    ms("timing.platform_timeout_ms", 1, REACTION_BOUND_MS - 1),
+    ms("timing.default_deadline_ms", 1, HOUR_MS),
+    ms("timing.max_deadline_ms", 1, HOUR_MS),
+    ms("timing.read_timeout_ms", 1, HOUR_MS),
+    ms("timing.balancer_wait_ms", 0, HOUR_MS),
+    ms("timing.drain_ms", 1, HOUR_MS),
+    optional("limits.slots_per_executor", Kind::Number(1, 4_096, "requests")),
+    optional("limits.connections_per_executor", Kind::Number(1, 65_536, "connections")),
+    optional("limits.max_body_bytes", Kind::Number(1, 16 << 20, "bytes")),
+    optional("limits.max_answer_bytes", Kind::Number(1, 24 << 20, "bytes")),
+    optional("limits.queue_length", Kind::Number(1, 1 << 20, "requests")),
+    optional("limits.front_threads", Kind::Number(1, 4_096, "threads")),
+    optional("limits.retry_percent", Kind::Number(0, 10, "%")),
+    optional("limits.writes_per_second", Kind::Number(1, 1_000, "transactions/s")),
+];
+
+/// The setting with this path.
+#[must_use]
+pub fn find(path: &str) -> Option<&'static Field> {
+    FIELDS.iter().find(|field| field.path == path)
+}
+
+/// The keys that may stand directly below `section`, in the order of [`FIELDS`]. The root is the empty path.
+#[must_use]
+pub fn keys_below(section: &str) -> Vec<&'static str> {
+    let mut keys = Vec::new();
+    for field in FIELDS {
+        let Some(rest) = below(field.path, section) else { continue };
+        let key = rest.split(['.', '[']).next().unwrap_or(rest);
+        if !keys.contains(&key) {
+            keys.push(key);
+        }
+    }
+    keys
+}
+
+/// The part of `path` below `section`, if it is below.
+#[must_use]
+pub fn below<'a>(path: &'a str, section: &str) -> Option<&'a str> {
+    if section.is_empty() { Some(path) } else { path.strip_prefix(section)?.strip_prefix('.') }
+}
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -12,6 +12,7 @@
 pub mod sync;
 
 pub mod api;
+pub mod client;
 pub mod context;
 
 pub use context::Context;
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -2,6 +2,7 @@
 
 pub mod event;
 pub mod metrics;
+pub mod time;
 pub mod trace;
 
 pub use event::Event;
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -1,1 +1,320 @@
 //! Tests of the command line.
+
+use std::net::SocketAddr;
+use std::process::Command;
+use std::sync::{Arc, Mutex};
+
+use plantainlever::local::server::ServerRequest;
+use plantainlever::local::{JsonServer, Reply};
+use serde_json::json;
+
+/// What a run of the binary left.
+#[derive(Debug, PartialEq)]
+struct Run {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+fn run(args: &[&str]) -> Run {
+    let output = Command::new(env!("CARGO_BIN_EXE_plantainlever"))
+        .args(args)
+        .env_remove("PLANTAINLEVER_SERVER")
+        .output()
+        .unwrap();
+    Run {
+        code: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// A server that answers from a function and keeps the requests.
+struct FakeServer {
+    server: JsonServer,
+    seen: Arc<Mutex<Vec<ServerRequest>>>,
+}
+
+impl FakeServer {
+    fn start(answer: impl Fn(&str, &str) -> Reply + Send + Sync + 'static) -> Self {
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let record = Arc::clone(&seen);
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = JsonServer::start(any_port, 1, move |req| {
+            record.lock().unwrap().push(req.clone());
+            answer(&req.method, &req.path)
+        });
+        Self { server: server.unwrap(), seen }
+    }
+
+    fn run(&self, args: &[&str]) -> Run {
+        let address = self.server.address().to_string();
+        run(&[args, &["--server", &address]].concat())
+    }
+
+    fn close(self) -> Vec<ServerRequest> {
+        self.server.close();
+        std::mem::take(&mut self.seen.lock().unwrap())
+    }
+}
+
+fn not_found() -> Reply {
+    let error = json!({"code": "unknown-document", "message": "no document", "hint": "list them"});
+    Reply::json(404, &json!({ "error": error }))
+}
+
+const ECHO: &str = "\
+name: echo
+kind: entry
+owner: demo
+class: latency-critical
+limits:
+  max_running: 4
+";
+
+fn echo_document(max_running: u64) -> serde_json::Value {
+    json!({"kind": "entry", "owner": "demo", "class": "latency-critical",
+        "limits": {"max_running": max_running}})
+}
+
+/// A file in a folder that is removed at the end of the test.
+struct TempFile {
+    path: std::path::PathBuf,
+}
+
+impl TempFile {
+    fn new(name: &str, text: &str) -> Self {
+        let name = format!("plantainlever-{}-{name}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, text).unwrap();
+        Self { path }
+    }
+
+    fn text(&self) -> &str {
+        self.path.to_str().unwrap()
+    }
+}
+
+impl Drop for TempFile {
+    fn drop(&mut self) {
+        // A file that is left over does no harm.
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+/// Guards against usage errors that look like success to a script.
+#[test]
+fn usage_errors_exit_2_and_change_nothing() {
+    for args in [
+        &[][..],
+        &["nonsense"],
+        &["domain", "out"],
+        &["domain", "list", "--server", "no-port"],
+        &["task", "submit", "count", "--args", "{"],
+        &["task", "list", "--state", "lost"],
+    ] {
+        let run = run(args);
+        assert_eq!((run.code, run.out.as_str()), (2, ""), "{args:?}");
+        assert!(!run.err.is_empty(), "{args:?}");
+    }
+}
+
+/// Guards against a command without help or without an example, and against lines that a terminal breaks.
+#[test]
+fn every_command_has_help_with_an_example() {
+    for command in [
+        "check",
+        "catalogue",
+        "catalogue list",
+        "catalogue get",
+        "catalogue apply",
+        "catalogue history",
+        "domain",
+        "domain list",
+        "domain out",
+        "domain in",
+        "task",
+        "task submit",
+        "task list",
+        "task show",
+        "task cancel",
+        "status",
+    ] {
+        let args: Vec<&str> = command.split(' ').chain(["--help"]).collect();
+        let run = run(&args);
+        assert_eq!((run.code, run.err.as_str()), (0, ""), "{command}");
+        assert!(run.out.contains(&format!("Example: plantainlever {command}")), "{}", run.out);
+        assert!(run.out.lines().all(|line| line.len() <= 80), "{}", run.out);
+    }
+}
+
+#[test]
+fn check_prints_file_line_and_field_and_exits_2() {
+    let file = TempFile::new("check.yaml", "nmae: a\n");
+    let run = run(&["check", "--config", file.text()]);
+    assert_eq!(run.code, 2);
+    assert_eq!(run.out, "");
+    let unknown = format!(
+        "{}:1: nmae: no such setting; allowed here: name, domain, domains, listen, peer_listen, peers, platform, \
+         statsd, log, timing, limits",
+        file.text()
+    );
+    assert!(run.err.lines().any(|line| line == unknown), "{}", run.err);
+}
+
+#[test]
+fn a_server_that_does_not_run_is_named_with_what_to_do() {
+    // The port is free again once the listener is dropped.
+    let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let run = run(&["domain", "list", "--server", &address.to_string()]);
+    assert_eq!((run.code, run.out.as_str()), (1, ""));
+    let expected = format!("error: no process answers at {address} (");
+    assert!(run.err.starts_with(&expected), "{}", run.err);
+    assert!(run.err.contains("check that it runs, or name another one with --server"));
+}
+
+#[test]
+fn domain_list_prints_a_table_or_json() {
+    let server = FakeServer::start(|_, _| {
+        Reply::json(
+            200,
+            &json!({"revision": 7, "domains": [
+                {"name": "dc-a", "state": "in", "revision": null},
+                {"name": "dc-b", "state": "out", "revision": 7}]}),
+        )
+    });
+    let table = server.run(&["domain", "list"]);
+    assert_eq!(
+        (table.code, table.out.as_str()),
+        (0, "DOMAIN  STATE  REVISION\ndc-a    in     -\ndc-b    out    7\n")
+    );
+    let text = server.run(&["domain", "list", "--json"]).out;
+    let value: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(value["domains"][1]["state"], "out");
+    server.close();
+}
+
+/// Guards against an edit that overwrites somebody else's: the revision that was read must be sent.
+#[test]
+fn apply_sends_the_revision_that_it_read_and_shows_the_change() {
+    let server = FakeServer::start(|method, _| match method {
+        "GET" => {
+            Reply::json(200, &json!({"name": "echo", "revision": 41, "document": echo_document(3)}))
+        }
+        _ => Reply::json(200, &json!({"revision": 42})),
+    });
+    let file = TempFile::new("apply.yaml", ECHO);
+    let run = server.run(&["catalogue", "apply", file.text()]);
+    assert_eq!(
+        (run.code, run.out.as_str(), run.err.as_str()),
+        (0, "echo: changed since revision 41\n  limits.max_running: 3 -> 4\n", "")
+    );
+    let seen = server.close();
+    let put = seen.iter().find(|req| req.method == "PUT").unwrap();
+    assert_eq!((put.path.as_str(), put.header("If-Match")), ("/v1/catalogue/echo", Some("41")));
+}
+
+#[test]
+fn apply_sends_nothing_for_a_dry_run_or_an_unchanged_document() {
+    let server = FakeServer::start(|_, path| match path {
+        "/v1/catalogue/echo" => {
+            Reply::json(200, &json!({"name": "echo", "revision": 41, "document": echo_document(4)}))
+        }
+        _ => not_found(),
+    });
+    let same = TempFile::new("same.yaml", ECHO);
+    assert_eq!(server.run(&["catalogue", "apply", same.text()]).out, "echo: unchanged\n");
+    let new = TempFile::new("new.yaml", &ECHO.replace("name: echo", "name: other"));
+    let run = server.run(&["catalogue", "apply", new.text(), "--dry-run"]);
+    assert_eq!(
+        (run.out.as_str(), run.err.as_str()),
+        ("other: new\n", "nothing was sent, because of --dry-run\n")
+    );
+    assert!(server.close().iter().all(|req| req.method == "GET"));
+}
+
+#[test]
+fn apply_explains_a_lost_race() {
+    let server = FakeServer::start(|method, _| match method {
+        "GET" => not_found(),
+        _ => Reply::json(
+            409,
+            &json!({"error": {"code": "revision-conflict", "message": "the document changed",
+                "hint": "read it again", "revision": 44}}),
+        ),
+    });
+    let file = TempFile::new("race.yaml", ECHO);
+    let run = server.run(&["catalogue", "apply", file.text()]);
+    assert_eq!((run.code, run.out.as_str()), (1, "echo: new\n"));
+    assert!(
+        run.err.contains(
+            "somebody else changed echo after this command read it: it was at revision 0 and is at 44 now; read their \
+             change with \"plantainlever catalogue get echo\", merge it into the file, and apply again"
+        ),
+        "{}",
+        run.err
+    );
+    server.close();
+}
+
+/// Guards against a file that is applied up to its first bad document.
+#[test]
+fn apply_checks_the_whole_file_before_it_sends_anything() {
+    let server = FakeServer::start(|_, _| not_found());
+    for (name, text, expected) in [
+        ("empty", "", "has no documents; each needs name, kind, and the fields of its kind"),
+        ("noname", "kind: owner\n", "document 1 has no name; add a line such as \"name: echo\""),
+        ("twice", "T", "the name echo stands twice; keep one of the two documents"),
+        (
+            "field",
+            "name: a\nkind: entry\nowner: o\nclass: batch\nlimits: {}\nx: 1\n",
+            "unknown field `x`",
+        ),
+        (
+            "limit",
+            "name: a\nkind: entry\nowner: o\nclass: batch\nlimits: {max_running: 0}\n",
+            "limits.max_running is 0, so nothing could ever run; leave it out or set at least 1",
+        ),
+    ] {
+        let text = if text == "T" { format!("{ECHO}---\n{ECHO}") } else { text.to_owned() };
+        let file = TempFile::new(&format!("{name}.yaml"), &text);
+        let run = server.run(&["catalogue", "apply", file.text()]);
+        assert_eq!((run.code, run.out.as_str()), (1, ""), "{name}: {}", run.err);
+        assert!(run.err.contains(expected), "{name}: {}", run.err);
+    }
+    assert_eq!(server.close().len(), 0);
+}
+
+#[test]
+fn domain_out_waits_until_no_task_runs_and_shows_how_many_are_left() {
+    let calls = Mutex::new(0);
+    let server = FakeServer::start(move |method, path| match (method, path) {
+        ("PUT", _) => Reply::json(200, &json!({"revision": 9})),
+        (_, "/v1/tasks") => {
+            let mut calls = calls.lock().unwrap();
+            *calls += 1;
+            let state = if *calls == 1 { "running" } else { "succeeded" };
+            Reply::json(
+                200,
+                &json!({"next": null, "tasks": [{"id": "t1", "entry": "count", "state": state,
+                    "attempt": 1, "domain": "dc-a", "worker": "w1", "reason": null}]}),
+            )
+        }
+        _ => Reply::json(
+            200,
+            &json!({"revision": 9, "domains": [{"name": "dc-a", "state": "out", "revision": 9}]}),
+        ),
+    });
+    let run = server.run(&["domain", "out", "dc-a", "--wait"]);
+    assert_eq!(
+        run,
+        Run {
+            code: 0,
+            out: "dc-a is out; no task starts there after 5 s\ndc-a runs no task\n".to_owned(),
+            err:
+                "1 tasks left, 0 wait for another worker\n0 tasks left, 0 wait for another worker\n"
+                    .to_owned(),
+        }
+    );
+    server.close();
+}
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -1,1 +1,205 @@
 //! Tests of settings.
+
+use plantainlever::config;
+
+/// A file that is valid.
+const VALID: &str = "\
+name: entry-a1
+domain: dc-a
+domains: [dc-a, dc-b]
+listen: 127.0.0.1:7280
+peer_listen: 127.0.0.1:7281
+platform:
+  table: 127.0.0.1:7290
+  objects: 127.0.0.1:7291
+  vms: 127.0.0.1:7292
+";
+
+fn problems(text: &str) -> Vec<String> {
+    match config::parse("f", text) {
+        Ok(_) => Vec::new(),
+        Err(error) => error.to_string().lines().map(str::to_owned).collect(),
+    }
+}
+
+/// The problems of the valid file with more lines at its end, which begin at line 10.
+fn problems_with(more: &str) -> Vec<String> {
+    problems(&format!("{VALID}{more}"))
+}
+
+fn replaced(from: &str, to: &str) -> Vec<String> {
+    assert!(VALID.contains(from), "{from} is not in the valid file");
+    problems(&VALID.replace(from, to))
+}
+
+/// Guards against defaults that the check itself refuses, and against fields that the type does not have.
+#[test]
+fn a_file_with_the_required_settings_only_is_valid() {
+    let settings = config::parse("f", VALID).unwrap();
+    assert_eq!(settings.timing, config::Timing::default());
+    assert_eq!(settings.limits, config::Limits::default());
+}
+
+/// Guards against a typing error that silently leaves a default in force.
+#[test]
+fn an_unknown_setting_is_reported_with_what_is_allowed() {
+    assert_eq!(
+        problems_with("log:\n  levle: debug\n"),
+        ["f:11: log.levle: no such setting; allowed here: level, spans, span_percent"]
+    );
+}
+
+/// Guards against a start that goes through an operator's 5 s bound.
+#[test]
+fn numbers_out_of_range_are_reported() {
+    for (more, expected) in [
+        (
+            "timing:\n  start_window_ms: 4501\n",
+            "f:11: timing.start_window_ms: found 4501; allowed: 20 to 4500 ms",
+        ),
+        (
+            "limits:\n  queue_length: 0\n",
+            "f:11: limits.queue_length: found 0; allowed: 1 to 1048576 requests",
+        ),
+        (
+            "limits:\n  retry_percent: 11\n",
+            "f:11: limits.retry_percent: found 11; allowed: 0 to 10 %",
+        ),
+        ("timing:\n  vm_poll_ms: -1\n", "f:11: timing.vm_poll_ms: found -1; allowed: 1 to 4999 ms"),
+    ] {
+        assert_eq!(problems_with(more), [expected]);
+    }
+}
+
+/// Guards against settings that are each in range and together break a promise.
+#[test]
+fn contradictions_are_reported_with_their_reason() {
+    for (more, expected) in [
+        (
+            "timing:\n  freshness_ms: 4000\n",
+            "f:11: timing.freshness_ms: found 4000; allowed: less than timing.start_window_ms (4000), because a start \
+             sent at the end of the freshness must still reach the worker before its first lease lapses",
+        ),
+        (
+            "timing:\n  share_lease_ms: 2500\n",
+            "f:11: timing.share_lease_ms: found 2500; allowed: less than timing.member_timeout_ms (2500), because a \
+             process must give up its slots before its peers divide them",
+        ),
+        (
+            "timing:\n  drain_ms: 59999\n",
+            "f:11: timing.drain_ms: found 59999; allowed: at least timing.max_deadline_ms (60000), because a planned \
+             stop must not interrupt a request in flight",
+        ),
+        (
+            "timing:\n  health_poll_ms: 4000\n",
+            "f:11: timing.health_poll_ms: found 4000; allowed: less than 5000 minus timing.platform_timeout_ms (1000), \
+             because a leaving target must receive no new work after 5 s",
+        ),
+        (
+            "peers:\n- domain: dc-c\n  address: 127.0.0.1:7283\n",
+            "f:11: peers[0].domain: found \"dc-c\"; allowed: one of domains (dc-a, dc-b), because every failure \
+             domain must be listed",
+        ),
+    ] {
+        assert_eq!(problems_with(more), [expected]);
+    }
+}
+
+#[test]
+fn a_domain_that_is_not_listed_is_reported() {
+    assert_eq!(
+        replaced("domain: dc-a", "domain: dc-c"),
+        [
+            "f:2: domain: found \"dc-c\"; allowed: one of domains (dc-a, dc-b), because every failure domain must be \
+             listed"
+        ]
+    );
+}
+
+/// Guards against a process that cannot bind its second port only after the first one serves.
+#[test]
+fn equal_ports_are_reported() {
+    assert_eq!(
+        replaced("127.0.0.1:7281", "127.0.0.1:7280"),
+        [
+            "f:5: peer_listen: found 127.0.0.1:7280; allowed: another port than listen (127.0.0.1:7280), because \
+             callers and peers speak different protocols"
+        ]
+    );
+}
+
+#[test]
+fn values_of_another_type_are_reported() {
+    assert_eq!(
+        replaced("listen: 127.0.0.1:7280", "listen: localhost"),
+        ["f:4: listen: found \"localhost\"; allowed: IP:PORT"]
+    );
+    assert_eq!(
+        replaced("127.0.0.1:7290", "127.0.0.1:0"),
+        [
+            "f:7: platform.table: found \"127.0.0.1:0\"; allowed: IP:PORT of another process, with a port above 0"
+        ]
+    );
+    assert_eq!(
+        replaced("[dc-a, dc-b]", "[dc-a, dc-a]"),
+        ["f:3: domains: found \"dc-a\" twice; allowed: each name once"]
+    );
+}
+
+/// Guards against a check that stops at the first error, which costs an operator one start per error.
+#[test]
+fn all_problems_of_a_file_are_reported_together_in_file_order() {
+    let text = "name: A\nlisten: 127.0.0.1:0\ntiming:\n  drain_ms: fast\n  x: 1\n";
+    let fields: Vec<String> =
+        problems(text).iter().map(|line| line.splitn(4, ':').take(3).collect()).collect();
+    assert_eq!(
+        fields,
+        [
+            "f1 domain",
+            "f1 domains",
+            "f1 name",
+            "f1 peer_listen",
+            "f1 platform",
+            "f4 timing.drain_ms",
+            "f5 timing.x"
+        ]
+    );
+}
+
+#[test]
+fn text_that_is_not_yaml_is_reported_with_its_line() {
+    let found = problems("name: a\nlisten: [1\n");
+    assert_eq!(found.len(), 1);
+    assert!(found[0].starts_with("f:2: -: the file is not valid YAML: "), "{}", found[0]);
+}
+
+/// Guards against a setting that exists in the type and is refused or unchecked in a file.
+#[test]
+fn fields_and_type_have_the_same_settings() {
+    let text = format!(
+        "{VALID}statsd: 127.0.0.1:8125\npeers:\n- domain: dc-b\n  address: 127.0.0.1:7283\n"
+    );
+    let settings = config::parse("f", &text).unwrap();
+    let mut in_type = Vec::new();
+    leaves(&serde_json::to_value(settings).unwrap(), "", &mut in_type);
+    let mut in_fields: Vec<String> =
+        config::field::FIELDS.iter().map(|field| field.path.to_owned()).collect();
+    in_type.sort();
+    in_fields.sort();
+    assert_eq!(in_type, in_fields);
+}
+
+fn leaves(value: &serde_json::Value, path: &str, found: &mut Vec<String>) {
+    match value {
+        serde_json::Value::Object(fields) => {
+            for (key, value) in fields {
+                let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+                leaves(value, &path, found);
+            }
+        }
+        serde_json::Value::Array(items) if items.iter().all(serde_json::Value::is_object) => {
+            items.iter().for_each(|item| leaves(item, &format!("{path}[]"), found));
+        }
+        _ => found.push(path.to_owned()),
+    }
+}
