Put an entry process together from its duties

Ruled out: a peer handler that answers before the duties exist; a heartbeat that is answered by a process without a dispatcher would give it a share of slots. Holds and idempotency keys are answered once their duties are merged.

--- a/src/ops/context.rs
+++ b/src/ops/context.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use super::api::status::StatusSources;
 use crate::catalogue::copy::SharedCatalogue;
 use crate::clock::Clock;
 use crate::config::Settings;
@@ -41,6 +42,8 @@
     pub peers: Arc<dyn Peers>,
     /// Other entry processes that are known.
     pub directory: Directory,
+    /// Duties that show something on the status page.
+    pub status: StatusSources,
     /// Metrics.
     pub metrics: Metrics,
     /// Set once a planned stop begins.
--- /dev/null
+++ b/src/ops/entry/handler.rs
@@ -0,0 +1,48 @@
+//! Hands messages of peers to the duties that answer them.
+
+use std::sync::Arc;
+
+use crate::ops::dispatch::Dispatcher;
+use crate::ops::membership::Heartbeats;
+use crate::peer::{
+    ForwardedAnswer, ForwardedRequest, HandOver, HandOverReply, Heartbeat, HeartbeatReply,
+    HoldAnswer, HoldQuery, PeerHandler, RecordKey, RecordKeyReply, Relay, RelayReply,
+};
+use crate::platform::relay;
+use crate::platform::table::Table;
+
+/// The duties that answer peers.
+pub(super) struct EntryHandler {
+    /// Answers heartbeats.
+    pub(super) heartbeats: Arc<Heartbeats>,
+    /// Sends forwarded requests to targets.
+    pub(super) dispatcher: Dispatcher,
+    /// The direct client: a relayed call is never relayed again.
+    pub(super) table: Arc<dyn Table>,
+}
+
+impl PeerHandler for EntryHandler {
+    fn heartbeat(&self, msg: &Heartbeat) -> HeartbeatReply {
+        self.heartbeats.on_heartbeat(msg)
+    }
+
+    fn query_hold(&self, _: &HoldQuery) -> HoldAnswer {
+        HoldAnswer { promised: false }
+    }
+
+    fn hand_over(&self, _: &HandOver) -> HandOverReply {
+        HandOverReply { accepted: false }
+    }
+
+    fn record_key(&self, _: &RecordKey) -> RecordKeyReply {
+        RecordKeyReply::Recorded
+    }
+
+    fn relay(&self, msg: &Relay) -> RelayReply {
+        relay::answer(self.table.as_ref(), msg)
+    }
+
+    fn forward(&self, msg: &ForwardedRequest) -> ForwardedAnswer {
+        self.dispatcher.on_forward(msg)
+    }
+}
--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::{self, SyncSender, TrySendError};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
@@ -14,6 +14,7 @@
 use tarpc::serde_transport::tcp;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tarpc::{client, context};
 use thiserror::Error;
 use tokio::sync::{oneshot, watch};
@@ -33,6 +34,9 @@
 /// Slow calls that wait for a thread; further ones are refused.
 const SLOW_RING: usize = 256;
 
+/// Pause after a failed accept, which is mostly caused by a lack of file descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
+
 /// Timeout of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -78,6 +82,8 @@
 #[derive(Debug)]
 pub struct PeerNode {
     address: SocketAddr,
+    /// Taken by [`Self::serve`].
+    listener: Mutex<Option<TcpListener>>,
     runtime: tokio::runtime::Handle,
     connections: Connections,
     stop: watch::Sender<bool>,
@@ -94,25 +100,37 @@
         address: SocketAddr,
         handler: Arc<dyn PeerHandler>,
     ) -> Result<Self, PeerNodeError> {
+        let node = Self::bind(address)?;
+        node.serve(handler)?;
+        Ok(node)
+    }
+
+    /// Listens on `address`. Calls of peers wait until [`Self::serve`]; calls to peers may be made at once.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be bound or the thread cannot be started.
+    pub fn bind(address: SocketAddr) -> Result<Self, PeerNodeError> {
+        let listen = |source| PeerNodeError::Listen { address, source };
+        let listener = TcpListener::bind(address).map_err(listen)?;
+        listener.set_nonblocking(true).map_err(listen)?;
+        let bound = listener.local_addr().map_err(listen)?;
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
             .map_err(|source| PeerNodeError::Thread { source })?;
-        let mut listener = runtime
-            .block_on(tcp::listen(address, Bincode::default))
-            .map_err(|source| PeerNodeError::Listen { address, source })?;
-        listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
-        let bound = listener.local_addr();
-        let slow = start_slow_threads().map_err(|source| PeerNodeError::Thread { source })?;
-        let server = Server { handler, slow };
-        let (stop, stopped) = watch::channel(false);
+        let (stop, mut stopped) = watch::channel(false);
         let handle = runtime.handle().clone();
         let thread = std::thread::Builder::new()
             .name("peer".to_owned())
-            .spawn(move || runtime.block_on(serve(listener, server, stopped)))
+            .spawn(move || {
+                // The sender lives as long as the node, so an error also means that it is time to end.
+                let _ = runtime.block_on(stopped.wait_for(|stopped| *stopped));
+            })
             .map_err(|source| PeerNodeError::Thread { source })?;
         Ok(Self {
             address: bound,
+            listener: Mutex::new(Some(listener)),
             runtime: handle,
             connections: Connections::default(),
             stop,
@@ -120,6 +138,22 @@
         })
     }
 
+    /// Begins to answer peers. Only the first call has an effect.
+    ///
+    /// # Errors
+    ///
+    /// If a thread cannot be started.
+    pub fn serve(&self, handler: Arc<dyn PeerHandler>) -> Result<(), PeerNodeError> {
+        let listener = self.listener.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let Some(listener) = listener else { return Ok(()) };
+        let _runtime = self.runtime.enter();
+        let listener = tokio::net::TcpListener::from_std(listener)
+            .map_err(|source| PeerNodeError::Listen { address: self.address, source })?;
+        let slow = start_slow_threads().map_err(|source| PeerNodeError::Thread { source })?;
+        self.runtime.spawn(accept(listener, Server { handler, slow }));
+        Ok(())
+    }
+
     /// The address that the node listens on.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -229,36 +263,26 @@
     Ok(tx)
 }
 
-async fn serve<L>(listener: L, server: Server, mut stopped: watch::Receiver<bool>)
-where
-    L: futures::Stream<Item = std::io::Result<PeerTransport>>,
-{
-    let accepting = listener.filter_map(|accepted| async { accepted.ok() }).for_each(|transport| {
-        let server = server.clone();
-        tokio::spawn(async move {
-            let calls = BaseChannel::with_defaults(transport).execute(server.serve());
-            calls
-                .for_each(|call| {
-                    tokio::spawn(call);
-                    futures::future::ready(())
-                })
-                .await;
-        });
-        futures::future::ready(())
-    });
-    tokio::select! {
-        () = accepting => {}
-        _ = stopped.wait_for(|stopped| *stopped) => {}
+/// Answers each connection in a task of its own. Ends with the runtime.
+async fn accept(listener: tokio::net::TcpListener, server: Server) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_BACKOFF).await;
+            continue;
+        };
+        // Without it, small answers wait for the acknowledgement of earlier ones.
+        let _ = stream.set_nodelay(true);
+        let framed =
+            LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
+        let transport = tarpc::serde_transport::new(framed, Bincode::default());
+        let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
+        tokio::spawn(calls.for_each(|call| {
+            tokio::spawn(call);
+            futures::future::ready(())
+        }));
     }
 }
 
-type PeerTransport = tarpc::serde_transport::Transport<
-    tokio::net::TcpStream,
-    tarpc::ClientMessage<PeerServiceRequest>,
-    tarpc::Response<PeerServiceResponse>,
-    Bincode<tarpc::ClientMessage<PeerServiceRequest>, tarpc::Response<PeerServiceResponse>>,
->;
-
 #[derive(Clone)]
 struct Server {
     handler: Arc<dyn PeerHandler>,
--- a/tests/testsuite/requests/rig.rs
+++ b/tests/testsuite/requests/rig.rs
@@ -7,11 +7,12 @@
 use std::time::{Duration, Instant};
 
 use plantainlever::catalogue::document::row_key;
-use plantainlever::clock::SystemClock;
+use plantainlever::clock::{Clock, SystemClock};
 use plantainlever::config::Settings;
 use plantainlever::local::target::LocalTarget;
 use plantainlever::local::{Entry, History};
 use plantainlever::ops::Context;
+use plantainlever::ops::api::status::StatusSources;
 use plantainlever::ops::context::{SharedVmListing, StopSignal};
 use plantainlever::ops::dispatch::Dispatcher;
 use plantainlever::ops::front::{ApiRoutes, Front};
@@ -21,6 +22,7 @@
 };
 use plantainlever::peer::{Directory, Member, PeerError, Peers};
 use plantainlever::platform::PlatformError;
+use plantainlever::platform::group_commit::GroupCommit;
 use plantainlever::platform::objects::Objects;
 use plantainlever::platform::table::{
     CommitResult, Condition, OperationQuery, OperationStatus, ReadRequest, ReadResponse, Row,
@@ -306,11 +308,17 @@
         cfg.timing.health_poll_ms = 100;
         cfg.timing.read_timeout_ms = 300;
         cfg.timing.balancer_wait_ms = 50;
+        let table = Arc::clone(&self.table) as Arc<dyn Table>;
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let metrics = Metrics::disabled();
+        let commits =
+            GroupCommit::inline(Arc::clone(&table), Arc::clone(&clock), metrics, &cfg, process);
         let cx = Context {
             cfg: Arc::new(cfg),
             process: process.to_owned(),
-            clock: Arc::new(SystemClock),
-            table: Arc::clone(&self.table) as Arc<dyn Table>,
+            clock,
+            table,
+            commits,
             objects: Arc::new(Unused),
             vms: Arc::new(Unused),
             workers: Arc::new(Unused),
@@ -318,6 +326,7 @@
             vm_listing: self.listing.clone(),
             peers: Arc::new(self.wires.clone()),
             directory: self.directory.clone(),
+            status: StatusSources::default(),
             metrics: Metrics::disabled(),
             stop: StopSignal::default(),
         };
