Test the platform part and bound what a late submitter waits

Ruled out: answering `Unknown` at the deadline in `submit` itself. Callers that need the truth would lose it, so `submit_until` is a method of its own.

--- a/crates/plantainlever-test-support/src/fault.rs
+++ b/crates/plantainlever-test-support/src/fault.rs
@@ -4,7 +4,7 @@
 //! in front of a table in the same process.
 
 use std::collections::VecDeque;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use plantainlever::clock::{Clock, SystemClock};
@@ -25,12 +25,16 @@
     lost_answers: u32,
     lost_requests: u32,
     lag: Duration,
+    held: bool,
+    /// Calls that wait for the end of the hold.
+    waiting: usize,
 }
 
 /// The switches, all off at first. Cloning shares them.
 #[derive(Clone, Debug, Default)]
 pub struct Faults {
     switches: Arc<Mutex<Switches>>,
+    released: Arc<Condvar>,
 }
 
 /// What happens to one call.
@@ -72,6 +76,27 @@
         self.lock().lag = lag;
     }
 
+    /// While held, calls wait before the handler runs.
+    pub fn set_held(&self, held: bool) {
+        self.lock().held = held;
+        self.released.notify_all();
+    }
+
+    /// Number of calls that wait for the end of the hold.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.lock().waiting
+    }
+
+    fn wait_while_held(&self) {
+        let mut switches = self.lock();
+        switches.waiting += 1;
+        while switches.held {
+            switches = self.released.wait(switches).unwrap_or_else(PoisonError::into_inner);
+        }
+        switches.waiting -= 1;
+    }
+
     fn next_fate(&self) -> (Fate, Duration) {
         let mut switches = self.lock();
         let fate = if switches.down {
@@ -96,6 +121,7 @@
         let faults = self.clone();
         let kept = Mutex::new(VecDeque::new());
         move |req| {
+            faults.wait_while_held();
             let (fate, delay) = faults.next_fate();
             SystemClock.sleep(delay);
             match fate {
@@ -150,6 +176,7 @@
     }
 
     fn call<A>(&self, act: impl FnOnce(&dyn Table) -> A) -> Result<A, PlatformError> {
+        self.faults.wait_while_held();
         let (fate, delay) = self.faults.next_fate();
         self.clock.sleep(delay.min(self.timeout));
         let no_answer = |cause: &str| PlatformError::NoAnswer {
--- a/src/ops/api/catalogue.rs
+++ b/src/ops/api/catalogue.rs
@@ -1,5 +1,7 @@
 //! `/v1/catalogue`: documents with their revisions, edits, and the newest changes.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -14,6 +16,7 @@
 use crate::platform::table::{
     CommitResult, Condition, ReadRequest, ReadResponse, Revision, Row, Write,
 };
+use crate::policy::retry::Backoff;
 
 /// Row with the newest changes. It lies outside the catalogue's prefix, so that copies don't carry it.
 pub const HISTORY_KEY: &str = "catalogue-history";
@@ -21,8 +24,8 @@
 /// Changes that the history keeps.
 const HISTORY_LENGTH: usize = 100;
 
-/// Attempts of an edit that meets only other documents' edits, which share the history row.
-const MAX_ATTEMPTS: u32 = 8;
+/// Bounds of the delays of an edit that meets only other documents' edits, which share the history row.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
 
 /// A document with its revision.
 #[derive(Debug, Serialize)]
@@ -73,7 +76,7 @@
 }
 
 impl History {
-    /// Decodes the row and fills in the revision of the newest change.
+    /// Decodes the row and fills in the revision of the newest change. A row that cannot be decoded counts as empty.
     fn from_row(row: Option<&Row>) -> Self {
         let Some(row) = row else { return Self::default() };
         let content = row.value.as_ref().and_then(|value| Self::deserialize(value).ok());
@@ -206,7 +209,8 @@
     })?;
     let deadline = deadline(cx);
     let key = document::row_key(name);
-    for _ in 0..MAX_ATTEMPTS {
+    let mut backoff = Backoff::new(BACKOFF.0, BACKOFF.1);
+    loop {
         let rows = read(cx, vec![key.clone(), HISTORY_KEY.to_owned()])?;
         let current = rows.row(&key).map_or(0, |row| row.revision);
         if current != expected {
@@ -227,13 +231,20 @@
             // Another document was edited meanwhile. The next read also shows whether this one was.
             CommitResult::Conflict { .. } => {}
         }
+        match backoff.next_delay(cx.clock.now(), deadline, rand::random()) {
+            Some(delay) => cx.clock.sleep(delay),
+            None => return Err(too_many_edits(backoff.retries())),
+        }
     }
-    Err(ApiError::new(
+}
+
+fn too_many_edits(retries: u32) -> ApiError {
+    ApiError::new(
         503,
         "too-many-edits",
-        format!("{MAX_ATTEMPTS} other edits came in between"),
+        format!("{retries} edits of other documents came in between"),
         "nothing was changed; repeat the request",
-    ))
+    )
 }
 
 /// The condition and the write that add a change to the history.
--- a/src/ops/api/edit.rs
+++ b/src/ops/api/edit.rs
@@ -23,7 +23,7 @@
 impl ToApiError for CommitFailure {
     fn to_api_error(&self) -> ApiError {
         match self {
-            Self::Unknown { .. } => ApiError::new(
+            Self::Unknown { .. } | Self::Pending => ApiError::new(
                 504,
                 "outcome-unknown",
                 self.to_string(),
--- a/src/platform/group_commit.rs
+++ b/src/platform/group_commit.rs
@@ -11,7 +11,7 @@
 mod settle;
 mod worker;
 
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, SyncSender, TrySendError};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
@@ -48,6 +48,9 @@
     /// The process stops. It had no effect.
     #[error("not committed: the process stops")]
     Closed,
+    /// The deadline passed while the transaction was being sent. It may have taken effect or may still do so.
+    #[error("the deadline passed while the transaction was being sent")]
+    Pending,
     /// It may have taken effect or may still do so.
     #[error("the outcome of the write {operation} is unknown: {cause}")]
     Unknown {
@@ -62,7 +65,7 @@
     /// True if the transaction certainly had no effect and never will.
     #[must_use]
     pub fn had_no_effect(&self) -> bool {
-        !matches!(self, Self::Unknown { .. })
+        !matches!(self, Self::Pending | Self::Unknown { .. })
     }
 }
 
@@ -144,6 +147,8 @@
 pub struct GroupCommit {
     mode: Arc<Mode>,
     clock: Arc<dyn Clock>,
+    /// Submitters that wait for their answer.
+    waiting: Arc<AtomicUsize>,
 }
 
 impl GroupCommit {
@@ -166,7 +171,7 @@
             .name("group-commit".to_owned())
             .spawn(move || run(worker, &waiting))?;
         let mode = Mode::Thread { ring, thread: Mutex::new(Some(thread)) };
-        Ok(Self { mode: Arc::new(mode), clock })
+        Ok(Self { mode: Arc::new(mode), clock, waiting: Arc::default() })
     }
 
     /// Commits in the submitter's thread, one transaction per write and without a bound on the rate.
@@ -181,18 +186,48 @@
         process: &str,
     ) -> Self {
         let worker = new_worker(table, Arc::clone(&clock), metrics, cfg, process, Duration::ZERO);
-        Self { mode: Arc::new(Mode::Inline(Box::new(Mutex::new(worker)))), clock }
+        let mode = Mode::Inline(Box::new(Mutex::new(worker)));
+        Self { mode: Arc::new(mode), clock, waiting: Arc::default() }
+    }
+
+    /// Number of submitters that wait for their answer.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.load(Ordering::SeqCst)
     }
 
     /// Commits a transaction and waits for its own result.
     ///
-    /// The answer comes at most two call timeouts after the deadline, which is the time of an attempt in progress and of
-    /// the question what became of it. The same operation id submitted again gets the first result.
+    /// The answer comes at most two calls of the table after the deadline: an attempt in progress, and the question
+    /// what became of it. The same operation id submitted again gets the first result.
     ///
     /// # Errors
     ///
-    /// Any [`CommitFailure`]; only after [`CommitFailure::Unknown`] the transaction may have had an effect.
+    /// Any [`CommitFailure`] but `Pending`; only after [`CommitFailure::Unknown`] the transaction may have had an effect.
     pub fn submit(&self, txn: &Transaction, deadline: Instant) -> CommitReply {
+        self.submit_with(txn, deadline, |answer| {
+            answer.recv().unwrap_or(Err(CommitFailure::Closed))
+        })
+    }
+
+    /// Commits a transaction and waits until the deadline at most, for callers that can go on without the result.
+    ///
+    /// The thread still learns the outcome, so that the same operation id submitted again gets it.
+    ///
+    /// # Errors
+    ///
+    /// As for [`GroupCommit::submit`], but [`CommitFailure::Pending`] if the outcome is not known at the deadline.
+    pub fn submit_until(&self, txn: &Transaction, deadline: Instant) -> CommitReply {
+        self.submit_with(txn, deadline, |_| Err(CommitFailure::Pending))
+    }
+
+    /// `late` decides what follows if the deadline passes while the thread works on the transaction.
+    fn submit_with(
+        &self,
+        txn: &Transaction,
+        deadline: Instant,
+        late: impl FnOnce(&Receiver<CommitReply>) -> CommitReply,
+    ) -> CommitReply {
         let (reply, answer) = mpsc::sync_channel(1);
         let claim = Claim::default();
         let submission = Submission {
@@ -203,25 +238,34 @@
             taken: false,
             alone: false,
         };
+        self.hand_in(submission)?;
+        self.waiting.fetch_add(1, Ordering::SeqCst);
+        let wait = deadline.saturating_duration_since(self.clock.now());
+        let reply = match answer.recv_timeout(wait) {
+            Ok(reply) => reply,
+            Err(RecvTimeoutError::Disconnected) => Err(CommitFailure::Closed),
+            Err(RecvTimeoutError::Timeout) if claim.withdraw() => Err(CommitFailure::Expired),
+            Err(RecvTimeoutError::Timeout) => late(&answer),
+        };
+        self.waiting.fetch_sub(1, Ordering::SeqCst);
+        reply
+    }
+
+    fn hand_in(&self, submission: Submission) -> Result<(), CommitFailure> {
         match &*self.mode {
             Mode::Inline(worker) => {
                 let mut worker = worker.lock().unwrap_or_else(PoisonError::into_inner);
                 worker.push(submission);
                 worker.finish();
+                Ok(())
             }
             Mode::Thread { ring, .. } => {
                 ring.try_send(Message::Submit(submission)).map_err(|error| match error {
                     TrySendError::Full(_) => CommitFailure::Overloaded,
                     TrySendError::Disconnected(_) => CommitFailure::Closed,
-                })?;
+                })
             }
         }
-        let wait = deadline.saturating_duration_since(self.clock.now());
-        match answer.recv_timeout(wait) {
-            Ok(reply) => reply,
-            Err(RecvTimeoutError::Timeout) if claim.withdraw() => Err(CommitFailure::Expired),
-            Err(_) => answer.recv().unwrap_or(Err(CommitFailure::Closed)),
-        }
     }
 
     /// Commits what was submitted so far and ends the thread. Other handles get [`CommitFailure::Closed`] from then on.
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,7 +1,7 @@
 //! HTTP clients of the platform's services.
 //!
 //! A caller decides by [`PlatformError`] whether it may repeat a call, so the mapping is strict: only an error of the
-//! connector, which runs before anything is written, counts as unreachable. Everything after that, a broken pooled
+//! resolver or connector, which run before anything is written, counts as unreachable. Everything after that, a broken pooled
 //! connection and an answer with a 5xx status included, may have had an effect.
 
 mod clients;
@@ -12,9 +12,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use ureq::Agent;
-use ureq::http::Response;
-use ureq::unversioned::resolver::DefaultResolver;
-use ureq::unversioned::transport::{ConnectionDetails, Connector, TcpConnector};
+use ureq::config::Config;
+use ureq::http::{Response, Uri};
+use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
+use ureq::unversioned::transport::{ConnectionDetails, Connector, NextTimeout, TcpConnector};
 
 use super::PlatformError;
 use crate::telemetry::Metrics;
@@ -27,16 +28,46 @@
 /// Longest part of a refusal's body that goes into an error message, in characters.
 const MAX_MESSAGE_CHARS: usize = 300;
 
-/// Idle connections that a client keeps.
+/// Idle connections that a client keeps; a domain has about 80 workers, each polled once a second.
 const IDLE_CONNECTIONS: usize = 128;
 
-/// Marks an error as one of the connector.
+/// Idle connections that a client keeps to one address.
+const IDLE_CONNECTIONS_PER_ADDRESS: usize = 8;
+
+/// Marks an error that occurred before anything was written.
 #[derive(Debug, thiserror::Error)]
 #[error("{cause}")]
 struct ConnectFailed {
     cause: String,
 }
 
+impl ConnectFailed {
+    fn wrap(cause: &impl ToString) -> ureq::Error {
+        ureq::Error::Other(Box::new(Self { cause: cause.to_string() }))
+    }
+}
+
+/// Takes addresses by number only. The library's own resolver starts a thread per call.
+#[derive(Debug)]
+struct NumericResolver;
+
+impl Resolver for NumericResolver {
+    fn resolve(
+        &self,
+        uri: &Uri,
+        _: &Config,
+        _: NextTimeout,
+    ) -> Result<ResolvedSocketAddrs, ureq::Error> {
+        let authority = uri.authority().map_or("", |authority| authority.as_str());
+        let address = authority.parse().map_err(|_| {
+            ConnectFailed::wrap(&format!("{authority:?} is not an address of the form IP:PORT"))
+        })?;
+        let mut addresses = self.empty();
+        addresses.push(address);
+        Ok(addresses)
+    }
+}
+
 /// Opens TCP connections and marks its errors, so that they can be told from later ones.
 #[derive(Debug, Default)]
 struct MarkingConnector {
@@ -51,9 +82,7 @@
         details: &ConnectionDetails<'_>,
         chained: Option<()>,
     ) -> Result<Option<Self::Out>, ureq::Error> {
-        self.tcp.connect(details, chained).map_err(|error| {
-            ureq::Error::Other(Box::new(ConnectFailed { cause: error.to_string() }))
-        })
+        self.tcp.connect(details, chained).map_err(|error| ConnectFailed::wrap(&error))
     }
 }
 
@@ -79,10 +108,13 @@
             .timeout_global(Some(timeout))
             // Half of the time, so that a relay can still be tried before the caller's own deadline.
             .timeout_connect(Some(timeout / 2))
+            // Headers count towards the traffic that a node may spend for control, and no service reads these.
+            .user_agent("")
+            .accept("")
             .max_idle_connections(IDLE_CONNECTIONS)
+            .max_idle_connections_per_host(IDLE_CONNECTIONS_PER_ADDRESS)
             .build();
-        let agent =
-            Agent::with_parts(config, MarkingConnector::default(), DefaultResolver::default());
+        let agent = Agent::with_parts(config, MarkingConnector::default(), NumericResolver);
         Self { service, agent, timeout, metrics }
     }
 
@@ -157,13 +189,11 @@
                 }
             }
             // The address is not a URL, which is found before any connection.
-            ureq::Error::BadUri(_) | ureq::Error::Http(_) | ureq::Error::HostNotFound => {
-                PlatformError::Unreachable {
-                    service: self.service,
-                    address: address.to_owned(),
-                    cause: error.to_string(),
-                }
-            }
+            ureq::Error::BadUri(_) | ureq::Error::Http(_) => PlatformError::Unreachable {
+                service: self.service,
+                address: address.to_owned(),
+                cause: error.to_string(),
+            },
             error => self.no_answer(error.to_string()),
         }
     }
--- a/src/platform/relay.rs
+++ b/src/platform/relay.rs
@@ -18,6 +18,7 @@
 use crate::clock::Clock;
 use crate::config::Settings;
 use crate::peer::{Directory, PeerError, Peers, Relay, RelayReply};
+use crate::telemetry::Metrics;
 use crate::telemetry::event::platform::{RELAY_ENDED, RELAY_STARTED};
 
 /// Name of the service in errors.
@@ -68,17 +69,19 @@
     /// Domain and address of the peers in the settings.
     seeds: Vec<(String, String)>,
     timeout: Duration,
+    metrics: Metrics,
     state: Mutex<State>,
 }
 
 impl RelayedTable {
-    /// Wraps the direct client.
+    /// Wraps the direct client. Counts `table.relayed`.
     #[must_use]
     pub fn new(
         direct: Arc<dyn Table>,
         peers: Arc<dyn Peers>,
         directory: Directory,
         clock: Arc<dyn Clock>,
+        metrics: Metrics,
         cfg: &Settings,
         own: OwnAddress,
     ) -> Self {
@@ -94,6 +97,7 @@
             domain: cfg.domain.clone(),
             seeds,
             timeout: cfg.timing.platform_timeout(),
+            metrics,
             state: Mutex::new(State { way: Way::Direct, next_peer: 0 }),
         }
     }
@@ -111,17 +115,20 @@
         relay: impl Fn() -> Result<Relay, PlatformError>,
     ) -> Result<A, PlatformError> {
         let mut failures = Failures::default();
+        let mut tried = None;
         let way = self.lock().way.clone();
-        let now = self.clock.now();
-        let known = match way {
-            Way::Peer { address, retry_direct_at } if now < retry_direct_at => Some(address),
-            _ => None,
+        let mut last_peer = match way {
+            Way::Direct => None,
+            Way::Peer { address, retry_direct_at } => Some((address, retry_direct_at)),
         };
-        if let Some(address) = &known {
-            match self.through(address, relay()?) {
+        if let Some((address, _)) =
+            last_peer.take_if(|(_, retry_direct_at)| self.clock.now() < *retry_direct_at)
+        {
+            match self.through(&address, relay()?) {
                 Ok(answer) => return Ok(answer),
                 Err(error) => failures.add(error),
             }
+            tried = Some(address);
         }
         match direct(self.direct.as_ref()) {
             Ok(answer) => {
@@ -131,7 +138,8 @@
             Err(error) if is_final(&error) => return Err(failures.with(error)),
             Err(error) => failures.add(error),
         }
-        for address in self.candidates(known.as_deref()) {
+        let preferred = last_peer.map(|(address, _)| address);
+        for address in self.candidates(tried.as_deref(), preferred.as_deref()) {
             match self.through(&address, relay()?) {
                 Ok(answer) => {
                     self.use_peer(address);
@@ -149,6 +157,7 @@
         address: &str,
         relay: Relay,
     ) -> Result<A, PlatformError> {
+        self.metrics.count("table.relayed", 1);
         match self.peers.relay(address, relay, self.timeout) {
             Ok(RelayReply::Answer(answer)) => serde_json::from_str(&answer).map_err(|error| {
                 PlatformError::Malformed { service: SERVICE, cause: error.to_string() }
@@ -168,8 +177,9 @@
         }
     }
 
-    /// Peers to try: those of other domains first, because the own domain is likely cut off as a whole.
-    fn candidates(&self, tried: Option<&str>) -> Vec<String> {
+    /// Peers to try: the one that worked last, then those of other domains, because the own domain is likely cut off as
+    /// a whole.
+    fn candidates(&self, tried: Option<&str>, preferred: Option<&str>) -> Vec<String> {
         let members = self.directory.snapshot();
         let known = members
             .values()
@@ -189,9 +199,9 @@
         state.next_peer = start.wrapping_add(MAX_PEERS);
         rotate(&mut others, start);
         rotate(&mut own, start);
-        others.extend(own);
-        others.truncate(MAX_PEERS);
-        others
+        let rest = others.into_iter().chain(own);
+        let rest = rest.filter(|address| Some(address.as_str()) != preferred);
+        preferred.map(str::to_owned).into_iter().chain(rest).take(MAX_PEERS).collect()
     }
 
     fn use_direct(&self) {
--- /dev/null
+++ b/tests/testsuite/platform/http.rs
@@ -0,0 +1,165 @@
+//! The HTTP clients against the stand-ins, with faults between them.
+
+use std::io::{Read, Write as _};
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use plantainlever::local::objects::MemoryObjects;
+use plantainlever::local::table::MemoryTable;
+use plantainlever::local::vms::MemoryVms;
+use plantainlever::local::{History, JsonServer, Reply};
+use plantainlever::platform::PlatformError;
+use plantainlever::platform::http::{HttpObjects, HttpTable, HttpVmList, HttpWorkers};
+use plantainlever::platform::objects::Objects;
+use plantainlever::platform::table::{OperationQuery, OperationStatus, ReadRequest, Table};
+use plantainlever::platform::vms::{Vm, VmList, VmRole, VmState};
+use plantainlever::platform::worker::{RenewRequest, WorkerClient};
+use plantainlever::telemetry::Metrics;
+use plantainlever_test_support::fault::Faults;
+
+use super::{TIMEOUT, absent, committed, loopback, put, wait_until};
+
+fn client(address: SocketAddr, timeout: Duration) -> HttpTable {
+    HttpTable::new(address, timeout, Metrics::disabled())
+}
+
+/// Guards against stand-ins and clients that disagree on the protocol.
+#[test]
+fn clients_and_stand_ins_speak_the_same_protocol() {
+    let table = MemoryTable::new(History::default());
+    let server = table.serve(loopback(), 2).unwrap();
+    let http = client(server.address(), TIMEOUT);
+    let txn = put("op1", "k/1", vec![absent("k/1")]);
+    assert_eq!(http.commit(&txn), Ok(committed(1)));
+    let req = ReadRequest { prefixes: vec!["k/".to_owned()], ..ReadRequest::default() };
+    assert_eq!(http.read(&req), table.read(&req));
+    let query = OperationQuery { operation: "op1".to_owned(), forbid: false };
+    assert_eq!(http.operation(&query), Ok(OperationStatus::Decided { result: committed(1) }));
+    server.close();
+
+    let server = MemoryObjects::default().serve(loopback(), 1).unwrap();
+    let objects = HttpObjects::new(server.address(), TIMEOUT, Metrics::disabled());
+    assert_eq!(objects.get("checkpoint-1"), Ok(None));
+    assert_eq!(objects.put("checkpoint-1", b"\0\xff"), Ok(()));
+    assert_eq!(objects.get("checkpoint-1"), Ok(Some(b"\0\xff".to_vec())));
+    server.close();
+
+    let server = JsonServer::start(loopback(), 1, |req| {
+        Reply::json(if req.path == "/renew" { 200 } else { 404 }, &())
+    });
+    let server = server.unwrap();
+    let workers = HttpWorkers::new(TIMEOUT, Metrics::disabled());
+    let renew = RenewRequest { lease_until_ms: 1, attempts: Vec::new() };
+    assert_eq!(workers.renew(&server.address().to_string(), &renew), Ok(()));
+    server.close();
+}
+
+/// An address that refuses connections.
+fn refusing() -> SocketAddr {
+    let listener = TcpListener::bind(loopback()).expect("the system picks a free port");
+    listener.local_addr().expect("a bound socket has an address")
+}
+
+fn read_with(reply: impl Fn() -> Reply + Send + Sync + 'static) -> PlatformError {
+    let server = JsonServer::start(loopback(), 1, move |_| reply()).expect("loopback is free");
+    let result = client(server.address(), TIMEOUT).read(&ReadRequest::default());
+    server.close();
+    result.expect_err("the reply is no table answer")
+}
+
+fn answer(status: u16, body: &str) -> Reply {
+    Reply::Answer { status, headers: Vec::new(), body: body.as_bytes().to_vec() }
+}
+
+/// Guards against "no effect" for a call that may have had one, and against the contrary where no byte was sent.
+#[test]
+fn failures_map_to_their_own_errors() {
+    let service = "table service";
+    let error = client(refusing(), TIMEOUT).read(&ReadRequest::default()).unwrap_err();
+    assert!(matches!(error, PlatformError::Unreachable { .. }), "{error}");
+    let renew = RenewRequest { lease_until_ms: 1, attempts: Vec::new() };
+    let workers = HttpWorkers::new(TIMEOUT, Metrics::disabled());
+    let error = workers.renew("worker-7", &renew).unwrap_err();
+    let cause = "\"worker-7\" is not an address of the form IP:PORT".to_owned();
+    let address = "worker-7".to_owned();
+    let unreachable = PlatformError::Unreachable { service: "worker", address, cause };
+    assert_eq!(error, unreachable);
+
+    let error = read_with(|| Reply::Drop);
+    assert!(matches!(error, PlatformError::NoAnswer { .. }), "{error}");
+    let error = read_with(|| answer(500, "disk full"));
+    let cause = "status 500: disk full".to_owned();
+    assert_eq!(error, PlatformError::NoAnswer { service, waited: TIMEOUT, cause });
+    let message = "no such path".to_owned();
+    let error = read_with(|| answer(404, "no such path"));
+    assert_eq!(error, PlatformError::Refused { service, status: 404, message });
+    let error = read_with(|| answer(200, "[]x"));
+    assert!(matches!(error, PlatformError::Malformed { .. }), "{error}");
+}
+
+/// Guards against a call that lasts longer than its timeout, and against its being taken for one without effect.
+#[test]
+fn slow_service_gives_no_answer_in_time() {
+    let faults = Faults::default();
+    let table = MemoryTable::new(History::default());
+    let served = table.clone();
+    let server =
+        JsonServer::start(loopback(), 1, faults.wrap(move |req| served.answer(req))).unwrap();
+    faults.set_held(true);
+    let timeout = Duration::from_millis(100);
+    let error = client(server.address(), timeout).commit(&put("op1", "k", vec![])).unwrap_err();
+    assert!(matches!(error, PlatformError::NoAnswer { .. }), "{error}");
+    faults.set_held(false);
+    wait_until("the late effect", || table.history().snapshot().len() == 1);
+    server.close();
+}
+
+/// Guards against a truncated answer that is taken for a whole one.
+#[test]
+fn truncated_answer_is_no_answer() {
+    let listener = TcpListener::bind(loopback()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut req = Vec::new();
+        // The body is an object without nested ones; a rest in the socket would reset the connection.
+        while req.last() != Some(&b'}') {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).unwrap();
+            req.extend(byte);
+        }
+        let head = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"revision\":1,\"rows\":[]}";
+        stream.write_all(head.as_bytes()).unwrap();
+    });
+    let error = client(address, TIMEOUT).read(&ReadRequest::default()).unwrap_err();
+    assert!(matches!(error, PlatformError::NoAnswer { .. }), "{error}");
+    server.join().unwrap();
+}
+
+/// Guards against a fault switch that does not do what the tests of the promises rely on.
+#[test]
+fn vm_list_can_lag() {
+    let (faults, vms) = (Faults::default(), MemoryVms::default());
+    let served = vms.clone();
+    let server =
+        JsonServer::start(loopback(), 1, faults.wrap(move |req| served.answer(req))).unwrap();
+    let list = HttpVmList::new(server.address(), TIMEOUT, Metrics::disabled());
+    let vm = Vm {
+        name: "t1".to_owned(),
+        role: VmRole::Target,
+        state: VmState::Live,
+        domain: "a".to_owned(),
+        rack: "r1".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        service: Some("echo".to_owned()),
+    };
+    vms.insert(vm.clone());
+    assert_eq!(list.list().unwrap().vms, [vm]);
+    let lag = Duration::from_millis(300);
+    faults.set_lag(lag);
+    vms.set_state(VmRole::Target, "t1", VmState::Leaving);
+    let changed = Instant::now();
+    wait_until("the change", || list.list().unwrap().vms[0].state == VmState::Leaving);
+    assert!(changed.elapsed() >= lag);
+    server.close();
+}
