--- a/src/domain/hold.rs
+++ b/src/domain/hold.rs
@@ -3,8 +3,13 @@
 //! Row `hold/{domain}` is the only thing that decides. Every change to it is a compare-and-swap, so claims, contests and
 //! changes of the lists are serialized by the table.
 
+pub mod candidate;
+pub mod holding;
+
 use std::collections::BTreeSet;
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 /// Prefix of the hold rows.
@@ -54,3 +59,61 @@
     /// Any other process.
     Unlisted,
 }
+
+/// Most successors that a row names. During a store outage every named process must answer, so the lists are short.
+pub const MAX_SUCCESSORS: usize = 2;
+
+/// Most rescuers that a row names.
+pub const MAX_RESCUERS: usize = 2;
+
+/// Holder of a row whose last holder released it in a planned stop: anybody may take it at once.
+pub const RELEASED: &str = "";
+
+/// Delay of each class's claim.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Delays {
+    /// Of a successor.
+    pub successor: Duration,
+    /// Of a rescuer.
+    pub rescuer: Duration,
+    /// Of any other process.
+    pub unlisted: Duration,
+}
+
+impl Delays {
+    /// The delay of one class.
+    #[must_use]
+    pub const fn of(&self, class: ClaimantClass) -> Duration {
+        match class {
+            ClaimantClass::Successor => self.successor,
+            ClaimantClass::Rescuer => self.rescuer,
+            ClaimantClass::Unlisted => self.unlisted,
+        }
+    }
+}
+
+impl HoldRow {
+    /// The class of a process by the lists of this row.
+    #[must_use]
+    pub fn class_of(&self, process: &str) -> ClaimantClass {
+        if self.successors.contains(process) {
+            ClaimantClass::Successor
+        } else if self.rescuers.contains(process) {
+            ClaimantClass::Rescuer
+        } else {
+            ClaimantClass::Unlisted
+        }
+    }
+
+    /// The row after a change of the holder. The new holder names its own successors later.
+    #[must_use]
+    pub fn taken_by(&self, process: &str) -> Self {
+        let mut next = self.clone();
+        process.clone_into(&mut next.holder);
+        next.epoch += 1;
+        next.claim = None;
+        next.successors.remove(process);
+        next.rescuers.remove(process);
+        next
+    }
+}
--- /dev/null
+++ b/src/domain/hold/candidate.rs
@@ -0,0 +1,220 @@
+//! The side of a process that does not hold a domain: its claims and its promises.
+
+use std::time::Instant;
+
+use super::holding::Confirmations;
+use super::{Claim, ClaimantClass, Delays, HoldRow, RELEASED};
+use crate::platform::table::Revision;
+
+/// Own claim on a domain.
+#[derive(Clone, Debug, PartialEq)]
+enum OwnClaim {
+    None,
+    /// Sent, with an outcome that is not known yet.
+    Unknown {
+        row: HoldRow,
+    },
+    /// Committed. `known_at` is the receipt of the answer, which is after the commit.
+    Committed {
+        row: HoldRow,
+        revision: Revision,
+        known_at: Instant,
+    },
+}
+
+/// What a candidate may do now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Nothing.
+    Wait,
+    /// Commit this row if the row is absent.
+    Create(HoldRow),
+    /// Commit this claim if the row is at the revision, after [`Candidate::claim_sent`].
+    Claim(HoldRow, Revision),
+    /// Commit this row, which makes the process the holder, if the row is at the revision.
+    Take(HoldRow, Revision),
+}
+
+/// What a process knows of a domain that it does not hold.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    process: String,
+    delays: Delays,
+    /// The row as last read; `None` before the first read, `Some(None)` if there is no row.
+    seen: Option<Option<(HoldRow, Revision)>>,
+    /// When the row was last read, counted from before the request.
+    seen_at: Option<Instant>,
+    /// Another process's claim and the receipt of the first answer that showed it.
+    foreign_claim: Option<(Revision, Instant)>,
+    own: OwnClaim,
+    /// No claim is sent before this time.
+    promised_until: Option<Instant>,
+    /// Set in a planned stop: this process never claims again.
+    retired: bool,
+}
+
+impl Candidate {
+    /// A process that knows nothing yet.
+    #[must_use]
+    pub fn new(process: &str, delays: Delays) -> Self {
+        Self {
+            process: process.to_owned(),
+            delays,
+            seen: None,
+            seen_at: None,
+            foreign_claim: None,
+            own: OwnClaim::None,
+            promised_until: None,
+            retired: false,
+        }
+    }
+
+    /// The row as last read.
+    #[must_use]
+    pub fn row(&self) -> Option<&HoldRow> {
+        self.seen.as_ref()?.as_ref().map(|(row, _)| row)
+    }
+
+    /// True if the table has answered at least once.
+    #[must_use]
+    pub fn has_seen(&self) -> bool {
+        self.seen.is_some()
+    }
+
+    /// Takes a read of the row, sent at `sent_at` and received at `now`.
+    pub fn on_row(&mut self, row: Option<(HoldRow, Revision)>, sent_at: Instant, now: Instant) {
+        let held = self.seen.as_ref().and_then(Option::as_ref).map_or(0, |(_, revision)| *revision);
+        let revision = row.as_ref().map_or(0, |(_, revision)| *revision);
+        if revision < held {
+            return;
+        }
+        self.note_own_claim(row.as_ref(), now);
+        self.note_foreign_claim(row.as_ref(), now);
+        self.seen = Some(row);
+        self.seen_at = self.seen_at.max(Some(sent_at));
+    }
+
+    /// A committed claim that is no longer in the row was removed by the holder. An unknown one stays unknown until its
+    /// operation is decided.
+    fn note_own_claim(&mut self, row: Option<&(HoldRow, Revision)>, _now: Instant) {
+        let OwnClaim::Committed { revision, .. } = &self.own else { return };
+        if row.is_none_or(|(_, found)| found > revision) {
+            self.own = OwnClaim::None;
+        }
+    }
+
+    fn note_foreign_claim(&mut self, row: Option<&(HoldRow, Revision)>, now: Instant) {
+        let found = row.filter(|(row, _)| {
+            row.claim.as_ref().is_some_and(|claim| claim.claimant != self.process)
+        });
+        match (found, self.foreign_claim) {
+            (None, _) => self.foreign_claim = None,
+            (Some((_, revision)), Some((known, _))) if *revision == known => {}
+            (Some((_, revision)), _) => self.foreign_claim = Some((*revision, now)),
+        }
+    }
+
+    /// Decides what to do. `suspects` is true while the holder does not answer.
+    #[must_use]
+    pub fn step(&self, suspects: bool, now: Instant) -> Step {
+        let Some(seen) = &self.seen else { return Step::Wait };
+        if self.retired {
+            return Step::Wait;
+        }
+        let Some((row, revision)) = seen else { return Step::Create(first_row(&self.process)) };
+        match &self.own {
+            OwnClaim::Unknown { .. } => Step::Wait,
+            OwnClaim::Committed { row: claimed, revision, known_at } => {
+                let delay = self.delays.of(claimed.class_of(&self.process));
+                let due = now >= *known_at + delay;
+                if due {
+                    Step::Take(claimed.taken_by(&self.process), *revision)
+                } else {
+                    Step::Wait
+                }
+            }
+            OwnClaim::None if row.holder == RELEASED => {
+                Step::Take(row.taken_by(&self.process), *revision)
+            }
+            OwnClaim::None if suspects && self.may_claim(row, now) => {
+                let class = row.class_of(&self.process);
+                let mut claimed = row.clone();
+                claimed.claim = Some(Claim { claimant: self.process.clone(), class });
+                Step::Claim(claimed, *revision)
+            }
+            OwnClaim::None => Step::Wait,
+        }
+    }
+
+    /// A claim of another process is left alone until its claimant had twice its delay, unless this process's class
+    /// comes first; otherwise two claimants could replace each other for ever.
+    fn may_claim(&self, row: &HoldRow, now: Instant) -> bool {
+        if self.promised_until.is_some_and(|until| now < until) {
+            return false;
+        }
+        let Some(claim) = &row.claim else { return true };
+        let overdue = self
+            .foreign_claim
+            .is_none_or(|(_, first_seen)| now >= first_seen + self.delays.of(claim.class) * 2);
+        row.class_of(&self.process) < claim.class || overdue
+    }
+
+    /// Notes a claim before it is sent. From here on the process does not promise.
+    pub fn claim_sent(&mut self, row: HoldRow) {
+        self.own = OwnClaim::Unknown { row };
+    }
+
+    /// The claim is committed; `now` is the receipt of the answer.
+    pub fn claim_committed(&mut self, revision: Revision, now: Instant) {
+        let OwnClaim::Unknown { row } = std::mem::replace(&mut self.own, OwnClaim::None) else {
+            return;
+        };
+        self.seen = Some(Some((row.clone(), revision)));
+        self.own = OwnClaim::Committed { row, revision, known_at: now };
+    }
+
+    /// The claim, or the taking of the hold, certainly did not and will not commit.
+    pub fn claim_refused(&mut self) {
+        self.own = OwnClaim::None;
+    }
+
+    /// Answers the holder's question. A promise binds this process for the delay of its class.
+    pub fn on_query(&mut self, epoch: u64, class: ClaimantClass, now: Instant) -> bool {
+        if self.own != OwnClaim::None || self.row().is_some_and(|row| row.epoch > epoch) {
+            return false;
+        }
+        self.promised_until = self.promised_until.max(Some(now + self.delays.of(class)));
+        true
+    }
+
+    /// True if the process has no claim that might take effect.
+    #[must_use]
+    pub fn has_no_claim(&self) -> bool {
+        self.own == OwnClaim::None
+    }
+
+    /// What this process's own reads of the row confirm for an epoch, on its own clock.
+    #[must_use]
+    pub fn confirmations(&self, epoch: u64) -> Confirmations {
+        let clean = self.row().is_some_and(|row| row.epoch == epoch && row.claim.is_none());
+        match self.seen_at {
+            Some(seen_at) if clean => Confirmations::all(seen_at),
+            _ => Confirmations::default(),
+        }
+    }
+
+    /// Ends all claiming, in a planned stop.
+    pub fn retire(&mut self) {
+        self.retired = true;
+    }
+}
+
+fn first_row(process: &str) -> HoldRow {
+    HoldRow {
+        holder: process.to_owned(),
+        epoch: 1,
+        successors: std::collections::BTreeSet::new(),
+        rescuers: std::collections::BTreeSet::new(),
+        claim: None,
+    }
+}
--- /dev/null
+++ b/src/local/worker/state.rs
@@ -0,0 +1,323 @@
+//! The rules of a worker, without threads or sockets. Times are milliseconds of the worker's own clock.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::platform::worker::{
+    AttemptRef, AttemptReport, AttemptState, Inventory, InventoryRequest, RenewRequest,
+    StartRequest, StartResult, ThrottleRequest, WorkerTimeMs,
+};
+use crate::worker::Resources;
+
+/// How long ended attempts are reported.
+const REPORT_MS: WorkerTimeMs = 300_000;
+
+/// Something that the history records.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// An attempt began to run.
+    Started(Box<StartRequest>),
+    /// An attempt ended.
+    Ended(AttemptRef, AttemptState),
+}
+
+/// Progress of an attempt, as stored in a checkpoint.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Progress {
+    /// Work done, in milliseconds at full speed.
+    pub done_ms: u64,
+}
+
+/// What the arguments of a task ask the stand-in to do.
+#[derive(Clone, Debug, Default, Deserialize)]
+struct Behaviour {
+    /// Run time at full speed; without it the task runs until it is stopped.
+    run_ms: Option<u64>,
+    /// True to end with a failure.
+    #[serde(default)]
+    fail: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Attempt {
+    req: StartRequest,
+    behaviour: Behaviour,
+    state: AttemptState,
+    lease_until_ms: WorkerTimeMs,
+    /// Work done up to `counted_ms`, in thousandths of a millisecond.
+    done_us: u64,
+    counted_ms: WorkerTimeMs,
+    percent: u8,
+    checkpoint: Option<String>,
+    changed_ms: WorkerTimeMs,
+    message: Option<String>,
+}
+
+impl Attempt {
+    /// When the work is done at the present speed.
+    fn finishes_ms(&self) -> Option<WorkerTimeMs> {
+        let left_us = (self.behaviour.run_ms? * 1000).saturating_sub(self.done_us);
+        let percent = u64::from(self.percent.max(1));
+        Some(self.counted_ms + (left_us * 100).div_ceil(percent * 1000))
+    }
+
+    fn count_work(&mut self, now_ms: WorkerTimeMs) {
+        let passed_ms = now_ms.saturating_sub(self.counted_ms);
+        self.done_us += passed_ms * 10 * u64::from(self.percent);
+        self.counted_ms = now_ms;
+    }
+
+    fn report(&self, usage: bool) -> AttemptReport {
+        let used = usage && self.state == AttemptState::Running;
+        AttemptReport {
+            attempt: attempt_ref(&self.req),
+            state: self.state,
+            entry: self.req.entry.clone(),
+            resources: self.req.resources,
+            lease_until_ms: self.lease_until_ms,
+            checkpoint: self.checkpoint.clone(),
+            usage: used.then(|| scaled(&self.req.resources, self.percent)),
+            message: self.message.clone(),
+        }
+    }
+}
+
+/// State of one worker since its last restart.
+#[derive(Clone, Debug)]
+pub struct WorkerState {
+    capacity: Resources,
+    incarnation: u64,
+    attempts: BTreeMap<AttemptRef, Attempt>,
+    /// Attempts that must never run here, with the answer that a start of them gets.
+    tombstones: BTreeMap<AttemptRef, StartResult>,
+    service_p99_us: Option<u64>,
+}
+
+impl WorkerState {
+    /// A worker that has just started.
+    #[must_use]
+    pub fn new(capacity: Resources, incarnation: u64) -> Self {
+        Self {
+            capacity,
+            incarnation,
+            attempts: BTreeMap::new(),
+            tombstones: BTreeMap::new(),
+            service_p99_us: None,
+        }
+    }
+
+    /// Sets the tail latency that the inventory reports for the service on the same VM.
+    pub fn set_service_p99_us(&mut self, p99_us: Option<u64>) {
+        self.service_p99_us = p99_us;
+    }
+
+    /// Ends attempts whose work is done or whose lease has lapsed, and forgets old reports.
+    pub fn advance(&mut self, now_ms: WorkerTimeMs) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for (attempt_ref, attempt) in &mut self.attempts {
+            if attempt.state != AttemptState::Running {
+                continue;
+            }
+            let finish = attempt.finishes_ms().filter(|finish| *finish <= now_ms);
+            let lapse = (attempt.lease_until_ms <= now_ms).then_some(attempt.lease_until_ms);
+            let (at_ms, state) = match (finish, lapse) {
+                (Some(finish), lapse) if lapse.is_none_or(|lapse| finish <= lapse) => {
+                    (finish, ended_by_itself(&attempt.behaviour))
+                }
+                (_, Some(lapse)) => (lapse, AttemptState::Lapsed),
+                _ => continue,
+            };
+            attempt.count_work(at_ms);
+            attempt.state = state;
+            attempt.changed_ms = now_ms;
+            if state == AttemptState::Failed {
+                attempt.message = Some("the task asked to fail".to_owned());
+            }
+            changes.push(Change::Ended(attempt_ref.clone(), state));
+        }
+        self.attempts.retain(|_, attempt| {
+            attempt.state == AttemptState::Running || attempt.changed_ms + REPORT_MS > now_ms
+        });
+        changes
+    }
+
+    /// Starts an attempt, with the progress of its checkpoint.
+    pub fn start(
+        &mut self,
+        req: &StartRequest,
+        progress: Progress,
+        now_ms: WorkerTimeMs,
+    ) -> (StartResult, Option<Change>) {
+        let attempt_ref = attempt_ref(req);
+        if let Some(answer) = self.tombstones.get(&attempt_ref) {
+            return (answer.clone(), None);
+        }
+        if self.attempts.contains_key(&attempt_ref) {
+            return (StartResult::Started, None);
+        }
+        if req.lease_until_ms <= now_ms {
+            self.tombstones.insert(attempt_ref, StartResult::LeaseLapsed);
+            return (StartResult::LeaseLapsed, None);
+        }
+        let behaviour = Behaviour::deserialize(&req.args).unwrap_or_default();
+        self.attempts.insert(
+            attempt_ref,
+            Attempt {
+                req: req.clone(),
+                behaviour,
+                state: AttemptState::Running,
+                lease_until_ms: req.lease_until_ms,
+                done_us: progress.done_ms * 1000,
+                counted_ms: now_ms,
+                percent: 100,
+                checkpoint: req.checkpoint.clone(),
+                changed_ms: now_ms,
+                message: None,
+            },
+        );
+        (StartResult::Started, Some(Change::Started(Box::new(req.clone()))))
+    }
+
+    /// Refuses an attempt for good.
+    pub fn refuse(&mut self, req: &StartRequest, message: &str) -> StartResult {
+        let answer = StartResult::Failed { message: message.to_owned() };
+        let attempt_ref = attempt_ref(req);
+        if self.attempts.contains_key(&attempt_ref) {
+            return StartResult::Started;
+        }
+        self.tombstones.entry(attempt_ref).or_insert(answer).clone()
+    }
+
+    /// Extends leases of attempts that run.
+    pub fn renew(&mut self, req: &RenewRequest) {
+        for attempt_ref in &req.attempts {
+            if let Some(attempt) = self.attempts.get_mut(attempt_ref) {
+                attempt.lease_until_ms = attempt.lease_until_ms.max(req.lease_until_ms);
+            }
+        }
+    }
+
+    /// Begins a checkpoint: the name of the object and its content.
+    pub fn begin_checkpoint(
+        &mut self,
+        attempt_ref: &AttemptRef,
+        now_ms: WorkerTimeMs,
+    ) -> Option<(String, Progress)> {
+        let attempt = self.attempts.get_mut(attempt_ref)?;
+        if attempt.state != AttemptState::Running {
+            return None;
+        }
+        attempt.count_work(now_ms);
+        let name = format!(
+            "checkpoint-{}-{}-{now_ms}-{}",
+            attempt_ref.task, attempt_ref.attempt, self.incarnation
+        );
+        Some((name, Progress { done_ms: attempt.done_us / 1000 }))
+    }
+
+    /// A checkpoint is complete in the object store.
+    pub fn finish_checkpoint(
+        &mut self,
+        attempt_ref: &AttemptRef,
+        name: &str,
+        now_ms: WorkerTimeMs,
+    ) {
+        if let Some(attempt) = self.attempts.get_mut(attempt_ref) {
+            attempt.checkpoint = Some(name.to_owned());
+            attempt.changed_ms = now_ms;
+        }
+    }
+
+    /// Limits the speed of an attempt.
+    pub fn throttle(&mut self, req: &ThrottleRequest, now_ms: WorkerTimeMs) {
+        if let Some(attempt) = self.attempts.get_mut(&req.attempt) {
+            attempt.count_work(now_ms);
+            attempt.percent = req.percent.clamp(1, 100);
+        }
+    }
+
+    /// Stops an attempt, or makes a later start of it fail.
+    pub fn stop(&mut self, attempt_ref: &AttemptRef, now_ms: WorkerTimeMs) -> Option<Change> {
+        match self.attempts.get_mut(attempt_ref) {
+            Some(attempt) if attempt.state == AttemptState::Running => {
+                attempt.count_work(now_ms);
+                attempt.state = AttemptState::Stopped;
+                attempt.changed_ms = now_ms;
+                Some(Change::Ended(attempt_ref.clone(), AttemptState::Stopped))
+            }
+            Some(_) => None,
+            None => {
+                let message = "stopped before it started".to_owned();
+                self.tombstones
+                    .entry(attempt_ref.clone())
+                    .or_insert(StartResult::Failed { message });
+                None
+            }
+        }
+    }
+
+    /// What the worker has and runs.
+    #[must_use]
+    pub fn inventory(
+        &self,
+        req: &InventoryRequest,
+        now_ms: WorkerTimeMs,
+        measured_at_ms: WorkerTimeMs,
+    ) -> Inventory {
+        let all = req.changed_after_ms == 0;
+        let attempts = self
+            .attempts
+            .values()
+            .filter(|attempt| all || attempt.changed_ms > req.changed_after_ms)
+            .map(|attempt| attempt.report(true))
+            .collect();
+        Inventory {
+            time_ms: now_ms,
+            incarnation: self.incarnation,
+            capacity: self.capacity,
+            attempts,
+            service_p99_us: self.service_p99_us,
+            measured_at_ms,
+        }
+    }
+
+    /// Attempts that run now.
+    pub fn running(&self) -> impl Iterator<Item = &AttemptRef> {
+        let running =
+            |(_, attempt): &(&AttemptRef, &Attempt)| attempt.state == AttemptState::Running;
+        self.attempts.iter().filter(running).map(|(attempt_ref, _)| attempt_ref)
+    }
+
+    /// True if the attempt's report has not changed since this time.
+    #[must_use]
+    pub fn changed_before(&self, attempt: &AttemptRef, time_ms: WorkerTimeMs) -> bool {
+        self.attempts.get(attempt).is_some_and(|attempt| attempt.changed_ms <= time_ms)
+    }
+
+    /// Total resources.
+    #[must_use]
+    pub fn capacity(&self) -> Resources {
+        self.capacity
+    }
+}
+
+fn ended_by_itself(behaviour: &Behaviour) -> AttemptState {
+    if behaviour.fail { AttemptState::Failed } else { AttemptState::Succeeded }
+}
+
+fn attempt_ref(req: &StartRequest) -> AttemptRef {
+    AttemptRef { task: req.task.clone(), attempt: req.attempt }
+}
+
+fn scaled(resources: &Resources, percent: u8) -> Resources {
+    Resources { cpu_millis: resources.cpu_millis * u64::from(percent) / 100, ..*resources }
+}
+
+/// Decodes the content of a checkpoint object.
+#[must_use]
+pub fn decode_progress(body: &[u8]) -> Progress {
+    let value: Value = serde_json::from_slice(body).unwrap_or_default();
+    Progress::deserialize(value).unwrap_or_default()
+}
--- /dev/null
+++ b/src/ops/api/tasks/submit.rs
@@ -0,0 +1,203 @@
+//! Submission of a task.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+use super::error::TaskError;
+use super::{ApiRequest, ApiResponse, find, read, view};
+use crate::catalogue::{Document, Entry};
+use crate::domain::DomainState;
+use crate::ops::Context;
+use crate::platform::table::{
+    CommitResult, Condition, OperationQuery, OperationStatus, ReadRequest, Transaction, Write,
+};
+use crate::task::{TaskId, TaskRow, TaskState, row};
+
+/// Header that makes a repeated submission return the same task.
+const KEY_HEADER: &str = "Idempotency-Key";
+
+/// Longest idempotency key in bytes.
+const MAX_KEY_BYTES: usize = 128;
+
+/// Pauses before the look-ups of a lost answer.
+const LOOK_UPS: [Duration; 5] = [
+    Duration::from_millis(0),
+    Duration::from_millis(100),
+    Duration::from_millis(300),
+    Duration::from_millis(700),
+    Duration::from_millis(1_500),
+];
+
+/// Row key of the record of a keyed submission.
+pub(crate) fn submission_key(id: &TaskId) -> String {
+    format!("submission/{id}")
+}
+
+/// Body of a submission.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+struct Submission {
+    entry: String,
+    #[serde(default)]
+    args: Map<String, Value>,
+}
+
+/// What a key was used for.
+#[derive(Debug, Deserialize, Serialize)]
+struct SubmissionRow {
+    key: String,
+    entry: String,
+    args: Map<String, Value>,
+}
+
+pub(super) fn submit(cx: &Context, req: &ApiRequest<'_>) -> Result<ApiResponse, TaskError> {
+    let submission: Submission = serde_json::from_slice(req.body)
+        .map_err(|error| TaskError::BadBody { cause: error.to_string() })?;
+    let key = req.header(KEY_HEADER).map(checked_key).transpose()?;
+    let entry = entry(cx, &submission.entry)?;
+    let row = new_row(cx, &submission, &entry, key);
+    let txn = transaction(&row, &submission, key);
+    match commit(cx, &txn)? {
+        CommitResult::Committed { .. } => Ok(view(202, &row)),
+        CommitResult::Conflict { .. } => repeated(cx, &row.id, &submission, key),
+    }
+}
+
+fn checked_key(key: &str) -> Result<&str, TaskError> {
+    let visible = key.bytes().all(|byte| byte.is_ascii_graphic());
+    if key.is_empty() || key.len() > MAX_KEY_BYTES || !visible {
+        return Err(TaskError::BadKey { bytes: key.len() });
+    }
+    Ok(key)
+}
+
+fn entry(cx: &Context, name: &str) -> Result<Entry, TaskError> {
+    match cx.catalogue.snapshot().document(name) {
+        Some(Document::Entry(entry)) if !entry.limits.per_task.is_zero() => Ok(entry.clone()),
+        Some(_) => Err(TaskError::NotATaskEntry { entry: name.to_owned() }),
+        None => Err(TaskError::UnknownEntry { entry: name.to_owned() }),
+    }
+}
+
+fn new_row(cx: &Context, submission: &Submission, entry: &Entry, key: Option<&str>) -> TaskRow {
+    let id = match key {
+        Some(key) => format!("k-{:032x}", fnv1a(key.as_bytes())),
+        None => format!("t-{:032x}", rand::random::<u128>()),
+    };
+    TaskRow {
+        id: TaskId::new(id),
+        entry: submission.entry.clone(),
+        owner: entry.owner.clone(),
+        class: entry.class,
+        exclusive: entry.is_exclusive(),
+        priority: entry.priority,
+        args: Value::Object(submission.args.clone()),
+        resources: entry.limits.per_task,
+        state: TaskState::Pending,
+        attempt: 1,
+        domain: home(cx, entry),
+        worker: None,
+        checkpoint: None,
+        failed_on: BTreeSet::new(),
+        failures: 0,
+        reason: None,
+        submitted_ms: cx.clock.unix_ms(),
+        cancel: false,
+    }
+}
+
+/// The domain that gets the task: the own one if it is in service and allowed, else another such domain. If none is in
+/// service, the task waits in an allowed one.
+fn home(cx: &Context, entry: &Entry) -> String {
+    let copy = cx.catalogue.snapshot();
+    let own = std::iter::once(&cx.cfg.domain);
+    let allowed: Vec<&String> =
+        own.chain(&cx.cfg.domains).filter(|domain| entry.allows_domain(domain)).collect();
+    let open = allowed.iter().find(|domain| copy.domain_state(domain) == DomainState::In);
+    open.or(allowed.first()).map_or_else(|| cx.cfg.domain.clone(), |domain| (*domain).clone())
+}
+
+fn transaction(row: &TaskRow, submission: &Submission, key: Option<&str>) -> Transaction {
+    let task_key = row::row_key(&row.domain, &row.id);
+    let mut txn = Transaction {
+        operation: format!("submit/{:032x}", rand::random::<u128>()),
+        conditions: vec![Condition::Absent { key: task_key.clone() }],
+        writes: vec![put(task_key, row)],
+    };
+    if let Some(key) = key {
+        let record = submission_key(&row.id);
+        txn.conditions.push(Condition::Absent { key: record.clone() });
+        txn.writes.push(put(
+            record,
+            &SubmissionRow {
+                key: key.to_owned(),
+                entry: submission.entry.clone(),
+                args: submission.args.clone(),
+            },
+        ));
+    }
+    txn
+}
+
+/// The key was used before: the same submission gets the same task.
+fn repeated(
+    cx: &Context,
+    id: &TaskId,
+    submission: &Submission,
+    key: Option<&str>,
+) -> Result<ApiResponse, TaskError> {
+    let record = submission_key(id);
+    let response = read(cx, &ReadRequest { keys: vec![record.clone()], ..ReadRequest::default() })?;
+    let known = response.row(&record).and_then(|row| row.value.as_ref());
+    let known: Option<SubmissionRow> = known.and_then(|value| Deserialize::deserialize(value).ok());
+    let Some(known) = known else { return Err(TaskError::LostRace) };
+    let same = Some(known.key.as_str()) == key
+        && known.entry == submission.entry
+        && known.args == submission.args;
+    if !same {
+        return Err(TaskError::KeyReused);
+    }
+    let (row, _) = find(cx, id.as_str())?;
+    Ok(view(202, &row))
+}
+
+/// Commits, and looks a lost answer up.
+pub(super) fn commit(cx: &Context, txn: &Transaction) -> Result<CommitResult, TaskError> {
+    match cx.table.commit(txn) {
+        Ok(result) => Ok(result),
+        Err(error) if error.had_no_effect() => {
+            Err(TaskError::StoreUnavailable { cause: error.to_string() })
+        }
+        Err(error) => look_up(cx, txn, &error.to_string()),
+    }
+}
+
+fn look_up(cx: &Context, txn: &Transaction, cause: &str) -> Result<CommitResult, TaskError> {
+    let query = OperationQuery { operation: txn.operation.clone(), forbid: true };
+    for pause in LOOK_UPS {
+        cx.clock.sleep(pause);
+        match cx.table.operation(&query) {
+            Ok(OperationStatus::Decided { result }) => return Ok(result),
+            Ok(OperationStatus::Unknown) => {
+                return Err(TaskError::StoreUnavailable { cause: cause.to_owned() });
+            }
+            Err(_) => {}
+        }
+    }
+    Err(TaskError::OutcomeUnknown)
+}
+
+/// A write of a row; rows hold only text, numbers and JSON values, which always encode.
+pub(super) fn put(key: String, value: &impl Serialize) -> Write {
+    Write::Put { key, value: serde_json::to_value(value).unwrap_or_default() }
+}
+
+/// FNV-1a with 128 bits: the same on every version of the program, which the standard library's hash is not.
+fn fnv1a(bytes: &[u8]) -> u128 {
+    const OFFSET: u128 = 0x6c62_272e_07bb_0142_62b8_2175_6295_c58d;
+    const PRIME: u128 = 0x0000_0000_0100_0000_0000_0000_0000_013b;
+    bytes.iter().fold(OFFSET, |hash, byte| (hash ^ u128::from(*byte)).wrapping_mul(PRIME))
+}
--- /dev/null
+++ b/src/ops/schedule/batch.rs
@@ -0,0 +1,58 @@
+//! Turns row changes into transactions.
+
+use super::event::{Change, RowChange};
+use crate::domain::hold;
+use crate::ops::api::tasks as row_keys;
+use crate::platform::table::{Condition, Transaction, Write};
+use crate::task::{TaskRow, row};
+
+/// Most row changes in one transaction. One conflict fails the whole batch, so batches stay small.
+pub(super) const MAX_ROWS: usize = 100;
+
+/// A transaction that applies the changes if every row is unchanged and the epoch still stands.
+pub(super) fn transaction(
+    process: &str,
+    domain: &str,
+    epoch: u64,
+    batch: u64,
+    changes: &[RowChange],
+) -> Transaction {
+    let mut txn = Transaction {
+        operation: format!("{process}/{domain}/{epoch}/{batch}"),
+        conditions: vec![fence(domain, epoch)],
+        writes: Vec::new(),
+    };
+    for change in changes {
+        let key = row::row_key(domain, &change.id);
+        txn.conditions.push(Condition::AtRevision { key: key.clone(), revision: change.revision });
+        match &change.change {
+            Change::Put(row) => txn.writes.push(put(key, row)),
+            Change::Move(row) => {
+                let target = row::row_key(&row.domain, &row.id);
+                txn.conditions.push(Condition::Absent { key: target.clone() });
+                txn.writes.push(Write::Delete { key });
+                txn.writes.push(put(target, row));
+            }
+            Change::Forget => {
+                txn.writes.push(Write::Delete { key });
+                // The record of a keyed submission lives as long as its task.
+                txn.writes.push(Write::Delete { key: row_keys::submission_key(&change.id) });
+            }
+        }
+    }
+    txn
+}
+
+/// The condition that the writer still holds the domain.
+pub(super) fn fence(domain: &str, epoch: u64) -> Condition {
+    Condition::FieldEquals {
+        key: hold::row_key(domain),
+        field: hold::EPOCH_FIELD.to_owned(),
+        number: epoch,
+    }
+}
+
+fn put(key: String, row: &TaskRow) -> Write {
+    // Rows hold only text, numbers and JSON values, which always encode.
+    Write::Put { key, value: serde_json::to_value(row).unwrap_or_default() }
+}
--- /dev/null
+++ b/src/ops/schedule/calls.rs
@@ -0,0 +1,104 @@
+//! The threads that call workers.
+//!
+//! The tick thread gives at most one call per worker at a time to the ring, so a slow worker occupies one thread only.
+//! The permission and the freshness of the catalogue are checked here, directly before each message, because the
+//! process may have been paused since the tick decided.
+
+use std::sync::mpsc::{Receiver, SyncSender};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use super::event::{Call, CallEnd, CallOrder, CallResult, ClockBase, Event};
+use super::shared::SharedHolds;
+use crate::domain::DomainState;
+use crate::ops::Context;
+use crate::platform::worker::{AttemptRef, StartRequest};
+
+/// What a call thread needs.
+#[derive(Clone, Debug)]
+pub(super) struct Caller {
+    pub(super) cx: Context,
+    pub(super) holds: SharedHolds,
+    pub(super) domain: String,
+    pub(super) orders: Arc<Mutex<Receiver<CallOrder>>>,
+    pub(super) events: SyncSender<Event>,
+}
+
+impl Caller {
+    /// Runs until the ring is closed.
+    pub(super) fn run(&self) {
+        loop {
+            let next = self.orders.lock().unwrap_or_else(PoisonError::into_inner).recv();
+            let Ok(order) = next else { return };
+            let result = self.perform(&order);
+            let end = CallEnd {
+                worker: order.worker,
+                epoch: order.epoch,
+                at: self.cx.clock.now(),
+                result,
+            };
+            if self.events.send(Event::Called(end)).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn perform(&self, order: &CallOrder) -> CallResult {
+        let workers = &self.cx.workers;
+        let address = order.address.as_str();
+        if let Call::Inventory(req) = &order.call {
+            return workers
+                .inventory(address, req)
+                .map_or(CallResult::Failed, CallResult::Inventory);
+        }
+        if !self.holds.may_schedule(&self.domain, order.epoch, self.cx.clock.now()) {
+            return refused(&order.call);
+        }
+        let outcome = match &order.call {
+            Call::Inventory(_) => return CallResult::Failed,
+            Call::Start(req, base) => return self.start(address, req, *base),
+            Call::Renew(req) => {
+                return workers
+                    .renew(address, req)
+                    .map_or(CallResult::Failed, |()| CallResult::Renewed(req.attempts.clone()));
+            }
+            Call::Checkpoint(req) => workers.checkpoint(address, req),
+            Call::Stop(req) => workers.stop(address, req),
+        };
+        outcome.map_or(CallResult::Failed, |()| CallResult::Done)
+    }
+
+    /// Sends a start if the domain is known to be in service. The first lease ends START_WINDOW after the newest
+    /// confirmation of that, so the worker refuses a start that was delayed on the way.
+    fn start(&self, address: &str, req: &StartRequest, base: ClockBase) -> CallResult {
+        let attempt = attempt_of(req);
+        let not_sent =
+            |unreachable| CallResult::StartNotSent { attempt: attempt.clone(), unreachable };
+        let timing = &self.cx.cfg.timing;
+        let copy = self.cx.catalogue.snapshot();
+        let fresh = copy.is_fresh(self.cx.clock.now(), timing.freshness());
+        if !fresh || copy.domain_state(&self.domain) == DomainState::Out {
+            return not_sent(false);
+        }
+        let Some(confirmed_at) = copy.confirmed_at() else { return not_sent(false) };
+        let lease_end = confirmed_at + timing.start_window();
+        let req = StartRequest { lease_until_ms: base.worker_time(lease_end), ..req.clone() };
+        match self.cx.workers.start(address, &req) {
+            Ok(answer) => CallResult::Started { attempt, answer, lease_end },
+            Err(error) if error.had_no_effect() => not_sent(true),
+            Err(_) => CallResult::StartUnknown { attempt, lease_end },
+        }
+    }
+}
+
+fn attempt_of(req: &StartRequest) -> AttemptRef {
+    AttemptRef { task: req.task.clone(), attempt: req.attempt }
+}
+
+fn refused(call: &Call) -> CallResult {
+    match call {
+        Call::Start(req, _) => {
+            CallResult::StartNotSent { attempt: attempt_of(req), unreachable: false }
+        }
+        _ => CallResult::Failed,
+    }
+}
--- /dev/null
+++ b/src/ops/schedule/core.rs
@@ -0,0 +1,276 @@
+//! The state of one hold: tasks, workers and what is on its way. It does no input or output.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use super::attempt::Live;
+use super::event::{Change, RowChange, Takeover};
+use super::fleet::Fleet;
+use super::place::Chooser;
+use crate::config::Timing;
+use crate::platform::table::{CommitResult, ReadResponse, Revision, Row};
+use crate::platform::worker::AttemptRef;
+use crate::task::{TaskId, TaskRow, TaskState};
+use crate::worker::{Commitment, Pool};
+
+/// A task of the domain.
+#[derive(Debug)]
+pub(super) struct Tracked {
+    /// The row as last read or written.
+    pub(super) row: TaskRow,
+    /// Revision of the row.
+    pub(super) revision: Revision,
+    /// True while a change of the row is on its way to the table.
+    pub(super) writing: bool,
+    /// The attempt. Invariant: set whenever the row is `running`.
+    pub(super) live: Option<Live>,
+    /// When the row was first seen in a final state.
+    pub(super) ended_at: Option<Instant>,
+}
+
+impl Tracked {
+    pub(super) fn attempt(&self) -> AttemptRef {
+        AttemptRef { task: self.row.id.clone(), attempt: self.row.attempt }
+    }
+}
+
+/// State of one hold.
+#[derive(Debug)]
+pub(super) struct Core {
+    pub(super) domain: String,
+    pub(super) timing: Timing,
+    pub(super) takeover: Takeover,
+    first_epoch: u64,
+    pub(super) tasks: BTreeMap<TaskId, Tracked>,
+    pub(super) fleet: Fleet,
+    pub(super) pool: Pool,
+    /// Attempts on workers that no row knows; they are stopped.
+    pub(super) strays: BTreeSet<(String, AttemptRef)>,
+    pub(super) chooser: Box<dyn Chooser>,
+    /// Changes by batch.
+    inflight: BTreeMap<u64, Vec<RowChange>>,
+    next_batch: u64,
+    /// True once all rows of the domain have been read.
+    pub(super) loaded: bool,
+    /// True once the wait for the predecessor's starts is over.
+    pub(super) ready: bool,
+}
+
+impl Core {
+    pub(super) fn new(
+        domain: &str,
+        timing: Timing,
+        takeover: Takeover,
+        chooser: Box<dyn Chooser>,
+    ) -> Self {
+        let mut core = Self {
+            domain: domain.to_owned(),
+            timing,
+            tasks: BTreeMap::new(),
+            fleet: Fleet::default(),
+            pool: Pool::default(),
+            strays: BTreeSet::new(),
+            chooser,
+            inflight: BTreeMap::new(),
+            next_batch: 1,
+            loaded: !takeover.tasks.is_empty(),
+            ready: !takeover.predecessor,
+            first_epoch: takeover.epoch,
+            takeover,
+        };
+        for (row, revision) in std::mem::take(&mut core.takeover.tasks) {
+            let at = core.takeover.at;
+            core.take_row(row, revision, at);
+        }
+        core
+    }
+
+    pub(super) fn epoch(&self) -> u64 {
+        self.takeover.epoch
+    }
+
+    /// True if a result belongs to this hold. The epoch rises once after a hand-over, without a break of the hold.
+    pub(super) fn knows_epoch(&self, epoch: u64) -> bool {
+        (self.first_epoch..=self.takeover.epoch).contains(&epoch)
+    }
+
+    /// The rows of tasks that have not ended, as last read or written.
+    pub(super) fn rows(&self) -> Vec<Row> {
+        let open = self.tasks.values().filter(|task| !task.row.state.is_final());
+        open.map(|task| Row {
+            key: crate::task::row::row_key(&self.domain, &task.row.id),
+            revision: task.revision,
+            value: serde_json::to_value(&task.row).ok(),
+        })
+        .collect()
+    }
+
+    /// Longest time for which a predecessor can have leased a worker to an attempt of this task.
+    pub(super) fn longest_lease(&self, row: &TaskRow) -> Duration {
+        if row.exclusive { self.timing.task_lease() } else { self.timing.force_time() }
+    }
+
+    /// Takes rows read from the table.
+    pub(super) fn on_feed(&mut self, base: Revision, response: &ReadResponse, now: Instant) {
+        let prefix = crate::task::row::domain_prefix(&self.domain);
+        let mut present = BTreeSet::new();
+        for row in &response.rows {
+            let Some(id) = row.key.strip_prefix(&prefix) else { continue };
+            let id = TaskId::new(id);
+            let decoded =
+                row.value.as_ref().and_then(|value| serde::Deserialize::deserialize(value).ok());
+            match decoded {
+                Some(decoded) => {
+                    present.insert(id);
+                    self.take_row(decoded, row.revision, now);
+                }
+                None => self.drop_row(&id, row.revision),
+            }
+        }
+        if base == 0 {
+            self.drop_missing(&present, response.revision);
+            self.loaded = true;
+        }
+    }
+
+    fn take_row(&mut self, row: TaskRow, revision: Revision, now: Instant) {
+        let id = row.id.clone();
+        if self.tasks.get(&id).is_some_and(|known| known.revision >= revision) {
+            return;
+        }
+        self.replace_row(row, revision, now);
+    }
+
+    /// Replaces a row and keeps attempt and commitment in step with it.
+    fn replace_row(&mut self, row: TaskRow, revision: Revision, now: Instant) {
+        let id = row.id.clone();
+        let previous = self.tasks.remove(&id);
+        let writing = previous.as_ref().is_some_and(|known| known.writing);
+        let same = previous.as_ref().is_some_and(|known| {
+            row.state == TaskState::Running
+                && known.row.attempt == row.attempt
+                && known.row.worker == row.worker
+        });
+        let live = match previous {
+            Some(known) if same => known.live,
+            Some(known) => {
+                self.release(&known);
+                None
+            }
+            None => None,
+        };
+        let live = live.or_else(|| self.live_from_row(&row, now));
+        let ended_at = row.state.is_final().then_some(now);
+        self.tasks.insert(id, Tracked { row, revision, writing, live, ended_at });
+    }
+
+    /// The attempt behind a running row that this scheduler did not assign.
+    fn live_from_row(&mut self, row: &TaskRow, now: Instant) -> Option<Live> {
+        let worker = (row.state == TaskState::Running).then(|| row.worker.clone()).flatten()?;
+        let attempt = AttemptRef { task: row.id.clone(), attempt: row.attempt };
+        self.pool.adopt(&worker, &attempt, commitment(row));
+        let lease = self.longest_lease(row);
+        Some(Live::inherited(&worker, now, now.max(self.takeover.at) + lease))
+    }
+
+    fn release(&mut self, known: &Tracked) {
+        if let Some(live) = &known.live {
+            self.pool.release(&live.worker, &known.attempt());
+        }
+    }
+
+    fn drop_row(&mut self, id: &TaskId, revision: Revision) {
+        if self.tasks.get(id).is_none_or(|known| known.revision >= revision) {
+            return;
+        }
+        if let Some(known) = self.tasks.remove(id) {
+            self.release(&known);
+        }
+    }
+
+    fn drop_missing(&mut self, present: &BTreeSet<TaskId>, revision: Revision) {
+        let missing: Vec<TaskId> =
+            self.tasks.keys().filter(|id| !present.contains(*id)).cloned().collect();
+        for id in missing {
+            self.drop_row(&id, revision + 1);
+        }
+    }
+
+    /// Registers a batch of changes and returns its number.
+    pub(super) fn register(&mut self, changes: Vec<RowChange>) -> u64 {
+        for change in &changes {
+            if let Some(task) = self.tasks.get_mut(&change.id) {
+                task.writing = true;
+            }
+        }
+        let batch = self.next_batch;
+        self.next_batch += 1;
+        self.inflight.insert(batch, changes);
+        batch
+    }
+
+    /// Takes the result of a batch.
+    pub(super) fn on_committed(&mut self, batch: u64, result: &CommitResult, now: Instant) {
+        let changes = self.inflight.remove(&batch).unwrap_or_default();
+        for change in changes {
+            if let Some(task) = self.tasks.get_mut(&change.id) {
+                task.writing = false;
+            }
+            match result {
+                CommitResult::Committed { revision } => self.settle(change, *revision, now),
+                CommitResult::Conflict { .. } => self.undo(&change),
+            }
+        }
+    }
+
+    fn settle(&mut self, change: RowChange, revision: Revision, now: Instant) {
+        match change.change {
+            Change::Put(row) => {
+                if row.state == TaskState::Running {
+                    self.settle_assignment(*row, revision, now);
+                } else {
+                    self.take_row(*row, revision, now);
+                }
+            }
+            Change::Move(_) | Change::Forget => self.drop_row(&change.id, revision),
+        }
+    }
+
+    /// An assignment is committed: its start may be sent from now on.
+    fn settle_assignment(&mut self, row: TaskRow, revision: Revision, now: Instant) {
+        let Some(worker) = row.worker.clone() else { return };
+        let attempt = row.attempt;
+        let id = row.id.clone();
+        self.take_row(row, revision, now);
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        let still = task.row.state == TaskState::Running && task.row.attempt == attempt;
+        if still {
+            task.live = Some(Live::assigned(&worker, now));
+        }
+    }
+
+    /// A batch did not commit: reservations made for it are given back.
+    fn undo(&mut self, change: &RowChange) {
+        let Change::Put(row) = &change.change else { return };
+        if row.state != TaskState::Running {
+            return;
+        }
+        let attempt = AttemptRef { task: row.id.clone(), attempt: row.attempt };
+        let assigned = self.tasks.get(&change.id).is_some_and(|task| {
+            task.row.state == TaskState::Running && task.row.attempt == row.attempt
+        });
+        if let (false, Some(worker)) = (assigned, &row.worker) {
+            self.pool.release(worker, &attempt);
+        }
+    }
+}
+
+/// The commitment of a task's attempt.
+pub(super) fn commitment(row: &TaskRow) -> Commitment {
+    Commitment {
+        entry: row.entry.clone(),
+        class: row.class,
+        priority: row.priority,
+        resources: row.resources,
+    }
+}
--- /dev/null
+++ b/src/ops/schedule/fleet.rs
@@ -0,0 +1,217 @@
+//! The workers of the domain as the scheduler calls them: queues of calls, clocks and silence.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use super::event::{Call, CallOrder, ClockBase};
+use crate::platform::worker::{Inventory, InventoryRequest, WorkerTimeMs};
+
+/// Calls in progress to workers whose last call failed. The other call threads stay free for healthy workers.
+const MAX_SUSPECT_CALLS: usize = 4;
+
+/// Polls of a worker without news are this many times rarer, to keep the traffic of control within its budget.
+const QUIET_FACTOR: u32 = 5;
+
+/// A worker counts as busy for this long after its last news.
+const BUSY_FOR: Duration = Duration::from_secs(5);
+
+/// One worker.
+#[derive(Debug)]
+pub(super) struct WorkerView {
+    address: String,
+    /// True if the VM list says that it is about to be removed.
+    pub(super) leaving: bool,
+    /// Incarnation of the last full inventory.
+    pub(super) incarnation: Option<u64>,
+    /// The newest reading of its clock.
+    pub(super) base: Option<ClockBase>,
+    /// Reports up to this worker time have been taken.
+    seen_ms: WorkerTimeMs,
+    next_poll: Instant,
+    polling: bool,
+    last_news: Instant,
+    /// When it answered last.
+    pub(super) answered_at: Option<Instant>,
+    failures: u32,
+    queue: VecDeque<Call>,
+    in_call: bool,
+}
+
+impl WorkerView {
+    /// True if no call waits or is in progress.
+    pub(super) fn is_idle(&self) -> bool {
+        self.queue.is_empty() && !self.in_call
+    }
+}
+
+/// What an inventory is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum InventoryKind {
+    /// All attempts are in it.
+    Full,
+    /// Only changes are in it.
+    Changes,
+    /// The worker has restarted: the whole inventory must be read.
+    Restarted,
+}
+
+/// All workers.
+#[derive(Debug, Default)]
+pub(super) struct Fleet {
+    workers: BTreeMap<String, WorkerView>,
+}
+
+impl Fleet {
+    /// Adds a worker or updates its address.
+    pub(super) fn upsert(&mut self, name: &str, address: &str, leaving: bool, now: Instant) {
+        let view = self.workers.entry(name.to_owned()).or_insert_with(|| WorkerView {
+            address: String::new(),
+            leaving,
+            incarnation: None,
+            base: None,
+            seen_ms: 0,
+            next_poll: now,
+            polling: false,
+            last_news: now,
+            answered_at: None,
+            failures: 0,
+            queue: VecDeque::new(),
+            in_call: false,
+        });
+        address.clone_into(&mut view.address);
+        view.leaving = leaving;
+    }
+
+    /// Removes a worker.
+    pub(super) fn remove(&mut self, name: &str) {
+        self.workers.remove(name);
+    }
+
+    /// Names of the workers.
+    pub(super) fn names(&self) -> Vec<String> {
+        self.workers.keys().cloned().collect()
+    }
+
+    /// One worker.
+    pub(super) fn get(&self, name: &str) -> Option<&WorkerView> {
+        self.workers.get(name)
+    }
+
+    /// Adds a call behind the ones that wait. False if the worker is not known.
+    pub(super) fn push(&mut self, name: &str, call: Call) -> bool {
+        let Some(view) = self.workers.get_mut(name) else { return false };
+        view.queue.push_back(call);
+        true
+    }
+
+    /// Queues the inventory reads that are due.
+    pub(super) fn queue_polls(&mut self, now: Instant, period: Duration) {
+        for view in self.workers.values_mut() {
+            if view.polling || now < view.next_poll {
+                continue;
+            }
+            view.polling = true;
+            let quiet = now >= view.last_news + BUSY_FOR;
+            view.next_poll = now + if quiet { period * QUIET_FACTOR } else { period };
+            let req = InventoryRequest { changed_after_ms: view.seen_ms };
+            view.queue.push_back(Call::Inventory(req));
+        }
+    }
+
+    /// Makes the next poll of a worker due at once or after the short period.
+    pub(super) fn expect_news(&mut self, name: &str, now: Instant, period: Duration) {
+        if let Some(view) = self.workers.get_mut(name) {
+            view.last_news = now;
+            view.next_poll = view.next_poll.min(now + period);
+        }
+    }
+
+    /// Passes the calls that may be made now to `send`, which returns a call that the ring did not take.
+    pub(super) fn dispatch(
+        &mut self,
+        epoch: u64,
+        mut send: impl FnMut(CallOrder) -> Result<(), CallOrder>,
+    ) {
+        let mut suspect_calls =
+            self.workers.values().filter(|view| view.in_call && view.failures > 0).count();
+        for (name, view) in &mut self.workers {
+            let suspect = view.failures > 0;
+            if view.in_call || suspect && suspect_calls >= MAX_SUSPECT_CALLS {
+                continue;
+            }
+            let Some(call) = view.queue.pop_front() else { continue };
+            let order =
+                CallOrder { worker: name.clone(), address: view.address.clone(), epoch, call };
+            match send(order) {
+                Ok(()) => {
+                    view.in_call = true;
+                    suspect_calls += usize::from(suspect);
+                }
+                Err(order) => {
+                    view.queue.push_front(order.call);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// A call has ended.
+    pub(super) fn on_end(&mut self, name: &str, answered: bool, at: Instant) {
+        let Some(view) = self.workers.get_mut(name) else { return };
+        view.in_call = false;
+        if answered {
+            view.answered_at = Some(at);
+            view.failures = 0;
+        } else {
+            view.failures = view.failures.saturating_add(1);
+        }
+    }
+
+    /// An inventory read failed.
+    pub(super) fn on_poll_failed(&mut self, name: &str) {
+        if let Some(view) = self.workers.get_mut(name) {
+            view.polling = false;
+        }
+    }
+
+    /// Takes only the clock of an inventory, which is enough to renew leases.
+    pub(super) fn on_clock(&mut self, name: &str, inventory: &Inventory, at: Instant) {
+        if let Some(view) = self.workers.get_mut(name) {
+            view.polling = false;
+            view.base = Some(ClockBase { time_ms: inventory.time_ms, received_at: at });
+        }
+    }
+
+    /// Takes the clock and the progress of an inventory.
+    pub(super) fn on_inventory(
+        &mut self,
+        name: &str,
+        inventory: &Inventory,
+        at: Instant,
+    ) -> Option<InventoryKind> {
+        let view = self.workers.get_mut(name)?;
+        view.polling = false;
+        view.base = Some(ClockBase { time_ms: inventory.time_ms, received_at: at });
+        if !inventory.attempts.is_empty() {
+            view.last_news = at;
+        }
+        let full = view.seen_ms == 0;
+        if !full && view.incarnation != Some(inventory.incarnation) {
+            view.seen_ms = 0;
+            view.next_poll = at;
+            return Some(InventoryKind::Restarted);
+        }
+        view.incarnation = Some(inventory.incarnation);
+        // A change in the millisecond of the answer may have come after it, so that millisecond is read again.
+        view.seen_ms = inventory.time_ms.saturating_sub(1);
+        Some(if full { InventoryKind::Full } else { InventoryKind::Changes })
+    }
+
+    /// Forgets what was read before the predecessor's starts had lapsed.
+    pub(super) fn read_all_again(&mut self, now: Instant) {
+        for view in self.workers.values_mut() {
+            view.seen_ms = 0;
+            view.next_poll = now;
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/schedule/handover.rs
@@ -0,0 +1,116 @@
+//! The planned stop of a holder, and its successor's side.
+
+use std::time::Duration;
+
+use super::hold_duty::{decode_row, release_transaction};
+use super::probe;
+use super::shared::{HandedOver, Role, SharedHolds, delays};
+use super::status::millis;
+use crate::domain::hold;
+use crate::domain::hold::candidate::Candidate;
+use crate::domain::hold::holding::Holding;
+use crate::ops::Context;
+use crate::peer::{HandOver, PeerError};
+use crate::platform::table::Row;
+use crate::task::TaskRow;
+use crate::telemetry::event::schedule as log;
+
+/// Timeout of the hand-over message.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Ends the hold and passes it on. At most one message is sent: two successors must never both believe to be the holder.
+pub(super) fn give_up(cx: &Context, holds: &SharedHolds, tasks: &[Row]) {
+    let domain = &cx.cfg.domain;
+    holds.with_candidate(domain, Candidate::retire);
+    holds.with_holding(domain, Holding::end);
+    let Some(holding) = holds.holding(domain) else { return };
+    let named = holding.named(crate::domain::ClaimantClass::Successor);
+    let alive =
+        probe::ask(cx, domain, probe::PROBE_EPOCH, crate::domain::ClaimantClass::Unlisted, &named);
+    let passed = alive.first().map(|successor| pass(cx, &holding, tasks, successor));
+    match passed {
+        Some(Passed::Accepted) => {
+            log::HOLD_HANDED_OVER.emit(format_args!("{domain} at epoch {}", holding.epoch()));
+        }
+        // The successor may hold the domain now, so the row must not be released under it.
+        Some(Passed::Unknown) => {}
+        Some(Passed::Refused) | None => release(cx, &holding),
+    }
+}
+
+/// What became of the message.
+enum Passed {
+    Accepted,
+    Refused,
+    Unknown,
+}
+
+fn pass(cx: &Context, holding: &Holding, tasks: &[Row], successor: &str) -> Passed {
+    let directory = cx.directory.snapshot();
+    let Some(member) = directory.get(successor) else { return Passed::Refused };
+    let Some(msg) = message(cx, holding, tasks) else { return Passed::Refused };
+    match cx.peers.hand_over(&member.peer_address, msg, TIMEOUT) {
+        Ok(reply) if reply.accepted => Passed::Accepted,
+        Ok(_) | Err(PeerError::Unreachable { .. }) => Passed::Refused,
+        Err(PeerError::NoAnswer { .. }) => Passed::Unknown,
+    }
+}
+
+fn message(cx: &Context, holding: &Holding, tasks: &[Row]) -> Option<HandOver> {
+    let domain = &cx.cfg.domain;
+    let row = Row {
+        key: hold::row_key(domain),
+        revision: holding.revision(),
+        value: serde_json::to_value(holding.row()).ok(),
+    };
+    let age = holding
+        .confirmed()
+        .unlisted
+        .map(|at| cx.clock.now().saturating_duration_since(at))
+        .unwrap_or(Duration::MAX);
+    Some(HandOver {
+        domain: domain.clone(),
+        from: cx.process.clone(),
+        epoch: holding.epoch(),
+        confirmed_age_ms: millis(age),
+        row: serde_json::to_string(&row).ok()?,
+        tasks: serde_json::to_string(tasks).ok()?,
+    })
+}
+
+fn release(cx: &Context, holding: &Holding) {
+    let domain = &cx.cfg.domain;
+    let txn = release_transaction(domain, holding, &cx.process);
+    if let Ok(crate::platform::table::CommitResult::Committed { .. }) = cx.table.commit(&txn) {
+        log::HOLD_RELEASED.emit(format_args!("{domain} at epoch {}", holding.epoch()));
+    }
+}
+
+/// Takes a hold that a peer gives up. The age of the peer's confirmation is not used: the message may have been
+/// delayed for any time, so only this process's own reads of the row count.
+pub(super) fn accept(cx: &Context, holds: &SharedHolds, msg: &HandOver) -> bool {
+    if cx.stop.is_draining() || msg.domain != cx.cfg.domain {
+        return false;
+    }
+    let Ok(row) = serde_json::from_str::<Row>(&msg.row) else { return false };
+    let Some((row, revision)) = decode_row(&row) else { return false };
+    let Ok(tasks) = serde_json::from_str::<Vec<Row>>(&msg.tasks) else { return false };
+    let mut roles = holds.lock();
+    let Some(Role::Candidate(candidate)) = roles.get(&msg.domain) else { return false };
+    let newer = candidate.row().is_some_and(|known| known.epoch > msg.epoch);
+    if newer || row.epoch != msg.epoch || !candidate.has_no_claim() {
+        return false;
+    }
+    let confirmed = candidate.confirmations(msg.epoch);
+    let holding = Holding::inherited(&cx.process, delays(cx), row, revision, confirmed);
+    roles.insert(msg.domain.clone(), Role::Holder(holding));
+    drop(roles);
+    let tasks = tasks.iter().filter_map(decode_task).collect();
+    holds.put_handed_over(HandedOver { epoch: msg.epoch, at: cx.clock.now(), tasks });
+    true
+}
+
+fn decode_task(row: &Row) -> Option<(TaskRow, u64)> {
+    let decoded = serde::Deserialize::deserialize(row.value.as_ref()?).ok()?;
+    Some((decoded, row.revision))
+}
--- /dev/null
+++ b/src/ops/schedule/hold_duty.rs
@@ -0,0 +1,375 @@
+//! The thread that obtains, confirms, defends and gives up the hold of the own domain, and reads the task rows.
+
+use std::sync::mpsc::SyncSender;
+use std::time::{Duration, Instant};
+
+use super::batch::fence;
+use super::event::{Event, Takeover};
+use super::lists::with_lists;
+use super::probe;
+use super::shared::{HandedOver, Role, SharedHolds, delays};
+use super::writer::commit_decided;
+use crate::domain::ClaimantClass;
+use crate::domain::hold::candidate::{Candidate, Step};
+use crate::domain::hold::holding::{Holding, RowVerdict};
+use crate::domain::hold::{self, HoldRow};
+use crate::ops::Context;
+use crate::platform::table::{
+    CommitResult, Condition, OperationQuery, OperationStatus, ReadRequest, ReadResponse, Revision,
+    Transaction, Write,
+};
+use crate::task::row;
+use crate::telemetry::event::schedule as log;
+
+/// Period of a candidate's reads of the row.
+const CANDIDATE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Period of the upkeep of the lists.
+const LISTS_PERIOD: Duration = Duration::from_secs(2);
+
+/// Heartbeat periods of silence after which a successor claims.
+const SILENT_HEARTBEATS: u32 = 3;
+
+/// Silence after which a process that is on no list claims.
+const UNLISTED_SILENCE: Duration = Duration::from_secs(10);
+
+/// A write of the row whose outcome is not known.
+#[derive(Debug)]
+struct Unsettled {
+    operation: String,
+    row: HoldRow,
+    sent_at: Instant,
+}
+
+/// State of the thread.
+#[derive(Debug)]
+pub(super) struct HoldDuty {
+    cx: Context,
+    holds: SharedHolds,
+    domain: String,
+    events: SyncSender<Event>,
+    /// Revision up to which the task rows have been read under the present hold.
+    fed: Revision,
+    next_read: Instant,
+    next_lists: Instant,
+    heard_at: Instant,
+    next_probe: Instant,
+    unsettled: Option<Unsettled>,
+    operations: u64,
+}
+
+impl HoldDuty {
+    pub(super) fn new(
+        cx: Context,
+        holds: SharedHolds,
+        domain: String,
+        events: SyncSender<Event>,
+    ) -> Self {
+        let now = cx.clock.now();
+        Self {
+            cx,
+            holds,
+            domain,
+            events,
+            fed: 0,
+            next_read: now,
+            next_lists: now,
+            heard_at: now,
+            next_probe: now,
+            unsettled: None,
+            operations: 0,
+        }
+    }
+
+    /// Runs until the process stops.
+    pub(super) fn run(mut self) {
+        while !self.cx.stop.is_stopped() {
+            if let Some(handed) = self.holds.take_handed_over() {
+                self.announce(handed);
+            }
+            match self.holds.holding(&self.domain) {
+                Some(holding) if !holding.is_ended() => self.hold(&holding),
+                Some(_) => {}
+                None => self.seek(),
+            }
+            self.cx.clock.sleep(self.cx.cfg.timing.schedule_tick());
+        }
+    }
+
+    fn announce(&mut self, handed: HandedOver) {
+        self.fed = 0;
+        self.unsettled = None;
+        log::HOLD_TAKEN
+            .emit(format_args!("{} at epoch {} by hand-over", self.domain, handed.epoch));
+        self.send(Event::Taken(Takeover {
+            epoch: handed.epoch,
+            at: handed.at,
+            predecessor: true,
+            tasks: handed.tasks,
+        }));
+    }
+
+    fn send(&self, event: Event) {
+        // The tick thread ends only when the process stops.
+        let _ = self.events.send(event);
+    }
+
+    // The holder's part.
+
+    fn hold(&mut self, holding: &Holding) {
+        if self.unsettled.is_some() && !self.settle() {
+            self.ask_promises(holding);
+            return;
+        }
+        let sent_at = self.cx.clock.now();
+        let req = ReadRequest {
+            keys: vec![hold::row_key(&self.domain)],
+            prefixes: vec![row::domain_prefix(&self.domain)],
+            changed_after: (self.fed > 0).then_some(self.fed),
+        };
+        match self.cx.table.read(&req) {
+            Ok(response) => self.on_read(&response, sent_at),
+            Err(_) => self.ask_promises(holding),
+        }
+    }
+
+    fn on_read(&mut self, response: &ReadResponse, sent_at: Instant) {
+        let found = response.row(&hold::row_key(&self.domain)).map(decode_row);
+        let verdict = self.holds.with_holding(&self.domain, |holding| match &found {
+            Some(Some((row, revision))) => holding.on_row(Some((row, *revision)), sent_at),
+            // Nobody deletes the row; without it nothing can be confirmed.
+            Some(None) => RowVerdict::Stale,
+            None => holding.on_row(None, sent_at),
+        });
+        match verdict {
+            Some(RowVerdict::Confirmed) => self.on_confirmed(response),
+            Some(RowVerdict::Claimed) => self.contest(),
+            Some(RowVerdict::Lost) => self.lose(),
+            Some(RowVerdict::Stale) | None => {}
+        }
+    }
+
+    fn on_confirmed(&mut self, response: &ReadResponse) {
+        let base = self.fed;
+        if response.revision >= base {
+            self.fed = response.revision;
+            self.send(Event::Feed { base, response: response.clone() });
+        }
+        let Some(holding) = self.holds.holding(&self.domain) else { return };
+        let now = self.cx.clock.now();
+        if holding.must_write_itself() {
+            self.write_row(&holding, holding.row().taken_by(&self.cx.process));
+        } else if now >= self.next_lists {
+            self.next_lists = now + LISTS_PERIOD;
+            let next = with_lists(&self.cx, &self.domain, holding.row());
+            if next != *holding.row() {
+                self.write_row(&holding, next);
+            }
+        }
+    }
+
+    /// Removes the claim of another process: this process is alive and reaches the table.
+    fn contest(&mut self) {
+        let Some(holding) = self.holds.holding(&self.domain) else { return };
+        log::CLAIM_CONTESTED.emit(format_args!("{} at epoch {}", self.domain, holding.epoch()));
+        let row = HoldRow { claim: None, ..holding.row().clone() };
+        self.write_row(&holding, row);
+    }
+
+    fn lose(&mut self) {
+        log::HOLD_LOST.emit(format_args!("{}: another process holds it", self.domain));
+        self.fed = 0;
+        self.unsettled = None;
+        let candidate = Candidate::new(&self.cx.process, delays(&self.cx));
+        self.holds.set(&self.domain, Role::Candidate(candidate));
+        self.send(Event::Lost);
+    }
+
+    /// Writes the row if it is unchanged. An unknown outcome is settled in later rounds, so that promises can be asked
+    /// for in between.
+    fn write_row(&mut self, holding: &Holding, next: HoldRow) {
+        let txn = self.row_transaction(&next, Some(holding.revision()));
+        let sent_at = self.cx.clock.now();
+        self.holds.with_holding(&self.domain, |holding| holding.on_write_sent(next.clone()));
+        match self.cx.table.commit(&txn) {
+            Ok(result) => self.on_written(&result, next, sent_at),
+            Err(error) if error.had_no_effect() => self.on_refused(),
+            Err(_) => {
+                self.unsettled = Some(Unsettled { operation: txn.operation, row: next, sent_at });
+            }
+        }
+    }
+
+    fn on_written(&mut self, result: &CommitResult, row: HoldRow, sent_at: Instant) {
+        let CommitResult::Committed { revision } = result else { return self.on_refused() };
+        let epoch = row.epoch;
+        let before = self.holds.with_holding(&self.domain, |holding| {
+            let before = holding.epoch();
+            holding.on_written(row, *revision, sent_at);
+            before
+        });
+        if before.is_some_and(|before| before != epoch) {
+            self.send(Event::Epoch(epoch));
+        }
+    }
+
+    fn on_refused(&self) {
+        self.holds.with_holding(&self.domain, Holding::on_write_refused);
+    }
+
+    /// Looks up the write whose answer was lost. True once it is decided.
+    fn settle(&mut self) -> bool {
+        let Some(unsettled) = self.unsettled.take() else { return true };
+        let query = OperationQuery { operation: unsettled.operation.clone(), forbid: true };
+        match self.cx.table.operation(&query) {
+            Ok(OperationStatus::Decided { result }) => {
+                self.on_written(&result, unsettled.row, unsettled.sent_at);
+                true
+            }
+            Ok(OperationStatus::Unknown) => {
+                self.on_refused();
+                true
+            }
+            Err(_) => {
+                self.unsettled = Some(unsettled);
+                false
+            }
+        }
+    }
+
+    fn ask_promises(&self, holding: &Holding) {
+        for class in [ClaimantClass::Successor, ClaimantClass::Rescuer] {
+            let named = holding.named(class);
+            let sent_at = self.cx.clock.now();
+            let promised = probe::ask(&self.cx, &self.domain, holding.epoch(), class, &named);
+            self.holds.with_holding(&self.domain, |holding| {
+                holding.on_promises(class, &promised, sent_at)
+            });
+        }
+    }
+
+    // The candidate's part.
+
+    fn seek(&mut self) {
+        let now = self.cx.clock.now();
+        let suspects = self.suspects(now);
+        if now >= self.next_read || suspects {
+            self.next_read = now + CANDIDATE_PERIOD;
+            if !self.read_row(now) {
+                return;
+            }
+        }
+        let now = self.cx.clock.now();
+        let step = self.holds.with_candidate(&self.domain, |candidate| {
+            let step = candidate.step(suspects, now);
+            if let Step::Claim(row, _) = &step {
+                candidate.claim_sent(row.clone());
+            }
+            step
+        });
+        match step {
+            Some(Step::Create(row)) => self.take(row, None),
+            Some(Step::Take(row, revision)) => self.take(row, Some(revision)),
+            Some(Step::Claim(row, revision)) => self.claim(&row, revision),
+            Some(Step::Wait) | None => {}
+        }
+    }
+
+    /// True while the holder does not answer.
+    fn suspects(&mut self, now: Instant) -> bool {
+        let known = self.holds.with_candidate(&self.domain, |candidate| candidate.row().cloned());
+        let Some(Some(row)) = known else { return false };
+        let heartbeat = self.cx.cfg.timing.heartbeat();
+        if now >= self.next_probe {
+            self.next_probe = now + heartbeat;
+            if probe::is_alive(&self.cx, &self.domain, &row.holder) {
+                self.heard_at = self.cx.clock.now();
+            }
+        }
+        let patience = match row.class_of(&self.cx.process) {
+            ClaimantClass::Successor => heartbeat * SILENT_HEARTBEATS,
+            ClaimantClass::Rescuer | ClaimantClass::Unlisted => UNLISTED_SILENCE,
+        };
+        self.cx.clock.now().saturating_duration_since(self.heard_at) >= patience
+    }
+
+    fn read_row(&self, sent_at: Instant) -> bool {
+        let key = hold::row_key(&self.domain);
+        let req = ReadRequest { keys: vec![key.clone()], ..ReadRequest::default() };
+        let Ok(response) = self.cx.table.read(&req) else { return false };
+        let row = response.row(&key).and_then(decode_row);
+        let now = self.cx.clock.now();
+        self.holds.with_candidate(&self.domain, |candidate| candidate.on_row(row, sent_at, now));
+        true
+    }
+
+    fn claim(&mut self, row: &HoldRow, revision: Revision) {
+        log::HOLD_CLAIMED.emit(format_args!("{} at epoch {}", self.domain, row.epoch));
+        let txn = self.row_transaction(row, Some(revision));
+        let result = commit_decided(&self.cx, &txn);
+        let now = self.cx.clock.now();
+        self.holds.with_candidate(&self.domain, |candidate| match result {
+            Some(CommitResult::Committed { revision }) => candidate.claim_committed(revision, now),
+            Some(CommitResult::Conflict { .. }) => candidate.claim_refused(),
+            // The process stops; until then the claim's outcome stays unknown.
+            None => {}
+        });
+    }
+
+    fn take(&mut self, row: HoldRow, revision: Option<Revision>) {
+        let txn = self.row_transaction(&row, revision);
+        let sent_at = self.cx.clock.now();
+        let result = commit_decided(&self.cx, &txn);
+        let now = self.cx.clock.now();
+        let Some(CommitResult::Committed { revision: taken }) = result else {
+            self.holds.with_candidate(&self.domain, Candidate::claim_refused);
+            return;
+        };
+        let epoch = row.epoch;
+        let delays = delays(&self.cx);
+        let holding = Holding::taken(&self.cx.process, delays, row, taken, sent_at);
+        self.fed = 0;
+        self.holds.set(&self.domain, Role::Holder(holding));
+        log::HOLD_TAKEN.emit(format_args!("{} at epoch {epoch}", self.domain));
+        let predecessor = revision.is_some();
+        let takeover = Takeover { epoch, at: now, predecessor, tasks: Vec::new() };
+        self.send(Event::Taken(takeover));
+    }
+
+    fn row_transaction(&mut self, row: &HoldRow, revision: Option<Revision>) -> Transaction {
+        self.operations += 1;
+        let key = hold::row_key(&self.domain);
+        let condition = match revision {
+            Some(revision) => Condition::AtRevision { key: key.clone(), revision },
+            None => Condition::Absent { key: key.clone() },
+        };
+        Transaction {
+            operation: format!("{}/{key}/{}", self.cx.process, self.operations),
+            conditions: vec![condition],
+            // The row holds only text and numbers, which always encode.
+            writes: vec![Write::Put { key, value: serde_json::to_value(row).unwrap_or_default() }],
+        }
+    }
+}
+
+/// The hold row in a table row.
+pub(super) fn decode_row(row: &crate::platform::table::Row) -> Option<(HoldRow, Revision)> {
+    let value = row.value.as_ref()?;
+    let decoded: HoldRow = serde::Deserialize::deserialize(value).ok()?;
+    Some((decoded, row.revision))
+}
+
+/// The transaction that gives up a hold: from then on anybody may take it.
+pub(super) fn release_transaction(domain: &str, holding: &Holding, process: &str) -> Transaction {
+    let key = hold::row_key(domain);
+    let row = HoldRow { holder: hold::RELEASED.to_owned(), claim: None, ..holding.row().clone() };
+    let revision = holding.revision();
+    Transaction {
+        operation: format!("{process}/{key}/release/{}", holding.epoch()),
+        conditions: vec![
+            fence(domain, holding.epoch()),
+            Condition::AtRevision { key: key.clone(), revision },
+        ],
+        writes: vec![Write::Put { key, value: serde_json::to_value(row).unwrap_or_default() }],
+    }
+}
--- /dev/null
+++ b/src/ops/schedule/probe.rs
@@ -0,0 +1,49 @@
+//! Finds out which processes answer.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::domain::ClaimantClass;
+use crate::ops::Context;
+use crate::peer::{HoldQuery, Member};
+
+/// Epoch of a question that only asks whether the addressee is there. No hold has it.
+pub(super) const PROBE_EPOCH: u64 = 0;
+
+/// Timeout of a question to a peer.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Asks processes at the same time; returns those that answered with a promise. A question with [`PROBE_EPOCH`] binds
+/// nobody.
+pub(super) fn ask(
+    cx: &Context,
+    domain: &str,
+    epoch: u64,
+    class: ClaimantClass,
+    processes: &BTreeSet<String>,
+) -> BTreeSet<String> {
+    let directory = cx.directory.snapshot();
+    let members: Vec<&Member> = processes.iter().filter_map(|name| directory.get(name)).collect();
+    std::thread::scope(|scope| {
+        let asked: Vec<_> = members
+            .iter()
+            .map(|member| scope.spawn(|| ask_one(cx, domain, epoch, class, member)))
+            .collect();
+        let answers = asked.into_iter().map(|thread| thread.join().unwrap_or(false));
+        let promised = members.iter().zip(answers).filter(|(_, promised)| *promised);
+        promised.map(|(member, _)| member.process.clone()).collect()
+    })
+}
+
+fn ask_one(cx: &Context, domain: &str, epoch: u64, class: ClaimantClass, member: &Member) -> bool {
+    let query =
+        HoldQuery { domain: domain.to_owned(), epoch, addressee: member.process.clone(), class };
+    let answer = cx.peers.query_hold(&member.peer_address, query, TIMEOUT);
+    answer.is_ok_and(|answer| answer.promised)
+}
+
+/// True if the process answers.
+pub(super) fn is_alive(cx: &Context, domain: &str, process: &str) -> bool {
+    let processes = BTreeSet::from([process.to_owned()]);
+    !ask(cx, domain, PROBE_EPOCH, ClaimantClass::Unlisted, &processes).is_empty()
+}
--- /dev/null
+++ b/src/ops/schedule/reports.rs
@@ -0,0 +1,190 @@
+//! Takes the ends of calls to workers.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use super::attempt::{Outcome, Stage};
+use super::core::Core;
+use super::event::{CallEnd, CallResult};
+use super::fleet::InventoryKind;
+use crate::catalogue::Class;
+use crate::platform::worker::{AttemptRef, AttemptReport, AttemptState, Inventory, StartResult};
+use crate::task::TaskId;
+use crate::worker::Commitment;
+
+impl Core {
+    /// Takes the end of a call.
+    pub(super) fn on_called(&mut self, end: CallEnd) {
+        if !self.knows_epoch(end.epoch) {
+            return;
+        }
+        self.fleet.on_end(&end.worker, end.result.is_answer(), end.at);
+        match end.result {
+            CallResult::Inventory(inventory) => self.on_inventory(&end.worker, &inventory, end.at),
+            CallResult::Started { attempt, answer, lease_end } => {
+                self.on_start(&attempt, Some(&answer), lease_end);
+                self.fleet.expect_news(&end.worker, end.at, self.timing.inventory_poll());
+            }
+            CallResult::StartUnknown { attempt, lease_end } => {
+                self.on_start(&attempt, None, lease_end);
+            }
+            CallResult::StartNotSent { attempt, .. } => self.on_start_not_sent(&attempt),
+            CallResult::Renewed(attempts) => self.on_renewed(&attempts),
+            CallResult::Done => {
+                self.fleet.expect_news(&end.worker, end.at, self.timing.inventory_poll());
+            }
+            CallResult::Failed => self.fleet.on_poll_failed(&end.worker),
+        }
+    }
+
+    fn on_start(&mut self, attempt: &AttemptRef, answer: Option<&StartResult>, lease_end: Instant) {
+        let Some(task) = self.tasks.get_mut(&attempt.task) else { return };
+        if task.row.attempt != attempt.attempt {
+            return;
+        }
+        let Some(live) = &mut task.live else { return };
+        live.granted_until = live.granted_until.max(lease_end);
+        live.sent = true;
+        let worker = live.worker.clone();
+        match answer {
+            Some(StartResult::Started) => {
+                live.stage = Stage::Started;
+                live.renewed_until = live.renewed_until.max(lease_end);
+            }
+            Some(StartResult::LeaseLapsed) => {
+                let reason = "the worker refused a start whose lease had lapsed".to_owned();
+                live.outcome.get_or_insert(Outcome::Interrupted(reason));
+            }
+            Some(StartResult::Failed { message }) => {
+                live.outcome.get_or_insert(Outcome::Failed(message.clone()));
+            }
+            // The start is repeated; a repeated start of an attempt that runs changes nothing.
+            None => live.stage = Stage::Assigned,
+        }
+        if live.outcome.is_some() {
+            self.pool.release(&worker, attempt);
+        }
+    }
+
+    fn on_start_not_sent(&mut self, attempt: &AttemptRef) {
+        let Some(task) = self.tasks.get_mut(&attempt.task) else { return };
+        if task.row.attempt != attempt.attempt {
+            return;
+        }
+        if let Some(live) = &mut task.live
+            && live.stage == Stage::Starting
+        {
+            live.stage = Stage::Assigned;
+        }
+    }
+
+    fn on_renewed(&mut self, attempts: &[AttemptRef]) {
+        for attempt in attempts {
+            if let Some(task) = self.tasks.get_mut(&attempt.task)
+                && task.row.attempt == attempt.attempt
+                && let Some(live) = &mut task.live
+            {
+                live.renewed_until = live.granted_until;
+            }
+        }
+    }
+
+    fn on_inventory(&mut self, name: &str, inventory: &Inventory, at: Instant) {
+        // An inventory that was asked for before the predecessor's starts lapsed may miss one of them.
+        if !self.ready || !self.loaded {
+            self.fleet.on_clock(name, inventory, at);
+            return;
+        }
+        let Some(kind) = self.fleet.on_inventory(name, inventory, at) else { return };
+        if kind == InventoryKind::Restarted {
+            self.pool.set_open(name, false);
+            return;
+        }
+        if let Some(worker) = self.pool.worker(name) {
+            let (rack, address) = (worker.rack().to_owned(), worker.address().to_owned());
+            self.pool.upsert(name, &rack, &address, inventory.capacity);
+        }
+        for report in &inventory.attempts {
+            self.on_report(name, report);
+        }
+        if kind == InventoryKind::Full {
+            self.end_unreported(name, inventory);
+        }
+        let leaving = self.fleet.get(name).is_none_or(|view| view.leaving);
+        self.pool.set_open(name, !leaving);
+    }
+
+    fn on_report(&mut self, name: &str, report: &AttemptReport) {
+        let running = report.state == AttemptState::Running;
+        if !running {
+            // An ended attempt occupies nothing, whatever its row says.
+            self.pool.release(name, &report.attempt);
+            self.strays.remove(&(name.to_owned(), report.attempt.clone()));
+        }
+        let known = self.tasks.get_mut(&report.attempt.task).filter(|task| {
+            task.row.attempt == report.attempt.attempt
+                && task.live.as_ref().is_some_and(|live| live.worker == name)
+        });
+        match known {
+            Some(task) => {
+                if let Some(live) = &mut task.live {
+                    live.on_report(report);
+                }
+            }
+            None if running => self.adopt_stray(name, report),
+            None => {}
+        }
+    }
+
+    /// An attempt that no row knows runs against the rules or is about to be ended by its row: it is stopped, and its
+    /// resources count until the worker reports the end.
+    fn adopt_stray(&mut self, name: &str, report: &AttemptReport) {
+        let commitment = Commitment {
+            entry: report.entry.clone(),
+            class: Class::Batch,
+            priority: 0,
+            resources: report.resources,
+        };
+        self.pool.adopt(name, &report.attempt, commitment);
+        self.strays.insert((name.to_owned(), report.attempt.clone()));
+    }
+
+    /// Attempts that a full inventory does not show never started there, or were lost when the worker restarted.
+    fn end_unreported(&mut self, name: &str, inventory: &Inventory) {
+        let reported: BTreeSet<&AttemptRef> =
+            inventory.attempts.iter().map(|report| &report.attempt).collect();
+        let ended: Vec<TaskId> = self
+            .tasks
+            .values()
+            .filter(|task| {
+                let live = task.live.as_ref();
+                live.is_some_and(|live| live.worker == name && live.stage == Stage::Started)
+                    && !reported.contains(&task.attempt())
+            })
+            .map(|task| task.row.id.clone())
+            .collect();
+        for id in ended {
+            self.interrupt(&id, "the worker does not have it");
+        }
+        let gone: Vec<_> = self
+            .strays
+            .iter()
+            .filter(|(worker, attempt)| worker == name && !reported.contains(attempt))
+            .cloned()
+            .collect();
+        for stray in gone {
+            self.pool.release(&stray.0, &stray.1);
+            self.strays.remove(&stray);
+        }
+    }
+
+    /// Counts an attempt as ended without the worker's word.
+    pub(super) fn interrupt(&mut self, id: &TaskId, reason: &str) {
+        let Some(task) = self.tasks.get_mut(id) else { return };
+        let attempt = task.attempt();
+        let Some(live) = &mut task.live else { return };
+        live.outcome.get_or_insert_with(|| Outcome::Interrupted(reason.to_owned()));
+        let worker = live.worker.clone();
+        self.pool.release(&worker, &attempt);
+    }
+}
--- /dev/null
+++ b/src/ops/schedule/shared.rs
@@ -0,0 +1,119 @@
+//! The holds that this process has or wants, shared by its threads and by the peer interface.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use crate::domain::hold::Delays;
+use crate::domain::hold::candidate::Candidate;
+use crate::domain::hold::holding::Holding;
+use crate::ops::Context;
+use crate::platform::table::Revision;
+use crate::task::TaskRow;
+
+/// The part of this process in one domain.
+#[derive(Clone, Debug)]
+pub(super) enum Role {
+    /// It does not hold the domain.
+    Candidate(Candidate),
+    /// It holds the domain.
+    Holder(Holding),
+}
+
+/// A hold that came by message and waits for the hold thread.
+#[derive(Clone, Debug)]
+pub(super) struct HandedOver {
+    pub(super) epoch: u64,
+    pub(super) at: Instant,
+    pub(super) tasks: Vec<(TaskRow, Revision)>,
+}
+
+/// Roles by domain.
+#[derive(Clone, Debug)]
+pub(super) struct SharedHolds {
+    roles: Arc<Mutex<BTreeMap<String, Role>>>,
+    handed_over: Arc<Mutex<Option<HandedOver>>>,
+}
+
+impl SharedHolds {
+    /// A candidate in every domain of the settings.
+    pub(super) fn new(cx: &Context) -> Self {
+        let delays = delays(cx);
+        let candidate = |domain: &String| {
+            (domain.clone(), Role::Candidate(Candidate::new(&cx.process, delays)))
+        };
+        Self {
+            roles: Arc::new(Mutex::new(cx.cfg.domains.iter().map(candidate).collect())),
+            handed_over: Arc::default(),
+        }
+    }
+
+    /// The hold that came by message since the last call.
+    pub(super) fn take_handed_over(&self) -> Option<HandedOver> {
+        self.handed_over.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+
+    /// Keeps a hold that came by message for the hold thread.
+    pub(super) fn put_handed_over(&self, handed: HandedOver) {
+        *self.handed_over.lock().unwrap_or_else(PoisonError::into_inner) = Some(handed);
+    }
+
+    /// Exclusive access to all roles, for a short time.
+    pub(super) fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Role>> {
+        self.roles.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// True while this process may schedule the domain under this epoch.
+    pub(super) fn may_schedule(&self, domain: &str, epoch: u64, now: Instant) -> bool {
+        match self.lock().get(domain) {
+            Some(Role::Holder(holding)) => holding.epoch() == epoch && holding.may_schedule(now),
+            _ => false,
+        }
+    }
+
+    /// A copy of the hold, if this process has it.
+    pub(super) fn holding(&self, domain: &str) -> Option<Holding> {
+        match self.lock().get(domain) {
+            Some(Role::Holder(holding)) => Some(holding.clone()),
+            _ => None,
+        }
+    }
+
+    /// Changes the candidate of a domain.
+    pub(super) fn with_candidate<R>(
+        &self,
+        domain: &str,
+        act: impl FnOnce(&mut Candidate) -> R,
+    ) -> Option<R> {
+        match self.lock().get_mut(domain) {
+            Some(Role::Candidate(candidate)) => Some(act(candidate)),
+            _ => None,
+        }
+    }
+
+    /// Changes the hold of a domain.
+    pub(super) fn with_holding<R>(
+        &self,
+        domain: &str,
+        act: impl FnOnce(&mut Holding) -> R,
+    ) -> Option<R> {
+        match self.lock().get_mut(domain) {
+            Some(Role::Holder(holding)) => Some(act(holding)),
+            _ => None,
+        }
+    }
+
+    /// Replaces the role in a domain.
+    pub(super) fn set(&self, domain: &str, role: Role) {
+        self.lock().insert(domain.to_owned(), role);
+    }
+}
+
+/// Delays of the claims by the settings.
+pub(super) fn delays(cx: &Context) -> Delays {
+    Delays {
+        successor: cx.cfg.timing.scheduler_lease(),
+        rescuer: cx.cfg.timing.hold_time(),
+        unlisted: cx.cfg.timing.force_time(),
+    }
+}
--- /dev/null
+++ b/src/ops/schedule/status.rs
@@ -0,0 +1,67 @@
+//! What the status page shows of the scheduler.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::core::Core;
+use super::tick::View;
+use crate::domain::hold::holding::Holding;
+use crate::task::TaskState;
+
+/// Most unplaceable tasks that the status names.
+const MAX_UNPLACEABLE: usize = 100;
+
+/// State of a domain's scheduler at its last tick.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct SchedulerStatus {
+    /// The domain.
+    pub domain: String,
+    /// Process that schedules it, as far as this process knows.
+    pub holder: Option<String>,
+    /// Epoch of the hold.
+    pub epoch: u64,
+    /// True if this process is the holder and has permission to schedule.
+    pub scheduling: bool,
+    /// Age of the catalogue copy in milliseconds.
+    pub freshness_ms: Option<u64>,
+    /// Tasks that wait for a worker.
+    pub waiting: usize,
+    /// Tasks that run.
+    pub running: usize,
+    /// Workers that are out of use because everything fails on them, with the reason.
+    pub quarantined: BTreeMap<String, String>,
+    /// Tasks that can never run, with the reason.
+    pub unplaceable: BTreeMap<String, String>,
+}
+
+/// The status after a tick.
+pub(super) fn status(core: &Core, holding: &Holding, view: &View<'_>) -> SchedulerStatus {
+    let count = |wanted: fn(TaskState) -> bool| {
+        core.tasks.values().filter(|task| wanted(task.row.state)).count()
+    };
+    let unplaceable = core
+        .tasks
+        .values()
+        .filter(|task| task.row.state == TaskState::Unplaceable)
+        .take(MAX_UNPLACEABLE)
+        .map(|task| (task.row.id.to_string(), task.row.reason.clone().unwrap_or_default()))
+        .collect();
+    SchedulerStatus {
+        domain: core.domain.clone(),
+        holder: Some(holding.row().holder.clone()),
+        epoch: core.epoch(),
+        scheduling: holding.may_schedule(view.now),
+        freshness_ms: view.catalogue.age(view.now).map(millis),
+        waiting: count(TaskState::is_waiting),
+        running: count(|state| state == TaskState::Running),
+        quarantined: BTreeMap::new(),
+        unplaceable,
+    }
+}
+
+/// Whole milliseconds.
+pub(super) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/ops/schedule/tick.rs
@@ -0,0 +1,374 @@
+//! What the scheduler decides once per tick.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::attempt::{EndingStep, Stage, row_after};
+use super::core::{Core, commitment};
+use super::event::{Call, Change, RowChange};
+use super::place::{Misses, order};
+use crate::catalogue::copy::CatalogueCopy;
+use crate::domain::DomainState;
+use crate::domain::hold::holding::Holding;
+use crate::platform::vms::{VmListing, VmRole, VmState};
+use crate::platform::worker::{
+    AttemptRef, CheckpointRequest, RenewRequest, StartRequest, StopRequest,
+};
+use crate::task::lifecycle::AnyTask;
+use crate::task::{TaskId, TaskState};
+
+/// How long the rows of ended tasks are kept for callers.
+const KEEP_ENDED: Duration = Duration::from_secs(3_600);
+
+/// Most rows of ended tasks that one tick deletes.
+const MAX_FORGOTTEN: usize = 100;
+
+/// What a tick sees of the rest of the process.
+#[derive(Debug)]
+pub(super) struct View<'a> {
+    pub(super) now: Instant,
+    pub(super) holding: &'a Holding,
+    pub(super) catalogue: &'a CatalogueCopy,
+    pub(super) vms: &'a VmListing,
+    /// Domains that may receive tasks of this one, best first.
+    pub(super) others: &'a [String],
+}
+
+impl View<'_> {
+    fn is_out(&self, domain: &str) -> bool {
+        self.catalogue.domain_state(domain) == DomainState::Out
+    }
+}
+
+impl Core {
+    /// Decides the changes of this tick, and queues calls to workers.
+    pub(super) fn tick(&mut self, view: &View<'_>) -> Vec<RowChange> {
+        if !view.holding.may_schedule(view.now) || !self.loaded {
+            return Vec::new();
+        }
+        self.update_ready(view.now);
+        self.sync_workers(view);
+        self.fleet.queue_polls(view.now, self.timing.inventory_poll());
+        // Inherited leases are renewed during the wait for the predecessor's starts; it is about as long as what is left
+        // of them.
+        self.queue_renewals(view);
+        if !self.ready {
+            return Vec::new();
+        }
+        self.lapse(view.now);
+        self.stop_strays();
+        let out = view.is_out(&self.domain);
+        self.begin_endings(view, out);
+        self.step_endings(view.now);
+        let mut changes = self.ended_rows(view);
+        changes.extend(self.forgotten_rows(view.now));
+        if out {
+            changes.extend(self.moves(view));
+        } else if view.catalogue.is_fresh(view.now, self.timing.freshness()) {
+            changes.extend(self.placements(view));
+            self.queue_starts();
+        }
+        changes
+    }
+
+    /// Starts of a predecessor can be accepted until START_WINDOW after the take-over.
+    fn update_ready(&mut self, now: Instant) {
+        if !self.ready && now >= self.takeover.at + self.timing.start_window() {
+            self.ready = true;
+            self.fleet.read_all_again(now);
+        }
+    }
+
+    fn sync_workers(&mut self, view: &View<'_>) {
+        let listed: BTreeMap<&str, _> = view
+            .vms
+            .vms
+            .iter()
+            .filter(|vm| vm.role == VmRole::Worker && vm.domain == self.domain)
+            .map(|vm| (vm.name.as_str(), vm))
+            .collect();
+        for (name, vm) in &listed {
+            let leaving = vm.state == VmState::Leaving;
+            self.fleet.upsert(name, &vm.address, leaving, view.now);
+            let capacity = self.pool.worker(name).map(|worker| *worker.capacity());
+            self.pool.upsert(name, &vm.rack, &vm.address, capacity.unwrap_or_default());
+            if capacity.is_none() {
+                self.adopt_rows(name);
+            }
+            if leaving {
+                self.pool.set_open(name, false);
+            }
+        }
+        for name in self.fleet.names() {
+            let in_use = self.pool.worker(&name).is_some_and(|w| !w.commitments().is_empty());
+            if listed.contains_key(name.as_str()) {
+                continue;
+            }
+            self.pool.set_open(&name, false);
+            if !in_use {
+                self.fleet.remove(&name);
+                self.pool.remove(&name);
+            }
+        }
+    }
+
+    /// Commits what the rows say about a worker that has just become known.
+    fn adopt_rows(&mut self, name: &str) {
+        for task in self.tasks.values() {
+            if task.live.as_ref().is_some_and(|live| live.worker == name && live.outcome.is_none())
+            {
+                self.pool.adopt(name, &task.attempt(), commitment(&task.row));
+            }
+        }
+    }
+
+    fn lapse(&mut self, now: Instant) {
+        let lapsed: Vec<TaskId> = self
+            .tasks
+            .values()
+            .filter(|task| {
+                let live = task.live.as_ref();
+                live.is_some_and(|live| live.outcome.is_none() && live.has_lapsed(now))
+            })
+            .map(|task| task.row.id.clone())
+            .collect();
+        for id in lapsed {
+            self.interrupt(&id, "its lease lapsed while the worker was silent");
+        }
+    }
+
+    fn stop_strays(&mut self) {
+        for (worker, attempt) in &self.strays {
+            let idle = self.fleet.get(worker).is_some_and(|view| view.is_idle());
+            if idle {
+                self.fleet.push(worker, Call::Stop(StopRequest { attempt: attempt.clone() }));
+            }
+        }
+    }
+
+    /// Ends cancelled attempts, and those of a worker or of a domain that is leaving.
+    fn begin_endings(&mut self, view: &View<'_>, out: bool) {
+        for task in self.tasks.values_mut() {
+            let attempt = task.attempt();
+            let Some(live) = &mut task.live else { continue };
+            if live.outcome.is_some() || live.ending.is_some() {
+                continue;
+            }
+            let leaving = self.fleet.get(&live.worker).is_some_and(|worker| worker.leaving);
+            let (reason, keep) = if task.row.cancel {
+                ("cancelled", false)
+            } else if out {
+                ("its failure domain is out of service", true)
+            } else if leaving {
+                ("its worker is leaving", true)
+            } else {
+                continue;
+            };
+            if live.stage == Stage::Assigned && !live.sent {
+                // Nothing was sent, and the tick thread is the only one that sends.
+                live.outcome = Some(super::attempt::Outcome::Interrupted(reason.to_owned()));
+                self.pool.release(&live.worker, &attempt);
+            } else if live.begin_ending(reason, keep, view.now) {
+                let req = CheckpointRequest { attempt };
+                self.fleet.push(&live.worker, Call::Checkpoint(req));
+            }
+        }
+    }
+
+    fn step_endings(&mut self, now: Instant) {
+        for task in self.tasks.values_mut() {
+            let attempt = task.attempt();
+            let Some(live) = &mut task.live else { continue };
+            if live.step_ending(now) == EndingStep::SendStop {
+                self.fleet.push(&live.worker, Call::Stop(StopRequest { attempt }));
+            }
+        }
+    }
+
+    /// Renews the leases of each worker in one message per kind of lease. A worker that is silent gets none, so that
+    /// its attempts lapse.
+    fn queue_renewals(&mut self, view: &View<'_>) {
+        let now = view.now;
+        let task_end = now + self.timing.task_lease();
+        let exclusive_end = view.holding.exclusive_until().map_or(now, |end| end.min(task_end));
+        let shared_end = now + self.timing.force_time();
+        let mut by_worker: BTreeMap<(String, bool), (bool, Vec<AttemptRef>)> = BTreeMap::new();
+        for task in self.tasks.values() {
+            let Some(live) = task.live.as_ref().filter(|live| live.wants_renewal()) else {
+                continue;
+            };
+            let lease = if task.row.exclusive {
+                self.timing.task_lease()
+            } else {
+                self.timing.force_time()
+            };
+            let due = live.renewed_until < now + lease / 2;
+            let key = (live.worker.clone(), task.row.exclusive);
+            let entry = by_worker.entry(key).or_default();
+            entry.0 |= due;
+            entry.1.push(task.attempt());
+        }
+        for ((worker, exclusive), (due, attempts)) in by_worker {
+            let end = if exclusive { exclusive_end } else { shared_end };
+            if due && end > now {
+                self.queue_renewal(&worker, attempts, end, now);
+            }
+        }
+    }
+
+    fn queue_renewal(
+        &mut self,
+        worker: &str,
+        attempts: Vec<AttemptRef>,
+        end: Instant,
+        now: Instant,
+    ) {
+        let silence = self.timing.inventory_poll() * 8;
+        let Some(view) = self.fleet.get(worker) else { return };
+        let heard = view.answered_at.is_some_and(|at| now < at + silence);
+        let (true, true, Some(base)) = (heard, view.is_idle(), view.base) else { return };
+        for attempt in &attempts {
+            if let Some(live) =
+                self.tasks.get_mut(&attempt.task).and_then(|task| task.live.as_mut())
+            {
+                live.granted_until = live.granted_until.max(end);
+            }
+        }
+        let req = RenewRequest { lease_until_ms: base.worker_time(end), attempts };
+        self.fleet.push(worker, Call::Renew(req));
+    }
+
+    /// Rows of attempts that have ended.
+    fn ended_rows(&self, view: &View<'_>) -> Vec<RowChange> {
+        self.tasks
+            .values()
+            .filter(|task| !task.writing)
+            .filter_map(|task| {
+                let live = task.live.as_ref()?;
+                let max_attempts = max_attempts(view.catalogue, &task.row.entry);
+                let row = row_after(&task.row, live, max_attempts)?;
+                Some(RowChange {
+                    id: task.row.id.clone(),
+                    revision: task.revision,
+                    change: Change::Put(Box::new(row)),
+                })
+            })
+            .collect()
+    }
+
+    /// Rows of tasks that ended long ago.
+    fn forgotten_rows(&self, now: Instant) -> Vec<RowChange> {
+        let old = |ended_at: Instant| now.saturating_duration_since(ended_at) >= KEEP_ENDED;
+        self.tasks
+            .values()
+            .filter(|task| !task.writing && task.ended_at.is_some_and(old))
+            .take(MAX_FORGOTTEN)
+            .map(|task| RowChange {
+                id: task.row.id.clone(),
+                revision: task.revision,
+                change: Change::Forget,
+            })
+            .collect()
+    }
+
+    /// Places waiting tasks and commits their resources.
+    fn placements(&mut self, view: &View<'_>) -> Vec<RowChange> {
+        let mut waiting: Vec<_> = self
+            .tasks
+            .values()
+            .filter(|task| task.row.state.is_waiting() && !task.writing)
+            .map(|task| &task.row)
+            .collect();
+        order(&mut waiting);
+        let mut misses = Misses::default();
+        let mut changes = Vec::new();
+        for row in waiting {
+            if misses.covers(&row.resources) || !allowed_here(view.catalogue, row, &self.domain) {
+                continue;
+            }
+            let Some(worker) = self.chooser.choose(&self.pool, row) else {
+                misses.add(row.resources);
+                continue;
+            };
+            let attempt = AttemptRef { task: row.id.clone(), attempt: row.attempt };
+            if self.pool.commit(&worker, &attempt, commitment(row)).is_err() {
+                continue;
+            }
+            let AnyTask::Pending(task) = AnyTask::from(row.clone()) else { continue };
+            let Some(tracked) = self.tasks.get(&row.id) else { continue };
+            changes.push(RowChange {
+                id: row.id.clone(),
+                revision: tracked.revision,
+                change: Change::Put(Box::new(task.assign(&worker).into_row())),
+            });
+        }
+        changes
+    }
+
+    /// Queues the starts of committed assignments.
+    fn queue_starts(&mut self) {
+        for task in self.tasks.values_mut() {
+            let attempt = task.attempt();
+            let Some(live) = &mut task.live else { continue };
+            let due = live.stage == Stage::Assigned && live.outcome.is_none();
+            if !due || live.ending.is_some() || task.row.cancel {
+                continue;
+            }
+            let Some(base) = self.fleet.get(&live.worker).and_then(|view| view.base) else {
+                continue;
+            };
+            let req = StartRequest {
+                task: attempt.task,
+                attempt: attempt.attempt,
+                entry: task.row.entry.clone(),
+                args: task.row.args.clone(),
+                resources: task.row.resources,
+                checkpoint: task.row.checkpoint.clone(),
+                lease_until_ms: 0,
+            };
+            if self.fleet.push(&live.worker, Call::Start(Box::new(req), base)) {
+                live.stage = Stage::Starting;
+            }
+        }
+    }
+
+    /// Moves waiting tasks to other domains.
+    fn moves(&self, view: &View<'_>) -> Vec<RowChange> {
+        let mut changes = Vec::new();
+        for task in self.tasks.values() {
+            let waits = task.row.state.is_waiting() || task.row.state == TaskState::Unplaceable;
+            if !waits || task.writing {
+                continue;
+            }
+            let open = |domain: &&String| {
+                !view.is_out(domain) && allowed_here(view.catalogue, &task.row, domain)
+            };
+            let candidates: Vec<&String> = view.others.iter().filter(open).collect();
+            let AnyTask::Pending(pending) = AnyTask::from(task.row.clone()) else { continue };
+            if candidates.is_empty() {
+                continue;
+            }
+            let target = candidates[changes.len() % candidates.len()];
+            changes.push(RowChange {
+                id: task.row.id.clone(),
+                revision: task.revision,
+                change: Change::Move(Box::new(pending.move_to(target).into_row())),
+            });
+        }
+        changes
+    }
+}
+
+fn max_attempts(catalogue: &CatalogueCopy, entry: &str) -> u32 {
+    match catalogue.document(entry) {
+        Some(crate::catalogue::Document::Entry(entry)) => entry.limits.max_attempts,
+        _ => 5,
+    }
+}
+
+fn allowed_here(catalogue: &CatalogueCopy, row: &crate::task::TaskRow, domain: &str) -> bool {
+    match catalogue.document(&row.entry) {
+        Some(crate::catalogue::Document::Entry(entry)) => entry.allows_domain(domain),
+        _ => true,
+    }
+}
--- a/src/telemetry/event/schedule.rs
+++ b/src/telemetry/event/schedule.rs
@@ -8,6 +8,15 @@
 pub const HOLD_TAKEN: Event = Event::new(400, Level::Info, "hold-taken");
 /// This process no longer schedules its domain.
 pub const HOLD_LOST: Event = Event::new(401, Level::Warn, "hold-lost");
+/// This process claims the hold of a domain whose holder does not answer.
+pub const HOLD_CLAIMED: Event = Event::new(402, Level::Warn, "hold-claimed");
+/// Another process claimed the hold, and this process, which is alive, removes the claim.
+pub const CLAIM_CONTESTED: Event = Event::new(403, Level::Warn, "claim-contested");
+/// A planned stop passed the hold to a successor.
+pub const HOLD_HANDED_OVER: Event = Event::new(404, Level::Info, "hold-handed-over");
+/// A planned stop found no successor, and the hold is free for any process.
+pub const HOLD_RELEASED: Event = Event::new(405, Level::Info, "hold-released");
 
 /// All events of this module.
-pub const ALL: &[Event] = &[HOLD_TAKEN, HOLD_LOST];
+pub const ALL: &[Event] =
+    &[HOLD_TAKEN, HOLD_LOST, HOLD_CLAIMED, CLAIM_CONTESTED, HOLD_HANDED_OVER, HOLD_RELEASED];
--- a/tests/testsuite/schedule.rs
+++ b/tests/testsuite/schedule.rs
@@ -1,1 +1,5 @@
 //! Tests of holds and scheduling.
+
+mod duty;
+mod support;
+mod takeover;
--- /dev/null
+++ b/tests/testsuite/schedule/support.rs
@@ -0,0 +1,555 @@
+//! Entry processes without sockets: an in-memory table, stand-in workers, and peers that call each other directly.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use plantainlever::catalogue::copy::{CatalogueCopy, SharedCatalogue};
+use plantainlever::clock::SystemClock;
+use plantainlever::config::{LogSettings, PlatformSettings, Settings, Timing};
+use plantainlever::local::History;
+use plantainlever::local::history::Entry as HistoryEntry;
+use plantainlever::local::worker::{Checkpoints, WorkerGroup, WorkerSpec};
+use plantainlever::ops::Context;
+use plantainlever::ops::api::{ApiRequest, ApiResponse, tasks};
+use plantainlever::ops::context::{SharedVmListing, StopSignal};
+use plantainlever::ops::schedule::Scheduler;
+use plantainlever::peer::{
+    Directory, ForwardedAnswer, ForwardedRequest, HandOver, HandOverReply, Heartbeat,
+    HeartbeatReply, HoldAnswer, HoldQuery, Member, PeerError, Peers, RecordKey, RecordKeyReply,
+    Relay, RelayReply,
+};
+use plantainlever::platform::PlatformError;
+use plantainlever::platform::objects::Objects;
+use plantainlever::platform::table::{
+    CommitResult, Condition, OperationQuery, OperationStatus, ReadRequest, ReadResponse, Row,
+    Table, Transaction, Write,
+};
+use plantainlever::platform::vms::{Vm, VmList, VmListing, VmRole, VmState};
+use plantainlever::telemetry::Metrics;
+use plantainlever::worker::Resources;
+use serde_json::{Value, json};
+
+/// Longest wait for any condition.
+pub const BOUND: Duration = Duration::from_secs(30);
+
+/// Waits until `condition` gives a value.
+pub fn wait_for<T>(what: &str, mut condition: impl FnMut() -> Option<T>) -> T {
+    let until = Instant::now() + BOUND;
+    loop {
+        if let Some(value) = condition() {
+            return value;
+        }
+        assert!(Instant::now() < until, "timeout: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    revision: u64,
+    rows: BTreeMap<String, Row>,
+    decided: BTreeMap<String, CommitResult>,
+    forbidden: BTreeSet<String>,
+}
+
+/// An in-memory table shared by all processes.
+#[derive(Debug, Default)]
+pub struct Store {
+    rows: Mutex<Rows>,
+    history: History,
+}
+
+impl Store {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Rows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn value(&self, key: &str) -> Option<Value> {
+        self.lock().rows.get(key).and_then(|row| row.value.clone())
+    }
+
+    pub fn put(&self, key: &str, value: Value) {
+        let txn = Transaction {
+            operation: format!("test/{:x}", rand::random::<u128>()),
+            conditions: Vec::new(),
+            writes: vec![Write::Put { key: key.to_owned(), value }],
+        };
+        self.commit(&txn);
+    }
+
+    pub fn read(&self, req: &ReadRequest) -> ReadResponse {
+        let rows = self.lock();
+        let wanted = |row: &&Row| {
+            let named = req.keys.contains(&row.key)
+                || req.prefixes.iter().any(|prefix| row.key.starts_with(prefix.as_str()));
+            named
+                && match req.changed_after {
+                    Some(after) => row.revision > after,
+                    None => row.value.is_some(),
+                }
+        };
+        let found = rows.rows.values().filter(wanted).cloned().collect();
+        ReadResponse { revision: rows.revision, rows: found }
+    }
+
+    pub fn commit(&self, txn: &Transaction) -> CommitResult {
+        let mut rows = self.lock();
+        if let Some(result) = rows.decided.get(&txn.operation) {
+            return result.clone();
+        }
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(|condition| !holds(&rows, condition))
+            .map(|condition| condition.key().to_owned())
+            .collect();
+        let refused = rows.forbidden.contains(&txn.operation);
+        let result = if refused || !failed.is_empty() {
+            CommitResult::Conflict { failed }
+        } else {
+            rows.revision += 1;
+            let revision = rows.revision;
+            for write in &txn.writes {
+                let (key, value) = match write {
+                    Write::Put { key, value } => (key.clone(), Some(value.clone())),
+                    Write::Delete { key } => (key.clone(), None),
+                };
+                rows.rows.insert(key.clone(), Row { key, revision, value });
+            }
+            CommitResult::Committed { revision }
+        };
+        rows.decided.insert(txn.operation.clone(), result.clone());
+        self.history
+            .record(HistoryEntry::Transaction { transaction: txn.clone(), result: result.clone() });
+        result
+    }
+}
+
+fn holds(rows: &Rows, condition: &Condition) -> bool {
+    let live = rows.rows.get(condition.key()).filter(|row| row.value.is_some());
+    match condition {
+        Condition::Absent { .. } => live.is_none(),
+        Condition::AtRevision { revision, .. } => live.is_some_and(|row| row.revision == *revision),
+        Condition::FieldEquals { field, number, .. } => {
+            let value = live.and_then(|row| row.value.as_ref());
+            value.and_then(|value| value[field].as_u64()) == Some(*number)
+        }
+    }
+}
+
+/// Faults between one process and the table.
+#[derive(Clone, Debug, Default)]
+pub struct StoreFaults {
+    pub down: bool,
+    /// Commits that take effect and get no answer.
+    pub lose_answers: bool,
+}
+
+/// The table as one process reaches it.
+#[derive(Debug)]
+pub struct StoreLink {
+    store: Arc<Store>,
+    faults: Mutex<StoreFaults>,
+}
+
+impl StoreLink {
+    pub fn set_faults(&self, faults: StoreFaults) {
+        *self.faults.lock().unwrap() = faults;
+    }
+
+    fn check(&self) -> Result<StoreFaults, PlatformError> {
+        let faults = self.faults.lock().unwrap().clone();
+        if faults.down {
+            return Err(PlatformError::Unreachable {
+                service: "table",
+                address: "test".to_owned(),
+                cause: "down".to_owned(),
+            });
+        }
+        Ok(faults)
+    }
+}
+
+impl Table for StoreLink {
+    fn read(&self, req: &ReadRequest) -> Result<ReadResponse, PlatformError> {
+        self.check()?;
+        Ok(self.store.read(req))
+    }
+
+    fn commit(&self, txn: &Transaction) -> Result<CommitResult, PlatformError> {
+        let faults = self.check()?;
+        let result = self.store.commit(txn);
+        if faults.lose_answers {
+            return Err(PlatformError::NoAnswer {
+                service: "table",
+                waited: Duration::ZERO,
+                cause: "the answer was lost".to_owned(),
+            });
+        }
+        Ok(result)
+    }
+
+    fn operation(&self, query: &OperationQuery) -> Result<OperationStatus, PlatformError> {
+        self.check()?;
+        let mut rows = self.store.lock();
+        if let Some(result) = rows.decided.get(&query.operation) {
+            return Ok(OperationStatus::Decided { result: result.clone() });
+        }
+        if query.forbid {
+            rows.forbidden.insert(query.operation.clone());
+        }
+        Ok(OperationStatus::Unknown)
+    }
+}
+
+/// Peers that call each other's scheduler; a cut pair gets no answer.
+#[derive(Debug, Default)]
+pub struct Network {
+    schedulers: RwLock<BTreeMap<String, Arc<Scheduler>>>,
+    cut: RwLock<BTreeSet<String>>,
+}
+
+/// The network as one process sees it. Addresses are process names.
+#[derive(Debug)]
+pub struct Link {
+    network: Arc<Network>,
+    process: String,
+}
+
+impl Link {
+    fn scheduler(&self, address: &str) -> Result<Arc<Scheduler>, PeerError> {
+        let unreachable =
+            || PeerError::Unreachable { address: address.to_owned(), cause: "cut off".to_owned() };
+        let cut = self.network.cut.read().unwrap();
+        if cut.contains(address) != cut.contains(&self.process) {
+            return Err(unreachable());
+        }
+        self.network.schedulers.read().unwrap().get(address).cloned().ok_or_else(unreachable)
+    }
+}
+
+impl Peers for Link {
+    fn heartbeat(&self, a: &str, _: Heartbeat, _: Duration) -> Result<HeartbeatReply, PeerError> {
+        Err(unused(a))
+    }
+
+    fn query_hold(&self, a: &str, msg: HoldQuery, _: Duration) -> Result<HoldAnswer, PeerError> {
+        Ok(self.scheduler(a)?.on_hold_query(&msg))
+    }
+
+    fn hand_over(&self, a: &str, msg: HandOver, _: Duration) -> Result<HandOverReply, PeerError> {
+        Ok(self.scheduler(a)?.on_hand_over(&msg))
+    }
+
+    fn record_key(&self, a: &str, _: RecordKey, _: Duration) -> Result<RecordKeyReply, PeerError> {
+        Err(unused(a))
+    }
+
+    fn relay(&self, a: &str, _: Relay, _: Duration) -> Result<RelayReply, PeerError> {
+        Err(unused(a))
+    }
+
+    fn forward(
+        &self,
+        a: &str,
+        _: ForwardedRequest,
+        _: Duration,
+    ) -> Result<ForwardedAnswer, PeerError> {
+        Err(unused(a))
+    }
+}
+
+fn unused(address: &str) -> PeerError {
+    PeerError::Unreachable { address: address.to_owned(), cause: "not part of the test".to_owned() }
+}
+
+#[derive(Debug)]
+struct NoObjects;
+
+impl Objects for NoObjects {
+    fn put(&self, _: &str, _: &[u8]) -> Result<(), PlatformError> {
+        Ok(())
+    }
+
+    fn get(&self, _: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        Ok(None)
+    }
+}
+
+#[derive(Debug)]
+struct NoVms;
+
+impl VmList for NoVms {
+    fn list(&self) -> Result<VmListing, PlatformError> {
+        Ok(VmListing::default())
+    }
+}
+
+/// A whole deployment.
+#[derive(Debug)]
+pub struct Site {
+    pub store: Arc<Store>,
+    pub workers: WorkerGroup,
+    pub history: History,
+    pub network: Arc<Network>,
+    pub timing: Timing,
+    vms: VmListing,
+    domains: Vec<String>,
+}
+
+/// An entry process.
+#[derive(Debug)]
+pub struct Process {
+    pub cx: Context,
+    pub store: Arc<StoreLink>,
+    pub scheduler: Option<Arc<Scheduler>>,
+    network: Arc<Network>,
+    follower: Option<std::thread::JoinHandle<()>>,
+}
+
+/// Size of each test worker.
+pub const CAPACITY: Resources = Resources::new(4000, 4096, 0);
+
+/// Times shortened so that a test of a take-over takes seconds.
+pub fn short_timing() -> Timing {
+    Timing {
+        freshness_ms: 400,
+        start_window_ms: 800,
+        scheduler_lease_ms: 900,
+        hold_time_ms: 6_000,
+        force_time_ms: 20_000,
+        task_lease_ms: 4_000,
+        heartbeat_ms: 100,
+        schedule_tick_ms: 50,
+        inventory_poll_ms: 100,
+        catalogue_poll_ms: 100,
+        ..Timing::default()
+    }
+}
+
+impl Site {
+    /// Domains `a`, `b`, ... with the given number of workers each, named like `a-0`.
+    pub fn new(timing: Timing, workers_per_domain: &[usize]) -> Self {
+        let domains: Vec<String> = ["a", "b", "c"]
+            .iter()
+            .take(workers_per_domain.len())
+            .map(|d| (*d).to_owned())
+            .collect();
+        let mut specs = Vec::new();
+        for (domain, count) in domains.iter().zip(workers_per_domain) {
+            for index in 0..*count {
+                specs.push(WorkerSpec {
+                    name: format!("{domain}-{index}"),
+                    domain: domain.clone(),
+                    capacity: CAPACITY,
+                });
+            }
+        }
+        let history = History::default();
+        let address = "127.0.0.1:0".parse().unwrap();
+        let workers =
+            WorkerGroup::start(address, 1, specs.clone(), Checkpoints::default(), history.clone())
+                .unwrap();
+        let vm = |spec: &WorkerSpec| Vm {
+            name: spec.name.clone(),
+            role: VmRole::Worker,
+            state: VmState::Live,
+            domain: spec.domain.clone(),
+            rack: "r0".to_owned(),
+            address: workers.address(&spec.name),
+            service: None,
+        };
+        let vms = VmListing { vms: specs.iter().map(vm).collect() };
+        let store = Arc::new(Store { history: history.clone(), ..Store::default() });
+        let entry = |exclusive: bool| {
+            json!({"kind": "entry", "owner": "tests", "class": "batch", "exclusive": exclusive,
+                "limits": {"per_task": {"cpu_millis": 1000, "memory_mb": 1024}, "max_attempts": 3}})
+        };
+        store.put("catalogue/count", entry(true));
+        store.put("catalogue/shared", entry(false));
+        Self { store, workers, history, network: Arc::default(), timing, vms, domains }
+    }
+
+    /// Starts an entry process.
+    pub fn process(&self, name: &str, domain: &str) -> Process {
+        let loopback = "127.0.0.1:1".parse().unwrap();
+        let cfg = Settings {
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            domains: self.domains.clone(),
+            listen: loopback,
+            peer_listen: loopback,
+            peers: Vec::new(),
+            platform: PlatformSettings { table: loopback, objects: loopback, vms: loopback },
+            statsd: None,
+            log: LogSettings::default(),
+            timing: self.timing.clone(),
+            limits: plantainlever::config::Limits::default(),
+        };
+        let store =
+            Arc::new(StoreLink { store: Arc::clone(&self.store), faults: Mutex::default() });
+        let listing = SharedVmListing::default();
+        listing.replace(self.vms.clone());
+        let cx = Context {
+            cfg: Arc::new(cfg),
+            process: name.to_owned(),
+            clock: Arc::new(SystemClock),
+            table: store.clone(),
+            objects: Arc::new(NoObjects),
+            vms: Arc::new(NoVms),
+            workers: Arc::new(self.workers.direct()),
+            catalogue: SharedCatalogue::default(),
+            vm_listing: listing,
+            peers: Arc::new(Link { network: Arc::clone(&self.network), process: name.to_owned() }),
+            directory: Directory::default(),
+            metrics: Metrics::disabled(),
+            stop: StopSignal::default(),
+        };
+        self.store.put(
+            &format!("member/{domain}/{name}"),
+            json!({"process": name, "domain": domain, "peer_address": name, "address": name}),
+        );
+        let following = cx.clone();
+        let follower = std::thread::spawn(move || follow(&following));
+        let scheduler = Arc::new(Scheduler::start(&cx).unwrap());
+        let mut schedulers = self.network.schedulers.write().unwrap();
+        schedulers.insert(name.to_owned(), Arc::clone(&scheduler));
+        Process {
+            cx,
+            store,
+            scheduler: Some(scheduler),
+            network: Arc::clone(&self.network),
+            follower: Some(follower),
+        }
+    }
+
+    /// Waits until a process schedules the domain.
+    pub fn wait_holder(&self, domain: &str, process: &str) {
+        wait_for(&format!("{process} holds {domain}"), || {
+            let row = self.store.value(&format!("hold/{domain}"))?;
+            (row["holder"] == process).then_some(())
+        });
+    }
+
+    /// The row of a task in any domain.
+    pub fn task(&self, id: &str) -> Option<Value> {
+        self.domains.iter().find_map(|domain| self.store.value(&format!("task/{domain}/{id}")))
+    }
+
+    /// Everything in the history that concerns a task, for messages of failed assertions.
+    pub fn trace(&self, id: &str) -> String {
+        let entries = self.history.snapshot();
+        let start = entries.first().map(|(at, _)| *at);
+        let concerns = |entry: &HistoryEntry| format!("{entry:?}").contains(id);
+        entries
+            .iter()
+            .filter(|(_, entry)| concerns(entry))
+            .map(|(at, entry)| format!("\n{:?} {entry:?}", start.map(|start| *at - start)))
+            .collect()
+    }
+
+    /// Waits until a task is in this state.
+    pub fn wait_state(&self, id: &str, state: &str) -> Value {
+        wait_for(&format!("{id} is {state}, is {:?}", self.task(id)), || {
+            self.task(id).filter(|row| row["state"] == state)
+        })
+    }
+}
+
+/// Follows the catalogue and the members, as the sync duty does.
+fn follow(cx: &Context) {
+    while !cx.stop.is_stopped() {
+        let base = cx.catalogue.snapshot().revision();
+        let sent_at = cx.clock.now();
+        let mut prefixes = CatalogueCopy::prefixes();
+        prefixes.push("member/".to_owned());
+        let req = ReadRequest { prefixes, changed_after: Some(base), ..ReadRequest::default() };
+        if let Ok(response) = cx.table.read(&req) {
+            cx.catalogue.apply(base, &response, sent_at);
+            for row in response.rows.iter().filter(|row| row.key.starts_with("member/")) {
+                match row
+                    .value
+                    .clone()
+                    .and_then(|value| serde_json::from_value::<Member>(value).ok())
+                {
+                    Some(member) => cx.directory.insert(member),
+                    None => cx.directory.remove(row.key.rsplit('/').next().unwrap()),
+                }
+            }
+        }
+        cx.clock.sleep(cx.cfg.timing.catalogue_poll());
+    }
+}
+
+impl Process {
+    /// Calls the tasks interface.
+    pub fn call(&self, method: &str, path: &str, body: &Value) -> (u16, Value) {
+        self.call_with(method, path, &[], body)
+    }
+
+    pub fn call_with(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(String, String)],
+        body: &Value,
+    ) -> (u16, Value) {
+        let (path, query) = path.split_once('?').unwrap_or((path, ""));
+        let body = body.to_string();
+        let req = ApiRequest {
+            method,
+            segments: path.split('/').collect(),
+            query,
+            headers,
+            body: body.as_bytes(),
+        };
+        let ApiResponse { status, body } = tasks::handle(&self.cx, &req);
+        (status, serde_json::from_slice(&body).unwrap())
+    }
+
+    /// Submits a task and returns its id.
+    pub fn submit(&self, entry: &str, args: &Value) -> String {
+        let (status, body) = self.call("POST", "tasks", &json!({"entry": entry, "args": args}));
+        assert_eq!(status, 202, "{body}");
+        body["id"].as_str().unwrap().to_owned()
+    }
+
+    /// Waits until the catalogue has been read.
+    pub fn wait_fresh(&self) {
+        wait_for("the catalogue", || {
+            (!self.cx.catalogue.snapshot().documents().is_empty()).then_some(())
+        });
+    }
+
+    /// Ends the process as a crash does: no message, no write.
+    pub fn kill(&mut self) {
+        self.network.schedulers.write().unwrap().remove(&self.cx.process);
+        self.store.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
+        self.cx.stop.stop();
+        self.join();
+    }
+
+    /// Ends the process as planned.
+    pub fn stop(&mut self) {
+        self.network.schedulers.write().unwrap().remove(&self.cx.process);
+        let scheduler = self.scheduler.take().unwrap();
+        wait_for("nobody calls the scheduler", || {
+            (Arc::strong_count(&scheduler) == 1).then_some(())
+        });
+        Arc::try_unwrap(scheduler).unwrap().close();
+        self.join();
+    }
+
+    fn join(&mut self) {
+        if let Some(follower) = self.follower.take() {
+            follower.join().unwrap();
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.cx.stop.stop();
+    }
+}
