Wire the domain scheduler into the entry process

Cause: scheduler, task interface and worker stand-in are on main; the entry process did not start them. Ruled out: an Arc around the scheduler with try_unwrap at the stop; the peer handler keeps its clone until the peer thread ends. Change: Scheduler is a shared handle like the dispatcher; the entry process starts it, answers hold queries and hand-overs with it, shows its status, and closes it right after the requests in flight are done. Conclusion: one process can serve requests and run tasks.

--- a/src/ops/entry.rs
+++ b/src/ops/entry.rs
@@ -5,6 +5,7 @@
 //! away from it.
 
 mod handler;
+mod sources;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,12 +14,13 @@
 
 use super::Context;
 use super::api::status::StatusSources;
-use super::api::{catalogue, domains, status};
+use super::api::{catalogue, domains, status, tasks};
 use super::context::{SharedVmListing, StopSignal};
 use super::dispatch::{DispatchError, Dispatcher};
 use super::drain::{Drained, drain};
 use super::front::{ApiRoutes, Front, FrontError};
 use super::membership::{HeartbeatThread, Heartbeats, MembershipError};
+use super::schedule::{Scheduler, SchedulerError};
 use super::sync::{Sync, SyncError};
 use crate::catalogue::copy::SharedCatalogue;
 use crate::clock::Clock;
@@ -33,6 +35,7 @@
 use crate::telemetry::event::process as event;
 
 use handler::EntryHandler;
+use sources::SchedulerSource;
 
 /// Why an entry process could not start.
 #[derive(Debug, Error)]
@@ -55,6 +58,9 @@
     /// No dispatcher.
     #[error(transparent)]
     Dispatch(#[from] DispatchError),
+    /// No scheduler.
+    #[error(transparent)]
+    Schedule(#[from] SchedulerError),
     /// No interface for callers.
     #[error(transparent)]
     Front(#[from] FrontError),
@@ -69,6 +75,7 @@
     sync: Sync,
     heartbeats: HeartbeatThread,
     dispatcher: Dispatcher,
+    scheduler: Scheduler,
     front: Front,
 }
 
@@ -88,9 +95,12 @@
         let heartbeats = Heartbeats::new(cx.clone());
         let targets = Arc::new(HttpTargets::new(cx.cfg.limits.max_answer_bytes));
         let dispatcher = Dispatcher::start(cx.clone(), targets, Some(Arc::clone(&heartbeats)))?;
+        let scheduler = Scheduler::start(&cx)?;
+        cx.status.register(Arc::new(SchedulerSource::new(scheduler.clone())));
         let handler = EntryHandler {
             heartbeats: Arc::clone(&heartbeats),
             dispatcher: dispatcher.clone(),
+            scheduler: scheduler.clone(),
             table: direct,
         };
         node.serve(Arc::new(handler))?;
@@ -103,7 +113,16 @@
             front.address(),
             node.address()
         ));
-        Ok(Self { commits: cx.commits.clone(), cx, node, sync, heartbeats, dispatcher, front })
+        Ok(Self {
+            commits: cx.commits.clone(),
+            cx,
+            node,
+            sync,
+            heartbeats,
+            dispatcher,
+            scheduler,
+            front,
+        })
     }
 
     /// Address for callers and operators.
@@ -122,8 +141,9 @@
     pub fn close(self) -> Drained {
         event::STOPPING.emit(format_args!("{} finishes what is in flight", self.cx.process));
         let drained = drain(&self.cx, &self.dispatcher);
+        // Leases are renewed until the requests in flight are done, and scheduling passes to a peer at once then.
+        self.scheduler.close();
         self.sync.close();
-        self.cx.stop.stop();
         self.front.close();
         self.dispatcher.close();
         self.heartbeats.close();
@@ -156,6 +176,7 @@
         Arc::clone(&peers),
         directory.clone(),
         Arc::clone(&clock),
+        metrics.clone(),
         &cfg,
         own,
     ));
@@ -199,5 +220,6 @@
     ApiRoutes::default()
         .with("catalogue", catalogue::handle)
         .with("domains", domains::handle)
+        .with("tasks", tasks::handle)
         .with("status", |cx, req| status::handle(cx, &cx.status, req))
 }
--- a/src/ops/entry/handler.rs
+++ b/src/ops/entry/handler.rs
@@ -4,6 +4,7 @@
 
 use crate::ops::dispatch::Dispatcher;
 use crate::ops::membership::Heartbeats;
+use crate::ops::schedule::Scheduler;
 use crate::peer::{
     ForwardedAnswer, ForwardedRequest, HandOver, HandOverReply, Heartbeat, HeartbeatReply,
     HoldAnswer, HoldQuery, PeerHandler, RecordKey, RecordKeyReply, Relay, RelayReply,
@@ -17,6 +18,8 @@
     pub(super) heartbeats: Arc<Heartbeats>,
     /// Sends forwarded requests to targets.
     pub(super) dispatcher: Dispatcher,
+    /// Answers questions about holds and hand-overs.
+    pub(super) scheduler: Scheduler,
     /// The direct client: a relayed call is never relayed again.
     pub(super) table: Arc<dyn Table>,
 }
@@ -26,12 +29,12 @@
         self.heartbeats.on_heartbeat(msg)
     }
 
-    fn query_hold(&self, _: &HoldQuery) -> HoldAnswer {
-        HoldAnswer { promised: false }
+    fn query_hold(&self, msg: &HoldQuery) -> HoldAnswer {
+        self.scheduler.on_hold_query(msg)
     }
 
-    fn hand_over(&self, _: &HandOver) -> HandOverReply {
-        HandOverReply { accepted: false }
+    fn hand_over(&self, msg: &HandOver) -> HandOverReply {
+        self.scheduler.on_hand_over(msg)
     }
 
     fn record_key(&self, _: &RecordKey) -> RecordKeyReply {
--- /dev/null
+++ b/src/ops/entry/sources.rs
@@ -0,0 +1,48 @@
+//! What the duties show on the status page.
+
+use crate::catalogue::Class;
+use crate::ops::api::status::{QuarantinedWorker, QueueStatus, StatusSource, UnplaceableTask};
+use crate::ops::schedule::Scheduler;
+
+/// Shows the queue and the workers of the domain scheduler, if this process is the one.
+#[derive(Debug)]
+pub(super) struct SchedulerSource {
+    scheduler: Scheduler,
+}
+
+impl SchedulerSource {
+    pub(super) fn new(scheduler: Scheduler) -> Self {
+        Self { scheduler }
+    }
+}
+
+impl StatusSource for SchedulerSource {
+    fn queues(&self) -> Vec<QueueStatus> {
+        let status = self.scheduler.status();
+        if !status.scheduling {
+            return Vec::new();
+        }
+        vec![QueueStatus {
+            name: "tasks".to_owned(),
+            class: Class::Batch,
+            waiting: status.waiting,
+            running: status.running,
+        }]
+    }
+
+    fn quarantined(&self) -> Vec<QuarantinedWorker> {
+        let status = self.scheduler.status();
+        let worker = |(worker, reason): (String, String)| QuarantinedWorker {
+            worker,
+            domain: status.domain.clone(),
+            reason,
+        };
+        status.quarantined.into_iter().map(worker).collect()
+    }
+
+    fn unplaceable(&self) -> Vec<UnplaceableTask> {
+        let tasks = self.scheduler.status().unplaceable.into_iter();
+        // The scheduler's summary has no entry names; the task itself shows it.
+        tasks.map(|(id, reason)| UnplaceableTask { id, entry: String::new(), reason }).collect()
+    }
+}
--- a/src/ops/schedule.rs
+++ b/src/ops/schedule.rs
@@ -62,14 +62,14 @@
     },
 }
 
-/// The scheduler of a process. It schedules while the process holds its domain.
-#[derive(Debug)]
+/// The scheduler of a process. It schedules while the process holds its domain. Cloning shares it.
+#[derive(Clone, Debug)]
 pub struct Scheduler {
     cx: Context,
     holds: SharedHolds,
     status: Arc<Mutex<SchedulerStatus>>,
     last_rows: Arc<Mutex<Vec<Row>>>,
-    threads: Vec<JoinHandle<()>>,
+    threads: Arc<Mutex<Vec<JoinHandle<()>>>>,
 }
 
 impl Scheduler {
@@ -118,6 +118,7 @@
             last_rows: Arc::clone(&last_rows),
         };
         threads.push(spawn("schedule".to_owned(), move || runner.run())?);
+        let threads = Arc::new(Mutex::new(threads));
         Ok(Self { cx: cx.clone(), holds, status, last_rows, threads })
     }
 
@@ -177,7 +178,9 @@
     /// Hands over the hold, and ends the threads. Nothing is scheduled once this has begun.
     pub fn close(self) {
         self.cx.stop.stop();
-        for thread in self.threads {
+        let threads =
+            std::mem::take(&mut *self.threads.lock().unwrap_or_else(PoisonError::into_inner));
+        for thread in threads {
             // A panic of the thread has been reported by the panic hook.
             let _ = thread.join();
         }
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -18,6 +18,7 @@
 use plantainlever::local::vms::MemoryVms;
 use plantainlever::local::{Entry, History};
 use plantainlever::ops::Context;
+use plantainlever::ops::api::status::StatusSources;
 use plantainlever::ops::context::{SharedVmListing, StopSignal};
 use plantainlever::peer::{
     Directory, ForwardedAnswer, ForwardedRequest, HandOver, HandOverReply, Heartbeat,
@@ -197,6 +198,7 @@
         vm_listing: SharedVmListing::default(),
         peers: RelayPeers::new(table, &[]),
         directory: Directory::default(),
+        status: StatusSources::default(),
         metrics: Metrics::disabled(),
         stop: StopSignal::default(),
     }
--- a/tests/testsuite/schedule/support.rs
+++ b/tests/testsuite/schedule/support.rs
@@ -5,12 +5,13 @@
 use std::time::{Duration, Instant};
 
 use plantainlever::catalogue::copy::{CatalogueCopy, SharedCatalogue};
-use plantainlever::clock::SystemClock;
+use plantainlever::clock::{Clock, SystemClock};
 use plantainlever::config::{LogSettings, PlatformSettings, Settings, Timing};
 use plantainlever::local::History;
 use plantainlever::local::history::Entry as HistoryEntry;
 use plantainlever::local::worker::{Checkpoints, WorkerGroup, WorkerSpec};
 use plantainlever::ops::Context;
+use plantainlever::ops::api::status::StatusSources;
 use plantainlever::ops::api::{ApiRequest, ApiResponse, tasks};
 use plantainlever::ops::context::{SharedVmListing, StopSignal};
 use plantainlever::ops::schedule::Scheduler;
@@ -20,6 +21,7 @@
     Relay, RelayReply,
 };
 use plantainlever::platform::PlatformError;
+use plantainlever::platform::group_commit::GroupCommit;
 use plantainlever::platform::objects::Objects;
 use plantainlever::platform::table::{
     CommitResult, Condition, OperationQuery, OperationStatus, ReadRequest, ReadResponse, Row,
@@ -391,11 +393,16 @@
             Arc::new(StoreLink { store: Arc::clone(&self.store), faults: Mutex::default() });
         let listing = SharedVmListing::default();
         listing.replace(self.vms.clone());
+        let table: Arc<dyn Table> = store.clone();
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let commits =
+            GroupCommit::inline(table, Arc::clone(&clock), Metrics::disabled(), &cfg, name);
         let cx = Context {
             cfg: Arc::new(cfg),
             process: name.to_owned(),
-            clock: Arc::new(SystemClock),
+            clock,
             table: store.clone(),
+            commits,
             objects: Arc::new(NoObjects),
             vms: Arc::new(NoVms),
             workers: Arc::new(self.workers.direct()),
@@ -403,6 +410,7 @@
             vm_listing: listing,
             peers: Arc::new(Link { network: Arc::clone(&self.network), process: name.to_owned() }),
             directory: Directory::default(),
+            status: StatusSources::default(),
             metrics: Metrics::disabled(),
             stop: StopSignal::default(),
         };
