--- a/src/telemetry/event/process.rs
+++ b/src/telemetry/event/process.rs
@@ -10,6 +10,8 @@
 pub const STOPPING: Event = Event::new(101, Level::Info, "stopping");
 /// The process ends after a planned stop.
 pub const STOPPED: Event = Event::new(102, Level::Info, "stopped");
+/// A sampled span of a trace has ended.
+pub const SPAN: Event = Event::new(110, Level::Info, "span");
 
 /// All events of this module.
-pub const ALL: &[Event] = &[STARTED, STOPPING, STOPPED];
+pub const ALL: &[Event] = &[STARTED, STOPPING, STOPPED, SPAN];
--- a/tests/testsuite/requests/rig.rs
+++ b/tests/testsuite/requests/rig.rs
@@ -21,6 +21,7 @@
 };
 use plantainlever::peer::{Directory, Member, PeerError, Peers};
 use plantainlever::platform::PlatformError;
+use plantainlever::platform::group_commit::GroupCommit;
 use plantainlever::platform::objects::Objects;
 use plantainlever::platform::table::{
     CommitResult, Condition, OperationQuery, OperationStatus, ReadRequest, ReadResponse, Row,
@@ -306,11 +307,21 @@
         cfg.timing.health_poll_ms = 100;
         cfg.timing.read_timeout_ms = 300;
         cfg.timing.balancer_wait_ms = 50;
+        let table = Arc::clone(&self.table) as Arc<dyn Table>;
+        let clock = Arc::new(SystemClock);
+        let commits = GroupCommit::inline(
+            Arc::clone(&table),
+            clock.clone(),
+            Metrics::disabled(),
+            &cfg,
+            process,
+        );
         let cx = Context {
             cfg: Arc::new(cfg),
             process: process.to_owned(),
-            clock: Arc::new(SystemClock),
-            table: Arc::clone(&self.table) as Arc<dyn Table>,
+            clock,
+            table,
+            commits,
             objects: Arc::new(Unused),
             vms: Arc::new(Unused),
             workers: Arc::new(Unused),
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -203,3 +203,39 @@
         _ => found.push(path.to_owned()),
     }
 }
+
+/// Guards against a page that tells operators another default or range than the one in force.
+#[test]
+fn every_setting_is_on_the_page_with_unit_default_and_range() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/OPERATIONS.md");
+    let page = std::fs::read_to_string(page).unwrap();
+    let section = page.split("\n## Settings\n").nth(1).unwrap();
+    let section = section.split("\n## ").next().unwrap();
+    let on_page: Vec<&str> = section.lines().filter(|line| line.starts_with("| `")).collect();
+    let mut expected = Vec::new();
+    for field in config::field::FIELDS {
+        let unit = match field.kind {
+            config::field::Kind::Number(_, _, unit) => unit,
+            _ => "-",
+        };
+        let default = if field.required { "required".to_owned() } else { default(field.path) };
+        let allowed = config::check::expected(field.kind);
+        expected.push(format!("| `{}` | {unit} | {default} | {allowed} | ", field.path));
+    }
+    for (line, expected) in on_page.iter().zip(&expected) {
+        assert!(line.starts_with(expected.as_str()), "found    {line}\nexpected {expected}");
+        assert!(line.len() > expected.len() + 20, "no reason: {line}");
+    }
+    assert_eq!(on_page.len(), expected.len());
+}
+
+fn default(path: &str) -> String {
+    let (section, key) = path.split_once('.').unwrap_or((path, ""));
+    let value = match section {
+        "timing" => serde_json::to_value(config::Timing::default()).unwrap(),
+        "limits" => serde_json::to_value(config::Limits::default()).unwrap(),
+        "log" => serde_json::to_value(config::LogSettings::default()).unwrap(),
+        _ => return "none".to_owned(),
+    };
+    value[key].as_str().map_or_else(|| value[key].to_string(), str::to_owned)
+}
--- a/tests/testsuite/telemetry.rs
+++ b/tests/testsuite/telemetry.rs
@@ -1,1 +1,227 @@
 //! Tests of logs, metrics and traces.
+
+use std::collections::BTreeMap;
+use std::net::UdpSocket;
+use std::path::{Path, PathBuf};
+use std::sync::{Mutex, OnceLock};
+use std::time::Duration;
+
+use plantainlever::config::LogSettings;
+use plantainlever::telemetry::{Metrics, Span, Tracing, event, time};
+
+fn page(name: &str) -> String {
+    std::fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("docs").join(name)).unwrap()
+}
+
+/// Cells of the page's table rows whose first cell begins with `prefix`, by the first cell.
+fn rows(page: &str, prefix: &str) -> BTreeMap<String, Vec<String>> {
+    let cells = |line: &str| -> Vec<String> {
+        line.trim_matches('|').split(" | ").map(|cell| cell.trim().to_owned()).collect()
+    };
+    let lines = page.lines().filter(|line| line.starts_with("| "));
+    let found = lines.map(cells).filter(|cells| cells[0].starts_with(prefix));
+    found.map(|cells| (cells[0].clone(), cells)).collect()
+}
+
+/// Guards against an alert whose number operators cannot look up.
+#[test]
+fn every_event_is_on_the_page_with_cause_and_action() {
+    let mut on_page = rows(&page("EVENTS.md"), "P0");
+    let mut missing = Vec::new();
+    for event in event::all() {
+        let number = format!("P{:04}", event.number);
+        let level = event.level.to_string().to_ascii_lowercase();
+        let Some(cells) = on_page.remove(&number) else {
+            missing.push(format!("{number} {}", event.name));
+            continue;
+        };
+        assert_eq!(cells.len(), 5, "{number} needs number, level, name, cause and action");
+        assert_eq!(
+            (cells[1].as_str(), cells[2].as_str()),
+            (level.as_str(), event.name),
+            "{number}"
+        );
+        assert!(cells[3].len() > 10 && cells[4].len() > 4, "{number} has no cause or action");
+    }
+    assert_eq!(missing, Vec::<String>::new(), "missing in docs/EVENTS.md");
+    assert_eq!(on_page.keys().collect::<Vec<_>>(), Vec::<&String>::new(), "not in the code");
+}
+
+/// Guards against two events that an operator's search cannot tell apart.
+#[test]
+fn event_numbers_and_names_are_unique() {
+    let events = event::all();
+    let mut numbers: Vec<u16> = events.iter().map(|event| event.number).collect();
+    let mut names: Vec<&str> = events.iter().map(|event| event.name).collect();
+    numbers.sort_unstable();
+    numbers.dedup();
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!((numbers.len(), names.len()), (events.len(), events.len()));
+}
+
+/// Guards against a metric that nobody knows the unit of.
+#[test]
+fn every_metric_is_on_the_page_with_its_unit() {
+    let mut used = BTreeMap::new();
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    sources(&root, &mut |text| metric_names(text, &mut used));
+    let on_page = rows(&page("OPERATIONS.md"), "`plantainlever.");
+    let documented: BTreeMap<&str, &str> = on_page
+        .values()
+        .map(|cells| {
+            (cells[0].trim_matches('`').trim_start_matches("plantainlever."), cells[1].as_str())
+        })
+        .collect();
+    let missing: Vec<_> =
+        used.iter().filter(|(name, kind)| documented.get(name.as_str()) != Some(kind)).collect();
+    assert!(missing.is_empty(), "missing in docs/OPERATIONS.md, or with another type: {missing:?}");
+    let stale: Vec<_> = documented.keys().filter(|name| !used.contains_key(**name)).collect();
+    assert!(stale.is_empty(), "not in the code: {stale:?}");
+}
+
+fn sources(folder: &Path, take: &mut impl FnMut(&str)) {
+    let mut paths: Vec<PathBuf> =
+        std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()).collect();
+    paths.sort();
+    for path in paths {
+        if path.is_dir() {
+            sources(&path, take);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            take(&std::fs::read_to_string(&path).unwrap());
+        }
+    }
+}
+
+/// Takes the names from calls such as `.count("name", 1)`, also when the name stands on the next line.
+fn metric_names(text: &str, used: &mut BTreeMap<String, &'static str>) {
+    for (method, kind) in [(".count(", "counter"), (".gauge(", "gauge"), (".time(", "timer")] {
+        for (at, _) in text.match_indices(method) {
+            let args = text[at + method.len()..].trim_start();
+            if let Some((name, _)) = args.strip_prefix('"').and_then(|rest| rest.split_once('"')) {
+                used.insert(name.to_owned(), kind);
+            }
+        }
+    }
+}
+
+/// Guards against a change of the wire format or of the prefix, on which dashboards depend.
+#[test]
+fn metrics_are_sent_as_statsd_datagrams() {
+    let receiver = UdpSocket::bind("127.0.0.1:0").unwrap();
+    receiver.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let metrics = Metrics::to_statsd(receiver.local_addr().unwrap()).unwrap();
+    metrics.count("table.commits", 3);
+    metrics.gauge("queue.requests", 12);
+    metrics.time("request.total", Duration::from_millis(7));
+    let mut buf = [0; 512];
+    let mut next = || {
+        let length = receiver.recv(&mut buf).unwrap();
+        String::from_utf8_lossy(&buf[..length]).into_owned()
+    };
+    assert_eq!(next(), "plantainlever.table.commits:3|c");
+    assert_eq!(next(), "plantainlever.queue.requests:12|g");
+    assert_eq!(next(), "plantainlever.request.total:7|ms");
+}
+
+/// Guards against a request that fails because nobody receives metrics.
+#[test]
+fn metrics_without_a_receiver_are_dropped() {
+    let closed = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let metrics = Metrics::to_statsd(closed).unwrap();
+    for _ in 0..1_000 {
+        metrics.count("table.commits", 1);
+    }
+}
+
+/// Keeps the log lines of the test process.
+struct Capture {
+    lines: Mutex<Vec<String>>,
+}
+
+impl log::Log for Capture {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let line = record.args().to_string();
+        if line.starts_with("P0110 ") {
+            self.lines.lock().unwrap().push(line);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+static CAPTURE: OnceLock<Capture> = OnceLock::new();
+
+fn field<'a>(line: &'a str, key: &str) -> &'a str {
+    let prefix = format!("{key}=");
+    line.split(' ').find_map(|part| part.strip_prefix(&prefix)).unwrap()
+}
+
+/// Guards against a hop that begins a trace of its own, and against spans that are lost when the process stops.
+#[test]
+fn one_trace_has_a_span_per_hop() {
+    let capture = CAPTURE.get_or_init(|| Capture { lines: Mutex::new(Vec::new()) });
+    log::set_logger(capture).unwrap();
+    log::set_max_level(log::LevelFilter::Info);
+    let settings = LogSettings { spans: true, span_percent: 0, ..LogSettings::default() };
+    let tracing = Tracing::start(&settings);
+    let trace = "0af7651916cd43dd8448eb211c80319c";
+    let caller = format!("00-{trace}-b7ad6b7169203331-01");
+
+    let front = Span::start("front", Some(&caller));
+    let forward = front.child("forward");
+    // The next process knows nothing but the header.
+    let dispatch = Span::start("dispatch", Some(&forward.traceparent()));
+    let not_sampled = Span::start("other", None);
+    not_sampled.close();
+    dispatch.close();
+    forward.close();
+    front.close();
+    tracing.close();
+
+    let all = capture.lines.lock().unwrap();
+    let lines: Vec<&String> = all.iter().filter(|line| field(line, "trace") == trace).collect();
+    let names: Vec<&str> = lines.iter().map(|line| field(line, "name")).collect();
+    assert_eq!(names, ["dispatch", "forward", "front"]);
+    assert_eq!(field(lines[2], "parent"), "b7ad6b7169203331");
+    assert_eq!(field(lines[1], "parent"), field(lines[2], "span"));
+    assert_eq!(field(lines[0], "parent"), field(lines[1], "span"));
+    assert!(all.iter().all(|line| field(line, "name") != "other"));
+}
+
+/// Guards against a caller's decision that is lost, and against a malformed header that is passed on.
+#[test]
+fn the_trace_context_is_passed_on_and_malformed_ones_are_replaced() {
+    let trace = "4bf92f3577b34da6a3ce929d0e0e4736";
+    for flags in ["00", "01"] {
+        let caller = format!("00-{trace}-b7ad6b7169203331-{flags}");
+        let next = Span::start("front", Some(&caller)).traceparent();
+        assert!(next.starts_with(&format!("00-{trace}-")), "{next}");
+        assert!(next.ends_with(&format!("-{flags}")), "{next}");
+        assert!(!next.contains("b7ad6b7169203331"), "{next}");
+    }
+    for malformed in [
+        "",
+        "00",
+        &format!("00-{trace}-0000000000000000-01"),
+        &format!("00-{}-b7ad6b7169203331-01", "0".repeat(32)),
+        &format!("00-{}-b7ad6b7169203331-01", trace.to_uppercase()),
+        &format!("00-{trace}-b7ad6b7169203331-01-more"),
+        &format!("ff-{trace}-b7ad6b7169203331-01"),
+    ] {
+        let next = Span::start("front", Some(malformed)).traceparent();
+        assert_eq!(next.len(), 55, "{malformed}");
+        assert!(!next.contains(trace), "{malformed}: {next}");
+    }
+}
+
+#[test]
+fn times_are_shown_in_utc() {
+    assert_eq!(time::utc_text(0), "1970-01-01 00:00:00");
+    assert_eq!(time::utc_text(951_827_696_000), "2000-02-29 12:34:56");
+    assert_eq!(time::utc_text(1_767_225_599_999), "2025-12-31 23:59:59");
+}
