--- a/tests/testsuite/requests/rig.rs
+++ b/tests/testsuite/requests/rig.rs
@@ -7,11 +7,12 @@
 use std::time::{Duration, Instant};
 
 use plantainlever::catalogue::document::row_key;
-use plantainlever::clock::SystemClock;
+use plantainlever::clock::{Clock, SystemClock};
 use plantainlever::config::Settings;
 use plantainlever::local::target::LocalTarget;
 use plantainlever::local::{Entry, History};
 use plantainlever::ops::Context;
+use plantainlever::ops::api::status::StatusSources;
 use plantainlever::ops::context::{SharedVmListing, StopSignal};
 use plantainlever::ops::dispatch::Dispatcher;
 use plantainlever::ops::front::{ApiRoutes, Front};
@@ -308,14 +309,10 @@
         cfg.timing.read_timeout_ms = 300;
         cfg.timing.balancer_wait_ms = 50;
         let table = Arc::clone(&self.table) as Arc<dyn Table>;
-        let clock = Arc::new(SystemClock);
-        let commits = GroupCommit::inline(
-            Arc::clone(&table),
-            clock.clone(),
-            Metrics::disabled(),
-            &cfg,
-            process,
-        );
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let metrics = Metrics::disabled();
+        let commits =
+            GroupCommit::inline(Arc::clone(&table), Arc::clone(&clock), metrics, &cfg, process);
         let cx = Context {
             cfg: Arc::new(cfg),
             process: process.to_owned(),
@@ -329,6 +326,7 @@
             vm_listing: self.listing.clone(),
             peers: Arc::new(self.wires.clone()),
             directory: self.directory.clone(),
+            status: StatusSources::default(),
             metrics: Metrics::disabled(),
             stop: StopSignal::default(),
         };
