Record idempotency keys before the dispatch

Cause: a caller that repeats a booking at another entry process could have it run twice. Change: each key is recorded here, at the other entry processes in one round, and in its row. A record of another holder refuses the claim; a holder whose request certainly did not run releases its own, and its word makes the records of it at peers void. Memory is bounded by refusing new keys, never by forgetting one inside the window. Ruled out: evicting the oldest record when full, because a repeat of it would run again; waiting for all peers when the row and a majority agree. A repeat at another process while the table is down gets 409 with outcome unknown, not the stored answer, because the peers' reply has no field for it.

--- a/src/local/target.rs
+++ b/src/local/target.rs
@@ -115,6 +115,12 @@
         self.shared.leaving.store(leaving, Ordering::SeqCst);
     }
 
+    /// Connections that are open now, health checks included.
+    #[must_use]
+    pub fn open_connections(&self) -> u32 {
+        self.shared.connections.load(Ordering::SeqCst)
+    }
+
     /// Most connections that were open at the same time.
     #[must_use]
     pub fn most_connections(&self) -> u32 {
--- a/src/ops/front.rs
+++ b/src/ops/front.rs
@@ -18,6 +18,7 @@
 
 use super::Context;
 use super::dispatch::{Dispatcher, InFlight};
+use super::keys::Keys;
 use crate::error::ApiError;
 use crate::request::Outcome;
 use crate::telemetry::event::request as event;
@@ -68,12 +69,17 @@
     /// # Errors
     ///
     /// If the address cannot be bound or a thread cannot be started.
-    pub fn start(cx: &Context, dispatcher: Dispatcher, api: ApiRoutes) -> Result<Self, FrontError> {
+    pub fn start(
+        cx: &Context,
+        dispatcher: Dispatcher,
+        keys: Keys,
+        api: ApiRoutes,
+    ) -> Result<Self, FrontError> {
         let server = Arc::new(HttpServer::start(cx.cfg.listen, cx.cfg.timing.read_timeout())?);
         let count = cx.cfg.limits.front_threads;
         let (tx, rx) = mpsc::sync_channel::<Waiting>(count * RING_PER_THREAD);
         let rx = Arc::new(Mutex::new(rx));
-        let routes = Arc::new(routes::Routes::new(cx.clone(), dispatcher.clone(), api));
+        let routes = Arc::new(routes::Routes::new(cx.clone(), dispatcher.clone(), keys, api));
         let mut threads = Vec::with_capacity(count + 1);
         for index in 0..count {
             let rx = Arc::clone(&rx);
--- a/src/ops/front/routes.rs
+++ b/src/ops/front/routes.rs
@@ -1,6 +1,6 @@
 //! Which part answers a request.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::FrontAnswer;
 use super::server::{BodyError, IncomingRequest};
@@ -9,7 +9,10 @@
 use crate::ops::Context;
 use crate::ops::api::{ApiRequest, ApiResponse};
 use crate::ops::dispatch::{Dispatched, Dispatcher, ServiceRequest};
+use crate::ops::keys::{Claim, KeyedRequest, Keys};
+use crate::platform::target::TargetAnswer;
 use crate::request::Outcome;
+use crate::request::key::{self, ATTEMPT, IDEMPOTENCY_KEY, StoredAnswer};
 use crate::telemetry::Span;
 use crate::telemetry::trace::TRACEPARENT;
 
@@ -17,7 +20,7 @@
 const DEADLINE_MS: &str = "Plantainlever-Deadline-Ms";
 
 /// Headers of a caller that a target sees.
-const PASSED_ON: &[&str] = &["accept", "content-type"];
+const PASSED_ON: &[&str] = &["accept", "content-type", "idempotency-key"];
 
 /// Answers requests to one resource of the interface.
 pub type Handler = fn(&Context, &ApiRequest) -> ApiResponse;
@@ -46,12 +49,13 @@
 pub(super) struct Routes {
     cx: Context,
     dispatcher: Dispatcher,
+    keys: Keys,
     api: ApiRoutes,
 }
 
 impl Routes {
-    pub(super) fn new(cx: Context, dispatcher: Dispatcher, api: ApiRoutes) -> Self {
-        Self { cx, dispatcher, api }
+    pub(super) fn new(cx: Context, dispatcher: Dispatcher, keys: Keys, api: ApiRoutes) -> Self {
+        Self { cx, dispatcher, keys, api }
     }
 
     pub(super) fn answer(&self, req: &mut IncomingRequest) -> FrontAnswer {
@@ -100,7 +104,8 @@
         let Some(Document::Entry(entry)) = copy.document(call.service) else {
             return Err(unknown_service(call.service));
         };
-        let deadline = self.deadline(header(&call.headers, DEADLINE_MS))?;
+        let deadline = self.cx.clock.now() + self.deadline(header(&call.headers, DEADLINE_MS))?;
+        let key = keyed(&call, deadline)?;
         let span = Span::start("front", header(&call.headers, TRACEPARENT));
         let idempotent = entry.idempotent.unwrap_or_else(|| is_idempotent(&call.method));
         let passed_on = |name: &str| PASSED_ON.contains(&name.to_ascii_lowercase().as_str());
@@ -111,17 +116,41 @@
             path: call.path,
             headers: call.headers.into_iter().filter(|(name, _)| passed_on(name)).collect(),
             body: call.body,
-            deadline: self.cx.clock.now() + deadline,
+            deadline,
             idempotent,
         };
-        let dispatched = self.dispatcher.dispatch(&req, &span);
+        let answered = self.dispatch_keyed(key.as_ref(), &req, &span);
         let traceparent = (TRACEPARENT.to_owned(), span.traceparent());
         span.close();
-        let mut answer = to_answer(dispatched);
+        let mut answer = answered?;
         answer.headers.push(traceparent);
         Ok(answer)
     }
 
+    fn dispatch_keyed(
+        &self,
+        key: Option<&KeyedRequest>,
+        req: &ServiceRequest,
+        span: &Span,
+    ) -> Result<FrontAnswer, ApiError> {
+        let Some(key) = key else { return Ok(to_answer(self.dispatcher.dispatch(req, span))) };
+        match self.keys.claim(key) {
+            Claim::Fresh | Claim::Unprotected => {}
+            refused => return refused_key(refused),
+        }
+        let dispatched = self.dispatcher.dispatch(req, span);
+        match &dispatched {
+            Dispatched::Completed(answer) => {
+                let TargetAnswer { status, headers, body } = answer.clone();
+                self.keys.finish(key, StoredAnswer { status, headers, body });
+            }
+            Dispatched::NotRun { .. } => self.keys.release(key),
+            // The record stays, so that no repeat runs while this attempt may still do so.
+            Dispatched::Unknown { .. } => {}
+        }
+        Ok(to_answer(dispatched))
+    }
+
     fn deadline(&self, header: Option<&str>) -> Result<Duration, ApiError> {
         let timing = &self.cx.cfg.timing;
         let Some(text) = header else { return Ok(timing.default_deadline()) };
@@ -171,6 +200,71 @@
     body: Vec<u8>,
 }
 
+/// The idempotency key of a request, if it has one.
+fn keyed(call: &Call<'_>, deadline: Instant) -> Result<Option<KeyedRequest>, ApiError> {
+    let malformed = |header: &str, found: &str, hint: String| {
+        ApiError::new(400, "malformed-header", format!("{header} is {found:?}"), hint)
+    };
+    let attempt = match header(&call.headers, ATTEMPT) {
+        None => None,
+        Some(text) => match text.trim().parse::<u32>() {
+            Ok(attempt) if attempt > 0 => Some(attempt),
+            _ => return Err(malformed(ATTEMPT, text, "send a number from 1".to_owned())),
+        },
+    };
+    let Some(key) = header(&call.headers, IDEMPOTENCY_KEY) else { return Ok(None) };
+    key::check(key).map_err(|error| malformed(IDEMPOTENCY_KEY, key, error.to_string()))?;
+    Ok(Some(KeyedRequest {
+        service: call.service.to_owned(),
+        key: key.to_owned(),
+        digest: key::digest(&call.method, &call.path, &call.body),
+        attempt,
+        deadline,
+    }))
+}
+
+/// The answer to a request whose key does not allow a dispatch.
+fn refused_key(claim: Claim) -> Result<FrontAnswer, ApiError> {
+    let answer = |status, code, message: &str, hint: &str, outcome| {
+        Ok(FrontAnswer::error(&ApiError::new(status, code, message, hint), outcome))
+    };
+    match claim {
+        Claim::Finished(Some(stored)) => Ok(FrontAnswer {
+            status: stored.status,
+            outcome: Outcome::Completed,
+            headers: stored.headers,
+            body: stored.body,
+        }),
+        Claim::Finished(None) => answer(
+            409,
+            "key-finished",
+            "the request with this key has been answered, and its answer is no longer kept",
+            "look for the effect of the request",
+            Outcome::Completed,
+        ),
+        Claim::Mismatch => Err(ApiError::new(
+            422,
+            "key-mismatch",
+            "the key was used for another request",
+            "send a new key with a new request",
+        )),
+        Claim::Unavailable => answer(
+            503,
+            "key-unavailable",
+            "neither the table nor a majority of the entry processes could look up the key",
+            "repeat the request with its key",
+            Outcome::Unknown,
+        ),
+        Claim::InProgress | Claim::Fresh | Claim::Unprotected => answer(
+            409,
+            "key-in-progress",
+            "another attempt with this key is in progress or has ended without an answer",
+            "repeat the request with its key, or look for its effect",
+            Outcome::Unknown,
+        ),
+    }
+}
+
 fn to_answer(dispatched: Dispatched) -> FrontAnswer {
     match dispatched {
         Dispatched::Completed(answer) => FrontAnswer {
--- /dev/null
+++ b/src/ops/keys/round.rs
@@ -0,0 +1,168 @@
+//! One parallel round over the other entry processes and the table.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc::{self, Receiver, SyncSender};
+use std::time::{Duration, Instant};
+
+use super::KeyedRequest;
+use crate::ops::Context;
+use crate::peer::{PeerError, RecordKey, RecordKeyReply};
+use crate::platform::table::{CommitResult, Condition, ReadRequest, Table, Transaction, Write};
+use crate::request::key::{KeyRow, row_key};
+
+/// What the table said.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum RowClaim {
+    /// The row is this process's.
+    Won,
+    /// The row is another process's.
+    Known(KeyRow),
+    /// No answer in time.
+    NoAnswer,
+}
+
+/// Result of a round.
+#[derive(Debug)]
+pub(super) struct Round {
+    /// Entry processes that are known, this one included; `None` if the members have not been read.
+    pub(super) members: Option<usize>,
+    /// Processes that recorded the claim, this one included.
+    pub(super) votes: usize,
+    /// Digests of records of other holders.
+    pub(super) taken: Vec<String>,
+    /// The table's part.
+    pub(super) row: RowClaim,
+}
+
+impl Round {
+    pub(super) fn has_majority(&self) -> bool {
+        self.members.is_some_and(|members| self.votes > members / 2)
+    }
+
+    /// True once nothing that is still under way can change the decision.
+    fn is_decided(&self) -> bool {
+        self.has_majority() && self.row == RowClaim::Won && self.taken.is_empty()
+    }
+}
+
+enum Part {
+    Peer(String, Result<RecordKeyReply, PeerError>),
+    Row(RowClaim),
+}
+
+/// Asks all at once and waits for at most `wait`. `local` tells whether this process has recorded the claim itself.
+pub(super) fn ask(cx: &Context, req: &KeyedRequest, local: bool, wait: Duration) -> Round {
+    let deadline = Instant::now() + wait;
+    let directory = cx.directory.snapshot();
+    let (tx, rx) = mpsc::sync_channel(directory.len() + 1);
+    let mut open = 1;
+    start(cx, req, &tx, move |cx, req| {
+        Part::Row(claim_row(cx.table.as_ref(), &cx.process, req, local))
+    });
+    for member in directory.values().filter(|member| member.process != cx.process) {
+        open += 1;
+        let (name, address) = (member.process.clone(), member.peer_address.clone());
+        start(cx, req, &tx, move |cx, req| {
+            let msg = RecordKey {
+                service: req.service.clone(),
+                key: req.key.clone(),
+                digest: req.digest.clone(),
+                holder: cx.process.clone(),
+            };
+            Part::Peer(name, cx.peers.record_key(&address, msg, wait))
+        });
+    }
+    let members = directory.contains_key(&cx.process).then_some(directory.len());
+    collect(&rx, open, deadline, members, usize::from(local))
+}
+
+/// Runs one part in a thread. A part whose thread cannot be started gives no answer.
+fn start(
+    cx: &Context,
+    req: &KeyedRequest,
+    tx: &SyncSender<Part>,
+    part: impl FnOnce(&Context, &KeyedRequest) -> Part + Send + 'static,
+) {
+    let (cx, req, tx) = (cx.clone(), req.clone(), tx.clone());
+    // The failure shows as a missing answer.
+    let _ = std::thread::Builder::new().name("key-round".to_owned()).spawn(move || {
+        // The round may have ended.
+        let _ = tx.send(part(&cx, &req));
+    });
+}
+
+fn collect(
+    rx: &Receiver<Part>,
+    open: usize,
+    deadline: Instant,
+    members: Option<usize>,
+    votes: usize,
+) -> Round {
+    let mut round = Round { members, votes, taken: Vec::new(), row: RowClaim::NoAnswer };
+    // Records of other holders by holder, with the number of peers that reported each.
+    let mut others: BTreeMap<String, (String, usize)> = BTreeMap::new();
+    let mut recorded: Vec<String> = Vec::new();
+    for _ in 0..open {
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        let Ok(part) = rx.recv_timeout(remaining) else { break };
+        match part {
+            Part::Row(row) => round.row = row,
+            Part::Peer(name, Ok(RecordKeyReply::Recorded)) => {
+                round.votes += 1;
+                recorded.push(name);
+            }
+            Part::Peer(_, Ok(RecordKeyReply::Taken { holder, digest })) if !holder.is_empty() => {
+                others.entry(holder).or_insert((digest, 0)).1 += 1;
+            }
+            Part::Peer(..) => {}
+        }
+        if others.is_empty() && round.is_decided() {
+            break;
+        }
+    }
+    for (holder, (digest, reports)) in others {
+        // A holder that recorded the new claim has released its own.
+        if recorded.contains(&holder) {
+            round.votes += reports;
+        } else {
+            round.taken.push(digest);
+        }
+    }
+    round
+}
+
+fn claim_row(table: &dyn Table, own: &str, req: &KeyedRequest, local: bool) -> RowClaim {
+    let key = row_key(&req.service, &req.key);
+    let content = KeyRow {
+        holder: own.to_owned(),
+        digest: req.digest.clone(),
+        finished: false,
+        answer: None,
+    };
+    let Ok(value) = serde_json::to_value(content) else { return RowClaim::NoAnswer };
+    let txn = Transaction {
+        operation: format!("{own}-{:016x}", rand::random::<u64>()),
+        conditions: vec![Condition::Absent { key: key.clone() }],
+        writes: vec![Write::Put { key: key.clone(), value }],
+    };
+    match table.commit(&txn) {
+        Ok(CommitResult::Committed { .. }) => RowClaim::Won,
+        Ok(CommitResult::Conflict { .. }) => match read_row(table, &key) {
+            // The row of an earlier claim of this process, whose commit gave no answer in time. That claim has been
+            // released, or this one would not have been recorded here.
+            RowClaim::Known(row) if local && row.holder == own && !row.finished => RowClaim::Won,
+            claim => claim,
+        },
+        Err(_) => RowClaim::NoAnswer,
+    }
+}
+
+fn read_row(table: &dyn Table, key: &str) -> RowClaim {
+    let req = ReadRequest { keys: vec![key.to_owned()], ..ReadRequest::default() };
+    let Ok(response) = table.read(&req) else { return RowClaim::NoAnswer };
+    let value = response.row(key).and_then(|row| row.value.clone());
+    // A row that was deleted between the two calls leaves the claim to the majority.
+    value
+        .and_then(|value| serde_json::from_value(value).ok())
+        .map_or(RowClaim::NoAnswer, RowClaim::Known)
+}
--- a/src/telemetry/event/request.rs
+++ b/src/telemetry/event/request.rs
@@ -14,5 +14,9 @@
 /// A request announced so long a body that its connection was left open unread.
 pub const BODY_ABANDONED: Event = Event::new(303, Level::Warn, "body-abandoned");
 
+/// The row of an idempotency key was not updated.
+pub const KEY_ROW_SKIPPED: Event = Event::new(304, Level::Warn, "key-row-skipped");
+
 /// All events of this module.
-pub const ALL: &[Event] = &[LATE_ANSWER, FRONT_FULL, ACCEPT_FAILED, BODY_ABANDONED];
+pub const ALL: &[Event] =
+    &[LATE_ANSWER, FRONT_FULL, ACCEPT_FAILED, BODY_ABANDONED, KEY_ROW_SKIPPED];
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -4,5 +4,6 @@
 #![allow(clippy::unwrap_used)]
 
 mod answers;
+mod keys;
 #[allow(dead_code)]
 mod rig;
--- /dev/null
+++ b/tests/testsuite/requests/keys.rs
@@ -0,0 +1,166 @@
+//! A request with an idempotency key runs at most once.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use plantainlever::request::key::KeyLimits;
+
+use super::rig::{EntryProcess, Seen, Site, wait_for};
+
+const PATH: &str = "/v1/services/echo/x?sleep_ms=20";
+
+fn site_of_three() -> (Site, Vec<Arc<EntryProcess>>) {
+    let site = Site::default();
+    let names = ["p1", "p2", "p3"];
+    for name in names {
+        site.list_member(name, "a");
+    }
+    let start = |name| {
+        let entry = Arc::new(site.entry(name, "a"));
+        site.wires.connect(name, Arc::clone(&entry) as _);
+        entry
+    };
+    let entries: Vec<_> = names.into_iter().map(start).collect();
+    (site, entries)
+}
+
+fn post(entry: &EntryProcess, key: &str, attempt: &str, body: &str) -> Seen {
+    let headers = [("Idempotency-Key", key), ("Plantainlever-Attempt", attempt)];
+    entry.call("POST", PATH, &headers, body.as_bytes())
+}
+
+/// Guards against two runs when a caller sends the same key to two processes at once, with the table up and down.
+#[test]
+fn the_same_key_at_two_processes_runs_at_most_once() {
+    let (site, entries) = site_of_three();
+    let _target = site.target("t1", "a");
+    entries.iter().for_each(|entry| entry.wait_for_slots(8));
+    let mut completed = 0;
+    for round in 0..40 {
+        site.table.down.store(round % 2 == 1, Ordering::SeqCst);
+        let key = format!("k{round}");
+        let seen: Vec<Seen> = std::thread::scope(|scope| {
+            let calls: Vec<_> =
+                entries[..2].iter().map(|e| scope.spawn(|| post(e, &key, "1", &key))).collect();
+            calls.into_iter().map(|call| call.join().unwrap()).collect()
+        });
+        let runs = site.runs_of(key.as_bytes());
+        assert!(runs <= 1, "{key} ran {runs} times: {seen:?}");
+        completed += seen.iter().filter(|seen| seen.outcome == "completed").count().min(1);
+        for answer in &seen {
+            assert!(answer.outcome != "completed" || runs == 1, "{seen:?}");
+            assert!(answer.outcome != "not-run" || runs == 0, "{seen:?}");
+        }
+    }
+    // Two claims that meet may both lose, but not as a rule.
+    assert!(completed >= 10, "{completed} of 40 keys were completed");
+}
+
+/// Guards against a second run after the process that ran the request has died, with the table down.
+#[test]
+fn a_repeat_after_a_kill_does_not_run_again() {
+    for down in [false, true] {
+        let (site, entries) = site_of_three();
+        let _target = site.target("t1", "a");
+        entries.iter().for_each(|entry| entry.wait_for_slots(8));
+        site.table.down.store(down, Ordering::SeqCst);
+        assert_eq!(post(&entries[0], "k", "1", "booking").outcome, "completed");
+        site.wires.cut("p1");
+        let repeat = post(&entries[1], "k", "2", "booking");
+        assert_eq!(site.runs_of(b"booking"), 1);
+        assert!(repeat.outcome != "not-run", "{repeat:?}");
+    }
+}
+
+/// Guards against a repeat that is run, refused as new, or given the wrong answer.
+#[test]
+fn a_repeat_gets_the_stored_answer_or_a_conflict() {
+    let (site, entries) = site_of_three();
+    let _target = site.target("t1", "a");
+    entries.iter().for_each(|entry| entry.wait_for_slots(8));
+    let first = post(&entries[0], "k", "1", "booking");
+    let here = post(&entries[0], "k", "2", "booking");
+    assert_eq!(here, first);
+    let other_body = post(&entries[0], "k", "2", "another booking");
+    assert_eq!((other_body.status, other_body.outcome.as_str()), (422, "not-run"));
+    // The row is updated after the answer.
+    wait_for("the stored answer at another process", || {
+        post(&entries[1], "k", "2", "booking") == first
+    });
+    assert_eq!(post(&entries[2], "k", "2", "another booking").status, 422);
+    assert_eq!(site.runs_of(b"booking"), 1);
+    assert_eq!(site.runs_of(b"another booking"), 0);
+}
+
+/// Guards against a key in progress that is dispatched a second time by the same process.
+#[test]
+fn a_key_in_progress_gets_a_conflict() {
+    let (site, entries) = site_of_three();
+    let _target = site.target("t1", "a");
+    entries[0].wait_for_slots(8);
+    let headers = [("Idempotency-Key", "k")];
+    std::thread::scope(|scope| {
+        let slow = "/v1/services/echo/x?sleep_ms=400";
+        let first = scope.spawn(|| entries[0].call("POST", slow, &headers, b"slow"));
+        wait_for("the run", || site.runs_of(b"slow") == 1);
+        for entry in &entries[..2] {
+            let repeat = entry.call("POST", slow, &headers, b"slow");
+            assert_eq!((repeat.status, repeat.outcome.as_str()), (409, "unknown"));
+        }
+        assert_eq!(first.join().unwrap().outcome, "completed");
+    });
+    assert_eq!(site.runs_of(b"slow"), 1);
+}
+
+/// Guards against a key that stays blocked although its request certainly did not run.
+#[test]
+fn a_key_whose_request_did_not_run_can_be_used_again_anywhere() {
+    let (site, entries) = site_of_three();
+    assert_eq!(post(&entries[0], "k", "1", "booking").outcome, "not-run");
+    let _target = site.target("t1", "a");
+    entries.iter().for_each(|entry| entry.wait_for_slots(8));
+    site.table.down.store(true, Ordering::SeqCst);
+    wait_for("a repeat at another process", || {
+        post(&entries[1], "k", "2", "booking").outcome == "completed"
+    });
+    assert_eq!(post(&entries[0], "k", "2", "booking").outcome, "unknown");
+    assert_eq!(site.runs_of(b"booking"), 1);
+}
+
+/// Guards against a dispatch without any look-up, unless the caller asserts that the request is fresh.
+#[test]
+fn without_a_look_up_only_a_first_attempt_is_dispatched() {
+    let (site, entries) = site_of_three();
+    let _target = site.target("t1", "a");
+    entries[0].wait_for_slots(8);
+    site.table.down.store(true, Ordering::SeqCst);
+    site.wires.cut("p2");
+    site.wires.cut("p3");
+    assert_eq!(post(&entries[0], "k1", "2", "repeat").outcome, "unknown");
+    assert_eq!(post(&entries[0], "k2", "1", "fresh").outcome, "completed");
+    assert_eq!(post(&entries[0], "k2", "1", "fresh").outcome, "completed");
+    assert_eq!((site.runs_of(b"repeat"), site.runs_of(b"fresh")), (0, 1));
+}
+
+/// Guards against a store of keys that grows without bound or forgets a key inside the window to make room.
+#[test]
+fn a_full_store_of_keys_refuses_and_forgets_nothing() {
+    use plantainlever::request::key::{KeyStore, Recording, StoredAnswer};
+    let window = Duration::from_secs(60);
+    let mut store = KeyStore::new(KeyLimits { records: 3, answer_bytes: 10, window });
+    let start = std::time::Instant::now();
+    for key in ["a", "b", "c"] {
+        assert_eq!(store.record("s", key, "d", "p", start), Recording::Recorded);
+        let answer = StoredAnswer { status: 200, headers: Vec::new(), body: vec![0; 6] };
+        store.finish("s", key, answer);
+    }
+    assert_eq!(store.answer_bytes(), 6);
+    assert_eq!(store.record("s", "d", "d", "p", start), Recording::Full);
+    let Recording::Known(known) = store.record("s", "a", "d", "q", start) else {
+        panic!("a was forgotten")
+    };
+    assert_eq!(known.finished, Some(None));
+    assert_eq!(store.record("s", "d", "d", "p", start + window), Recording::Recorded);
+    assert_eq!(store.len(), 1);
+}
--- a/tests/testsuite/requests/rig.rs
+++ b/tests/testsuite/requests/rig.rs
@@ -15,6 +15,7 @@
 use plantainlever::ops::context::{SharedVmListing, StopSignal};
 use plantainlever::ops::dispatch::Dispatcher;
 use plantainlever::ops::front::{ApiRoutes, Front};
+use plantainlever::ops::keys::Keys;
 use plantainlever::peer::message::{
     ForwardedAnswer, ForwardedRequest, HandOver, HandOverReply, Heartbeat, HeartbeatReply,
     HoldAnswer, HoldQuery, RecordKey, RecordKeyReply, Relay, RelayReply,
@@ -29,6 +30,7 @@
 use plantainlever::platform::target::HttpTargets;
 use plantainlever::platform::vms::{Vm, VmList, VmListing, VmRole, VmState};
 use plantainlever::platform::worker::WorkerClient;
+use plantainlever::request::key::KeyLimits;
 use plantainlever::telemetry::Metrics;
 
 /// Longest wait of a test for a condition.
@@ -364,6 +366,7 @@
 pub struct EntryProcess {
     pub cx: Context,
     pub dispatcher: Dispatcher,
+    pub keys: Keys,
     pub front: Front,
 }
 
@@ -379,8 +382,10 @@
     pub fn start(cx: Context) -> Self {
         let targets = Arc::new(HttpTargets::new(cx.cfg.limits.max_answer_bytes));
         let dispatcher = Dispatcher::start(cx.clone(), targets, None).unwrap();
-        let front = Front::start(&cx, dispatcher.clone(), ApiRoutes::default()).unwrap();
-        Self { cx, dispatcher, front }
+        let keys = Keys::start(cx.clone(), KeyLimits::default()).unwrap();
+        let front =
+            Front::start(&cx, dispatcher.clone(), keys.clone(), ApiRoutes::default()).unwrap();
+        Self { cx, dispatcher, keys, front }
     }
 
     /// Waits until this many slots are free.
@@ -402,6 +407,7 @@
         self.cx.stop.stop();
         self.front.close();
         self.dispatcher.close();
+        self.keys.close();
     }
 }
 
@@ -431,3 +437,15 @@
     let body = answer.body_mut().read_to_vec().unwrap();
     Seen { status: answer.status().as_u16(), outcome, body }
 }
+
+impl Node for EntryProcess {
+    fn heartbeat(&self, _: &Heartbeat) -> HeartbeatReply {
+        unreachable!("these processes have no heartbeats")
+    }
+    fn record_key(&self, msg: &RecordKey) -> RecordKeyReply {
+        self.keys.on_record(msg)
+    }
+    fn forward(&self, msg: &ForwardedRequest) -> ForwardedAnswer {
+        self.dispatcher.on_forward(msg)
+    }
+}
