Wire idempotency keys into the entry process

Change: the entry process starts it, answers peers' records with it, and closes it after the dispatcher, which may still finish keys. Ruled out: closing it with the front; a forwarded request may end later. Conclusion: the request path is complete in one process.

--- a/src/ops/entry.rs
+++ b/src/ops/entry.rs
@@ -19,6 +19,7 @@
 use super::dispatch::{DispatchError, Dispatcher};
 use super::drain::{Drained, drain};
 use super::front::{ApiRoutes, Front, FrontError};
+use super::keys::{Keys, KeysError};
 use super::membership::{HeartbeatThread, Heartbeats, MembershipError};
 use super::schedule::{Scheduler, SchedulerError};
 use super::sync::{Sync, SyncError};
@@ -31,6 +32,7 @@
 use crate::platform::relay::{OwnAddress, RelayedTable};
 use crate::platform::table::Table;
 use crate::platform::target::HttpTargets;
+use crate::request::key::KeyLimits;
 use crate::telemetry::Metrics;
 use crate::telemetry::event::process as event;
 
@@ -58,6 +60,9 @@
     /// No dispatcher.
     #[error(transparent)]
     Dispatch(#[from] DispatchError),
+    /// No idempotency keys.
+    #[error(transparent)]
+    Keys(#[from] KeysError),
     /// No scheduler.
     #[error(transparent)]
     Schedule(#[from] SchedulerError),
@@ -75,6 +80,7 @@
     sync: Sync,
     heartbeats: HeartbeatThread,
     dispatcher: Dispatcher,
+    keys: Keys,
     scheduler: Scheduler,
     front: Front,
 }
@@ -95,16 +101,18 @@
         let heartbeats = Heartbeats::new(cx.clone());
         let targets = Arc::new(HttpTargets::new(cx.cfg.limits.max_answer_bytes));
         let dispatcher = Dispatcher::start(cx.clone(), targets, Some(Arc::clone(&heartbeats)))?;
+        let keys = Keys::start(cx.clone(), KeyLimits::default())?;
         let scheduler = Scheduler::start(&cx)?;
         cx.status.register(Arc::new(SchedulerSource::new(scheduler.clone())));
         let handler = EntryHandler {
             heartbeats: Arc::clone(&heartbeats),
             dispatcher: dispatcher.clone(),
+            keys: keys.clone(),
             scheduler: scheduler.clone(),
             table: direct,
         };
         node.serve(Arc::new(handler))?;
-        let front = Front::start(&cx, dispatcher.clone(), api_routes())?;
+        let front = Front::start(&cx, dispatcher.clone(), keys.clone(), api_routes())?;
         let sync = Sync::start(&cx, member(&cx, &node, front.address()))?;
         let heartbeats = heartbeats.start()?;
         event::STARTED.emit(format_args!(
@@ -120,6 +128,7 @@
             sync,
             heartbeats,
             dispatcher,
+            keys,
             scheduler,
             front,
         })
@@ -146,6 +155,7 @@
         self.sync.close();
         self.front.close();
         self.dispatcher.close();
+        self.keys.close();
         self.heartbeats.close();
         self.commits.close();
         self.node.close();
--- a/src/ops/entry/handler.rs
+++ b/src/ops/entry/handler.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::ops::dispatch::Dispatcher;
+use crate::ops::keys::Keys;
 use crate::ops::membership::Heartbeats;
 use crate::ops::schedule::Scheduler;
 use crate::peer::{
@@ -18,6 +19,8 @@
     pub(super) heartbeats: Arc<Heartbeats>,
     /// Sends forwarded requests to targets.
     pub(super) dispatcher: Dispatcher,
+    /// Records idempotency keys.
+    pub(super) keys: Keys,
     /// Answers questions about holds and hand-overs.
     pub(super) scheduler: Scheduler,
     /// The direct client: a relayed call is never relayed again.
@@ -37,8 +40,8 @@
         self.scheduler.on_hand_over(msg)
     }
 
-    fn record_key(&self, _: &RecordKey) -> RecordKeyReply {
-        RecordKeyReply::Recorded
+    fn record_key(&self, msg: &RecordKey) -> RecordKeyReply {
+        self.keys.on_record(msg)
     }
 
     fn relay(&self, msg: &Relay) -> RelayReply {
