Add entry and dev, and topologies of the two deployments

Cause: nothing ran the entry process outside of tests, and nobody could try the whole system on one machine.

Ruled out: writing the catalogue of dev into the in-memory table directly. It goes through PUT with If-Match instead, so the first try covers the operators' way too. Stopping the entry processes one after the other was ruled out, since each waits for its requests.

Tables never cut the first column, whose ids are arguments of other commands.

--- a/src/bin/plantainlever/commands.rs
+++ b/src/bin/plantainlever/commands.rs
@@ -2,6 +2,8 @@
 
 pub mod catalogue;
 pub mod check;
+pub mod dev;
 pub mod domain;
+pub mod entry;
 pub mod status;
 pub mod task;
--- a/src/bin/plantainlever/shell.rs
+++ b/src/bin/plantainlever/shell.rs
@@ -33,6 +33,11 @@
         Self { verbosity }
     }
 
+    /// True if what is done is printed.
+    pub fn is_verbose(&self) -> bool {
+        self.verbosity >= Verbosity::Verbose
+    }
+
     /// Prints a result.
     pub fn result(&self, text: fmt::Arguments<'_>) -> io::Result<()> {
         writeln!(io::stdout().lock(), "{text}")
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -14,5 +14,7 @@
 pub mod api;
 pub mod client;
 pub mod context;
+pub mod dev;
+pub mod signals;
 
 pub use context::Context;
--- a/src/ops/client/message.rs
+++ b/src/ops/client/message.rs
@@ -42,13 +42,15 @@
     /// Document that it changed.
     pub name: String,
     /// Wall-clock time in milliseconds since the Unix epoch.
+    #[serde(alias = "unix_ms")]
     pub at_ms: u64,
 }
 
 /// Answer to `GET /v1/domains`.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct DomainList {
-    /// Revision of the copy that answered.
+    /// Revision of the copy that answered; zero if the server does not say.
+    #[serde(default)]
     pub revision: Revision,
     /// The failure domains.
     pub domains: Vec<DomainView>,
--- /dev/null
+++ b/src/ops/dev/config.rs
@@ -0,0 +1,308 @@
+//! What `dev` runs: the failure domains with their workers and targets, and the catalogue.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+
+use crate::catalogue::document::is_name;
+use crate::config::tree::{Node, Value};
+use crate::config::{
+    Limits, LogSettings, PlatformSettings, Problem, ProblemKind, Settings, SettingsError, Timing,
+};
+use crate::ops::client::apply::{FileDocument, decode};
+use crate::worker::Resources;
+
+/// Most entry processes, workers or targets of one domain; they all share one machine.
+const MAX_PER_DOMAIN: usize = 200;
+
+/// Threads that serve callers in each entry process. The default would be hundreds for each of several processes.
+const FRONT_THREADS: usize = 32;
+
+/// There is no balancer in front of `dev`, so a stop need not wait long for one.
+const BALANCER_WAIT_MS: u64 = 100;
+
+/// Documents that every catalogue of `dev` has.
+const BUILT_IN: &str = "\
+- name: echo
+  kind: entry
+  owner: demo
+  class: latency-critical
+  p99_target_ms: 50
+  limits: {}
+- name: count
+  kind: entry
+  owner: demo
+  class: batch
+  limits:
+    per_task: { cpu_millis: 1000, memory_mb: 1024 }
+";
+
+/// What `dev` runs.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct DevConfig {
+    /// Entry processes in each failure domain.
+    pub entries_per_domain: usize,
+    /// The failure domains.
+    pub domains: Vec<DevDomain>,
+    /// What each worker has.
+    pub worker: Resources,
+    /// Executors.
+    pub services: Vec<DevService>,
+    /// Documents, each with `name` and the fields of its kind. `echo` and `count` are added.
+    pub catalogue: Vec<serde_json::Value>,
+    /// Periods and bounds of the entry processes.
+    pub timing: Timing,
+    /// What is logged.
+    pub log: LogSettings,
+}
+
+/// A failure domain.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DevDomain {
+    /// Name.
+    pub name: String,
+    /// Workers in each rack.
+    pub racks: Vec<usize>,
+}
+
+/// A service and its executors.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DevService {
+    /// Name of the catalogue entry.
+    pub name: String,
+    /// Executors in each failure domain. They answer as `echo` does.
+    pub executors_per_domain: usize,
+}
+
+impl Default for DevConfig {
+    fn default() -> Self {
+        Self {
+            entries_per_domain: 1,
+            domains: vec![DevDomain { name: "dc-a".to_owned(), racks: vec![2, 2] }],
+            worker: Resources::new(8_000, 16_384, 0),
+            services: vec![DevService { name: "echo".to_owned(), executors_per_domain: 2 }],
+            catalogue: Vec::new(),
+            timing: Timing { balancer_wait_ms: BALANCER_WAIT_MS, ..Timing::default() },
+            log: LogSettings { level: "warn".to_owned(), ..LogSettings::default() },
+        }
+    }
+}
+
+impl DevConfig {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Every problem of the file. Fields that cannot be decoded are reported one at a time.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            problem(&file, 0, "-", ProblemKind::Unreadable { cause: error.to_string() })
+        })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Checks the text of a file. `file` is the name in messages.
+    ///
+    /// # Errors
+    ///
+    /// Every problem of the file. Fields that cannot be decoded are reported one at a time.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let syntax = |error: serde_saphyr::Error| {
+            let line = error.location().map_or(1, |location| location.line());
+            let cause = error.without_snippet().to_string();
+            let cause = cause.lines().next().unwrap_or_default().to_owned();
+            problem(file, line, "-", ProblemKind::Syntax { cause })
+        };
+        let root: Node = serde_saphyr::from_str(text).map_err(syntax)?;
+        let mut cfg: Self = serde_saphyr::from_str(text).map_err(syntax)?;
+        cfg.add_echo();
+        let problems = Check { file, root: &root, problems: Vec::new() }.run(&cfg);
+        if problems.is_empty() { Ok(cfg) } else { Err(SettingsError { problems }) }
+    }
+
+    /// The documents of the file, with `echo` and `count`.
+    ///
+    /// # Errors
+    ///
+    /// The message of the first document that the catalogue would refuse.
+    pub fn documents(&self) -> Result<Vec<FileDocument>, String> {
+        let mut values: Vec<serde_json::Value> =
+            serde_saphyr::from_str(BUILT_IN).map_err(|error| error.to_string())?;
+        values.extend(self.catalogue.iter().cloned());
+        let mut documents: Vec<FileDocument> = Vec::new();
+        for (index, value) in values.into_iter().enumerate() {
+            let document = decode("catalogue", index + 1, value).map_err(|error| chain(&error))?;
+            // A document of the file replaces the built-in one.
+            documents.retain(|other| other.name != document.name);
+            documents.push(document);
+        }
+        Ok(documents)
+    }
+
+    /// Settings of one entry process.
+    #[must_use]
+    pub fn settings(
+        &self,
+        name: &str,
+        domain: &str,
+        listen: SocketAddr,
+        platform: PlatformSettings,
+    ) -> Settings {
+        Settings {
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            domains: self.domains.iter().map(|domain| domain.name.clone()).collect(),
+            listen,
+            peer_listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            peers: Vec::new(),
+            platform,
+            statsd: None,
+            log: self.log.clone(),
+            timing: self.timing.clone(),
+            limits: Limits { front_threads: FRONT_THREADS, ..Limits::default() },
+        }
+    }
+
+    fn add_echo(&mut self) {
+        if !self.services.iter().any(|service| service.name == "echo") {
+            self.services.extend(Self::default().services);
+        }
+    }
+}
+
+/// Collects the problems of a decoded file.
+struct Check<'a> {
+    file: &'a str,
+    root: &'a Node,
+    problems: Vec<Problem>,
+}
+
+impl Check<'_> {
+    fn run(mut self, cfg: &DevConfig) -> Vec<Problem> {
+        self.count("entries_per_domain", cfg.entries_per_domain);
+        self.domains(cfg);
+        if cfg.worker.cpu_millis == 0 || cfg.worker.memory_mb == 0 {
+            self.wrong("worker", "no processors or no memory", "cpu_millis and memory_mb above 0");
+        }
+        for (index, service) in cfg.services.iter().enumerate() {
+            self.name(&format!("services[{index}].name"), &service.name);
+            let path = format!("services[{index}].executors_per_domain");
+            self.count(&path, service.executors_per_domain);
+        }
+        match cfg.documents() {
+            Ok(documents) => self.services(cfg, &documents),
+            Err(cause) => self.wrong("catalogue", &cause, "documents that the catalogue accepts"),
+        }
+        self.entry_settings(cfg);
+        self.problems
+    }
+
+    fn domains(&mut self, cfg: &DevConfig) {
+        if cfg.domains.is_empty() {
+            self.wrong("domains", "an empty list", "at least one failure domain");
+        }
+        let mut names = BTreeSet::new();
+        for (index, domain) in cfg.domains.iter().enumerate() {
+            let path = format!("domains[{index}].name");
+            self.name(&path, &domain.name);
+            if !names.insert(&domain.name) {
+                self.report(&path, ProblemKind::Repeated { found: domain.name.clone() });
+            }
+            let workers = domain.racks.iter().fold(0, |sum: usize, rack| sum.saturating_add(*rack));
+            self.count(&format!("domains[{index}].racks"), workers);
+        }
+    }
+
+    /// Every service needs a document, or each of its requests would be refused.
+    fn services(&mut self, cfg: &DevConfig, documents: &[FileDocument]) {
+        for (index, service) in cfg.services.iter().enumerate() {
+            if !documents.iter().any(|document| document.name == service.name) {
+                let found = format!("{:?}", service.name);
+                let path = format!("services[{index}].name");
+                self.wrong(&path, &found, "the name of a document of the catalogue");
+            }
+        }
+    }
+
+    /// Applies the checks of an entry process's settings.
+    fn entry_settings(&mut self, cfg: &DevConfig) {
+        let unused = SocketAddr::from(([127, 0, 0, 1], 1));
+        let platform = PlatformSettings { table: unused, objects: unused, vms: unused };
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let domain = cfg.domains.first().map_or("dc-a", |domain| &domain.name);
+        let settings = cfg.settings("entry", domain, listen, platform);
+        let Ok(text) = serde_saphyr::to_string(&settings) else { return };
+        let Err(error) = crate::config::parse(self.file, &text) else { return };
+        for problem in error.problems {
+            let section = problem.field.split('.').next().unwrap_or_default();
+            if section == "timing" || section == "log" {
+                self.report(&problem.field, problem.kind);
+            }
+        }
+    }
+
+    fn count(&mut self, path: &str, found: usize) {
+        if !(1..=MAX_PER_DOMAIN).contains(&found) {
+            self.wrong(path, &found.to_string(), &format!("1 to {MAX_PER_DOMAIN} in a domain"));
+        }
+    }
+
+    fn name(&mut self, path: &str, name: &str) {
+        if !is_name(name) {
+            self.wrong(path, &format!("{name:?}"), "1 to 63 characters out of a-z, 0-9 and '-'");
+        }
+    }
+
+    fn wrong(&mut self, path: &str, found: &str, expected: &str) {
+        let kind =
+            ProblemKind::WrongType { found: found.to_owned(), expected: expected.to_owned() };
+        self.report(path, kind);
+    }
+
+    fn report(&mut self, path: &str, kind: ProblemKind) {
+        let line = line_of(self.root, path);
+        let file = self.file.to_owned();
+        self.problems.push(Problem { file, line, field: path.to_owned(), kind });
+    }
+}
+
+/// Line of the value at a path, or of the innermost map or list on the way to it.
+fn line_of(root: &Node, path: &str) -> u64 {
+    let mut node = root;
+    for part in path.split(['.', '[']) {
+        let next = match &node.value {
+            Value::Map(entries) => {
+                entries.iter().find(|(key, _)| key.name == part).map(|(_, node)| node)
+            }
+            Value::List(items) => {
+                part.trim_end_matches(']').parse().ok().and_then(|index: usize| items.get(index))
+            }
+            _ => None,
+        };
+        let Some(next) = next else { return node.line };
+        node = next;
+    }
+    node.line
+}
+
+fn problem(file: &str, line: u64, field: &str, kind: ProblemKind) -> SettingsError {
+    let problem = Problem { file: file.to_owned(), line, field: field.to_owned(), kind };
+    SettingsError { problems: vec![problem] }
+}
+
+/// An error and its causes in one line.
+fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text = format!("{text}: {error}");
+        cause = error.source();
+    }
+    text
+}
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -123,7 +123,9 @@
 #[test]
 fn every_command_has_help_with_an_example() {
     for command in [
+        "entry",
         "check",
+        "dev",
         "catalogue",
         "catalogue list",
         "catalogue get",
@@ -318,3 +320,28 @@
     );
     server.close();
 }
+
+/// Guards against a first try that does not work, and against an exit code that says so when it does.
+#[test]
+fn dev_once_serves_a_request_runs_a_task_and_exits_0() {
+    let run = run(&["dev", "--once", "--listen", "127.0.0.1:0"]);
+    assert_eq!(run.code, 0, "{}{}", run.out, run.err);
+    let lines: Vec<&str> = run.out.lines().collect();
+    assert_eq!(lines.len(), 5, "{}", run.out);
+    assert_eq!(lines[0], "DOMAIN  ENTRY PROCESSES");
+    assert!(lines[1].starts_with("dc-a    127.0.0.1:"), "{}", lines[1]);
+    assert_eq!(lines[2], "4 workers, 2 targets");
+    assert!(lines[3].starts_with("request  echo answered in "), "{}", lines[3]);
+    assert!(lines[4].contains(" of count succeeded in "), "{}", lines[4]);
+    assert!(lines[4].ends_with(" attempt 1 in dc-a"), "{}", lines[4]);
+}
+
+#[test]
+fn dev_that_cannot_listen_names_the_address_and_exits_1() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let run = run(&["dev", "--once", "--listen", &address]);
+    assert_eq!((run.code, run.out.as_str()), (1, ""), "{}", run.err);
+    let expected = format!("could not start on {address}; name a free address with --listen");
+    assert!(run.err.contains(&expected), "{}", run.err);
+}
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -1,6 +1,7 @@
 //! Tests of settings.
 
 use plantainlever::config;
+use plantainlever::ops::dev::config::DevConfig;
 
 /// A file that is valid.
 const VALID: &str = "\
@@ -239,3 +240,55 @@
     };
     value[key].as_str().map_or_else(|| value[key].to_string(), str::to_owned)
 }
+
+fn dev_problems(text: &str) -> Vec<String> {
+    match DevConfig::parse("f", text) {
+        Ok(_) => Vec::new(),
+        Err(error) => error.to_string().lines().map(str::to_owned).collect(),
+    }
+}
+
+/// Guards against examples that no longer fit the code, and against figures that drift from the deployments' sizes.
+#[test]
+fn the_examples_describe_the_two_deployments() {
+    for (name, text, workers) in [
+        ("hamutenya", include_str!("../../examples/hamutenya.yaml"), 65),
+        ("hsinchu", include_str!("../../examples/hsinchu.yaml"), 50),
+    ] {
+        assert_eq!(dev_problems(text), Vec::<String>::new(), "{name}");
+        let cfg = DevConfig::parse(name, text).unwrap();
+        assert_eq!(cfg.domains.len(), 3, "{name}");
+        assert_eq!(cfg.domains.iter().flat_map(|it| &it.racks).sum::<usize>(), workers, "{name}");
+        assert!((6..=9).contains(&(cfg.entries_per_domain * cfg.domains.len())), "{name}");
+    }
+}
+
+#[test]
+fn problems_of_a_dev_file_are_reported_with_their_lines() {
+    let text = "\
+entries_per_domain: 0
+domains:
+  - { name: a, racks: [0] }
+  - { name: a, racks: [4] }
+services:
+  - { name: nothing, executors_per_domain: 1 }
+timing:
+  freshness_ms: 4000
+";
+    assert_eq!(
+        dev_problems(text),
+        [
+            "f:1: entries_per_domain: found 0; allowed: 1 to 200 in a domain",
+            "f:3: domains[0].racks: found 0; allowed: 1 to 200 in a domain",
+            "f:4: domains[1].name: found \"a\" twice; allowed: each name once",
+            "f:6: services[0].name: found \"nothing\"; allowed: the name of a document of the catalogue",
+            "f:8: timing.freshness_ms: found 4000; allowed: less than timing.start_window_ms (4000), because a start \
+             sent at the end of the freshness must still reach the worker before its first lease lapses",
+        ]
+    );
+    assert_eq!(dev_problems("domain: a\n").len(), 1);
+    assert!(
+        dev_problems("domain: a\n")[0]
+            .starts_with("f:1: -: the file is not valid YAML: unknown field")
+    );
+}
--- a/tests/testsuite/telemetry.rs
+++ b/tests/testsuite/telemetry.rs
@@ -93,10 +93,13 @@
     }
 }
 
-/// Takes the names from calls such as `.count("name", 1)`, also when the name stands on the next line.
+/// Takes the names from calls such as `metrics.count("name", 1)`, also when they stand on several lines.
 fn metric_names(text: &str, used: &mut BTreeMap<String, &'static str>) {
     for (method, kind) in [(".count(", "counter"), (".gauge(", "gauge"), (".time(", "timer")] {
         for (at, _) in text.match_indices(method) {
+            if !text[..at].trim_end().ends_with("metrics") {
+                continue;
+            }
             let args = text[at + method.len()..].trim_start();
             if let Some((name, _)) = args.strip_prefix('"').and_then(|rest| rest.split_once('"')) {
                 used.insert(name.to_owned(), kind);
