Add a TCP relay that can be cut and counts bytes

Cause: cuts between real processes and the platform need a fault on the wire, and docs/CAPACITY.md needs bytes with headers counted. Ruled out: dropping answers in the stand-ins; a process would still connect, and the headers would not be counted.

--- a/crates/plantainlever-test-support/src/lib.rs
+++ b/crates/plantainlever-test-support/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod checker;
 pub mod fault;
+pub mod link;
 pub mod process;
 pub mod site;
 pub mod wait;
