Add process control and the site builder, and follow traces through peers

Cause: tests could not start real entry processes, and a trace ended at the border of a process as far as a test could tell. The spans that tarpc makes were not connected to the request.

Ruled out: settings files with fixed ports. The process picks its ports and the test reads them from event P0100. Taking all of tarpc's spans was ruled out as well, because heartbeats belong to no request.

Change: test support can start, freeze and end entry processes, wait for conditions with what was seen last, and build a site with stand-ins, fault switches and a link of its own for each process. The call that forwards a request runs in a span of its trace (two lines in the peer node).

Conclusion: links between peers are not part of a site yet, because a process announces the address that it listens on.

--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -18,12 +18,14 @@
 use tarpc::{client, context};
 use thiserror::Error;
 use tokio::sync::{oneshot, watch};
+use tracing::Instrument as _;
 
 use super::message::{
     ForwardedAnswer, ForwardedRequest, HandOver, HandOverReply, Heartbeat, HeartbeatReply,
     HoldAnswer, HoldQuery, RecordKey, RecordKeyReply, Relay, RelayReply,
 };
 use super::{PeerError, PeerHandler, Peers};
+use crate::telemetry::trace;
 
 /// Largest message: a request body plus headers, with room for the codec.
 const MAX_FRAME_BYTES: usize = 32 << 20;
@@ -415,6 +417,9 @@
         msg: ForwardedRequest,
         timeout: Duration,
     ) -> Result<ForwardedAnswer, PeerError> {
-        self.call(address, timeout, |peer, cx| boxed(async move { peer.forward(cx, msg).await }))
+        let span = trace::peer_call(&msg.traceparent);
+        self.call(address, timeout, |peer, cx| {
+            boxed(async move { peer.forward(cx, msg).await }.instrument(span))
+        })
     }
 }
--- a/src/telemetry/trace.rs
+++ b/src/telemetry/trace.rs
@@ -46,38 +46,45 @@
 #[derive(Debug)]
 pub struct Tracing {
     provider: SdkTracerProvider,
+    /// Exports the spans that tarpc makes, if spans are logged.
+    peer_calls: Option<SdkTracerProvider>,
 }
 
 impl Tracing {
     /// Begins to log sampled spans, if the settings say so.
     #[must_use]
     pub fn start(cfg: &LogSettings) -> Self {
-        let provider = if cfg.spans { exporting(cfg.span_percent) } else { passing_on() };
-        replace_tracer(tracer_of(&provider));
-        if cfg.spans {
-            follow_peer_calls(tracer_of(&provider));
+        if !cfg.spans {
+            return Self { provider: passing_on(), peer_calls: None };
         }
-        Self { provider }
+        let ratio = f64::from(cfg.span_percent) / 100.0;
+        let provider = exporting(Sampler::TraceIdRatioBased(ratio));
+        replace_tracer(tracer_of(&provider));
+        // Heartbeats belong to no request, so of tarpc's spans only those of a sampled trace are taken.
+        let peer_calls = exporting(Sampler::AlwaysOff);
+        follow_peer_calls(tracer_of(&peer_calls));
+        Self { provider, peer_calls: Some(peer_calls) }
     }
 
     /// Writes the spans that wait and ends the thread. Contexts are still passed on.
     pub fn close(self) {
         replace_tracer(tracer_of(&passing_on()));
         // Spans that cannot be written in time are lost, as when the queue is full.
-        let _ = self.provider.shutdown_with_timeout(STOP_TIMEOUT);
+        for provider in std::iter::once(self.provider).chain(self.peer_calls) {
+            let _ = provider.shutdown_with_timeout(STOP_TIMEOUT);
+        }
     }
 }
 
-fn exporting(span_percent: u8) -> SdkTracerProvider {
+/// Exports all hops of a trace that its caller samples. `of_new` samples the traces that begin here.
+fn exporting(of_new: Sampler) -> SdkTracerProvider {
     let batch = BatchConfigBuilder::default()
         .with_max_queue_size(QUEUE_SPANS)
         .with_max_export_batch_size(BATCH_SPANS)
         .with_scheduled_delay(FLUSH_PERIOD)
         .build();
     let processor = BatchSpanProcessor::builder(LogExporter).with_batch_config(batch).build();
-    let ratio = f64::from(span_percent) / 100.0;
-    // A caller that samples its trace gets all hops of it; of the others, a share is sampled here.
-    let sampler = Sampler::ParentBased(Box::new(Sampler::TraceIdRatioBased(ratio)));
+    let sampler = Sampler::ParentBased(Box::new(of_new));
     SdkTracerProvider::builder().with_span_processor(processor).with_sampler(sampler).build()
 }
 
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -6,6 +6,8 @@
 
 use plantainlever::local::server::ServerRequest;
 use plantainlever::local::{JsonServer, Reply};
+use plantainlever_test_support::site::SiteBuilder;
+use plantainlever_test_support::wait;
 use serde_json::json;
 
 /// What a run of the binary left.
@@ -345,3 +347,62 @@
     let expected = format!("could not start on {address}; name a free address with --listen");
     assert!(run.err.contains(&expected), "{}", run.err);
 }
+
+/// Guards against a stop that a balancer does not see, and against one that fails.
+#[test]
+fn entry_answers_readyz_with_503_and_exits_0_on_sigterm() {
+    let mut site = SiteBuilder::new(env!("CARGO_BIN_EXE_plantainlever"))
+        .timing(|timing| timing.balancer_wait_ms = 1_000)
+        .start()
+        .unwrap();
+    let process = &mut site.entries_mut()[0].process;
+    assert!(process.is_ready());
+    process.terminate().unwrap();
+    wait::until_true("/readyz answers 503", wait::BOUND, || !process.is_ready(), || "still 200");
+    let status = process.wait(wait::BOUND).unwrap();
+    assert_eq!(status.code(), Some(0), "{}", process.log().join("\n"));
+    let log = process.log();
+    let events: Vec<&str> = ["P0100", "P0101", "P0102"]
+        .into_iter()
+        .filter(|event| log.iter().any(|line| line.contains(event)))
+        .collect();
+    assert_eq!(events, ["P0100", "P0101", "P0102"]);
+}
+
+/// Guards against commands that work with a stand-in of the server only.
+#[test]
+fn commands_work_with_a_real_process() {
+    let site =
+        SiteBuilder::new(env!("CARGO_BIN_EXE_plantainlever")).domains(&["dc-a"]).start().unwrap();
+    let server = site.entries()[0].process.address().to_string();
+    let file = TempFile::new("real.yaml", ECHO);
+    let command = |args: &[&str]| run(&[args, &["--server", &server]].concat());
+
+    let applied = command(&["catalogue", "apply", file.text()]);
+    assert_eq!((applied.code, applied.out.as_str()), (0, "echo: new\n"), "{}", applied.err);
+    wait::until("the copy has the document", wait::BOUND, || {
+        let found = command(&["catalogue", "get", "echo", "-q"]);
+        if found.code == 0 { Ok(()) } else { Err(found.err) }
+    });
+    // What get prints can be applied again.
+    let again = TempFile::new("again.yaml", &command(&["catalogue", "get", "echo", "-q"]).out);
+    assert_eq!(command(&["catalogue", "apply", again.text()]).out, "echo: unchanged\n");
+    let history = command(&["catalogue", "history"]);
+    assert_eq!(history.code, 0, "{}", history.err);
+    assert!(history.out.lines().nth(1).unwrap().ends_with("  echo"), "{}", history.out);
+
+    let unknown = command(&["domain", "out", "dc-x"]);
+    assert_eq!((unknown.code, unknown.out.as_str()), (1, ""));
+    assert!(unknown.err.contains("404 (unknown-domain)"), "{}", unknown.err);
+    assert_eq!(command(&["domain", "out", "dc-a", "--wait"]).code, 0);
+    let status = wait::until("the copy has the state", wait::BOUND, || {
+        let status = command(&["status"]);
+        if status.out.contains("\ndc-a    out ") { Ok(status) } else { Err(status.out) }
+    });
+    assert!(status.out.lines().all(|line| line.len() <= 80), "{}", status.out);
+    assert_eq!(command(&["domain", "in", "dc-a"]).out, "dc-a is in service\n");
+
+    let task = command(&["task", "show", "t-none"]);
+    assert_eq!(task.code, 1);
+    assert!(task.err.contains("404 (unknown-task)"), "{}", task.err);
+}
--- a/tests/testsuite/telemetry.rs
+++ b/tests/testsuite/telemetry.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 
 use plantainlever::config::LogSettings;
+use plantainlever::platform::vms::VmRole;
 use plantainlever::telemetry::{Metrics, Span, Tracing, event, time};
+use plantainlever_test_support::site::SiteBuilder;
+use plantainlever_test_support::wait;
 
 fn page(name: &str) -> String {
     std::fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("docs").join(name)).unwrap()
@@ -228,3 +231,73 @@
     assert_eq!(time::utc_text(951_827_696_000), "2000-02-29 12:34:56");
     assert_eq!(time::utc_text(1_767_225_599_999), "2025-12-31 23:59:59");
 }
+
+fn service() -> plantainlever::catalogue::Document {
+    serde_json::from_value(serde_json::json!({
+        "kind": "entry", "owner": "tests", "class": "latency-critical", "limits": {},
+    }))
+    .unwrap()
+}
+
+/// Guards against a hop between processes that loses the trace: the domain that is asked has no target, so the request
+/// passes through a second process.
+#[test]
+fn a_trace_can_be_followed_through_two_processes() {
+    let site = SiteBuilder::new(env!("CARGO_BIN_EXE_plantainlever"))
+        .domains(&["dc-a", "dc-b"])
+        .targets_per_domain("echo", 1)
+        .document("echo", service())
+        .log(|log| log.spans = true)
+        .log(|log| log.span_percent = 0)
+        .start()
+        .unwrap();
+    site.vms().remove(VmRole::Target, "echo-dc-a-1");
+    let trace = "0123456789abcdef0123456789abcdef";
+    let url = format!("http://{}/v1/services/echo/x", site.entries()[0].process.address());
+    wait::until("a request is forwarded", wait::BOUND, || {
+        let answer = ureq::put(&url)
+            .header("traceparent", format!("00-{trace}-b7ad6b7169203331-01"))
+            .send("hello")
+            .map_err(|error| error.to_string())?;
+        let forwarded = spans(&site.entries()[1].process.log(), trace);
+        if forwarded.is_empty() { Err(format!("{}", answer.status())) } else { Ok(()) }
+    });
+
+    let (first, second) = wait::until("the spans are logged", wait::BOUND, || {
+        let logs = site.entries().iter().map(|entry| spans(&entry.process.log(), trace));
+        let logs: Vec<_> = logs.collect();
+        let forwarded = logs[1].iter().find(|span| span.name == "forwarded").cloned();
+        let forwarded = forwarded.ok_or("the second process has no span")?;
+        let is_parent = |span: &&SpanLine| span.id == forwarded.parent;
+        let forward = logs[0].iter().find(is_parent).cloned().ok_or("no parent is logged")?;
+        let front = logs[0].iter().find(|span| span.id == forward.parent);
+        front.ok_or("no front is logged").map(|front| ((front.clone(), forward), forwarded))
+    });
+    assert_eq!((first.0.name.as_str(), first.1.name.as_str()), ("front", "forward"));
+    assert_eq!(first.0.parent, "b7ad6b7169203331");
+    assert!(second.duration_us <= first.1.duration_us, "{second:?} within {first:?}");
+    // tarpc's own span of the call belongs to the same trace.
+    let calls = spans(&site.entries()[0].process.log(), trace);
+    assert!(calls.iter().any(|span| span.name == "peer-call"), "{calls:?}");
+    let heartbeats = site.entries()[0].process.log();
+    assert!(!heartbeats.iter().any(|line| line.contains("P0110") && !line.contains(trace)));
+}
+
+#[derive(Clone, Debug)]
+struct SpanLine {
+    name: String,
+    id: String,
+    parent: String,
+    duration_us: u64,
+}
+
+fn spans(log: &[String], trace: &str) -> Vec<SpanLine> {
+    let of_trace = |line: &&String| line.contains(" P0110 ") && field(line, "trace") == trace;
+    let parse = |line: &String| SpanLine {
+        name: field(line, "name").to_owned(),
+        id: field(line, "span").to_owned(),
+        parent: field(line, "parent").to_owned(),
+        duration_us: field(line, "duration_us").parse().unwrap(),
+    };
+    log.iter().filter(of_trace).map(parse).collect()
+}
