Dispatch a keyed request only on the word of a majority

A process that reached only the table dispatched on the row alone while another one dispatched on a majority, and a repeat ran although its first attempt had been dispatched, on the caller's assertion, in a domain that was cut off: 2 runs of one booking in each. Ruled out: the row as a condition for every claim, which would stop bookings with the store; a majority of the whole fleet, whose cost grows with it. The test now waits for the port with a bound of 20 s.

--- a/src/ops/keys.rs
+++ b/src/ops/keys.rs
@@ -323,7 +323,8 @@
     if !round.taken.is_empty() {
         return Claim::InProgress;
     }
-    if round.has_majority() || round.row == RowClaim::Won {
+    // The row alone grants nothing: another process that does not reach the table may have a majority.
+    if round.is_granted() {
         return Claim::Fresh;
     }
     unprotected(req)
--- a/src/ops/keys/round.rs
+++ b/src/ops/keys/round.rs
@@ -1,14 +1,15 @@
 //! One parallel round over the other entry processes and the table.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::mpsc::{self, Receiver, SyncSender};
 use std::time::{Duration, Instant};
 
 use super::KeyedRequest;
 use crate::ops::Context;
-use crate::peer::{PeerError, RecordKey, RecordKeyReply};
+use crate::peer::{Member, PeerError, RecordKey, RecordKeyReply};
 use crate::platform::table::{CommitResult, Condition, ReadRequest, Table, Transaction, Write};
 use crate::request::key::{KeyRow, row_key};
+use crate::request::recorders::Recorders;
 
 /// What the table said.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,10 +25,12 @@
 /// Result of a round.
 #[derive(Debug)]
 pub(super) struct Round {
-    /// Entry processes that are known, this one included; `None` if the members have not been read.
-    pub(super) members: Option<usize>,
+    /// The processes that were asked and what their votes mean.
+    recorders: Recorders,
     /// Processes that recorded the claim, this one included.
-    pub(super) votes: usize,
+    votes: BTreeSet<String>,
+    /// Domains in which a process recorded the claim.
+    domains: BTreeSet<String>,
     /// Digests of records of other holders.
     pub(super) taken: Vec<String>,
     /// The table's part.
@@ -35,18 +38,25 @@
 }
 
 impl Round {
-    pub(super) fn has_majority(&self) -> bool {
-        self.members.is_some_and(|members| self.votes > members / 2)
+    /// True if no other claim that asked a majority can have been granted, and, for a repeat, if each domain has been
+    /// asked: a domain that was cut off may have dispatched a first attempt on the caller's word.
+    pub(super) fn is_granted(&self) -> bool {
+        self.recorders.is_majority(&self.votes) && self.recorders.domains.is_subset(&self.domains)
+    }
+
+    fn vote(&mut self, member: &Member) {
+        self.votes.insert(member.process.clone());
+        self.domains.insert(member.domain.clone());
     }
 
     /// True once nothing that is still under way can change the decision.
     fn is_decided(&self) -> bool {
-        self.has_majority() && self.row == RowClaim::Won && self.taken.is_empty()
+        self.is_granted() && self.row == RowClaim::Won && self.taken.is_empty()
     }
 }
 
 enum Part {
-    Peer(String, Result<RecordKeyReply, PeerError>),
+    Peer(Member, Result<RecordKeyReply, PeerError>),
     Row(RowClaim),
 }
 
@@ -54,14 +64,16 @@
 pub(super) fn ask(cx: &Context, req: &KeyedRequest, local: bool, wait: Duration) -> Round {
     let deadline = Instant::now() + wait;
     let directory = cx.directory.snapshot();
-    let (tx, rx) = mpsc::sync_channel(directory.len() + 1);
+    let is_repeat = req.attempt != Some(1);
+    let recorders = Recorders::choose(&directory, &cx.process, &req.key, is_repeat);
+    let (tx, rx) = mpsc::sync_channel(recorders.asked.len() + 1);
     let mut open = 1;
     start(cx, req, &tx, move |cx, req| {
         Part::Row(claim_row(cx.table.as_ref(), &cx.process, req, local))
     });
-    for member in directory.values().filter(|member| member.process != cx.process) {
+    for member in recorders.asked.values() {
         open += 1;
-        let (name, address) = (member.process.clone(), member.peer_address.clone());
+        let member = member.clone();
         start(cx, req, &tx, move |cx, req| {
             let msg = RecordKey {
                 service: req.service.clone(),
@@ -69,11 +81,21 @@
                 digest: req.digest.clone(),
                 holder: cx.process.clone(),
             };
-            Part::Peer(name, cx.peers.record_key(&address, msg, wait))
+            let reply = cx.peers.record_key(&member.peer_address, msg, wait);
+            Part::Peer(member, reply)
         });
     }
-    let members = directory.contains_key(&cx.process).then_some(directory.len());
-    collect(&rx, open, deadline, members, usize::from(local))
+    let mut round = Round {
+        recorders,
+        votes: BTreeSet::new(),
+        domains: BTreeSet::new(),
+        taken: Vec::new(),
+        row: RowClaim::NoAnswer,
+    };
+    if let Some(own) = directory.get(&cx.process).filter(|_| local) {
+        round.vote(own);
+    }
+    collect(round, &rx, open, deadline)
 }
 
 /// Runs one part in a thread. A part whose thread cannot be started gives no answer.
@@ -91,28 +113,19 @@
     });
 }
 
-fn collect(
-    rx: &Receiver<Part>,
-    open: usize,
-    deadline: Instant,
-    members: Option<usize>,
-    votes: usize,
-) -> Round {
-    let mut round = Round { members, votes, taken: Vec::new(), row: RowClaim::NoAnswer };
-    // Records of other holders by holder, with the number of peers that reported each.
-    let mut others: BTreeMap<String, (String, usize)> = BTreeMap::new();
-    let mut recorded: Vec<String> = Vec::new();
+fn collect(mut round: Round, rx: &Receiver<Part>, open: usize, deadline: Instant) -> Round {
+    // Records of other holders by holder, with the peers that reported each.
+    let mut others: BTreeMap<String, (String, Vec<Member>)> = BTreeMap::new();
     for _ in 0..open {
         let remaining = deadline.saturating_duration_since(Instant::now());
         let Ok(part) = rx.recv_timeout(remaining) else { break };
         match part {
             Part::Row(row) => round.row = row,
-            Part::Peer(name, Ok(RecordKeyReply::Recorded)) => {
-                round.votes += 1;
-                recorded.push(name);
-            }
-            Part::Peer(_, Ok(RecordKeyReply::Taken { holder, digest })) if !holder.is_empty() => {
-                others.entry(holder).or_insert((digest, 0)).1 += 1;
+            Part::Peer(member, Ok(RecordKeyReply::Recorded)) => round.vote(&member),
+            Part::Peer(member, Ok(RecordKeyReply::Taken { holder, digest }))
+                if !holder.is_empty() =>
+            {
+                others.entry(holder).or_insert((digest, Vec::new())).1.push(member);
             }
             Part::Peer(..) => {}
         }
@@ -122,8 +135,8 @@
     }
     for (holder, (digest, reports)) in others {
         // A holder that recorded the new claim has released its own.
-        if recorded.contains(&holder) {
-            round.votes += reports;
+        if round.votes.contains(&holder) {
+            reports.iter().for_each(|member| round.vote(member));
         } else {
             round.taken.push(digest);
         }
--- a/src/request.rs
+++ b/src/request.rs
@@ -2,6 +2,7 @@
 
 pub mod key;
 pub mod lifecycle;
+pub mod recorders;
 
 use std::fmt;
 
--- a/tests/testsuite/peer.rs
+++ b/tests/testsuite/peer.rs
@@ -1,8 +1,9 @@
 //! Tests of the messages between entry processes.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use plantainlever::peer::{
     ForwardedAnswer, ForwardedRequest, HandOver, HandOverReply, Heartbeat, HeartbeatReply,
@@ -11,6 +12,7 @@
 };
 
 const TIMEOUT: Duration = Duration::from_secs(5);
+const REBIND_BOUND: Duration = Duration::from_secs(20);
 const SLOW_FORWARD: Duration = Duration::from_millis(500);
 
 /// Answers heartbeats at once and forwarded requests slowly.
@@ -134,6 +136,20 @@
     client.close();
 }
 
+/// Starts a node at an address that was just given up. The system may lend the port to an outgoing connection of another
+/// test for a moment.
+fn rebind(address: SocketAddr) -> PeerNode {
+    let started = Instant::now();
+    loop {
+        let handler: Arc<dyn PeerHandler> = Arc::new(SlowForwarder::default());
+        match PeerNode::start(address, handler) {
+            Ok(node) => return node,
+            Err(error) => assert!(started.elapsed() < REBIND_BOUND, "{error:?}"),
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Guards against a connection that stays cached after its peer has been replaced at the same address.
 #[test]
 fn a_replaced_peer_is_reached_again() {
@@ -142,8 +158,7 @@
     let (client, _) = start_node();
     client.heartbeat(&address.to_string(), heartbeat(0), TIMEOUT).unwrap();
     first.close();
-    let handler: Arc<dyn PeerHandler> = Arc::new(SlowForwarder::default());
-    let second = PeerNode::start(address, handler).unwrap();
+    let second = rebind(address);
     let reached =
         (0..20).any(|_| client.heartbeat(&address.to_string(), heartbeat(0), TIMEOUT).is_ok());
     assert!(reached);
--- a/tests/testsuite/requests/keys.rs
+++ b/tests/testsuite/requests/keys.rs
@@ -164,3 +164,54 @@
     assert_eq!(store.record("s", "d", "d", "p", start + window), Recording::Recorded);
     assert_eq!(store.len(), 1);
 }
+
+/// Guards against a process that dispatches on the word of the table alone while another one, which does not reach the
+/// table, dispatches on the word of a majority: the two never meet.
+#[test]
+fn the_table_alone_is_not_enough_to_dispatch() {
+    let (site, entries) = site_of_three();
+    let _target = site.target("t1", "a");
+    entries.iter().for_each(|entry| entry.wait_for_slots(8));
+    site.wires.cut("p2");
+    site.wires.cut("p3");
+    let alone = post(&entries[0], "k", "2", "booking");
+    site.wires.heal("p2");
+    site.wires.heal("p3");
+    site.wires.cut("p1");
+    site.table.down.store(true, Ordering::SeqCst);
+    let majority = post(&entries[1], "k", "3", "booking");
+    let runs = site.runs_of(b"booking");
+    assert!(runs <= 1, "ran {runs} times: {alone:?} {majority:?}");
+}
+
+/// Guards against a repeat that runs although its first attempt was dispatched, on the caller's word alone, in a domain
+/// that was cut off from the table and from the others.
+#[test]
+fn a_repeat_waits_for_a_domain_that_cannot_be_asked() {
+    let site = Site::default();
+    for (name, domain) in [("p1", "a"), ("p2", "b"), ("p3", "b")] {
+        site.list_member(name, domain);
+    }
+    let start = |name: &str, domain: &str| {
+        let entry = Arc::new(site.entry(name, domain));
+        site.wires.connect(name, Arc::clone(&entry) as _);
+        entry
+    };
+    let (first, other, _third) = (start("p1", "a"), start("p2", "b"), start("p3", "b"));
+    let _targets = (site.target("t1", "a"), site.target("t2", "b"));
+    first.wait_for_slots(8);
+    other.wait_for_slots(8);
+    site.wires.cut("p2");
+    site.wires.cut("p3");
+    site.table.down.store(true, Ordering::SeqCst);
+    assert_eq!(post(&first, "k", "1", "booking").outcome, "completed");
+    site.wires.heal("p2");
+    site.wires.heal("p3");
+    site.wires.cut("p1");
+    site.table.down.store(false, Ordering::SeqCst);
+    let repeat = post(&other, "k", "2", "booking");
+    assert_eq!(site.runs_of(b"booking"), 1, "{repeat:?}");
+    assert_eq!(repeat.outcome, "unknown");
+    // A request that its caller says to be new needs no answer from the domain that is cut off.
+    assert_eq!(post(&other, "k2", "1", "another booking").outcome, "completed");
+}
--- a/tests/testsuite/requests/rig.rs
+++ b/tests/testsuite/requests/rig.rs
@@ -210,6 +210,10 @@
         self.cut.lock().unwrap().insert(address.to_owned());
     }
 
+    pub fn heal(&self, address: &str) {
+        self.cut.lock().unwrap().remove(address);
+    }
+
     fn node(&self, address: &str) -> Result<Arc<dyn Node>, PeerError> {
         let cut = self.cut.lock().unwrap().contains(address);
         let node = self.nodes.lock().unwrap().get(address).cloned().filter(|_| !cut);
