--- a/src/ops/membership.rs
+++ b/src/ops/membership.rs
@@ -40,23 +40,23 @@
 
 #[derive(Clone, Debug)]
 enum ShareSource {
-    Whole(Instant),
+    Whole(Arc<Share>),
     Members(Arc<Mutex<State>>),
 }
 
 impl ShareCell {
     /// For a process that is alone in its domain, as `dev` is.
     #[must_use]
-    pub fn whole(since: Instant) -> Self {
-        Self { source: ShareSource::Whole(since) }
+    pub fn whole(own: &str, since: Instant) -> Self {
+        Self { source: ShareSource::Whole(Arc::new(Share::whole(own, since))) }
     }
 
     /// The own part, or `None` while no slots may be used.
     #[must_use]
-    pub fn current(&self, now: Instant) -> Option<Share> {
+    pub fn current(&self, now: Instant) -> Option<Arc<Share>> {
         match &self.source {
-            ShareSource::Whole(since) => Some(Share::whole(*since)),
-            ShareSource::Members(state) => lock(state).rules.share(now),
+            ShareSource::Whole(share) => Some(Arc::clone(share)),
+            ShareSource::Members(state) => lock(state).rules.share(now).map(Arc::new),
         }
     }
 }
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -20,12 +20,17 @@
 }
 
 /// The own part of the slots and connections.
+///
+/// Each slot belongs to the member with the highest hash of member, executor and slot. A joining member takes slots from
+/// others and moves none between them, so two processes that know different members never both own a slot, as long as a
+/// joining process uses none before all others have counted it. An even division by rank lacks this: the parts of 8
+/// slots are 2, 2, 2, 1, 1 with five members, and a sixth one moves the second slot of a member to another.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Share {
-    /// Position among the members in name order.
-    pub rank: u32,
-    /// Number of members, this process included.
-    pub members: u32,
+    /// Name of this process.
+    pub own: String,
+    /// Names of the other members.
+    pub others: BTreeSet<String>,
     /// When the members changed last. Slots gained by the change wait for a later report of the executor.
     pub since: Instant,
 }
@@ -33,23 +38,39 @@
 impl Share {
     /// The part of a process that is alone.
     #[must_use]
-    pub fn whole(since: Instant) -> Self {
-        Self { rank: 0, members: 1, since }
+    pub fn whole(own: &str, since: Instant) -> Self {
+        Self { own: own.to_owned(), others: BTreeSet::new(), since }
     }
 
-    /// This process's part of `limit` at an executor. The parts of all members add up to `limit`.
+    /// This process's part of `limit` slots at an executor. The parts of all members add up to `limit`.
     #[must_use]
-    pub fn of(&self, limit: u32, executor: &str) -> u32 {
-        let members = self.members.max(1);
-        // The remainder starts at a member that depends on the executor, so that no member gets all remainders.
-        let turn = (self.rank + offset(executor) % members) % members;
-        limit / members + u32::from(turn < limit % members)
+    pub fn slots(&self, limit: u32, executor: &str) -> u32 {
+        (0..limit).map(|slot| u32::from(self.owns(executor, slot))).sum()
+    }
+
+    /// This process's part of `limit` connections. They follow the slots, so that a slot always has connections.
+    #[must_use]
+    pub fn connections(&self, limit: u32, slots: u32, executor: &str) -> u32 {
+        let owned = (0..slots).filter(|slot| self.owns(executor, *slot));
+        owned.map(|slot| limit / slots + u32::from(slot < limit % slots)).sum()
+    }
+
+    fn owns(&self, executor: &str, slot: u32) -> bool {
+        let own = (weight(&self.own, executor, slot), &self.own);
+        self.others.iter().all(|other| (weight(other, executor, slot), other) < own)
     }
 }
 
-/// FNV-1a: the same in every process and build.
-fn offset(name: &str) -> u32 {
-    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+/// FNV-1a with a finalizer: the same in every process and build.
+fn weight(member: &str, executor: &str, slot: u32) -> u64 {
+    let bytes = member.bytes().chain([0]).chain(executor.bytes()).chain(slot.to_le_bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    // FNV leaves the high bits of names that differ only at their end alike.
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
 }
 
 /// A change that operators are told.
@@ -200,12 +221,7 @@
                 return None;
             }
         }
-        let before = self.members.iter().filter(|name| **name < self.own).count();
-        Some(Share {
-            rank: u32::try_from(before).unwrap_or(u32::MAX),
-            members: u32::try_from(self.members.len()).unwrap_or(u32::MAX).saturating_add(1),
-            since: self.changed,
-        })
+        Some(Share { own: self.own.clone(), others: self.members.clone(), since: self.changed })
     }
 
     /// Members without this process.
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -5,5 +5,6 @@
 
 mod answers;
 mod keys;
+mod membership;
 #[allow(dead_code)]
 mod rig;
