--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -82,6 +82,8 @@
     Lost(String),
     /// The own process was paused and suspends dispatch.
     Paused,
+    /// Nobody has answered, the own peer interface included; dispatch is suspended.
+    Unanswered,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -110,6 +112,11 @@
     acknowledged: Option<Instant>,
     /// When a connection was refused last, by an attempt that began then.
     refused: Option<Instant>,
+    /// Sending time of the newest heartbeat to the own address that was acknowledged.
+    looped: Option<Instant>,
+    /// Sending time of the first message since `resumed` that was answered, by anybody. Before it, silence is no sign of a
+    /// loss.
+    answering_since: Option<Instant>,
     /// True once all processes known since `resumed` have answered or proved silent.
     settled: bool,
     /// True once the addresses of the other processes are known.
@@ -130,6 +137,8 @@
             resumed: now,
             acknowledged: None,
             refused: None,
+            looped: None,
+            answering_since: None,
             settled: false,
             informed: false,
             changed: now,
@@ -151,12 +160,18 @@
         if now.saturating_duration_since(self.ticked) > self.timeouts.pause_limit {
             self.resume(now);
             changes.push(Change::Paused);
+        } else if self.is_unanswered(now) {
+            // The own peer interface hangs, so the others may have dropped this process.
+            self.resume(now);
+            changes.push(Change::Unanswered);
         }
         self.ticked = now;
         let timeout = self.timeouts.member_timeout;
+        let answering_since = self.answering_since;
         let is_silent = |peer: &Peer| {
-            let last = peer.heard.max(peer.known);
-            last.is_none_or(|last| now.saturating_duration_since(last) >= timeout)
+            let last = peer.heard.max(peer.known).max(answering_since);
+            answering_since.is_some()
+                && last.is_none_or(|last| now.saturating_duration_since(last) >= timeout)
         };
         let lost: Vec<String> = self
             .members
@@ -191,6 +206,7 @@
             return None;
         }
         self.acknowledged = self.acknowledged.max(Some(sent_at));
+        self.answering_since.get_or_insert(sent_at);
         let change = self.hear(from, now);
         if let Some(peer) = self.peers.get_mut(from) {
             peer.answered = true;
@@ -198,12 +214,22 @@
         change
     }
 
+    /// A heartbeat to the own address has been acknowledged. It shows that the own peer interface works, so that the
+    /// silence of all others is theirs.
+    pub fn on_looped(&mut self, sent_at: Instant) {
+        if sent_at >= self.resumed {
+            self.looped = self.looped.max(Some(sent_at));
+            self.answering_since.get_or_insert(sent_at);
+        }
+    }
+
     /// A connection attempt that began at `sent_at` was refused: the process at that address is gone.
     pub fn on_refused(&mut self, peer: &str, sent_at: Instant) {
         if sent_at < self.resumed {
             return;
         }
         self.refused = self.refused.max(Some(sent_at));
+        self.answering_since.get_or_insert(sent_at);
         if let Some(peer) = self.peers.get_mut(peer) {
             peer.answered = true;
         }
@@ -215,8 +241,11 @@
         if now.saturating_duration_since(self.ticked) > self.timeouts.pause_limit || !self.settled {
             return None;
         }
-        if !self.members.is_empty() {
-            let answered = self.acknowledged.max(self.refused)?;
+        if !self.peers.is_empty() {
+            let answered = self.acknowledged.max(self.refused);
+            // A process whose own peer interface hangs must not take the silence of the others for their loss.
+            let alone = self.looped.filter(|_| self.members.is_empty());
+            let answered = answered.max(alone)?;
             if now.saturating_duration_since(answered) >= self.timeouts.share_lease {
                 return None;
             }
@@ -244,12 +273,20 @@
         joined.then(|| Change::Joined(from.to_owned()))
     }
 
+    fn is_unanswered(&self, now: Instant) -> bool {
+        let answered = self.acknowledged.max(self.refused).max(self.looped);
+        let last = answered.unwrap_or(self.resumed).max(self.resumed);
+        !self.peers.is_empty() && now.saturating_duration_since(last) >= self.timeouts.share_lease
+    }
+
     /// Restarts all counts: what was heard before the pause says nothing about the time of the pause.
     fn resume(&mut self, now: Instant) {
         self.resumed = now;
         self.settled = false;
         self.acknowledged = None;
         self.refused = None;
+        self.looped = None;
+        self.answering_since = None;
         for peer in self.peers.values_mut() {
             *peer = Peer { heard: None, answered: false, known: Some(now) };
         }
--- a/tests/testsuite/requests/membership.rs
+++ b/tests/testsuite/requests/membership.rs
@@ -21,6 +21,8 @@
     rules: Membership,
     /// Steps left of a pause.
     paused: u64,
+    /// Steps left in which its peer interface hangs while the rest of it runs.
+    hangs: u64,
     /// When it sent its last heartbeats.
     sent: Option<u64>,
 }
@@ -69,7 +71,7 @@
         self.rows.insert(name.clone());
         let mut rules = Membership::new(&name, TIMEOUTS, self.now());
         rules.set_known(&self.rows, self.now());
-        self.alive.insert(name, Process { rules, paused: 0, sent: None });
+        self.alive.insert(name, Process { rules, paused: 0, hangs: 0, sent: None });
     }
 
     /// Runs one step. Messages take `delay` steps.
@@ -88,8 +90,13 @@
             }
             process.rules.set_known(&self.rows, now);
             process.rules.tick(now);
+            if process.hangs > 0 {
+                process.hangs -= 1;
+                continue;
+            }
             if process.sent.is_none_or(|sent| self.step - sent >= HEARTBEAT_STEPS) {
                 process.sent = Some(self.step);
+                process.rules.on_looped(now);
                 for to in self.rows.iter().filter(|to| *to != name) {
                     sent.push((name.clone(), to.clone()));
                 }
@@ -108,7 +115,7 @@
     fn deliver(&mut self, due: u64, message: Message, now: Instant, delay: u64) {
         let (Message::Heartbeat { to, .. } | Message::Acknowledged { to, .. }) = &message;
         let Some(process) = self.alive.get_mut(to) else { return };
-        if due > self.step || process.paused > 0 {
+        if due > self.step || process.paused > 0 || process.hangs > 0 {
             self.mail.push((due, message));
             return;
         }
@@ -143,7 +150,7 @@
     }
 }
 
-/// Guards against slots that two processes use at once after a pause, a death or a start.
+/// Guards against slots that two processes use at once after a pause, a death, a start or a peer thread that hangs.
 #[test]
 fn the_parts_in_use_never_exceed_the_limits() {
     arbtest::arbtest(|u| {
@@ -161,6 +168,12 @@
                         process.paused = process.paused.max(steps);
                     }
                 }
+                5 if !names.is_empty() => {
+                    let steps = u.int_in_range(1..=120)?;
+                    if let Some(process) = world.alive.get_mut(u.choose(&names)?) {
+                        process.hangs = process.hangs.max(steps);
+                    }
+                }
                 _ => {}
             }
             // A wake-up is checked before the process has ticked.
