--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -167,11 +167,13 @@
         }
         self.ticked = now;
         let timeout = self.timeouts.member_timeout;
-        let answering_since = self.answering_since;
+        let (first, last) = (self.answering_since, self.last_answered());
+        // Silence is counted up to the last message that was answered by anybody, because a peer interface that hangs
+        // hears nobody.
         let is_silent = |peer: &Peer| {
-            let last = peer.heard.max(peer.known).max(answering_since);
-            answering_since.is_some()
-                && last.is_none_or(|last| now.saturating_duration_since(last) >= timeout)
+            let heard = peer.heard.max(peer.known).max(first);
+            last.zip(heard)
+                .is_some_and(|(last, heard)| last.saturating_duration_since(heard) >= timeout)
         };
         let lost: Vec<String> = self
             .members
@@ -273,9 +275,13 @@
         joined.then(|| Change::Joined(from.to_owned()))
     }
 
+    /// Sending time of the newest message that was answered by anybody, the own peer interface included.
+    fn last_answered(&self) -> Option<Instant> {
+        self.acknowledged.max(self.refused).max(self.looped)
+    }
+
     fn is_unanswered(&self, now: Instant) -> bool {
-        let answered = self.acknowledged.max(self.refused).max(self.looped);
-        let last = answered.unwrap_or(self.resumed).max(self.resumed);
+        let last = self.last_answered().unwrap_or(self.resumed).max(self.resumed);
         !self.peers.is_empty() && now.saturating_duration_since(last) >= self.timeouts.share_lease
     }
 
