--- a/tests/testsuite/policy.rs
+++ b/tests/testsuite/policy.rs
@@ -1,6 +1,8 @@
 //! Tests of the pure decisions.
 
+mod interference;
 mod placement;
+mod preemption;
 mod quarantine;
 mod queue;
 
