--- /dev/null
+++ b/crates/plantainlever-test-support/src/checker/requests.rs
@@ -0,0 +1,47 @@
+//! Rules about callers' requests on executors.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use plantainlever::local::history::Entry;
+
+use super::{Broken, CheckLimits};
+use crate::caller::Record;
+
+pub(super) fn check(history: &[(Instant, Entry)], limits: &CheckLimits) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    let mut keys = BTreeSet::new();
+    for (_, entry) in history {
+        let Entry::RequestStarted { target, key, in_flight, connections, .. } = entry else {
+            continue;
+        };
+        if let Some(key) = key
+            && !keys.insert(key)
+        {
+            broken.push(Broken::RanTwice { key: key.clone(), target: target.clone() });
+        }
+        if *in_flight > limits.slots {
+            broken.push(Broken::OverSlots { target: target.clone(), in_flight: *in_flight });
+        }
+        if *connections > limits.connections {
+            let connections = *connections;
+            broken.push(Broken::OverConnections { target: target.clone(), connections });
+        }
+    }
+    broken
+}
+
+pub(super) fn check_callers(history: &[(Instant, Entry)], records: &[Record]) -> Vec<Broken> {
+    let mut ran: BTreeMap<&str, &str> = BTreeMap::new();
+    for (_, entry) in history {
+        if let Entry::RequestStarted { target, key: Some(key), .. } = entry {
+            ran.insert(key, target);
+        }
+    }
+    let told = records.iter().filter(|record| record.is_all_not_run());
+    told.filter_map(|record| {
+        let target = ran.get(record.key.as_str())?;
+        Some(Broken::RanDespiteNotRun { key: record.key.clone(), target: (*target).to_owned() })
+    })
+    .collect()
+}
--- a/src/domain/hold/holding.rs
+++ b/src/domain/hold/holding.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
+use serde::{Deserialize, Serialize};
+
 use super::{ClaimantClass, Delays, HoldRow};
 use crate::platform::table::Revision;
 
@@ -37,6 +39,18 @@
     }
 }
 
+/// What a holder passes to its successor.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Inherited {
+    /// The row as last read or written.
+    pub row: HoldRow,
+    /// Revision of the row.
+    pub revision: Revision,
+    /// A write of the row whose outcome is unknown. It may still commit, so the processes that it names count as named;
+    /// without it, one of them could claim unnoticed by the successor.
+    pub unsettled: Option<HoldRow>,
+}
+
 /// What a read of the hold row means for its holder.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RowVerdict {
@@ -74,30 +88,40 @@
         revision: Revision,
         sent_at: Instant,
     ) -> Self {
-        Self::inherited(process, delays, row, revision, Confirmations::all(sent_at))
+        let confirmed = Confirmations::all(sent_at);
+        Self::new(process, delays, Inherited { row, revision, unsettled: None }, confirmed)
     }
 
     /// A hold that was handed over by message: `confirmed` is this process's own knowledge of the row, since the
     /// message may have been delayed for any time.
     #[must_use]
-    pub fn inherited(
+    pub fn new(
         process: &str,
         delays: Delays,
-        row: HoldRow,
-        revision: Revision,
+        inherited: Inherited,
         confirmed: Confirmations,
     ) -> Self {
         Self {
             process: process.to_owned(),
             delays,
-            row,
-            revision,
+            row: inherited.row,
+            revision: inherited.revision,
             confirmed,
-            unsettled: None,
+            unsettled: inherited.unsettled,
             ended: false,
         }
     }
 
+    /// What a successor must know to go on.
+    #[must_use]
+    pub fn to_inherit(&self) -> Inherited {
+        Inherited {
+            row: self.row.clone(),
+            revision: self.revision,
+            unsettled: self.unsettled.clone(),
+        }
+    }
+
     /// The row as last read or written.
     #[must_use]
     pub fn row(&self) -> &HoldRow {
--- a/src/ops/entry.rs
+++ b/src/ops/entry.rs
@@ -156,6 +156,7 @@
         Arc::clone(&peers),
         directory.clone(),
         Arc::clone(&clock),
+        metrics.clone(),
         &cfg,
         own,
     ));
--- a/src/ops/schedule.rs
+++ b/src/ops/schedule.rs
@@ -15,6 +15,7 @@
 mod place;
 mod probe;
 mod reports;
+mod rescue;
 mod run;
 mod shared;
 pub mod status;
@@ -29,6 +30,7 @@
 
 use self::calls::Caller;
 use self::hold_duty::HoldDuty;
+use self::rescue::Rescue;
 use self::run::Runner;
 use self::shared::{Role, SharedHolds};
 pub use self::status::SchedulerStatus;
@@ -107,6 +109,8 @@
         })?);
         let duty = HoldDuty::new(cx.clone(), holds.clone(), domain.clone(), events_tx);
         threads.push(spawn("hold".to_owned(), move || duty.run())?);
+        let rescue = Rescue::new(cx.clone(), holds.clone());
+        threads.push(spawn("rescue".to_owned(), move || rescue.run())?);
         let runner = Runner {
             cx: cx.clone(),
             holds: holds.clone(),
--- a/src/ops/schedule/handover.rs
+++ b/src/ops/schedule/handover.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use super::hold_duty::{decode_row, release_transaction};
+use super::hold_duty::release_transaction;
 use super::probe;
 use super::shared::{HandedOver, Role, SharedHolds, delays};
 use super::status::millis;
-use crate::domain::hold;
 use crate::domain::hold::candidate::Candidate;
-use crate::domain::hold::holding::Holding;
+use crate::domain::hold::holding::{Holding, Inherited};
 use crate::ops::Context;
 use crate::peer::{HandOver, PeerError};
 use crate::platform::table::Row;
@@ -58,11 +57,6 @@
 
 fn message(cx: &Context, holding: &Holding, tasks: &[Row]) -> Option<HandOver> {
     let domain = &cx.cfg.domain;
-    let row = Row {
-        key: hold::row_key(domain),
-        revision: holding.revision(),
-        value: serde_json::to_value(holding.row()).ok(),
-    };
     let age = holding
         .confirmed()
         .unlisted
@@ -73,7 +67,7 @@
         from: cx.process.clone(),
         epoch: holding.epoch(),
         confirmed_age_ms: millis(age),
-        row: serde_json::to_string(&row).ok()?,
+        row: serde_json::to_string(&holding.to_inherit()).ok()?,
         tasks: serde_json::to_string(tasks).ok()?,
     })
 }
@@ -92,17 +86,16 @@
     if cx.stop.is_draining() || msg.domain != cx.cfg.domain {
         return false;
     }
-    let Ok(row) = serde_json::from_str::<Row>(&msg.row) else { return false };
-    let Some((row, revision)) = decode_row(&row) else { return false };
+    let Ok(inherited) = serde_json::from_str::<Inherited>(&msg.row) else { return false };
     let Ok(tasks) = serde_json::from_str::<Vec<Row>>(&msg.tasks) else { return false };
     let mut roles = holds.lock();
     let Some(Role::Candidate(candidate)) = roles.get(&msg.domain) else { return false };
     let newer = candidate.row().is_some_and(|known| known.epoch > msg.epoch);
-    if newer || row.epoch != msg.epoch || !candidate.has_no_claim() {
+    if newer || inherited.row.epoch != msg.epoch || !candidate.has_no_claim() {
         return false;
     }
     let confirmed = candidate.confirmations(msg.epoch);
-    let holding = Holding::inherited(&cx.process, delays(cx), row, revision, confirmed);
+    let holding = Holding::new(&cx.process, delays(cx), inherited, confirmed);
     roles.insert(msg.domain.clone(), Role::Holder(holding));
     drop(roles);
     let tasks = tasks.iter().filter_map(decode_task).collect();
--- a/src/ops/schedule/hold_duty.rs
+++ b/src/ops/schedule/hold_duty.rs
@@ -135,17 +135,26 @@
 
     fn on_read(&mut self, response: &ReadResponse, sent_at: Instant) {
         let found = response.row(&hold::row_key(&self.domain)).map(decode_row);
-        let verdict = self.holds.with_holding(&self.domain, |holding| match &found {
-            Some(Some((row, revision))) => holding.on_row(Some((row, *revision)), sent_at),
-            // Nobody deletes the row; without it nothing can be confirmed.
-            Some(None) => RowVerdict::Stale,
-            None => holding.on_row(None, sent_at),
+        let read = self.holds.with_holding(&self.domain, |holding| {
+            let before = holding.epoch();
+            let verdict = match &found {
+                Some(Some((row, revision))) => holding.on_row(Some((row, *revision)), sent_at),
+                // Nobody deletes the row; without it nothing can be confirmed.
+                Some(None) => RowVerdict::Stale,
+                None => holding.on_row(None, sent_at),
+            };
+            (verdict, before != holding.epoch(), holding.epoch())
         });
+        let Some((verdict, raised, epoch)) = read else { return };
+        if raised {
+            // A write of a predecessor that stopped has committed after all.
+            self.send(Event::Epoch(epoch));
+        }
         match verdict {
-            Some(RowVerdict::Confirmed) => self.on_confirmed(response),
-            Some(RowVerdict::Claimed) => self.contest(),
-            Some(RowVerdict::Lost) => self.lose(),
-            Some(RowVerdict::Stale) | None => {}
+            RowVerdict::Confirmed => self.on_confirmed(response),
+            RowVerdict::Claimed => self.contest(),
+            RowVerdict::Lost => self.lose(),
+            RowVerdict::Stale => {}
         }
     }
 
--- /dev/null
+++ b/src/ops/schedule/rescue.rs
@@ -0,0 +1,271 @@
+//! The thread that watches the holds of other domains, takes over a silent one where this process is a rescuer, and
+//! moves its tasks away.
+//!
+//! A rescuer calls no worker. When its claim takes effect every lease of an exclusive task there has ended, so the tasks
+//! can be put into the queues of other domains at once.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use super::batch::{self, MAX_ROWS};
+use super::event::{Change, RowChange};
+use super::hold_duty::{decode_row, release_transaction};
+use super::probe;
+use super::shared::{Role, SharedHolds, delays};
+use super::writer::commit_decided;
+use crate::catalogue::copy::CatalogueCopy;
+use crate::catalogue::document::Document;
+use crate::domain::hold::candidate::{Candidate, Step};
+use crate::domain::hold::holding::{Holding, RowVerdict};
+use crate::domain::hold::{self, HoldRow, RELEASED};
+use crate::domain::{ClaimantClass, DomainState};
+use crate::ops::Context;
+use crate::platform::table::{
+    CommitResult, Condition, ReadRequest, Revision, Row, Transaction, Write,
+};
+use crate::task::lifecycle::AnyTask;
+use crate::task::{TaskRow, row};
+use crate::telemetry::event::schedule as log;
+
+/// Silence of a holder after which a rescuer claims.
+const SILENCE: Duration = Duration::from_secs(5);
+
+/// Period of the watch, at most.
+const MAX_PERIOD: Duration = Duration::from_secs(1);
+
+/// State of the thread.
+#[derive(Debug)]
+pub(super) struct Rescue {
+    cx: Context,
+    holds: SharedHolds,
+    /// When the holder of each domain answered last.
+    heard_at: BTreeMap<String, Instant>,
+    operations: u64,
+}
+
+impl Rescue {
+    pub(super) fn new(cx: Context, holds: SharedHolds) -> Self {
+        Self { cx, holds, heard_at: BTreeMap::new(), operations: 0 }
+    }
+
+    /// Runs until the process stops.
+    pub(super) fn run(mut self) {
+        let period = MAX_PERIOD.min(self.cx.cfg.timing.heartbeat() * 2);
+        while !self.cx.stop.is_stopped() {
+            self.watch();
+            self.cx.clock.sleep(period);
+        }
+    }
+
+    fn watch(&mut self) {
+        let sent_at = self.cx.clock.now();
+        let prefixes = vec![hold::ROW_PREFIX.to_owned()];
+        let req = ReadRequest { prefixes, ..ReadRequest::default() };
+        let Ok(response) = self.cx.table.read(&req) else { return };
+        let now = self.cx.clock.now();
+        let cfg = std::sync::Arc::clone(&self.cx.cfg);
+        for domain in cfg.domains.iter().filter(|domain| **domain != cfg.domain) {
+            let found = response.row(&hold::row_key(domain)).and_then(decode_row);
+            // A domain without a row has never had a scheduler.
+            let Some((row, revision)) = found else { continue };
+            let class = row.class_of(&self.cx.process);
+            match self.holds.holding(domain) {
+                Some(_) => self.keep(domain, &row, revision, sent_at),
+                None => {
+                    let seen = Some((row.clone(), revision));
+                    self.holds.with_candidate(domain, |candidate| {
+                        candidate.on_row(seen, sent_at, now);
+                    });
+                    if class == ClaimantClass::Rescuer || row.holder == RELEASED {
+                        self.seek(domain, &row.holder);
+                    }
+                }
+            }
+        }
+    }
+
+    fn seek(&mut self, domain: &str, holder: &str) {
+        let suspects = self.is_silent(domain, holder);
+        let now = self.cx.clock.now();
+        // A released domain is left to its own processes while any of them answers.
+        if holder == RELEASED && (!suspects || self.answers(domain)) {
+            return;
+        }
+        let step = self.holds.with_candidate(domain, |candidate| {
+            let step = candidate.step(suspects, now);
+            if let Step::Claim(row, _) = &step {
+                candidate.claim_sent(row.clone());
+            }
+            step
+        });
+        match step {
+            Some(Step::Claim(row, revision)) => self.claim(domain, &row, revision),
+            Some(Step::Take(row, revision)) => self.take(domain, row, revision),
+            Some(Step::Create(_) | Step::Wait) | None => {}
+        }
+    }
+
+    /// True if the holder has not answered for a while, or at all in a domain that is out.
+    fn is_silent(&mut self, domain: &str, holder: &str) -> bool {
+        let now = self.cx.clock.now();
+        let heard_at = self.heard_at.entry(domain.to_owned()).or_insert(now);
+        if holder != RELEASED && probe::is_alive(&self.cx, domain, holder) {
+            *heard_at = self.cx.clock.now();
+            return false;
+        }
+        let out = self.cx.catalogue.snapshot().domain_state(domain) == DomainState::Out;
+        out || now.saturating_duration_since(*heard_at) >= SILENCE
+    }
+
+    /// True if a process of the domain answers.
+    fn answers(&self, domain: &str) -> bool {
+        let directory = self.cx.directory.snapshot();
+        let members: BTreeSet<String> = directory
+            .values()
+            .filter(|member| member.domain == domain)
+            .map(|member| member.process.clone())
+            .collect();
+        let class = ClaimantClass::Unlisted;
+        !probe::ask(&self.cx, domain, probe::PROBE_EPOCH, class, &members).is_empty()
+    }
+
+    fn claim(&mut self, domain: &str, row: &HoldRow, revision: Revision) {
+        log::HOLD_CLAIMED.emit(format_args!("{domain} at epoch {} as a rescuer", row.epoch));
+        let txn = self.row_transaction(domain, row, revision);
+        let result = commit_decided(&self.cx, &txn);
+        let now = self.cx.clock.now();
+        self.holds.with_candidate(domain, |candidate| match result {
+            Some(CommitResult::Committed { revision }) => candidate.claim_committed(revision, now),
+            Some(CommitResult::Conflict { .. }) => candidate.claim_refused(),
+            // The process stops; until then the claim's outcome stays unknown.
+            None => {}
+        });
+    }
+
+    fn take(&mut self, domain: &str, row: HoldRow, revision: Revision) {
+        let txn = self.row_transaction(domain, &row, revision);
+        let sent_at = self.cx.clock.now();
+        let result = commit_decided(&self.cx, &txn);
+        let Some(CommitResult::Committed { revision }) = result else {
+            self.holds.with_candidate(domain, Candidate::claim_refused);
+            return;
+        };
+        let epoch = row.epoch;
+        let holding = Holding::taken(&self.cx.process, delays(&self.cx), row, revision, sent_at);
+        self.holds.set(domain, Role::Holder(holding));
+        log::DOMAIN_RESCUED.emit(format_args!("{domain} at epoch {epoch}"));
+    }
+
+    /// The part of a rescuer that holds the domain: it moves the tasks, and gives the domain back once one of its own
+    /// processes answers.
+    fn keep(&mut self, domain: &str, row: &HoldRow, revision: Revision, sent_at: Instant) {
+        let verdict = self
+            .holds
+            .with_holding(domain, |holding| holding.on_row(Some((row, revision)), sent_at));
+        if verdict == Some(RowVerdict::Lost) {
+            log::HOLD_LOST.emit(format_args!("{domain}: another process holds it"));
+            self.forget(domain);
+            return;
+        }
+        let Some(holding) = self.holds.holding(domain) else { return };
+        if verdict == Some(RowVerdict::Confirmed) {
+            self.move_tasks(domain, holding.epoch());
+        }
+        if self.answers(domain) {
+            self.give_back(domain, &holding);
+        }
+    }
+
+    fn give_back(&mut self, domain: &str, holding: &Holding) {
+        let txn = release_transaction(domain, holding, &self.cx.process);
+        if let Some(CommitResult::Committed { .. }) = commit_decided(&self.cx, &txn) {
+            log::HOLD_RELEASED.emit(format_args!("{domain} at epoch {}", holding.epoch()));
+            self.forget(domain);
+        }
+    }
+
+    fn forget(&mut self, domain: &str) {
+        self.heard_at.remove(domain);
+        let candidate = Candidate::new(&self.cx.process, delays(&self.cx));
+        self.holds.set(domain, Role::Candidate(candidate));
+    }
+
+    /// Moves the open tasks to domains in service, a batch at a time.
+    fn move_tasks(&mut self, domain: &str, epoch: u64) {
+        let prefixes = vec![row::domain_prefix(domain)];
+        let req = ReadRequest { prefixes, ..ReadRequest::default() };
+        let Ok(response) = self.cx.table.read(&req) else { return };
+        let copy = self.cx.catalogue.snapshot();
+        let targets = self.targets(domain, &copy);
+        let changes: Vec<RowChange> = response
+            .rows
+            .iter()
+            .filter_map(decode_task)
+            .enumerate()
+            .filter_map(|(index, task)| moved(task, &copy, &targets, index))
+            .collect();
+        for chunk in changes.chunks(MAX_ROWS) {
+            self.operations += 1;
+            let process = &self.cx.process;
+            let txn = batch::transaction(process, domain, epoch, self.operations, chunk);
+            if commit_decided(&self.cx, &txn).is_none() {
+                return;
+            }
+        }
+    }
+
+    /// Domains in service, the own one first.
+    fn targets(&self, domain: &str, copy: &CatalogueCopy) -> Vec<String> {
+        let own = std::iter::once(&self.cx.cfg.domain);
+        let rest = self.cx.cfg.domains.iter().filter(|name| **name != self.cx.cfg.domain);
+        own.chain(rest)
+            .filter(|name| *name != domain && copy.domain_state(name) == DomainState::In)
+            .cloned()
+            .collect()
+    }
+
+    fn row_transaction(&mut self, domain: &str, row: &HoldRow, revision: Revision) -> Transaction {
+        self.operations += 1;
+        let key = hold::row_key(domain);
+        Transaction {
+            operation: format!("{}/rescue/{key}/{}", self.cx.process, self.operations),
+            conditions: vec![Condition::AtRevision { key: key.clone(), revision }],
+            // The row holds only text and numbers, which always encode.
+            writes: vec![Write::Put { key, value: serde_json::to_value(row).unwrap_or_default() }],
+        }
+    }
+}
+
+fn decode_task(row: &Row) -> Option<(TaskRow, Revision)> {
+    let decoded = serde::Deserialize::deserialize(row.value.as_ref()?).ok()?;
+    Some((decoded, row.revision))
+}
+
+/// The move of an open task; `None` if it has ended or no target may run it.
+fn moved(
+    (task, revision): (TaskRow, Revision),
+    copy: &CatalogueCopy,
+    targets: &[String],
+    index: usize,
+) -> Option<RowChange> {
+    let allows = |domain: &&String| match copy.document(&task.entry) {
+        Some(Document::Entry(entry)) => entry.allows_domain(domain),
+        _ => true,
+    };
+    let allowed: Vec<&String> = targets.iter().filter(allows).collect();
+    let target = allowed.get(index % allowed.len().max(1))?;
+    let id = task.id.clone();
+    let pending = match AnyTask::from(task) {
+        AnyTask::Pending(task) => task,
+        AnyTask::Running(task) if task.row().cancel => {
+            let change = Change::Put(Box::new(task.cancel().into_row()));
+            return Some(RowChange { id, revision, change });
+        }
+        AnyTask::Running(task) => {
+            task.evict(None, "its failure domain cannot be reached".to_owned())
+        }
+        AnyTask::Ended(_) => return None,
+    };
+    let change = Change::Move(Box::new(pending.move_to(target).into_row()));
+    Some(RowChange { id, revision, change })
+}
--- a/src/telemetry/event/schedule.rs
+++ b/src/telemetry/event/schedule.rs
@@ -16,7 +16,16 @@
 pub const HOLD_HANDED_OVER: Event = Event::new(404, Level::Info, "hold-handed-over");
 /// A planned stop found no successor, and the hold is free for any process.
 pub const HOLD_RELEASED: Event = Event::new(405, Level::Info, "hold-released");
+/// This process took over a domain that cannot be reached, and moves its tasks away.
+pub const DOMAIN_RESCUED: Event = Event::new(406, Level::Warn, "domain-rescued");
 
 /// All events of this module.
-pub const ALL: &[Event] =
-    &[HOLD_TAKEN, HOLD_LOST, HOLD_CLAIMED, CLAIM_CONTESTED, HOLD_HANDED_OVER, HOLD_RELEASED];
+pub const ALL: &[Event] = &[
+    HOLD_TAKEN,
+    HOLD_LOST,
+    HOLD_CLAIMED,
+    CLAIM_CONTESTED,
+    HOLD_HANDED_OVER,
+    HOLD_RELEASED,
+    DOMAIN_RESCUED,
+];
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -198,6 +198,7 @@
         peers: RelayPeers::new(table, &[]),
         directory: Directory::default(),
         metrics: Metrics::disabled(),
+        status: Default::default(),
         stop: StopSignal::default(),
     }
 }
--- a/tests/testsuite/schedule/support.rs
+++ b/tests/testsuite/schedule/support.rs
@@ -20,6 +20,7 @@
     Relay, RelayReply,
 };
 use plantainlever::platform::PlatformError;
+use plantainlever::platform::group_commit::GroupCommit;
 use plantainlever::platform::objects::Objects;
 use plantainlever::platform::table::{
     CommitResult, Condition, OperationQuery, OperationStatus, ReadRequest, ReadResponse, Row,
@@ -28,6 +29,7 @@
 use plantainlever::platform::vms::{Vm, VmList, VmListing, VmRole, VmState};
 use plantainlever::telemetry::Metrics;
 use plantainlever::worker::Resources;
+use plantainlever_test_support::checker::{CheckLimits, check};
 use serde_json::{Value, json};
 
 /// Longest wait for any condition.
@@ -210,6 +212,18 @@
     cut: RwLock<BTreeSet<String>>,
 }
 
+impl Network {
+    /// Cuts a process off from all others that are not cut off.
+    pub fn cut(&self, process: &str) {
+        self.cut.write().unwrap().insert(process.to_owned());
+    }
+
+    /// Ends the cut.
+    pub fn join(&self, process: &str) {
+        self.cut.write().unwrap().remove(process);
+    }
+}
+
 /// The network as one process sees it. Addresses are process names.
 #[derive(Debug)]
 pub struct Link {
@@ -391,11 +405,15 @@
             Arc::new(StoreLink { store: Arc::clone(&self.store), faults: Mutex::default() });
         let listing = SharedVmListing::default();
         listing.replace(self.vms.clone());
+        let metrics = Metrics::disabled();
+        let commits =
+            GroupCommit::start(store.clone(), Arc::new(SystemClock), metrics, &cfg, name).unwrap();
         let cx = Context {
             cfg: Arc::new(cfg),
             process: name.to_owned(),
             clock: Arc::new(SystemClock),
             table: store.clone(),
+            commits,
             objects: Arc::new(NoObjects),
             vms: Arc::new(NoVms),
             workers: Arc::new(self.workers.direct()),
@@ -404,6 +422,7 @@
             peers: Arc::new(Link { network: Arc::clone(&self.network), process: name.to_owned() }),
             directory: Directory::default(),
             metrics: Metrics::disabled(),
+            status: Default::default(),
             stop: StopSignal::default(),
         };
         self.store.put(
@@ -437,6 +456,12 @@
         self.domains.iter().find_map(|domain| self.store.value(&format!("task/{domain}/{id}")))
     }
 
+    /// Fails if the history breaks a promise.
+    pub fn assert_promises(&self) {
+        let broken = check(&self.history.snapshot(), &CheckLimits::default());
+        assert!(broken.is_empty(), "{broken:#?}");
+    }
+
     /// Everything in the history that concerns a task, for messages of failed assertions.
     pub fn trace(&self, id: &str) -> String {
         let entries = self.history.snapshot();
--- a/tests/testsuite/schedule/takeover.rs
+++ b/tests/testsuite/schedule/takeover.rs
@@ -68,3 +68,32 @@
     let _second = site.process("p2", "a");
     site.wait_holder("a", "p2");
 }
+
+/// Guards against a task of a domain that is cut off and claimed by a rescuer running in two places, with the holder
+/// alive and renewing as long as it may, and against a domain that is not given back.
+#[test]
+fn a_rescuer_finds_exclusive_tasks_stopped() {
+    let site = Site::new(short_timing(), &[1, 1]);
+    let first = site.process("p1", "a");
+    let second = site.process("p2", "b");
+    first.wait_fresh();
+    site.wait_holder("b", "p2");
+    wait_for("p2 is a rescuer", || {
+        let row = site.store.value("hold/a")?;
+        (row["rescuers"] == json!(["p2"])).then_some(())
+    });
+    let id = first.submit("count", &json!({"run_ms": 60_000}));
+    wait_for("it runs", || (!site.workers.running("a-0").is_empty()).then_some(()));
+    first.store.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
+    site.network.cut("p1");
+    wait_for("it runs in the other domain", || {
+        (!site.workers.running("b-0").is_empty()).then_some(())
+    });
+    let row = site.task(&id).unwrap();
+    assert_eq!((&row["domain"], &row["attempt"]), (&json!("b"), &json!(2)));
+    site.assert_promises();
+    first.store.set_faults(StoreFaults::default());
+    site.network.join("p1");
+    site.wait_holder("a", "p1");
+    drop(second);
+}
