--- a/crates/plantainlever-test-support/src/checker/rows.rs
+++ b/crates/plantainlever-test-support/src/checker/rows.rs
@@ -8,7 +8,6 @@
 use plantainlever::platform::table::{CommitResult, Write};
 use plantainlever::task::{TaskRow, row};
 use serde::Deserialize;
-use serde_json::Value;
 
 use super::Broken;
 
@@ -55,7 +54,7 @@
 /// The domain whose state a write changes, and whether it is out afterwards.
 pub(super) fn domain_change(write: &Write) -> Option<(&str, bool)> {
     let (key, out) = match write {
-        Write::Put { key, value } => (key, value["state"] == Value::from("out")),
+        Write::Put { key, value } => (key, value["state"] == "out"),
         Write::Delete { key } => (key, false),
     };
     Some((key.strip_prefix(state::ROW_PREFIX)?, out))
--- a/tests/testsuite/schedule/support.rs
+++ b/tests/testsuite/schedule/support.rs
@@ -5,12 +5,13 @@
 use std::time::{Duration, Instant};
 
 use plantainlever::catalogue::copy::{CatalogueCopy, SharedCatalogue};
-use plantainlever::clock::SystemClock;
+use plantainlever::clock::{Clock, SystemClock};
 use plantainlever::config::{LogSettings, PlatformSettings, Settings, Timing};
 use plantainlever::local::History;
 use plantainlever::local::history::Entry as HistoryEntry;
 use plantainlever::local::worker::{Checkpoints, WorkerGroup, WorkerSpec};
 use plantainlever::ops::Context;
+use plantainlever::ops::api::status::StatusSources;
 use plantainlever::ops::api::{ApiRequest, ApiResponse, tasks};
 use plantainlever::ops::context::{SharedVmListing, StopSignal};
 use plantainlever::ops::schedule::Scheduler;
@@ -405,13 +406,14 @@
             Arc::new(StoreLink { store: Arc::clone(&self.store), faults: Mutex::default() });
         let listing = SharedVmListing::default();
         listing.replace(self.vms.clone());
-        let metrics = Metrics::disabled();
+        let table: Arc<dyn Table> = store.clone();
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
         let commits =
-            GroupCommit::start(store.clone(), Arc::new(SystemClock), metrics, &cfg, name).unwrap();
+            GroupCommit::inline(table, Arc::clone(&clock), Metrics::disabled(), &cfg, name);
         let cx = Context {
             cfg: Arc::new(cfg),
             process: name.to_owned(),
-            clock: Arc::new(SystemClock),
+            clock,
             table: store.clone(),
             commits,
             objects: Arc::new(NoObjects),
@@ -421,8 +423,8 @@
             vm_listing: listing,
             peers: Arc::new(Link { network: Arc::clone(&self.network), process: name.to_owned() }),
             directory: Directory::default(),
+            status: StatusSources::default(),
             metrics: Metrics::disabled(),
-            status: Default::default(),
             stop: StopSignal::default(),
         };
         self.store.put(
