--- a/tests/testsuite/schedule/support.rs
+++ b/tests/testsuite/schedule/support.rs
@@ -30,6 +30,7 @@
 use plantainlever::platform::vms::{Vm, VmList, VmListing, VmRole, VmState};
 use plantainlever::telemetry::Metrics;
 use plantainlever::worker::Resources;
+use plantainlever_test_support::checker::{CheckLimits, check};
 use serde_json::{Value, json};
 
 /// Longest wait for any condition.
@@ -212,6 +213,18 @@
     cut: RwLock<BTreeSet<String>>,
 }
 
+impl Network {
+    /// Cuts a process off from all others that are not cut off.
+    pub fn cut(&self, process: &str) {
+        self.cut.write().unwrap().insert(process.to_owned());
+    }
+
+    /// Ends the cut.
+    pub fn join(&self, process: &str) {
+        self.cut.write().unwrap().remove(process);
+    }
+}
+
 /// The network as one process sees it. Addresses are process names.
 #[derive(Debug)]
 pub struct Link {
@@ -445,6 +458,12 @@
         self.domains.iter().find_map(|domain| self.store.value(&format!("task/{domain}/{id}")))
     }
 
+    /// Fails if the history breaks a promise.
+    pub fn assert_promises(&self) {
+        let broken = check(&self.history.snapshot(), &CheckLimits::default());
+        assert!(broken.is_empty(), "{broken:#?}");
+    }
+
     /// Everything in the history that concerns a task, for messages of failed assertions.
     pub fn trace(&self, id: &str) -> String {
         let entries = self.history.snapshot();
