Move the in-process builders to the support crate and sharpen tests

The domain list also claimed "in" for all domains before the first read.

Ruled out: keeping the second branch for a lost race in PUT and the process name in the relay; other checks already cover both, so the code went instead.

--- /dev/null
+++ b/crates/plantainlever-test-support/src/in_process.rs
@@ -0,0 +1,209 @@
+//! Contexts of entry processes over a platform in memory, for tests without sockets.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use plantainlever::clock::{Clock, ManualClock};
+use plantainlever::config::{Limits, LogSettings, PeerSeed, PlatformSettings, Settings, Timing};
+use plantainlever::local::History;
+use plantainlever::local::objects::MemoryObjects;
+use plantainlever::local::table::MemoryTable;
+use plantainlever::local::vms::MemoryVms;
+use plantainlever::ops::Context;
+use plantainlever::ops::context::{SharedVmListing, StopSignal};
+use plantainlever::peer::{
+    Directory, ForwardedAnswer, ForwardedRequest, HandOver, HandOverReply, Heartbeat,
+    HeartbeatReply, HoldAnswer, HoldQuery, PeerError, Peers, RecordKey, RecordKeyReply, Relay,
+    RelayReply,
+};
+use plantainlever::platform::group_commit::GroupCommit;
+use plantainlever::platform::http::HttpWorkers;
+use plantainlever::platform::relay::answer;
+use plantainlever::platform::table::Table;
+use plantainlever::telemetry::Metrics;
+
+use crate::fault::{Faults, FaultyTable};
+
+/// Bound of one call to the table.
+pub const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A loopback address whose port the system picks.
+#[must_use]
+pub fn loopback() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+/// Settings of a process in domain `a` out of `a` and `b`, with the default bounds and one peer seed per domain: port 1
+/// in `a`, port 2 in `b`.
+#[must_use]
+pub fn settings() -> Settings {
+    let seed = |domain: &str, port: u16| PeerSeed {
+        domain: domain.to_owned(),
+        address: ([127, 0, 0, 1], port).into(),
+    };
+    Settings {
+        name: "vm".to_owned(),
+        domain: "a".to_owned(),
+        domains: vec!["a".to_owned(), "b".to_owned()],
+        listen: loopback(),
+        peer_listen: loopback(),
+        peers: vec![seed("a", 1), seed("b", 2)],
+        platform: PlatformSettings { table: loopback(), objects: loopback(), vms: loopback() },
+        statsd: None,
+        log: LogSettings::default(),
+        timing: Timing::default(),
+        limits: Limits::default(),
+    }
+}
+
+/// A context with empty copies, an object store and a VM list of its own, and peers that cannot be reached.
+#[must_use]
+pub fn context(
+    process: &str,
+    table: Arc<dyn Table>,
+    clock: Arc<dyn Clock>,
+    commits: GroupCommit,
+) -> Context {
+    Context {
+        cfg: Arc::new(settings()),
+        process: process.to_owned(),
+        clock,
+        table: Arc::clone(&table),
+        commits,
+        objects: Arc::new(MemoryObjects::default()),
+        vms: Arc::new(MemoryVms::default()),
+        workers: Arc::new(HttpWorkers::new(TIMEOUT, Metrics::disabled())),
+        catalogue: Default::default(),
+        vm_listing: SharedVmListing::default(),
+        peers: Arc::new(RelayPeers::new(table, &[])),
+        directory: Directory::default(),
+        metrics: Metrics::disabled(),
+        stop: StopSignal::default(),
+    }
+}
+
+/// A table in this process with faults in front of it, and a clock that delays and retries move.
+#[derive(Clone, Debug)]
+pub struct InProcess<C> {
+    /// The rows, past the faults.
+    pub table: MemoryTable,
+    /// The switches.
+    pub faults: Faults,
+    /// Time of the table's delays.
+    pub clock: Arc<C>,
+    /// The table behind the switches.
+    pub faulty: Arc<dyn Table>,
+}
+
+impl<C: Clock + 'static> InProcess<C> {
+    /// An empty table.
+    #[must_use]
+    pub fn with_clock(clock: C) -> Self {
+        let clock = Arc::new(clock);
+        let table = MemoryTable::new(History::default());
+        let faults = Faults::default();
+        let (inner, time) = (Arc::new(table.clone()), Arc::clone(&clock) as Arc<dyn Clock>);
+        let faulty = Arc::new(FaultyTable::new(inner, faults.clone(), time, TIMEOUT));
+        Self { table, faults, clock, faulty }
+    }
+
+    /// Five seconds from now.
+    #[must_use]
+    pub fn deadline(&self) -> Instant {
+        self.clock.now() + Duration::from_secs(5)
+    }
+
+    /// A context with the given group commit.
+    #[must_use]
+    pub fn context_with(&self, process: &str, commits: GroupCommit) -> Context {
+        context(process, Arc::clone(&self.faulty), Arc::clone(&self.clock) as _, commits)
+    }
+}
+
+impl InProcess<ManualClock> {
+    /// An empty table with a manual clock.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::with_clock(ManualClock::new())
+    }
+
+    /// Group commit in the submitter's thread.
+    #[must_use]
+    pub fn commits(&self, process: &str) -> GroupCommit {
+        let (table, clock) = (Arc::clone(&self.faulty), Arc::clone(&self.clock));
+        GroupCommit::inline(table, clock, Metrics::disabled(), &settings(), process)
+    }
+
+    /// A context that commits in the submitter's thread.
+    #[must_use]
+    pub fn context(&self, process: &str) -> Context {
+        self.context_with(process, self.commits(process))
+    }
+}
+
+impl Default for InProcess<ManualClock> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Peers that pass calls to a table. All other messages find them unreachable.
+#[derive(Debug)]
+pub struct RelayPeers {
+    table: Arc<dyn Table>,
+    /// Addresses that answer.
+    reachable: Vec<&'static str>,
+    /// Addresses that were called.
+    called: Mutex<Vec<String>>,
+}
+
+impl RelayPeers {
+    /// Peers at `reachable` that call `table` directly.
+    #[must_use]
+    pub fn new(table: Arc<dyn Table>, reachable: &[&'static str]) -> Self {
+        Self { table, reachable: reachable.to_vec(), called: Mutex::default() }
+    }
+
+    /// The addresses called since the last look.
+    #[must_use]
+    pub fn take_called(&self) -> Vec<String> {
+        std::mem::take(&mut *self.called.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+fn cut<A>(address: &str) -> Result<A, PeerError> {
+    Err(PeerError::Unreachable { address: address.to_owned(), cause: "cut".to_owned() })
+}
+
+impl Peers for RelayPeers {
+    fn heartbeat(&self, to: &str, _: Heartbeat, _: Duration) -> Result<HeartbeatReply, PeerError> {
+        cut(to)
+    }
+
+    fn query_hold(&self, to: &str, _: HoldQuery, _: Duration) -> Result<HoldAnswer, PeerError> {
+        cut(to)
+    }
+
+    fn hand_over(&self, to: &str, _: HandOver, _: Duration) -> Result<HandOverReply, PeerError> {
+        cut(to)
+    }
+
+    fn record_key(&self, to: &str, _: RecordKey, _: Duration) -> Result<RecordKeyReply, PeerError> {
+        cut(to)
+    }
+
+    fn relay(&self, to: &str, msg: Relay, _: Duration) -> Result<RelayReply, PeerError> {
+        self.called.lock().unwrap_or_else(PoisonError::into_inner).push(to.to_owned());
+        if self.reachable.contains(&to) { Ok(answer(self.table.as_ref(), &msg)) } else { cut(to) }
+    }
+
+    fn forward(
+        &self,
+        to: &str,
+        _: ForwardedRequest,
+        _: Duration,
+    ) -> Result<ForwardedAnswer, PeerError> {
+        cut(to)
+    }
+}
--- a/crates/plantainlever-test-support/src/lib.rs
+++ b/crates/plantainlever-test-support/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod checker;
 pub mod fault;
+pub mod in_process;
 pub mod process;
 pub mod site;
 pub mod wait;
--- a/src/ops/api/catalogue.rs
+++ b/src/ops/api/catalogue.rs
@@ -7,7 +7,7 @@
 
 use super::edit::{
     IF_MATCH, commit, condition, deadline, decode_body, expected_revision, lost_race,
-    method_not_allowed, respond, unknown_path,
+    method_not_allowed, read_copy, respond, unknown_path,
 };
 use super::{ApiRequest, ApiResponse};
 use crate::catalogue::document::{self, Document, DocumentError};
@@ -128,8 +128,7 @@
 }
 
 fn list(cx: &Context) -> Result<ApiResponse, ApiError> {
-    let copy = cx.catalogue.snapshot();
-    let age = copy.age(cx.clock.now()).ok_or_else(not_read)?;
+    let (copy, age) = read_copy(cx)?;
     let documents = copy.documents().iter().map(|(name, document)| {
         let revision = copy.document_revision(name).unwrap_or_default();
         DocumentView { name, revision, document }
@@ -143,8 +142,7 @@
 }
 
 fn get(cx: &Context, name: &str) -> Result<ApiResponse, ApiError> {
-    let copy = cx.catalogue.snapshot();
-    copy.age(cx.clock.now()).ok_or_else(not_read)?;
+    let (copy, _) = read_copy(cx)?;
     match (copy.document(name), copy.document_revision(name)) {
         (Some(document), Some(revision)) => {
             Ok(ApiResponse::json(200, &DocumentView { name, revision, document }))
@@ -158,15 +156,6 @@
     }
 }
 
-fn not_read() -> ApiError {
-    ApiError::new(
-        503,
-        "store-unavailable",
-        "this process has not read the catalogue yet",
-        "repeat the request when the table service answers again",
-    )
-}
-
 fn history(cx: &Context) -> Result<ApiResponse, ApiError> {
     let rows = read(cx, vec![HISTORY_KEY.to_owned()])?;
     Ok(ApiResponse::json(200, &History::from_row(rows.row(HISTORY_KEY))))
@@ -223,12 +212,7 @@
             CommitResult::Committed { revision } => {
                 return Ok(ApiResponse::json(200, &Accepted { name, revision }));
             }
-            CommitResult::Conflict { failed } if failed.contains(&key) => {
-                let current = read(cx, vec![key.clone()]).ok();
-                let current = current.map(|rows| rows.row(&key).map_or(0, |row| row.revision));
-                return Err(lost_race(name, expected, current));
-            }
-            // Another document was edited meanwhile. The next read also shows whether this one was.
+            // The document or another one was edited meanwhile; the next read tells which.
             CommitResult::Conflict { .. } => {}
         }
         match backoff.next_delay(cx.clock.now(), deadline, rand::random()) {
--- a/src/ops/api/domains.rs
+++ b/src/ops/api/domains.rs
@@ -4,9 +4,10 @@
 
 use super::edit::{
     commit, condition, deadline, decode_body, expected_revision, lost_race, method_not_allowed,
-    respond, unknown_path,
+    read_copy, respond, unknown_path,
 };
 use super::{ApiRequest, ApiResponse};
+use crate::catalogue::CatalogueCopy;
 use crate::domain::DomainState;
 use crate::domain::state::{self, DomainStateRow};
 use crate::error::ApiError;
@@ -25,6 +26,8 @@
 /// All domains.
 #[derive(Debug, Serialize)]
 struct ListView<'a> {
+    /// Time since the list was known to be current.
+    age_ms: u64,
     domains: Vec<DomainView<'a>>,
 }
 
@@ -32,8 +35,8 @@
 #[must_use]
 pub fn handle(cx: &Context, req: &ApiRequest<'_>) -> ApiResponse {
     respond(match (req.method, &req.segments[..]) {
-        ("GET", [_]) => Ok(list(cx)),
-        ("GET", [_, name]) => known(cx, name).map(|name| ApiResponse::json(200, &view(cx, name))),
+        ("GET", [_]) => list(cx),
+        ("GET", [_, name]) => known(cx, name).and_then(|name| get(cx, name)),
         ("PUT", [_, name]) => known(cx, name).and_then(|name| put(cx, req, name)),
         (method, [_]) => Err(method_not_allowed(method, "GET")),
         (method, [_, _]) => Err(method_not_allowed(method, "GET or PUT")),
@@ -41,13 +44,19 @@
     })
 }
 
-fn list(cx: &Context) -> ApiResponse {
-    let domains = cx.cfg.domains.iter().map(|name| view(cx, name)).collect();
-    ApiResponse::json(200, &ListView { domains })
+fn list(cx: &Context) -> Result<ApiResponse, ApiError> {
+    let (copy, age) = read_copy(cx)?;
+    let domains = cx.cfg.domains.iter().map(|name| view(&copy, name)).collect();
+    let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+    Ok(ApiResponse::json(200, &ListView { age_ms, domains }))
 }
 
-fn view<'a>(cx: &Context, name: &'a str) -> DomainView<'a> {
-    let copy = cx.catalogue.snapshot();
+fn get(cx: &Context, name: &str) -> Result<ApiResponse, ApiError> {
+    let (copy, _) = read_copy(cx)?;
+    Ok(ApiResponse::json(200, &view(&copy, name)))
+}
+
+fn view<'a>(copy: &CatalogueCopy, name: &'a str) -> DomainView<'a> {
     let revision = copy.domain_state_revision(name).unwrap_or_default();
     DomainView { name, state: copy.domain_state(name), revision }
 }
--- a/src/ops/api/edit.rs
+++ b/src/ops/api/edit.rs
@@ -1,10 +1,12 @@
 //! What edits of the catalogue and of domains' states have in common.
 
-use std::time::Instant;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use serde::de::DeserializeOwned;
 
 use super::{ApiRequest, ApiResponse};
+use crate::catalogue::CatalogueCopy;
 use crate::error::{ApiError, ToApiError};
 use crate::ops::{Context, sync};
 use crate::platform::PlatformError;
@@ -52,6 +54,24 @@
     )
 }
 
+/// The copy of the catalogue with its age.
+///
+/// # Errors
+///
+/// 503 `store-unavailable` before the first read, when the copy shows nothing of what operators have set.
+pub fn read_copy(cx: &Context) -> Result<(Arc<CatalogueCopy>, Duration), ApiError> {
+    let copy = cx.catalogue.snapshot();
+    match copy.age(cx.clock.now()) {
+        Some(age) => Ok((copy, age)),
+        None => Err(ApiError::new(
+            503,
+            "store-unavailable",
+            "this process has not read the catalogue yet",
+            "repeat the request when the table service answers again",
+        )),
+    }
+}
+
 /// The error for a method that a resource does not have.
 #[must_use]
 pub fn method_not_allowed(method: &str, allowed: &'static str) -> ApiError {
--- a/src/platform/relay.rs
+++ b/src/platform/relay.rs
@@ -30,15 +30,6 @@
 /// Peers that one call tries; bounds the time of a call while nothing is reachable.
 const MAX_PEERS: usize = 2;
 
-/// Where this process can be found, so that it never asks itself.
-#[derive(Clone, Debug)]
-pub struct OwnAddress {
-    /// Name of the process.
-    pub process: String,
-    /// `IP:PORT` of its peer interface.
-    pub peer_address: String,
-}
-
 /// The way that the next call takes first.
 #[derive(Clone, Debug, PartialEq)]
 enum Way {
@@ -64,7 +55,8 @@
     peers: Arc<dyn Peers>,
     directory: Directory,
     clock: Arc<dyn Clock>,
-    own: OwnAddress,
+    /// Peer address of this process, which must not ask itself.
+    own_address: String,
     domain: String,
     /// Domain and address of the peers in the settings.
     seeds: Vec<(String, String)>,
@@ -74,7 +66,8 @@
 }
 
 impl RelayedTable {
-    /// Wraps the direct client. Counts `table.relayed`.
+    /// Wraps the direct client. `own_address` is the `IP:PORT` of this process's peer interface, which is never called.
+    /// Counts `table.relayed`.
     #[must_use]
     pub fn new(
         direct: Arc<dyn Table>,
@@ -83,19 +76,17 @@
         clock: Arc<dyn Clock>,
         metrics: Metrics,
         cfg: &Settings,
-        own: OwnAddress,
+        own_address: SocketAddr,
     ) -> Self {
-        let address = |address: SocketAddr| address.to_string();
-        let seeds =
-            cfg.peers.iter().map(|peer| (peer.domain.clone(), address(peer.address))).collect();
+        let seeds = cfg.peers.iter().map(|peer| (peer.domain.clone(), peer.address.to_string()));
         Self {
             direct,
             peers,
             directory,
             clock,
-            own,
+            own_address: own_address.to_string(),
             domain: cfg.domain.clone(),
-            seeds,
+            seeds: seeds.collect(),
             timeout: cfg.timing.platform_timeout(),
             metrics,
             state: Mutex::new(State { way: Way::Direct, next_peer: 0 }),
@@ -181,15 +172,13 @@
     /// a whole.
     fn candidates(&self, tried: Option<&str>, preferred: Option<&str>) -> Vec<String> {
         let members = self.directory.snapshot();
-        let known = members
-            .values()
-            .filter(|member| member.process != self.own.process)
-            .map(|member| (member.domain.clone(), member.peer_address.clone()));
+        let known =
+            members.values().map(|member| (member.domain.clone(), member.peer_address.clone()));
         let mut others = Vec::new();
         let mut own = Vec::new();
         for (domain, address) in known.chain(self.seeds.iter().cloned()) {
             let list = if domain == self.domain { &mut own } else { &mut others };
-            let is_self = address == self.own.peer_address;
+            let is_self = address == self.own_address;
             if !is_self && tried != Some(address.as_str()) && !list.contains(&address) {
                 list.push(address);
             }
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -7,33 +7,27 @@
 mod sync;
 mod table;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use plantainlever::clock::{Clock, ManualClock, SystemClock};
-use plantainlever::config::Settings;
-use plantainlever::local::objects::MemoryObjects;
+use plantainlever::clock::{Clock, SystemClock};
 use plantainlever::local::table::MemoryTable;
 use plantainlever::local::vms::MemoryVms;
-use plantainlever::local::{Entry, History};
-use plantainlever::ops::Context;
-use plantainlever::ops::context::{SharedVmListing, StopSignal};
-use plantainlever::peer::{
-    Directory, ForwardedAnswer, ForwardedRequest, HandOver, HandOverReply, Heartbeat,
-    HeartbeatReply, HoldAnswer, HoldQuery, PeerError, Peers, RecordKey, RecordKeyReply, Relay,
-    RelayReply,
+use plantainlever::local::{Entry, History, JsonServer, Reply};
+use plantainlever::platform::PlatformError;
+use plantainlever::platform::group_commit::{CommitFailure, GroupCommit};
+use plantainlever::platform::table::{
+    CommitResult, Condition, OperationQuery, OperationStatus, ReadRequest, ReadResponse, Row,
+    Table, Transaction, Write,
 };
-use plantainlever::platform::group_commit::GroupCommit;
-use plantainlever::platform::http::HttpWorkers;
-use plantainlever::platform::relay::answer;
-use plantainlever::platform::table::{CommitResult, Condition, Table, Transaction, Write};
+use plantainlever::platform::vms::{Vm, VmRole, VmState};
 use plantainlever::telemetry::Metrics;
-use plantainlever_test_support::fault::{Faults, FaultyTable};
+use plantainlever_test_support::fault::Faults;
+use plantainlever_test_support::in_process::{
+    InProcess, RelayPeers, TIMEOUT, context, loopback, settings,
+};
 use serde_json::{Value, json};
 
-const TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Bound of all waits for a condition.
 const WAIT: Duration = Duration::from_secs(20);
 
@@ -45,167 +39,83 @@
     }
 }
 
-fn loopback() -> SocketAddr {
-    ([127, 0, 0, 1], 0).into()
+fn write(operation: &str, writes: Vec<Write>) -> Transaction {
+    Transaction { operation: operation.to_owned(), conditions: Vec::new(), writes }
+}
+
+fn put_value(key: &str, value: Value) -> Write {
+    Write::Put { key: key.to_owned(), value }
 }
 
-fn settings() -> Settings {
-    let any = loopback();
-    serde_json::from_value(json!({
-        "name": "vm", "domain": "a", "domains": ["a", "b"], "listen": any, "peer_listen": any,
-        "peers": [{"domain": "a", "address": "127.0.0.1:1"}, {"domain": "b", "address": "127.0.0.1:2"}],
-        "platform": {"table": any, "objects": any, "vms": any},
-        "timing": {"catalogue_poll_ms": 100, "vm_poll_ms": 100},
-    }))
-    .expect("the settings are complete")
+fn delete(key: &str) -> Write {
+    Write::Delete { key: key.to_owned() }
 }
 
 fn put(operation: &str, key: &str, conditions: Vec<Condition>) -> Transaction {
-    let writes = vec![Write::Put { key: key.to_owned(), value: json!({"by": operation}) }];
-    Transaction { operation: operation.to_owned(), conditions, writes }
+    let value = put_value(key, json!({"by": operation}));
+    Transaction { conditions, ..write(operation, vec![value]) }
 }
 
 fn absent(key: &str) -> Condition {
     Condition::Absent { key: key.to_owned() }
 }
 
-fn committed(revision: u64) -> CommitResult {
-    CommitResult::Committed { revision }
+fn at(key: &str, revision: u64) -> Condition {
+    Condition::AtRevision { key: key.to_owned(), revision }
 }
 
-/// The operations whose writes took effect, read from the values that [`put`] writes.
-fn effects(history: &History) -> Vec<String> {
-    let mut effects = Vec::new();
-    for (_, entry) in history.snapshot() {
-        if let Entry::Transaction { transaction, result: CommitResult::Committed { .. } } = entry {
-            for write in transaction.writes {
-                if let Write::Put { value: Value::Object(value), .. } = write {
-                    effects.extend(value["by"].as_str().map(str::to_owned));
-                }
-            }
-        }
-    }
-    effects
+fn committed(revision: u64) -> CommitResult {
+    CommitResult::Committed { revision }
 }
 
-/// Peers that reach the table of another place, unless they are cut off.
-#[derive(Debug)]
-struct RelayPeers {
-    table: Arc<dyn Table>,
-    /// Addresses that answer.
-    reachable: Vec<&'static str>,
-    /// Addresses that were called.
-    called: std::sync::Mutex<Vec<String>>,
+fn conflict(failed: &[&str]) -> CommitResult {
+    CommitResult::Conflict { failed: failed.iter().map(|key| (*key).to_owned()).collect() }
 }
 
-impl RelayPeers {
-    fn new(table: Arc<dyn Table>, reachable: &[&'static str]) -> Arc<Self> {
-        Arc::new(Self { table, reachable: reachable.to_vec(), called: Default::default() })
-    }
-
-    fn calls(&self) -> Vec<String> {
-        std::mem::take(&mut *self.called.lock().expect("no test thread panicked"))
-    }
+fn rows(prefix: &str) -> ReadRequest {
+    ReadRequest { prefixes: vec![prefix.to_owned()], ..ReadRequest::default() }
 }
 
-fn cut<A>(address: &str) -> Result<A, PeerError> {
-    Err(PeerError::Unreachable { address: address.to_owned(), cause: "cut".to_owned() })
+/// The decided transactions in order.
+fn decided(table: &MemoryTable) -> Vec<(Transaction, CommitResult)> {
+    let entries = table.history().snapshot().into_iter();
+    let decided = entries.filter_map(|(_, entry)| match entry {
+        Entry::Transaction { transaction, result } => Some((transaction, result)),
+        _ => None,
+    });
+    decided.collect()
 }
 
-impl Peers for RelayPeers {
-    fn heartbeat(&self, to: &str, _: Heartbeat, _: Duration) -> Result<HeartbeatReply, PeerError> {
-        cut(to)
-    }
-
-    fn query_hold(&self, to: &str, _: HoldQuery, _: Duration) -> Result<HoldAnswer, PeerError> {
-        cut(to)
-    }
-
-    fn hand_over(&self, to: &str, _: HandOver, _: Duration) -> Result<HandOverReply, PeerError> {
-        cut(to)
-    }
-
-    fn record_key(&self, to: &str, _: RecordKey, _: Duration) -> Result<RecordKeyReply, PeerError> {
-        cut(to)
-    }
-
-    fn relay(&self, to: &str, msg: Relay, _: Duration) -> Result<RelayReply, PeerError> {
-        self.called.lock().expect("no test thread panicked").push(to.to_owned());
-        if self.reachable.contains(&to) { Ok(answer(self.table.as_ref(), &msg)) } else { cut(to) }
-    }
-
-    fn forward(
-        &self,
-        to: &str,
-        _: ForwardedRequest,
-        _: Duration,
-    ) -> Result<ForwardedAnswer, PeerError> {
-        cut(to)
-    }
-}
-
-/// A table in this process with faults in front of it, and a manual clock.
-struct InProcess {
-    table: MemoryTable,
-    faults: Faults,
-    clock: Arc<ManualClock>,
-    faulty: Arc<dyn Table>,
-}
-
-impl InProcess {
-    fn new() -> Self {
-        let table = MemoryTable::new(History::default());
-        let faults = Faults::default();
-        let clock = Arc::new(ManualClock::new());
-        let faulty =
-            FaultyTable::new(Arc::new(table.clone()), faults.clone(), clock.clone(), TIMEOUT);
-        Self { table, faults, clock, faulty: Arc::new(faulty) }
-    }
-
-    fn deadline(&self) -> Instant {
-        self.clock.now() + Duration::from_secs(5)
-    }
-
-    fn commits(&self, process: &str) -> GroupCommit {
-        let table = Arc::clone(&self.faulty);
-        GroupCommit::inline(table, self.clock.clone(), Metrics::disabled(), &settings(), process)
-    }
-
-    /// A context whose process commits inline.
-    fn context(&self, process: &str) -> Context {
-        let clock = self.clock.clone();
-        context(process, Arc::clone(&self.faulty), clock, self.commits(process))
-    }
-}
-
-fn context(
-    process: &str,
-    table: Arc<dyn Table>,
-    clock: Arc<dyn Clock>,
-    commits: GroupCommit,
-) -> Context {
-    Context {
-        cfg: Arc::new(settings()),
-        process: process.to_owned(),
-        clock,
-        table: Arc::clone(&table),
-        commits,
-        objects: Arc::new(MemoryObjects::default()),
-        vms: Arc::new(MemoryVms::default()),
-        workers: Arc::new(HttpWorkers::new(TIMEOUT, Metrics::disabled())),
-        catalogue: Default::default(),
-        vm_listing: SharedVmListing::default(),
-        peers: RelayPeers::new(table, &[]),
-        directory: Directory::default(),
-        metrics: Metrics::disabled(),
-        stop: StopSignal::default(),
+/// The operations whose writes took effect, in order, read from the values that [`put`] writes.
+fn effects(table: &MemoryTable) -> Vec<String> {
+    let mut effects = Vec::new();
+    for (transaction, result) in decided(table) {
+        for write in transaction.writes {
+            if let (CommitResult::Committed { .. }, Write::Put { value, .. }) = (&result, write) {
+                effects.extend(value["by"].as_str().map(str::to_owned));
+            }
+        }
     }
+    effects
 }
 
 /// Group commit in a thread, on the system's clock.
-fn threaded(table: Arc<dyn Table>, writes_per_second: u32) -> GroupCommit {
+fn threaded(table: &Arc<dyn Table>, writes_per_second: u32) -> GroupCommit {
     let mut cfg = settings();
     cfg.limits.writes_per_second = writes_per_second;
-    GroupCommit::start(table, Arc::new(SystemClock), Metrics::disabled(), &cfg, "p1")
+    let clock = Arc::new(SystemClock);
+    GroupCommit::start(Arc::clone(table), clock, Metrics::disabled(), &cfg, "p1")
         .expect("a thread can be started")
 }
+
+fn target(name: &str) -> Vm {
+    Vm {
+        name: name.to_owned(),
+        role: VmRole::Target,
+        state: VmState::Live,
+        domain: "a".to_owned(),
+        rack: "r1".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        service: Some("echo".to_owned()),
+    }
+}
--- a/tests/testsuite/platform/catalogue.rs
+++ b/tests/testsuite/platform/catalogue.rs
@@ -1,18 +1,11 @@
 //! The catalogue's copy and the operators' interface to it.
 
-use std::sync::Arc;
-use std::time::{Duration, Instant};
-
 use arbtest::arbtest;
 use plantainlever::catalogue::CatalogueCopy;
-use plantainlever::clock::SystemClock;
-use plantainlever::local::{History, table::MemoryTable};
-use plantainlever::ops::api::{ApiRequest, ApiResponse, catalogue, domains};
+use plantainlever::ops::api::{ApiRequest, catalogue, domains};
 use plantainlever::ops::{Context, sync};
-use plantainlever::platform::table::{ReadRequest, ReadResponse, Row, Table};
-use serde_json::{Value, json};
 
-use super::{InProcess, context, threaded};
+use super::*;
 
 fn call(
     cx: &Context,
@@ -31,12 +24,9 @@
         headers: &headers,
         body: body.as_bytes(),
     };
-    let ApiResponse { status, body } = if path.starts_with("domains") {
-        domains::handle(cx, &req)
-    } else {
-        catalogue::handle(cx, &req)
-    };
-    (status, String::from_utf8(body).expect("JSON is UTF-8"))
+    let handle = if path.starts_with("domains") { domains::handle } else { catalogue::handle };
+    let reply = handle(cx, &req);
+    (reply.status, String::from_utf8(reply.body).expect("JSON is UTF-8"))
 }
 
 fn owner(cpu_millis: u64) -> String {
@@ -96,11 +86,8 @@
 /// Guards against two operators who both believe that their conflicting edit is in force.
 #[test]
 fn one_of_two_racing_editors_wins() {
-    let table: Arc<dyn Table> = Arc::new(MemoryTable::new(History::default()));
-    let processes = ["p1", "p2"].map(|process| {
-        let commits = threaded(Arc::clone(&table), 1_000);
-        context(process, Arc::clone(&table), Arc::new(SystemClock), commits)
-    });
+    let t = InProcess::with_clock(SystemClock);
+    let processes = ["p1", "p2"].map(|it| t.context_with(it, threaded(&t.faulty, 1_000)));
     let mut revision = 0;
     for round in 0..50 {
         let based_on = revision.to_string();
@@ -126,9 +113,7 @@
             assert_eq!(seen["document"]["quota"]["cpu_millis"], 2 * round + winner as u64);
         }
     }
-    for cx in processes {
-        cx.commits.close();
-    }
+    processes.into_iter().for_each(|cx| cx.commits.close());
 }
 
 /// Guards against an edit that fails because another document was edited, and against lost entries of the history.
@@ -136,9 +121,8 @@
 fn editors_of_different_documents_do_not_hinder_each_other() {
     const EDITORS: u64 = 6;
     const EDITS: u64 = 5;
-    let table: Arc<dyn Table> = Arc::new(MemoryTable::new(History::default()));
-    let commits = threaded(Arc::clone(&table), 1_000);
-    let cx = &context("p1", table, Arc::new(SystemClock), commits);
+    let t = InProcess::with_clock(SystemClock);
+    let cx = &t.context_with("p1", threaded(&t.faulty, 1_000));
     std::thread::scope(|scope| {
         for editor in 0..EDITORS {
             scope.spawn(move || {
@@ -199,114 +183,17 @@
     let t = InProcess::new();
     let cx = t.context("p1");
     sync::refresh(&cx).unwrap();
-    let exact = |method, path, if_match, body: &str, status, expected: &str| {
-        let reply = call(&cx, method, path, if_match, body);
-        assert_eq!(reply, (status, format!("{{\"error\":{expected}}}")));
-    };
-    let entry = |change: &str| {
-        format!(
-            "{{\"kind\":\"entry\",\"owner\":\"roads\",\"class\":\"batch\",\"limits\":{{\"per_task\":\
-             {{\"cpu_millis\":1,\"memory_mb\":1}}}}{change}}}"
-        )
-    };
-    exact(
-        "PUT",
-        "catalogue/n",
-        None,
-        &owner(1),
-        428,
-        r#"{"code":"revision-required","message":"an edit needs the header If-Match","hint":"send the number in \"revision\" of the last GET, or 0 for a new document"}"#,
-    );
-    exact(
-        "PUT",
-        "catalogue/n",
-        Some("new"),
-        &owner(1),
-        400,
-        r#"{"code":"malformed-header","message":"If-Match is \"new\", which is no revision","hint":"send the number in \"revision\" of the last GET, or 0 for something new"}"#,
-    );
-    exact(
-        "PUT",
-        "catalogue/n",
-        Some("0"),
-        "{",
-        400,
-        r#"{"code":"malformed-body","message":"the body cannot be read: EOF while parsing an object at line 1 column 1","hint":"send a JSON object with the documented fields only"}"#,
-    );
-    exact(
-        "PUT",
-        "catalogue/N",
-        Some("0"),
-        &owner(1),
-        422,
-        r#"{"code":"bad-name","message":"the name \"N\" must have 1 to 63 characters out of a-z, 0-9 and '-'","hint":"choose another name"}"#,
-    );
-    exact(
-        "PUT",
-        "catalogue/n",
-        Some("0"),
-        &entry(r#","priority":10"#),
-        422,
-        r#"{"code":"priority-too-high","message":"priority 10 is above 9","hint":"use a priority of 0 to 9"}"#,
-    );
-    exact(
-        "PUT",
-        "catalogue/n",
-        Some("0"),
-        &entry(r#","domains":["a","z"]"#),
-        422,
-        r#"{"code":"unknown-domain","message":"\"domains\" names \"z\", which is no failure domain","hint":"the failure domains are a, b"}"#,
-    );
-    exact(
-        "PUT",
-        "catalogue/n",
-        Some("7"),
-        &owner(1),
-        409,
-        r#"{"code":"lost-race","message":"the change of \"n\" is based on revision 7, but it does not exist","hint":"get the current content, apply your change to it and send it with its revision","revision":0}"#,
-    );
-    exact(
-        "GET",
-        "catalogue/n",
-        None,
-        "",
-        404,
-        r#"{"code":"unknown-document","message":"the catalogue has no document \"n\"","hint":"see the names with GET /v1/catalogue; create it with PUT and If-Match: 0"}"#,
-    );
-    exact(
-        "DELETE",
-        "catalogue/n",
-        None,
-        "",
-        405,
-        r#"{"code":"method-not-allowed","message":"DELETE is not possible here","hint":"use GET or PUT"}"#,
-    );
-    exact(
-        "PUT",
-        "domains/z",
-        None,
-        "{\"state\":\"out\"}",
-        404,
-        r#"{"code":"unknown-domain","message":"\"z\" is no failure domain","hint":"the failure domains are a, b"}"#,
-    );
-    exact(
-        "PUT",
-        "domains/a",
-        None,
-        "{\"state\":\"off\"}",
-        400,
-        r#"{"code":"malformed-body","message":"the body cannot be read: unknown variant `off`, expected `in` or `out` at line 1 column 14","hint":"send a JSON object with the documented fields only"}"#,
-    );
-    exact(
-        "PUT",
-        "domains/a",
-        Some("3"),
-        "{\"state\":\"out\"}",
-        409,
-        r#"{"code":"lost-race","message":"the change of \"a\" is based on revision 3, but it does not exist","hint":"get the current content, apply your change to it and send it with its revision","revision":0}"#,
-    );
-    let all = ReadRequest { prefixes: vec![String::new()], ..ReadRequest::default() };
-    assert_eq!(t.table.read(&all).unwrap(), ReadResponse::default());
+    // A request with method, path, If-Match and body, and the answer with status and body, then an empty line.
+    for case in include_str!("errors.txt").split("\n\n") {
+        let (req, expected) = case.trim_end().split_once('\n').expect("a case has two lines");
+        let mut parts = req.splitn(4, ' ');
+        let mut part = || parts.next().unwrap_or_default();
+        let (method, path, revision, body) = (part(), part(), part(), part());
+        let revision = Some(revision).filter(|revision| *revision != "-");
+        let (status, body) = call(&cx, method, path, revision, body);
+        assert_eq!(format!("{status} {body}"), expected, "{req}");
+    }
+    assert_eq!(t.table.read(&rows("")).unwrap(), ReadResponse::default());
 }
 
 /// Guards against answers whose form operators' scripts don't expect.
@@ -315,6 +202,7 @@
     let t = InProcess::new();
     let cx = t.context("p1");
     assert_eq!(call(&cx, "GET", "catalogue", None, "").0, 503);
+    assert_eq!(call(&cx, "GET", "domains", None, "").0, 503);
     assert_eq!(
         call(&cx, "PUT", "catalogue/team", Some("\"0\""), &owner(7)),
         (200, r#"{"name":"team","revision":1}"#.to_owned())
@@ -324,7 +212,7 @@
     let list = format!(r#"{{"revision":1,"age_ms":0,"documents":[{document}]}}"#);
     assert_eq!(call(&cx, "GET", "catalogue", None, ""), (200, list));
     call(&cx, "PUT", "domains/b", Some("0"), r#"{"state":"out"}"#);
-    let list = r#"{"domains":[{"name":"a","state":"in","revision":0},{"name":"b","state":"out","revision":2}]}"#;
+    let list = r#"{"age_ms":0,"domains":[{"name":"a","state":"in","revision":0},{"name":"b","state":"out","revision":2}]}"#;
     assert_eq!(call(&cx, "GET", "domains", None, ""), (200, list.to_owned()));
     let history =
         r#"{"changes":[{"name":"team","revision":1,"replaced":0,"unix_ms":0,"process":"p1"}]}"#;
--- a/tests/testsuite/platform/http.rs
+++ b/tests/testsuite/platform/http.rs
@@ -2,22 +2,14 @@
 
 use std::io::{Read, Write as _};
 use std::net::{SocketAddr, TcpListener};
-use std::time::{Duration, Instant};
 
 use plantainlever::local::objects::MemoryObjects;
-use plantainlever::local::table::MemoryTable;
-use plantainlever::local::vms::MemoryVms;
-use plantainlever::local::{History, JsonServer, Reply};
-use plantainlever::platform::PlatformError;
 use plantainlever::platform::http::{HttpObjects, HttpTable, HttpVmList, HttpWorkers};
 use plantainlever::platform::objects::Objects;
-use plantainlever::platform::table::{OperationQuery, OperationStatus, ReadRequest, Table};
-use plantainlever::platform::vms::{Vm, VmList, VmRole, VmState};
+use plantainlever::platform::vms::VmList;
 use plantainlever::platform::worker::{RenewRequest, WorkerClient};
-use plantainlever::telemetry::Metrics;
-use plantainlever_test_support::fault::Faults;
 
-use super::{TIMEOUT, absent, committed, loopback, put, wait_until};
+use super::*;
 
 fn client(address: SocketAddr, timeout: Duration) -> HttpTable {
     HttpTable::new(address, timeout, Metrics::disabled())
@@ -31,8 +23,7 @@
     let http = client(server.address(), TIMEOUT);
     let txn = put("op1", "k/1", vec![absent("k/1")]);
     assert_eq!(http.commit(&txn), Ok(committed(1)));
-    let req = ReadRequest { prefixes: vec!["k/".to_owned()], ..ReadRequest::default() };
-    assert_eq!(http.read(&req), table.read(&req));
+    assert_eq!(http.read(&rows("k/")), table.read(&rows("k/")));
     let query = OperationQuery { operation: "op1".to_owned(), forbid: false };
     assert_eq!(http.operation(&query), Ok(OperationStatus::Decided { result: committed(1) }));
     server.close();
@@ -110,7 +101,7 @@
     let error = client(server.address(), timeout).commit(&put("op1", "k", vec![])).unwrap_err();
     assert!(matches!(error, PlatformError::NoAnswer { .. }), "{error}");
     faults.set_held(false);
-    wait_until("the late effect", || table.history().snapshot().len() == 1);
+    wait_until("the late effect", || decided(&table).len() == 1);
     server.close();
 }
 
@@ -144,15 +135,7 @@
     let server =
         JsonServer::start(loopback(), 1, faults.wrap(move |req| served.answer(req))).unwrap();
     let list = HttpVmList::new(server.address(), TIMEOUT, Metrics::disabled());
-    let vm = Vm {
-        name: "t1".to_owned(),
-        role: VmRole::Target,
-        state: VmState::Live,
-        domain: "a".to_owned(),
-        rack: "r1".to_owned(),
-        address: "127.0.0.1:1".to_owned(),
-        service: Some("echo".to_owned()),
-    };
+    let vm = target("t1");
     vms.insert(vm.clone());
     assert_eq!(list.list().unwrap().vms, [vm]);
     let lag = Duration::from_millis(300);
--- a/tests/testsuite/platform/sync.rs
+++ b/tests/testsuite/platform/sync.rs
@@ -1,24 +1,13 @@
 //! The duty threads that follow the table and the VM list.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
 
-use plantainlever::clock::{Clock, SystemClock};
 use plantainlever::domain::DomainState;
-use plantainlever::local::table::MemoryTable;
-use plantainlever::local::vms::MemoryVms;
-use plantainlever::local::{History, JsonServer};
 use plantainlever::ops::sync::{Sync, TableFollower, refresh};
 use plantainlever::peer::Member;
 use plantainlever::platform::http::{HttpTable, HttpVmList};
-use plantainlever::platform::table::{ReadRequest, Table, Transaction, Write};
-use plantainlever::platform::vms::{Vm, VmRole, VmState};
-use plantainlever::telemetry::Metrics;
-use plantainlever_test_support::fault::Faults;
-use serde_json::json;
 
-use super::{InProcess, TIMEOUT, context, loopback, threaded, wait_until};
+use super::*;
 
 fn member(process: &str) -> Member {
     Member {
@@ -29,10 +18,8 @@
     }
 }
 
-fn write(table: &dyn Table, operation: &str, key: &str, value: serde_json::Value) {
-    let writes = vec![Write::Put { key: key.to_owned(), value }];
-    let txn = Transaction { operation: operation.to_owned(), conditions: Vec::new(), writes };
-    table.commit(&txn).expect("the table is up");
+fn set(table: &MemoryTable, key: &str, value: Value) {
+    table.commit(&write(key, vec![put_value(key, value)])).expect("the table is up");
 }
 
 /// Guards against a process that never announces itself after an outage, that misses a change, that stays announced
@@ -51,30 +38,24 @@
     let vm_server = vms.serve(loopback(), 1).unwrap();
     let http: Arc<dyn Table> =
         Arc::new(HttpTable::new(table_server.address(), TIMEOUT, Metrics::disabled()));
-    let commits = threaded(Arc::clone(&http), 50);
+    let commits = threaded(&http, 50);
     let mut cx = context("p1", http, Arc::new(SystemClock), commits);
+    let mut cfg = settings();
+    (cfg.timing.catalogue_poll_ms, cfg.timing.vm_poll_ms) = (100, 100);
+    cx.cfg = Arc::new(cfg);
     cx.vms = Arc::new(HttpVmList::new(vm_server.address(), TIMEOUT, Metrics::disabled()));
 
     faults.set_down(true);
     let sync = Sync::start(&cx, member("p1")).unwrap();
-    wait_until("the VM list", || cx.vm_listing.snapshot().vms == vms_of(&vms));
-    vms.insert(Vm {
-        name: "t1".to_owned(),
-        role: VmRole::Target,
-        state: VmState::Live,
-        domain: "a".to_owned(),
-        rack: "r1".to_owned(),
-        address: "127.0.0.1:1".to_owned(),
-        service: None,
-    });
+    vms.insert(target("t1"));
     wait_until("the new VM", || cx.vm_listing.snapshot().vms.len() == 1);
     assert_eq!(cx.catalogue.snapshot().confirmed_at(), None);
     faults.set_down(false);
     wait_until("the member row", || cx.directory.snapshot().get("p1") == Some(&member("p1")));
 
-    write(&table, "op1", "domain-state/b", json!({"state": "out"}));
+    set(&table, "domain-state/b", json!({"state": "out"}));
     wait_until("the change", || cx.catalogue.snapshot().domain_state("b") == DomainState::Out);
-    write(&table, "op2", "member/b/p2", json!(member("p2")));
+    set(&table, "member/b/p2", json!(member("p2")));
     wait_until("the other process", || cx.directory.snapshot().contains_key("p2"));
 
     let (begin, before) = (Instant::now(), reads.load(Ordering::SeqCst));
@@ -85,34 +66,26 @@
     assert!(periods >= 9.0, "10 reads in {periods} periods");
 
     sync.close();
-    let members = ReadRequest { prefixes: vec!["member/".to_owned()], ..ReadRequest::default() };
-    let left: Vec<_> = table.read(&members).unwrap().rows.into_iter().map(|row| row.key).collect();
-    assert_eq!(left, ["member/b/p2"]);
+    let left = table.read(&rows("member/")).unwrap().rows;
+    assert_eq!(left.iter().map(|row| &row.key).collect::<Vec<_>>(), ["member/b/p2"]);
     cx.commits.close();
     table_server.close();
     vm_server.close();
 }
 
-fn vms_of(vms: &MemoryVms) -> Vec<Vm> {
-    use plantainlever::platform::vms::VmList;
-    vms.list().expect("the list is in memory").vms
-}
-
 /// Guards against a member's change that is skipped because the copy was refreshed in between.
 #[test]
 fn refresh_does_not_hide_changes_of_members() {
     let t = InProcess::new();
     let cx = t.context("p1");
     let mut follower = TableFollower::default();
-    write(&t.table, "op1", "member/a/p2", json!(member("p2")));
-    write(&t.table, "op2", "domain-state/a", json!({"state": "out"}));
+    set(&t.table, "member/a/p2", json!(member("p2")));
+    set(&t.table, "domain-state/a", json!({"state": "out"}));
     refresh(&cx).unwrap();
     assert_eq!(cx.catalogue.snapshot().revision(), 2);
     follower.poll(&cx).unwrap();
     assert_eq!(cx.directory.snapshot().get("p2"), Some(&member("p2")));
-    let writes = vec![Write::Delete { key: "member/a/p2".to_owned() }];
-    let operation = "op3".to_owned();
-    t.table.commit(&Transaction { operation, conditions: Vec::new(), writes }).unwrap();
+    t.table.commit(&write("op3", vec![delete("member/a/p2")])).unwrap();
     refresh(&cx).unwrap();
     follower.poll(&cx).unwrap();
     assert!(cx.directory.snapshot().is_empty());
--- a/tests/testsuite/platform/table.rs
+++ b/tests/testsuite/platform/table.rs
@@ -3,15 +3,9 @@
 use std::collections::BTreeMap;
 
 use arbtest::arbtest;
-use plantainlever::local::History;
-use plantainlever::local::table::{MemoryTable, TableState};
-use plantainlever::platform::table::{
-    CommitResult, Condition, OperationQuery, OperationStatus, ReadRequest, Revision, Table,
-    Transaction, Write,
-};
-use serde_json::{Value, json};
+use plantainlever::local::table::TableState;
 
-use super::{absent, committed, put};
+use super::*;
 
 /// Guards against an operation that is decided twice, or committed after it was forbidden.
 #[test]
@@ -20,36 +14,31 @@
     let txn = put("op1", "k", vec![absent("k")]);
     assert_eq!(table.commit(&txn), Ok(committed(1)));
     assert_eq!(table.commit(&txn), Ok(committed(1)));
-    let query = OperationQuery { operation: "op2".to_owned(), forbid: true };
-    assert_eq!(table.operation(&query), Ok(OperationStatus::Unknown));
-    let late = table.commit(&put("op2", "k2", Vec::new()));
-    assert_eq!(late, Ok(CommitResult::Conflict { failed: Vec::new() }));
-    let query = OperationQuery { operation: "op1".to_owned(), forbid: true };
-    assert_eq!(table.operation(&query), Ok(OperationStatus::Decided { result: committed(1) }));
-    assert_eq!(table.history().snapshot().len(), 1);
+    let forbid = |operation: &str| OperationQuery { operation: operation.to_owned(), forbid: true };
+    assert_eq!(table.operation(&forbid("op2")), Ok(OperationStatus::Unknown));
+    assert_eq!(table.commit(&put("op2", "k2", Vec::new())), Ok(conflict(&[])));
+    let first = OperationStatus::Decided { result: committed(1) };
+    assert_eq!(table.operation(&forbid("op1")), Ok(first));
+    assert_eq!(decided(&table).len(), 1);
 }
 
-/// Guards against a transaction that is applied in part, or against a fence that a wrong epoch passes.
+/// Guards against a transaction that is applied in part, a fence that a wrong epoch passes, and a deleted row that counts
+/// as present.
 #[test]
 fn failed_conditions_are_named_and_nothing_is_written() {
     let mut state = TableState::default();
-    let value = json!({"epoch": 7});
-    let write = Write::Put { key: "hold/a".to_owned(), value };
-    let first =
-        Transaction { operation: "op1".to_owned(), conditions: vec![], writes: vec![write] };
-    state.commit(&first);
-    let epoch = |number| Condition::FieldEquals {
-        key: "hold/a".to_owned(),
-        field: "epoch".to_owned(),
-        number,
+    state.commit(&write("op1", vec![put_value("hold", json!({"epoch": 7}))]));
+    let epoch = |number| {
+        let (key, field) = ("hold".to_owned(), "epoch".to_owned());
+        Condition::FieldEquals { key, field, number }
     };
-    let at = |revision| Condition::AtRevision { key: "hold/a".to_owned(), revision };
-    let gone = Condition::AtRevision { key: "gone".to_owned(), revision: 0 };
-    let (result, _) = state.commit(&put("op2", "k", vec![epoch(6), at(1), gone, at(2)]));
-    let failed = vec!["hold/a".to_owned(), "gone".to_owned()];
-    assert_eq!(result, CommitResult::Conflict { failed });
+    let failing = vec![epoch(6), at("hold", 1), at("gone", 0), at("hold", 2)];
+    assert_eq!(state.commit(&put("op2", "k", failing)).0, conflict(&["hold", "gone"]));
     assert_eq!(state.revision(), 1);
-    assert_eq!(state.commit(&put("op3", "k", vec![epoch(7), at(1)])).0, committed(2));
+    assert_eq!(state.commit(&put("op3", "k", vec![epoch(7), at("hold", 1)])).0, committed(2));
+    state.commit(&write("op4", vec![delete("k")]));
+    assert_eq!(state.commit(&put("op5", "k", vec![at("k", 3)])).0, conflict(&["k"]));
+    assert_eq!(state.commit(&put("op6", "k", vec![absent("k")])).0, committed(4));
 }
 
 /// Guards against a read of changes that misses a row, brings back a deleted one or depends on the index in use.
@@ -57,7 +46,7 @@
 fn reads_agree_with_a_plain_model() {
     arbtest(|u| {
         let mut state = TableState::default();
-        let mut model: BTreeMap<String, (Revision, Option<Value>)> = BTreeMap::new();
+        let mut model: BTreeMap<String, (u64, Option<Value>)> = BTreeMap::new();
         // A long prelude makes reads from an old revision use the index of keys.
         let prelude = if u.ratio(1_u8, 8_u8)? { 1_100 } else { 0 };
         for number in 0..prelude + u.int_in_range(1..=30)? {
@@ -66,36 +55,27 @@
             if number >= prelude {
                 let key = format!("{}/{}", u.choose(&["a", "ab", "b"])?, u.int_in_range(0..=3)?);
                 if u.arbitrary()? {
-                    model.insert(key.clone(), (revision, Some(json!(revision))));
-                    writes.push(Write::Put { key, value: json!(revision) });
+                    writes.push(put_value(&key, json!(revision)));
+                    model.insert(key, (revision, Some(json!(revision))));
                 } else {
+                    writes.push(delete(&key));
                     if let Some(row) = model.get_mut(&key).filter(|row| row.1.is_some()) {
                         *row = (revision, None);
                     }
-                    writes.push(Write::Delete { key });
                 }
             }
-            let operation = format!("op{revision}");
-            state.commit(&Transaction { operation, conditions: Vec::new(), writes });
+            state.commit(&write(&format!("op{revision}"), writes));
         }
-        let changed_after = match u.arbitrary()? {
-            true => Some(u.int_in_range(0..=state.revision())?),
-            false => None,
-        };
+        let after = u.int_in_range(0..=state.revision())?;
+        let changed_after = u.arbitrary::<bool>()?.then_some(after);
         let keys = vec!["b/1".to_owned()];
-        let response =
-            state.read(&ReadRequest { keys, prefixes: vec!["a/".to_owned()], changed_after });
-        let expected: Vec<_> = model
-            .into_iter()
-            .filter(|(key, _)| key.starts_with("a/") || key == "b/1")
-            .filter(|(_, (revision, value))| match changed_after {
-                Some(after) => *revision > after,
-                None => value.is_some(),
-            })
-            .map(|(key, (revision, value))| (key, revision, value))
-            .collect();
-        let rows = response.rows.into_iter().map(|row| (row.key, row.revision, row.value));
-        assert_eq!(rows.collect::<Vec<_>>(), expected);
+        let response = state.read(&ReadRequest { keys, changed_after, ..rows("a/") });
+        model.retain(|key, (revision, value)| {
+            (key.starts_with("a/") || key == "b/1")
+                && changed_after.map_or(value.is_some(), |after| *revision > after)
+        });
+        let model = model.into_iter().map(|(key, (revision, value))| Row { key, revision, value });
+        assert_eq!(response.rows, model.collect::<Vec<_>>());
         Ok(())
     })
     .budget_ms(1_000);
