Give later members of a failed write their own attempts

Cause: when the earliest deadline of a merged write ended its attempts and the ban of the write was only learned afterwards, members with later deadlines failed although they had time left. A relayed call also never came to peers of its own domain when two peers of other domains were known.

Ruled out: one write per deadline; that would undo the merging.

Change: such members go back to the queue; a call through peers tries two of other domains and then one of its own. Faults can refuse calls. Tests for both, for a refused merged write and for repeats of merged transactions.

Conclusion: a member's result depends on its own deadline only.

--- a/crates/plantainlever-test-support/src/fault.rs
+++ b/crates/plantainlever-test-support/src/fault.rs
@@ -24,6 +24,7 @@
     delay: Duration,
     lost_answers: u32,
     lost_requests: u32,
+    refusals: u32,
     lag: Duration,
     held: bool,
     /// Calls that wait for the end of the hold.
@@ -44,8 +45,12 @@
     Down,
     RequestLost,
     AnswerLost,
+    Refused,
 }
 
+/// Status of refused calls.
+const TOO_LARGE: u16 = 413;
+
 impl Faults {
     fn lock(&self) -> MutexGuard<'_, Switches> {
         self.switches.lock().unwrap_or_else(PoisonError::into_inner)
@@ -71,6 +76,11 @@
         self.lock().lost_requests = count;
     }
 
+    /// Refuses the next `count` calls as too large.
+    pub fn refuse(&self, count: u32) {
+        self.lock().refusals = count;
+    }
+
     /// Serves answers of at least this age. Zero switches it off.
     pub fn set_lag(&self, lag: Duration) {
         self.lock().lag = lag;
@@ -101,6 +111,9 @@
         let mut switches = self.lock();
         let fate = if switches.down {
             Fate::Down
+        } else if switches.refusals > 0 {
+            switches.refusals -= 1;
+            Fate::Refused
         } else if switches.lost_requests > 0 {
             switches.lost_requests -= 1;
             Fate::RequestLost
@@ -126,6 +139,7 @@
             SystemClock.sleep(delay);
             match fate {
                 Fate::Down | Fate::RequestLost => Reply::Drop,
+                Fate::Refused => Reply::json(TOO_LARGE, &"too large"),
                 Fate::AnswerLost => {
                     handler(req);
                     Reply::Drop
@@ -190,6 +204,11 @@
                 address: "in process".to_owned(),
                 cause: "switched off".to_owned(),
             }),
+            Fate::Refused => Err(PlatformError::Refused {
+                service: SERVICE,
+                status: TOO_LARGE,
+                message: "too large".to_owned(),
+            }),
             Fate::RequestLost => Err(no_answer("request lost")),
             Fate::AnswerLost => {
                 act(self.inner.as_ref());
--- a/src/platform/group_commit/worker.rs
+++ b/src/platform/group_commit/worker.rs
@@ -224,10 +224,14 @@
 
     /// Asks further for members whose deadlines are later than those that have been answered.
     fn keep_asking(&mut self, write: &Transaction, members: Vec<Submission>, cause: PlatformError) {
-        if !members.is_empty() {
-            let deadline = earliest_deadline(&members);
-            let settled = self.settler.resolve(&write.operation, deadline, cause);
-            self.conclude(write, members, settled);
+        if members.is_empty() {
+            return;
+        }
+        let deadline = earliest_deadline(&members);
+        match self.settler.resolve(&write.operation, deadline, cause) {
+            // The deadline of others ended the attempts, so these members have attempts left.
+            Settled::Forbidden { .. } => self.requeue(members),
+            settled => self.conclude(write, members, settled),
         }
     }
 
--- a/src/platform/relay.rs
+++ b/src/platform/relay.rs
@@ -27,8 +27,11 @@
 /// Time between attempts to call the table directly again. An attempt may cost a whole connection timeout.
 const DIRECT_RETRY: Duration = Duration::from_secs(5);
 
-/// Peers that one call tries; bounds the time of a call while nothing is reachable.
-const MAX_PEERS: usize = 2;
+/// Peers of other domains that one call tries; bounds the time of a call while nothing is reachable.
+const MAX_OTHERS: usize = 2;
+
+/// Peers of the own domain that one call tries after them.
+const MAX_OWN: usize = 1;
 
 /// The way that the next call takes first.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,8 +47,8 @@
 #[derive(Debug)]
 struct State {
     way: Way,
-    /// Peers are tried from this place of the list on, so that each call after a failure tries others.
-    next_peer: usize,
+    /// Raised by each call that needs a new peer, so that each tries others.
+    round: usize,
 }
 
 /// A table that is called directly or, while that fails, through peers.
@@ -89,7 +92,7 @@
             seeds: seeds.collect(),
             timeout: cfg.timing.platform_timeout(),
             metrics,
-            state: Mutex::new(State { way: Way::Direct, next_peer: 0 }),
+            state: Mutex::new(State { way: Way::Direct, round: 0 }),
         }
     }
 
@@ -184,13 +187,13 @@
             }
         }
         let mut state = self.lock();
-        let start = state.next_peer;
-        state.next_peer = start.wrapping_add(MAX_PEERS);
-        rotate(&mut others, start);
-        rotate(&mut own, start);
-        let rest = others.into_iter().chain(own);
+        let round = state.round;
+        state.round = round.wrapping_add(1);
+        rotate(&mut others, round.wrapping_mul(MAX_OTHERS));
+        rotate(&mut own, round.wrapping_mul(MAX_OWN));
+        let rest = others.into_iter().take(MAX_OTHERS).chain(own.into_iter().take(MAX_OWN));
         let rest = rest.filter(|address| Some(address.as_str()) != preferred);
-        preferred.map(str::to_owned).into_iter().chain(rest).take(MAX_PEERS).collect()
+        preferred.map(str::to_owned).into_iter().chain(rest).collect()
     }
 
     fn use_direct(&self) {
--- a/tests/testsuite/platform/commits.rs
+++ b/tests/testsuite/platform/commits.rs
@@ -67,10 +67,10 @@
 /// writes. Returns the results of the others.
 fn submit_together(
     t: &InProcess<SystemClock>,
+    commits: &GroupCommit,
     txns: &[Transaction],
     release: impl FnOnce(),
 ) -> Vec<Result<CommitResult, CommitFailure>> {
-    let commits = &threaded(&t.faulty, 1_000);
     let deadline = Instant::now() + WAIT;
     t.faults.set_held(true);
     let replies = std::thread::scope(|scope| {
@@ -86,7 +86,6 @@
         let replies = submitters.into_iter().map(|submitter| submitter.join());
         replies.map(|reply| reply.expect("the submitter does not panic")).collect::<Vec<_>>()
     });
-    commits.clone().close();
     assert!(replies[0].is_ok(), "{:?}", replies[0]);
     replies[1..].to_vec()
 }
@@ -101,11 +100,52 @@
         let key = format!("k{number}");
         put(&format!("op{number}"), &key, vec![absent(&key), absent(other(number))])
     };
-    let replies = submit_together(&t, &[0, 1, 2, 3, 4, 5, 6, 7].map(txn), || {});
+    let commits = threaded(&t.faulty, 1_000);
+    let replies = submit_together(&t, &commits, &[0, 1, 2, 3, 4, 5, 6, 7].map(txn), || {});
     let reply = |number| if number % 3 == 0 { conflict(&["taken"]) } else { committed(3) };
     assert_eq!(replies, [0, 1, 2, 3, 4, 5, 6, 7].map(|number| Ok(reply(number))));
     // The seeding write, the first one, the conflict, and the members without it.
     assert_eq!(decided(&t.table).len(), 4);
+    // The table does not know the ids of merged transactions, but their repeats get the first results.
+    let repeat = |number| commits.submit(&txn(number), Instant::now() + WAIT);
+    assert_eq!([3, 4].map(repeat), [3, 4].map(|number| Ok(reply(number))));
+    commits.close();
+}
+
+/// Guards against members of a merged write that share the fate of the one with the earliest deadline, and against a
+/// refused merged write whose members are not tried alone.
+#[test]
+fn members_with_later_deadlines_outlive_the_first_one() {
+    let faults: [fn(&Faults); 4] = [
+        |faults| faults.lose_requests(1),
+        |faults| faults.lose_requests(u32::MAX),
+        |faults| faults.lose_answers(u32::MAX),
+        |faults| faults.refuse(1),
+    ];
+    for fault in faults {
+        let t = InProcess::with_clock(SystemClock);
+        // The rate leaves 100 ms after the first write for the others to arrive.
+        let commits = &threaded(&t.faulty, 10);
+        commits.submit(&put("first", "first", Vec::new()), Instant::now() + WAIT).unwrap();
+        fault(&t.faults);
+        let submit =
+            |id: &str, time| commits.submit(&put(id, id, Vec::new()), Instant::now() + time);
+        let [short, long] = std::thread::scope(|scope| {
+            let long = scope.spawn(|| submit("long", WAIT));
+            let short = submit("short", Duration::from_millis(350));
+            t.faults.lose_requests(0);
+            t.faults.lose_answers(0);
+            [short, long.join().expect("the submitter does not panic")]
+        });
+        assert!(matches!(long, Ok(CommitResult::Committed { .. })), "{long:?}");
+        let times = |id| effects(&t.table).iter().filter(|operation| *operation == id).count();
+        assert_eq!(times("long"), 1);
+        match short {
+            Err(CommitFailure::Unknown { .. }) => assert!(times("short") < 2),
+            short => assert_eq!(times("short"), usize::from(short.is_ok()), "{short:?}"),
+        }
+        commits.clone().close();
+    }
 }
 
 /// Guards against lost, repeated or wrongly reported transactions under overlap, conflicts and lost answers.
@@ -123,10 +163,12 @@
             txns.push(put(&format!("op{number}"), &format!("k{key}"), vec![condition]));
         }
         let (requests, answers) = (u.int_in_range(0..=2)?, u.int_in_range(0..=2)?);
-        let replies = submit_together(&t, &txns, || {
+        let commits = threaded(&t.faulty, 1_000);
+        let replies = submit_together(&t, &commits, &txns, || {
             t.faults.lose_requests(requests);
             t.faults.lose_answers(answers);
         });
+        commits.close();
         let effects = effects(&t.table);
         let mut written = BTreeMap::from([("k0", 1), ("k1", 1)].map(|(k, r)| (k.to_owned(), r)));
         for operation in effects.iter().filter(|operation| *operation != "first") {
@@ -164,7 +206,9 @@
         write("op4", vec![delete("k")]),
         put("op5", "z", vec![at("k", 2)]),
     ];
-    submit_together(&t, &txns, || {});
+    let commits = threaded(&t.faulty, 1_000);
+    submit_together(&t, &commits, &txns, || {});
+    commits.close();
     for (txn, _) in decided(&t.table) {
         let touched = txn.conditions.iter().map(Condition::key);
         let of_k = txn.writes.iter().filter(|it| json!(it)["key"] == "k").count();
--- a/tests/testsuite/platform/relay.rs
+++ b/tests/testsuite/platform/relay.rs
@@ -74,8 +74,8 @@
     t.faults.set_down(true);
     theirs.faults.set_down(true);
     assert!(commit("op1").had_no_effect());
-    // At most two peers are called, and the own domain last.
-    assert_eq!(peers.take_called(), [MEMBER, OTHER_DOMAIN]);
+    // The own domain is called last, and this process never.
+    assert_eq!(peers.take_called(), [MEMBER, OTHER_DOMAIN, OWN_DOMAIN]);
     theirs.faults.set_down(false);
     theirs.faults.lose_answers(1);
     assert!(!commit("op2").had_no_effect());
@@ -87,7 +87,6 @@
         (effects(&theirs.table), effects(&t.table)),
         (vec!["op2".into()], vec!["op3".into()])
     );
-    assert!(!peers.take_called().contains(&OWN_DOMAIN.to_owned()));
 }
 
 /// Guards against an answering side that hides whether the call had an effect.
