--- a/src/ops/entry.rs
+++ b/src/ops/entry.rs
@@ -29,7 +29,7 @@
 use crate::peer::{Directory, Member, PeerNode, PeerNodeError, Peers};
 use crate::platform::group_commit::{GroupCommit, GroupCommitError};
 use crate::platform::http::{HttpObjects, HttpTable, HttpVmList, HttpWorkers};
-use crate::platform::relay::{OwnAddress, RelayedTable};
+use crate::platform::relay::RelayedTable;
 use crate::platform::table::Table;
 use crate::platform::target::HttpTargets;
 use crate::request::key::KeyLimits;
@@ -180,7 +180,6 @@
         Arc::new(HttpTable::new(cfg.platform.table, timeout, metrics.clone()));
     let peers: Arc<dyn Peers> = Arc::clone(node) as Arc<dyn Peers>;
     let directory = Directory::default();
-    let own = OwnAddress { process: process.clone(), peer_address: node.address().to_string() };
     let table: Arc<dyn Table> = Arc::new(RelayedTable::new(
         Arc::clone(&direct),
         Arc::clone(&peers),
@@ -188,7 +187,7 @@
         Arc::clone(&clock),
         metrics.clone(),
         &cfg,
-        own,
+        node.address(),
     ));
     let commits = GroupCommit::start(
         Arc::clone(&table),
--- a/src/platform/relay.rs
+++ b/src/platform/relay.rs
@@ -27,17 +27,11 @@
 /// Time between attempts to call the table directly again. An attempt may cost a whole connection timeout.
 const DIRECT_RETRY: Duration = Duration::from_secs(5);
 
-/// Peers that one call tries; bounds the time of a call while nothing is reachable.
-const MAX_PEERS: usize = 2;
+/// Peers of other domains that one call tries; bounds the time of a call while nothing is reachable.
+const MAX_OTHERS: usize = 2;
 
-/// Where this process can be found, so that it never asks itself.
-#[derive(Clone, Debug)]
-pub struct OwnAddress {
-    /// Name of the process.
-    pub process: String,
-    /// `IP:PORT` of its peer interface.
-    pub peer_address: String,
-}
+/// Peers of the own domain that one call tries after them.
+const MAX_OWN: usize = 1;
 
 /// The way that the next call takes first.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,8 +47,8 @@
 #[derive(Debug)]
 struct State {
     way: Way,
-    /// Peers are tried from this place of the list on, so that each call after a failure tries others.
-    next_peer: usize,
+    /// Raised by each call that needs a new peer, so that each tries others.
+    round: usize,
 }
 
 /// A table that is called directly or, while that fails, through peers.
@@ -64,7 +58,8 @@
     peers: Arc<dyn Peers>,
     directory: Directory,
     clock: Arc<dyn Clock>,
-    own: OwnAddress,
+    /// Peer address of this process, which must not ask itself.
+    own_address: String,
     domain: String,
     /// Domain and address of the peers in the settings.
     seeds: Vec<(String, String)>,
@@ -74,7 +69,8 @@
 }
 
 impl RelayedTable {
-    /// Wraps the direct client. Counts `table.relayed`.
+    /// Wraps the direct client. `own_address` is the `IP:PORT` of this process's peer interface, which is never called.
+    /// Counts `table.relayed`.
     #[must_use]
     pub fn new(
         direct: Arc<dyn Table>,
@@ -83,22 +79,20 @@
         clock: Arc<dyn Clock>,
         metrics: Metrics,
         cfg: &Settings,
-        own: OwnAddress,
+        own_address: SocketAddr,
     ) -> Self {
-        let address = |address: SocketAddr| address.to_string();
-        let seeds =
-            cfg.peers.iter().map(|peer| (peer.domain.clone(), address(peer.address))).collect();
+        let seeds = cfg.peers.iter().map(|peer| (peer.domain.clone(), peer.address.to_string()));
         Self {
             direct,
             peers,
             directory,
             clock,
-            own,
+            own_address: own_address.to_string(),
             domain: cfg.domain.clone(),
-            seeds,
+            seeds: seeds.collect(),
             timeout: cfg.timing.platform_timeout(),
             metrics,
-            state: Mutex::new(State { way: Way::Direct, next_peer: 0 }),
+            state: Mutex::new(State { way: Way::Direct, round: 0 }),
         }
     }
 
@@ -181,27 +175,25 @@
     /// a whole.
     fn candidates(&self, tried: Option<&str>, preferred: Option<&str>) -> Vec<String> {
         let members = self.directory.snapshot();
-        let known = members
-            .values()
-            .filter(|member| member.process != self.own.process)
-            .map(|member| (member.domain.clone(), member.peer_address.clone()));
+        let known =
+            members.values().map(|member| (member.domain.clone(), member.peer_address.clone()));
         let mut others = Vec::new();
         let mut own = Vec::new();
         for (domain, address) in known.chain(self.seeds.iter().cloned()) {
             let list = if domain == self.domain { &mut own } else { &mut others };
-            let is_self = address == self.own.peer_address;
+            let is_self = address == self.own_address;
             if !is_self && tried != Some(address.as_str()) && !list.contains(&address) {
                 list.push(address);
             }
         }
         let mut state = self.lock();
-        let start = state.next_peer;
-        state.next_peer = start.wrapping_add(MAX_PEERS);
-        rotate(&mut others, start);
-        rotate(&mut own, start);
-        let rest = others.into_iter().chain(own);
+        let round = state.round;
+        state.round = round.wrapping_add(1);
+        rotate(&mut others, round.wrapping_mul(MAX_OTHERS));
+        rotate(&mut own, round.wrapping_mul(MAX_OWN));
+        let rest = others.into_iter().take(MAX_OTHERS).chain(own.into_iter().take(MAX_OWN));
         let rest = rest.filter(|address| Some(address.as_str()) != preferred);
-        preferred.map(str::to_owned).into_iter().chain(rest).take(MAX_PEERS).collect()
+        preferred.map(str::to_owned).into_iter().chain(rest).collect()
     }
 
     fn use_direct(&self) {
