Divide slots by hash, and test the membership rules

Cause: the first state machine, tried in a simulation with pauses, deaths, starts and hanging peer threads, let two processes use the same slot. Found and changed: - An even division by rank moves a slot between two old members when a third joins, so members that learn of it at different times overlap. Each slot now belongs to the member with the highest hash, and a join only takes slots. - A process whose own peer thread hangs took the silence of all others for their loss. It now sends heartbeats to its own address too, counts silence only up to the last message that was answered, and restarts its counts when nothing is answered for the share lease. Ruled out: requiring a fresh acknowledgement of every member, because one frozen process would then stop all others. Also: tests of slow, silent and malformed callers.

--- a/src/ops/dispatch.rs
+++ b/src/ops/dispatch.rs
@@ -147,9 +147,10 @@
         targets: Arc<dyn TargetClient>,
         members: Option<Arc<Heartbeats>>,
     ) -> Result<Self, DispatchError> {
-        let shares = members
-            .as_ref()
-            .map_or_else(|| ShareCell::whole(cx.clock.now()), |members| members.shares());
+        let shares = members.as_ref().map_or_else(
+            || ShareCell::whole(&cx.process, cx.clock.now()),
+            |members| members.shares(),
+        );
         let limits = ExecutorLimits {
             slots: cx.cfg.limits.slots_per_executor,
             connections: cx.cfg.limits.connections_per_executor,
--- a/src/ops/dispatch/executors.rs
+++ b/src/ops/dispatch/executors.rs
@@ -61,7 +61,11 @@
     in_flight: u32,
     /// Requests without an answer that may still run, and when the last of them ended here.
     open: (u32, Option<Instant>),
-    /// Slots that this process may use. Grows only by a report taken after the change of the share.
+    /// This process's part of the slots by the share that was applied last.
+    part: u32,
+    /// This process's part of the connections.
+    connections: u32,
+    /// Slots that this process may use, at most `part`. Grows only by a report taken after the change of the share.
     slots: u32,
     latency: Duration,
 }
@@ -70,6 +74,8 @@
 #[derive(Debug)]
 pub struct Executors {
     limits: ExecutorLimits,
+    /// The share that the executors' parts follow; `None` after a change of the executors.
+    applied: Option<Share>,
     by_name: BTreeMap<String, Executor>,
 }
 
@@ -77,11 +83,12 @@
     /// Starts with none.
     #[must_use]
     pub fn new(limits: ExecutorLimits) -> Self {
-        Self { limits, by_name: BTreeMap::new() }
+        Self { limits, applied: None, by_name: BTreeMap::new() }
     }
 
     /// Follows the VM list. An executor that is no longer listed is forgotten once nothing is in flight there.
     pub fn follow(&mut self, listing: &VmListing, domain: &str) {
+        self.applied = None;
         for executor in self.by_name.values_mut() {
             executor.live = false;
         }
@@ -95,6 +102,8 @@
                 refused: None,
                 in_flight: 0,
                 open: (0, None),
+                part: 0,
+                connections: 0,
                 slots: 0,
                 latency: Duration::ZERO,
             });
@@ -125,6 +134,9 @@
         share: Option<&Share>,
     ) {
         let limits = self.limits;
+        if let Some(share) = share {
+            self.apply(share);
+        }
         let Some(executor) = self.by_name.get_mut(name) else { return };
         let Some(report) = report else {
             executor.refused = Some(asked_at);
@@ -136,10 +148,10 @@
             executor.open = (0, None);
         }
         if let Some(share) = share {
-            let part = share.of(limits.slots, name);
             // Slots that another process had may still be occupied by its last requests.
-            if part > executor.slots && asked_at > share.since && free >= part - executor.slots {
-                executor.slots = part;
+            let gain = executor.part - executor.slots;
+            if gain > 0 && asked_at > share.since && free >= gain {
+                executor.slots = executor.part;
             }
         }
         executor.report = Some((asked_at, report));
@@ -155,7 +167,7 @@
         now: Instant,
     ) -> Option<Slot> {
         let share = share?;
-        self.shrink(share);
+        self.apply(share);
         let candidates: Vec<(&String, TargetLoad)> = self
             .by_name
             .iter()
@@ -170,8 +182,8 @@
         let name = candidates[routing::choose(&loads, draws)?].0.clone();
         let executor = self.by_name.get_mut(&name)?;
         executor.in_flight += 1;
-        let connections = share.of(self.limits.connections, &name).max(1);
-        Some(Slot { executor: name, address: executor.address.clone(), connections })
+        let address = executor.address.clone();
+        Some(Slot { executor: name, address, connections: executor.connections })
     }
 
     /// Gives a slot back.
@@ -228,10 +240,18 @@
         self.by_name.values().any(|executor| executor.live && executor.service == service)
     }
 
-    fn shrink(&mut self, share: &Share) {
+    /// Follows a change of the share. Slots that are lost are not used again; slots that are gained wait for a report.
+    fn apply(&mut self, share: &Share) {
+        if self.applied.as_ref() == Some(share) {
+            return;
+        }
+        let limits = self.limits;
         for (name, executor) in &mut self.by_name {
-            executor.slots = executor.slots.min(share.of(self.limits.slots, name));
+            executor.part = share.slots(limits.slots, name);
+            executor.connections = share.connections(limits.connections, limits.slots, name);
+            executor.slots = executor.slots.min(executor.part);
         }
+        self.applied = Some(share.clone());
     }
 }
 
--- a/src/ops/dispatch/slots.rs
+++ b/src/ops/dispatch/slots.rs
@@ -88,7 +88,7 @@
     pub(super) fn on_report(&self, name: &str, asked_at: Instant, report: Option<TargetHealth>) {
         let share = self.shares.current(self.clock.now());
         let mut state = self.lock();
-        state.executors.on_report(name, asked_at, report, share.as_ref());
+        state.executors.on_report(name, asked_at, report, share.as_deref());
         self.grant(&mut state);
     }
 
@@ -100,7 +100,7 @@
         if state.admission.waiting_for(service) > 0 {
             return None;
         }
-        state.executors.take(service, avoid, share.as_ref(), draws(), now)
+        state.executors.take(service, avoid, share.as_deref(), draws(), now)
     }
 
     /// Takes a slot, waiting until `deadline` at most.
--- a/src/ops/membership.rs
+++ b/src/ops/membership.rs
@@ -40,23 +40,23 @@
 
 #[derive(Clone, Debug)]
 enum ShareSource {
-    Whole(Instant),
+    Whole(Arc<Share>),
     Members(Arc<Mutex<State>>),
 }
 
 impl ShareCell {
     /// For a process that is alone in its domain, as `dev` is.
     #[must_use]
-    pub fn whole(since: Instant) -> Self {
-        Self { source: ShareSource::Whole(since) }
+    pub fn whole(own: &str, since: Instant) -> Self {
+        Self { source: ShareSource::Whole(Arc::new(Share::whole(own, since))) }
     }
 
     /// The own part, or `None` while no slots may be used.
     #[must_use]
-    pub fn current(&self, now: Instant) -> Option<Share> {
+    pub fn current(&self, now: Instant) -> Option<Arc<Share>> {
         match &self.source {
-            ShareSource::Whole(since) => Some(Share::whole(*since)),
-            ShareSource::Members(state) => lock(state).rules.share(now),
+            ShareSource::Whole(share) => Some(Arc::clone(share)),
+            ShareSource::Members(state) => lock(state).rules.share(now).map(Arc::new),
         }
     }
 }
@@ -149,7 +149,7 @@
     #[must_use]
     pub fn on_heartbeat(&self, msg: &Heartbeat) -> HeartbeatReply {
         let mut state = lock(&self.state);
-        if msg.domain == self.cx.cfg.domain {
+        if msg.domain == self.cx.cfg.domain && msg.from != self.cx.process {
             let change = state.rules.on_heartbeat(&msg.from, self.cx.clock.now());
             self.note(&mut state, change);
             state.hear(&msg.from, msg.free_slots, msg.stopping);
@@ -212,7 +212,11 @@
     /// Sends in one thread per peer, so that a frozen peer delays neither the other heartbeats nor the ticks. A peer that
     /// has not answered yet gets no second one.
     fn send_all(self: &Arc<Self>) {
-        let Some(known) = self.known() else { return };
+        let Some(mut known) = self.known() else { return };
+        let directory = self.cx.directory.snapshot();
+        let own = directory.get(&self.cx.process).map(|own| own.peer_address.clone());
+        let own = own.unwrap_or_else(|| self.cx.cfg.peer_listen.to_string());
+        known.insert(self.cx.process.clone(), own);
         for (name, address) in known {
             if !lock(&self.state).sending.insert(name.clone()) {
                 continue;
@@ -242,17 +246,20 @@
         let mut state = lock(&self.state);
         state.sending.remove(name);
         match result {
+            Ok(reply) if reply.from == self.cx.process => state.rules.on_looped(sent_at),
             Ok(reply) if reply.domain == self.cx.cfg.domain => {
                 let now = self.cx.clock.now();
                 let change = state.rules.on_acknowledged(&reply.from, sent_at, now);
                 self.note(&mut state, change);
-                if reply.from != name {
+                if reply.from != name && name != self.cx.process {
                     // Another process answers at this address, so the one with this name is gone.
                     state.rules.on_refused(name, sent_at);
                 }
                 state.hear(&reply.from, reply.free_slots, reply.stopping);
             }
-            Err(PeerError::Unreachable { cause, .. }) if cause.contains("refused") => {
+            Err(PeerError::Unreachable { cause, .. })
+                if cause.contains("refused") && name != self.cx.process =>
+            {
                 state.rules.on_refused(name, sent_at);
             }
             Ok(_) | Err(_) => {}
@@ -274,6 +281,9 @@
             Some(Change::Paused) => {
                 event::PAUSED.emit(format_args!("dispatch waits for the peers' answers"));
             }
+            Some(Change::Unanswered) => {
+                event::UNANSWERED.emit(format_args!("dispatch waits for the peers' answers"));
+            }
             None => {}
         }
     }
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -20,12 +20,17 @@
 }
 
 /// The own part of the slots and connections.
+///
+/// Each slot belongs to the member with the highest hash of member, executor and slot. A joining member takes slots from
+/// others and moves none between them, so two processes that know different members never both own a slot, as long as a
+/// joining process uses none before all others have counted it. An even division by rank lacks this: the parts of 8
+/// slots are 2, 2, 2, 1, 1 with five members, and a sixth one moves the second slot of a member to another.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Share {
-    /// Position among the members in name order.
-    pub rank: u32,
-    /// Number of members, this process included.
-    pub members: u32,
+    /// Name of this process.
+    pub own: String,
+    /// Names of the other members.
+    pub others: BTreeSet<String>,
     /// When the members changed last. Slots gained by the change wait for a later report of the executor.
     pub since: Instant,
 }
@@ -33,23 +38,39 @@
 impl Share {
     /// The part of a process that is alone.
     #[must_use]
-    pub fn whole(since: Instant) -> Self {
-        Self { rank: 0, members: 1, since }
+    pub fn whole(own: &str, since: Instant) -> Self {
+        Self { own: own.to_owned(), others: BTreeSet::new(), since }
     }
 
-    /// This process's part of `limit` at an executor. The parts of all members add up to `limit`.
+    /// This process's part of `limit` slots at an executor. The parts of all members add up to `limit`.
     #[must_use]
-    pub fn of(&self, limit: u32, executor: &str) -> u32 {
-        let members = self.members.max(1);
-        // The remainder starts at a member that depends on the executor, so that no member gets all remainders.
-        let turn = (self.rank + offset(executor) % members) % members;
-        limit / members + u32::from(turn < limit % members)
+    pub fn slots(&self, limit: u32, executor: &str) -> u32 {
+        (0..limit).map(|slot| u32::from(self.owns(executor, slot))).sum()
+    }
+
+    /// This process's part of `limit` connections. They follow the slots, so that a slot always has connections.
+    #[must_use]
+    pub fn connections(&self, limit: u32, slots: u32, executor: &str) -> u32 {
+        let owned = (0..slots).filter(|slot| self.owns(executor, *slot));
+        owned.map(|slot| limit / slots + u32::from(slot < limit % slots)).sum()
+    }
+
+    fn owns(&self, executor: &str, slot: u32) -> bool {
+        let own = (weight(&self.own, executor, slot), &self.own);
+        self.others.iter().all(|other| (weight(other, executor, slot), other) < own)
     }
 }
 
-/// FNV-1a: the same in every process and build.
-fn offset(name: &str) -> u32 {
-    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+/// FNV-1a with a finalizer: the same in every process and build.
+fn weight(member: &str, executor: &str, slot: u32) -> u64 {
+    let bytes = member.bytes().chain([0]).chain(executor.bytes()).chain(slot.to_le_bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    // FNV leaves the high bits of names that differ only at their end alike.
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
 }
 
 /// A change that operators are told.
@@ -61,6 +82,8 @@
     Lost(String),
     /// The own process was paused and suspends dispatch.
     Paused,
+    /// Nobody has answered, the own peer interface included; dispatch is suspended.
+    Unanswered,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -89,6 +112,11 @@
     acknowledged: Option<Instant>,
     /// When a connection was refused last, by an attempt that began then.
     refused: Option<Instant>,
+    /// Sending time of the newest heartbeat to the own address that was acknowledged.
+    looped: Option<Instant>,
+    /// Sending time of the first message since `resumed` that was answered, by anybody. Before it, silence is no sign of a
+    /// loss.
+    answering_since: Option<Instant>,
     /// True once all processes known since `resumed` have answered or proved silent.
     settled: bool,
     /// True once the addresses of the other processes are known.
@@ -109,6 +137,8 @@
             resumed: now,
             acknowledged: None,
             refused: None,
+            looped: None,
+            answering_since: None,
             settled: false,
             informed: false,
             changed: now,
@@ -130,12 +160,20 @@
         if now.saturating_duration_since(self.ticked) > self.timeouts.pause_limit {
             self.resume(now);
             changes.push(Change::Paused);
+        } else if self.is_unanswered(now) {
+            // The own peer interface hangs, so the others may have dropped this process.
+            self.resume(now);
+            changes.push(Change::Unanswered);
         }
         self.ticked = now;
         let timeout = self.timeouts.member_timeout;
+        let (first, last) = (self.answering_since, self.last_answered());
+        // Silence is counted up to the last message that was answered by anybody, because a peer interface that hangs
+        // hears nobody.
         let is_silent = |peer: &Peer| {
-            let last = peer.heard.max(peer.known);
-            last.is_none_or(|last| now.saturating_duration_since(last) >= timeout)
+            let heard = peer.heard.max(peer.known).max(first);
+            last.zip(heard)
+                .is_some_and(|(last, heard)| last.saturating_duration_since(heard) >= timeout)
         };
         let lost: Vec<String> = self
             .members
@@ -170,6 +208,7 @@
             return None;
         }
         self.acknowledged = self.acknowledged.max(Some(sent_at));
+        self.answering_since.get_or_insert(sent_at);
         let change = self.hear(from, now);
         if let Some(peer) = self.peers.get_mut(from) {
             peer.answered = true;
@@ -177,12 +216,22 @@
         change
     }
 
+    /// A heartbeat to the own address has been acknowledged. It shows that the own peer interface works, so that the
+    /// silence of all others is theirs.
+    pub fn on_looped(&mut self, sent_at: Instant) {
+        if sent_at >= self.resumed {
+            self.looped = self.looped.max(Some(sent_at));
+            self.answering_since.get_or_insert(sent_at);
+        }
+    }
+
     /// A connection attempt that began at `sent_at` was refused: the process at that address is gone.
     pub fn on_refused(&mut self, peer: &str, sent_at: Instant) {
         if sent_at < self.resumed {
             return;
         }
         self.refused = self.refused.max(Some(sent_at));
+        self.answering_since.get_or_insert(sent_at);
         if let Some(peer) = self.peers.get_mut(peer) {
             peer.answered = true;
         }
@@ -194,18 +243,16 @@
         if now.saturating_duration_since(self.ticked) > self.timeouts.pause_limit || !self.settled {
             return None;
         }
-        if !self.members.is_empty() {
-            let answered = self.acknowledged.max(self.refused)?;
+        if !self.peers.is_empty() {
+            let answered = self.acknowledged.max(self.refused);
+            // A process whose own peer interface hangs must not take the silence of the others for their loss.
+            let alone = self.looped.filter(|_| self.members.is_empty());
+            let answered = answered.max(alone)?;
             if now.saturating_duration_since(answered) >= self.timeouts.share_lease {
                 return None;
             }
         }
-        let before = self.members.iter().filter(|name| **name < self.own).count();
-        Some(Share {
-            rank: u32::try_from(before).unwrap_or(u32::MAX),
-            members: u32::try_from(self.members.len()).unwrap_or(u32::MAX).saturating_add(1),
-            since: self.changed,
-        })
+        Some(Share { own: self.own.clone(), others: self.members.clone(), since: self.changed })
     }
 
     /// Members without this process.
@@ -228,12 +275,24 @@
         joined.then(|| Change::Joined(from.to_owned()))
     }
 
+    /// Sending time of the newest message that was answered by anybody, the own peer interface included.
+    fn last_answered(&self) -> Option<Instant> {
+        self.acknowledged.max(self.refused).max(self.looped)
+    }
+
+    fn is_unanswered(&self, now: Instant) -> bool {
+        let last = self.last_answered().unwrap_or(self.resumed).max(self.resumed);
+        !self.peers.is_empty() && now.saturating_duration_since(last) >= self.timeouts.share_lease
+    }
+
     /// Restarts all counts: what was heard before the pause says nothing about the time of the pause.
     fn resume(&mut self, now: Instant) {
         self.resumed = now;
         self.settled = false;
         self.acknowledged = None;
         self.refused = None;
+        self.looped = None;
+        self.answering_since = None;
         for peer in self.peers.values_mut() {
             *peer = Peer { heard: None, answered: false, known: Some(now) };
         }
--- a/src/telemetry/event/peer.rs
+++ b/src/telemetry/event/peer.rs
@@ -14,5 +14,8 @@
 /// The table row of a process that has been lost for long was deleted.
 pub const MEMBER_ROW_DELETED: Event = Event::new(503, Level::Info, "member-row-deleted");
 
+/// No heartbeat was answered, not even one to the own address; the process uses no slots.
+pub const UNANSWERED: Event = Event::new(504, Level::Warn, "unanswered");
+
 /// All events of this module.
-pub const ALL: &[Event] = &[MEMBER_JOINED, MEMBER_LOST, PAUSED, MEMBER_ROW_DELETED];
+pub const ALL: &[Event] = &[MEMBER_JOINED, MEMBER_LOST, PAUSED, MEMBER_ROW_DELETED, UNANSWERED];
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -4,6 +4,8 @@
 #![allow(clippy::unwrap_used)]
 
 mod answers;
+mod front;
 mod keys;
+mod membership;
 #[allow(dead_code)]
 mod rig;
