--- a/tests/testsuite/requests/membership.rs
+++ b/tests/testsuite/requests/membership.rs
@@ -219,3 +219,19 @@
         }
     }
 }
+
+/// Guards against a process that counts the time of its own hanging peer interface as the silence of a peer: it dropped
+/// a peer that had only been paused, and took its slots.
+#[test]
+fn a_hanging_peer_interface_is_no_silence_of_others() {
+    let mut world = World::new(4);
+    (0..100).for_each(|_| world.run(1));
+    let names: Vec<String> = world.alive.keys().cloned().collect();
+    world.alive.get_mut(&names[0]).unwrap().paused = 19;
+    (0..19).for_each(|_| world.run(1));
+    world.alive.get_mut(&names[1]).unwrap().hangs = 60;
+    for _ in 0..100 {
+        world.run(1);
+        world.check();
+    }
+}
