Place by the policies and take failing workers out of use

Cause: the scheduler placed by a first fit of its own and kept sending tasks to workers that fail everything.

Change: the waiting queue, the limits, placement, quarantine and the give-up rule of the policies replace the first fit. A task that its entry does not allow here goes to a domain that it allows; others are marked with the reason and tried again when the catalogue or the workers change.

Ruled out: committing inside the pass under the task's name. The pass does not name the task to its callback, so a placeholder holds the resources until the pass has ended.

--- a/src/ops/schedule/attempt.rs
+++ b/src/ops/schedule/attempt.rs
@@ -1,8 +1,10 @@
 //! A running attempt as its scheduler follows it.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use crate::platform::worker::{AttemptReport, AttemptState};
+use crate::policy::queue::give_up;
 use crate::task::lifecycle::AnyTask;
 use crate::task::{Running, Task, TaskRow};
 
@@ -168,25 +170,33 @@
 }
 
 /// The row after an attempt has ended. One write ends the attempt and puts the task back into the queue.
-pub(super) fn row_after(row: &TaskRow, live: &Live, max_attempts: u32) -> Option<TaskRow> {
+pub(super) fn row_after(
+    row: &TaskRow,
+    live: &Live,
+    max_attempts: u32,
+    out_of_use: &BTreeSet<String>,
+) -> Option<TaskRow> {
     let AnyTask::Running(task) = AnyTask::from(row.clone()) else { return None };
     let outcome = live.outcome.as_ref()?;
     Some(match outcome {
         Outcome::Succeeded => task.succeed().into_row(),
         _ if row.cancel => task.cancel().into_row(),
-        Outcome::Failed(message) => after_failure(task, message, max_attempts),
+        Outcome::Failed(message) => after_failure(task, message, max_attempts, out_of_use),
         Outcome::Interrupted(reason) => {
             task.evict(live.checkpoint.clone(), reason.clone()).into_row()
         }
     })
 }
 
-fn after_failure(task: Task<Running>, message: &str, max_attempts: u32) -> TaskRow {
+fn after_failure(
+    task: Task<Running>,
+    message: &str,
+    max_attempts: u32,
+    out_of_use: &BTreeSet<String>,
+) -> TaskRow {
     let pending = task.fail_attempt(message.to_owned());
-    let failures = pending.row().failures;
-    if failures < max_attempts {
-        return pending.into_row();
+    match give_up(pending.row(), max_attempts, out_of_use) {
+        Some(reason) => pending.give_up(format!("{reason}; last with: {message}")).into_row(),
+        None => pending.into_row(),
     }
-    let reason = format!("failed {failures} times, last with: {message}");
-    pending.give_up(reason).into_row()
 }
--- a/src/ops/schedule/core.rs
+++ b/src/ops/schedule/core.rs
@@ -6,11 +6,13 @@
 use super::attempt::Live;
 use super::event::{Change, RowChange, Takeover};
 use super::fleet::Fleet;
-use super::place::Chooser;
 use crate::config::Timing;
 use crate::platform::table::{CommitResult, ReadResponse, Revision, Row};
 use crate::platform::worker::AttemptRef;
+use crate::policy::interference::InterferenceModel;
+use crate::policy::queue::{Waiting, WaitingQueue};
 use crate::task::{TaskId, TaskRow, TaskState};
+use crate::worker::quarantine::Quarantine;
 use crate::worker::{Commitment, Pool};
 
 /// A task of the domain.
@@ -24,6 +26,10 @@
     pub(super) writing: bool,
     /// The attempt. Invariant: set whenever the row is `running`.
     pub(super) live: Option<Live>,
+    /// True while the change on its way is an assignment, whose resources count.
+    pub(super) assigning: bool,
+    /// Worker of the last attempt, which may still have the checkpoint.
+    pub(super) last_worker: Option<String>,
     /// When the row was first seen in a final state.
     pub(super) ended_at: Option<Instant>,
 }
@@ -46,7 +52,16 @@
     pub(super) pool: Pool,
     /// Attempts on workers that no row knows; they are stopped.
     pub(super) strays: BTreeSet<(String, AttemptRef)>,
-    pub(super) chooser: Box<dyn Chooser>,
+    /// Exactly the waiting tasks without a change on its way.
+    pub(super) queue: WaitingQueue,
+    pub(super) quarantine: Quarantine,
+    /// Out of use at the last tick, so that each quarantine is logged once.
+    pub(super) out_of_use: BTreeSet<String>,
+    pub(super) interference: InterferenceModel,
+    /// Catalogue revision at which the protected services were last read.
+    pub(super) targets_at: Option<Revision>,
+    /// Catalogue revision and capacity at which unplaceable tasks were last tried again.
+    pub(super) reconsidered_at: Option<(Revision, u64)>,
     /// Changes by batch.
     inflight: BTreeMap<u64, Vec<RowChange>>,
     next_batch: u64,
@@ -57,12 +72,7 @@
 }
 
 impl Core {
-    pub(super) fn new(
-        domain: &str,
-        timing: Timing,
-        takeover: Takeover,
-        chooser: Box<dyn Chooser>,
-    ) -> Self {
+    pub(super) fn new(domain: &str, timing: Timing, takeover: Takeover) -> Self {
         let mut core = Self {
             domain: domain.to_owned(),
             timing,
@@ -70,7 +80,12 @@
             fleet: Fleet::default(),
             pool: Pool::default(),
             strays: BTreeSet::new(),
-            chooser,
+            queue: WaitingQueue::default(),
+            quarantine: Quarantine::default(),
+            out_of_use: BTreeSet::new(),
+            interference: InterferenceModel::default(),
+            targets_at: None,
+            reconsidered_at: None,
             inflight: BTreeMap::new(),
             next_batch: 1,
             loaded: !takeover.tasks.is_empty(),
@@ -146,6 +161,10 @@
         let id = row.id.clone();
         let previous = self.tasks.remove(&id);
         let writing = previous.as_ref().is_some_and(|known| known.writing);
+        let assigning = previous.as_ref().is_some_and(|known| known.assigning);
+        let last_worker = previous
+            .as_ref()
+            .and_then(|known| known.row.worker.clone().or_else(|| known.last_worker.clone()));
         let same = previous.as_ref().is_some_and(|known| {
             row.state == TaskState::Running
                 && known.row.attempt == row.attempt
@@ -161,7 +180,24 @@
         };
         let live = live.or_else(|| self.live_from_row(&row, now));
         let ended_at = row.state.is_final().then_some(now);
-        self.tasks.insert(id, Tracked { row, revision, writing, live, ended_at });
+        if ended_at.is_some() {
+            self.quarantine.forget_task(&id);
+        }
+        let task = Tracked { row, revision, writing, live, assigning, last_worker, ended_at };
+        self.tasks.insert(id.clone(), task);
+        self.requeue(&id);
+    }
+
+    /// Keeps the queue in step with a task.
+    pub(super) fn requeue(&mut self, id: &TaskId) {
+        match self.tasks.get(id) {
+            Some(task) if task.row.state.is_waiting() && !task.writing => {
+                self.queue.push(Waiting::new(&task.row, task.last_worker.as_deref()));
+            }
+            _ => {
+                self.queue.remove(id);
+            }
+        }
     }
 
     /// The attempt behind a running row that this scheduler did not assign.
@@ -186,6 +222,7 @@
         if let Some(known) = self.tasks.remove(id) {
             self.release(&known);
         }
+        self.queue.remove(id);
     }
 
     fn drop_missing(&mut self, present: &BTreeSet<TaskId>, revision: Revision) {
@@ -201,7 +238,9 @@
         for change in &changes {
             if let Some(task) = self.tasks.get_mut(&change.id) {
                 task.writing = true;
+                task.assigning = change.is_assignment();
             }
+            self.requeue(&change.id);
         }
         let batch = self.next_batch;
         self.next_batch += 1;
@@ -213,13 +252,16 @@
     pub(super) fn on_committed(&mut self, batch: u64, result: &CommitResult, now: Instant) {
         let changes = self.inflight.remove(&batch).unwrap_or_default();
         for change in changes {
-            if let Some(task) = self.tasks.get_mut(&change.id) {
+            let id = change.id.clone();
+            if let Some(task) = self.tasks.get_mut(&id) {
                 task.writing = false;
+                task.assigning = false;
             }
             match result {
                 CommitResult::Committed { revision } => self.settle(change, *revision, now),
                 CommitResult::Conflict { .. } => self.undo(&change),
             }
+            self.requeue(&id);
         }
     }
 
--- a/src/ops/schedule/event.rs
+++ b/src/ops/schedule/event.rs
@@ -7,7 +7,7 @@
     AttemptRef, CheckpointRequest, Inventory, InventoryRequest, RenewRequest, StartRequest,
     StartResult, StopRequest, WorkerTimeMs,
 };
-use crate::task::{TaskId, TaskRow};
+use crate::task::{TaskId, TaskRow, TaskState};
 
 /// Told to the tick thread.
 #[derive(Debug)]
@@ -187,3 +187,10 @@
     /// The change.
     pub(super) change: Change,
 }
+
+impl RowChange {
+    /// True if the change assigns an attempt to a worker.
+    pub(super) fn is_assignment(&self) -> bool {
+        matches!(&self.change, Change::Put(row) if row.state == TaskState::Running)
+    }
+}
--- a/src/ops/schedule/fleet.rs
+++ b/src/ops/schedule/fleet.rs
@@ -38,6 +38,11 @@
 }
 
 impl WorkerView {
+    /// True if its inventory has been read and it is not leaving.
+    pub(super) fn is_usable(&self) -> bool {
+        self.incarnation.is_some() && self.seen_ms > 0 && !self.leaving
+    }
+
     /// True if no call waits or is in progress.
     pub(super) fn is_idle(&self) -> bool {
         self.queue.is_empty() && !self.in_call
--- a/src/ops/schedule/place.rs
+++ b/src/ops/schedule/place.rs
@@ -1,52 +1,177 @@
-//! Order and placement of waiting tasks.
+//! Carries placement decisions of the policies into commitments and row changes.
 
-use std::cmp::Reverse;
-use std::fmt::Debug;
+use std::collections::BTreeSet;
+use std::time::Instant;
 
-use crate::task::TaskRow;
-use crate::worker::{Pool, Resources};
+use super::core::Core;
+use super::event::{Change, RowChange};
+use super::tick::View;
+use crate::catalogue::Document;
+use crate::domain::DomainState;
+use crate::platform::worker::AttemptRef;
+use crate::policy::placement::{self, Candidate, NoWorker};
+use crate::policy::queue::{Limits, Selection, Unplaceable};
+use crate::task::lifecycle::AnyTask;
+use crate::task::{TaskId, TaskState};
+use crate::telemetry::event::schedule as log;
+use crate::worker::Commitment;
+use crate::worker::quarantine::Standing;
 
-/// Chooses workers. The seam to the placement policy.
-pub(super) trait Chooser: Debug + Send {
-    /// A worker of the pool that has room for the task.
-    fn choose(&self, pool: &Pool, row: &TaskRow) -> Option<String>;
-}
+/// Placements tried in one tick, which bounds the tick's time. At the tick's default period this is 2,000 a second.
+const MAX_PLACEMENTS: usize = 400;
+
+impl Core {
+    /// Places waiting tasks and commits their resources.
+    pub(super) fn placements(&mut self, view: &View<'_>) -> Vec<RowChange> {
+        self.update_targets(view);
+        self.update_standing(view.now);
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
+        let mut limits = self.limits(view);
+        let selection = self.select(&mut limits, view.now);
+        let mut changes: Vec<RowChange> = selection
+            .started
+            .iter()
+            .filter_map(|(id, worker)| self.assignment(id, worker))
+            .collect();
+        for (id, reason) in &selection.unplaceable {
+            changes.extend(self.unplaceable(id, reason, view));
+        }
+        changes
+    }
+
+    /// Makes one pass over the queue. The pass does not name the task to its callback, so each placement is held by a
+    /// placeholder until the pass has ended.
+    fn select(&mut self, limits: &mut Limits, now: Instant) -> Selection {
+        let Self { queue, pool, interference, quarantine, .. } = self;
+        let mut placed: Vec<(String, AttemptRef, Commitment)> = Vec::new();
+        let selection = queue.select(limits, MAX_PLACEMENTS, |candidate| {
+            let worker = placement::choose(pool, candidate, interference)?.to_owned();
+            let number = u32::try_from(placed.len()).unwrap_or(u32::MAX);
+            let holder = AttemptRef { task: TaskId::new("placement"), attempt: number };
+            let commitment = commitment_of(candidate);
+            pool.commit(&worker, &holder, commitment.clone()).map_err(|_| NoWorker::Full)?;
+            if quarantine.standing(&worker, now) == Standing::Probation {
+                pool.set_open(&worker, false);
+            }
+            placed.push((worker.clone(), holder, commitment));
+            Ok(worker)
+        });
+        for ((id, _), (worker, holder, commitment)) in selection.started.iter().zip(placed) {
+            pool.release(&worker, &holder);
+            let Some(task) = self.tasks.get(id) else { continue };
+            let commitment = Commitment { priority: task.row.priority, ..commitment };
+            pool.adopt(&worker, &task.attempt(), commitment);
+        }
+        selection
+    }
 
-/// Takes the first worker with room that has not failed the task.
-#[derive(Debug)]
-pub(super) struct FirstFit;
+    fn assignment(&self, id: &TaskId, worker: &str) -> Option<RowChange> {
+        let task = self.tasks.get(id)?;
+        let AnyTask::Pending(pending) = AnyTask::from(task.row.clone()) else { return None };
+        Some(RowChange {
+            id: id.clone(),
+            revision: task.revision,
+            change: Change::Put(Box::new(pending.assign(worker).into_row())),
+        })
+    }
 
-impl Chooser for FirstFit {
-    fn choose(&self, pool: &Pool, row: &TaskRow) -> Option<String> {
-        let fits = |name: &String| {
-            let worker = pool.worker(name);
-            worker.is_some_and(|worker| worker.is_open() && row.resources.fits_in(&worker.free()))
+    /// A task that cannot run here goes to a domain where it may, or is marked with the reason.
+    fn unplaceable(&self, id: &TaskId, reason: &Unplaceable, view: &View<'_>) -> Option<RowChange> {
+        let task = self.tasks.get(id)?;
+        let AnyTask::Pending(pending) = AnyTask::from(task.row.clone()) else { return None };
+        let target = match reason {
+            Unplaceable::DomainNotAllowed { .. } => view.open_for(&task.row).next(),
+            _ => None,
         };
-        let mut names = pool.workers().keys().filter(|name| fits(name));
-        let untried = names.clone().find(|name| !row.failed_on.contains(*name));
-        untried.or_else(|| names.next()).cloned()
+        let change = match target {
+            Some(domain) => Change::Move(Box::new(pending.move_to(domain).into_row())),
+            None => Change::Put(Box::new(pending.mark_unplaceable(reason.to_string()).into_row())),
+        };
+        Some(RowChange { id: id.clone(), revision: task.revision, change })
     }
-}
 
-/// Sorts waiting tasks: latency-critical first, then by priority, then by age.
-pub(super) fn order(waiting: &mut [&TaskRow]) {
-    waiting.sort_by_key(|row| (row.class, Reverse(row.priority), row.submitted_ms, row.id.clone()));
-}
+    /// Unplaceable tasks wait again once the catalogue or the workers have changed.
+    pub(super) fn reconsidered(&mut self, view: &View<'_>) -> Vec<RowChange> {
+        let capacities = self.pool.workers().values().map(|worker| worker.capacity().memory_mb);
+        let seen = (view.catalogue.revision(), capacities.sum::<u64>());
+        if self.reconsidered_at == Some(seen) {
+            return Vec::new();
+        }
+        self.reconsidered_at = Some(seen);
+        let marked = self
+            .tasks
+            .values()
+            .filter(|task| task.row.state == TaskState::Unplaceable && !task.writing);
+        marked
+            .filter_map(|task| {
+                let AnyTask::Pending(pending) = AnyTask::from(task.row.clone()) else {
+                    return None;
+                };
+                Some(RowChange {
+                    id: task.row.id.clone(),
+                    revision: task.revision,
+                    change: Change::Put(Box::new(pending.reconsider().into_row())),
+                })
+            })
+            .collect()
+    }
 
-/// Remembers sizes that found no worker, so that a long queue of equal tasks is tried once per tick.
-#[derive(Debug, Default)]
-pub(super) struct Misses {
-    sizes: Vec<Resources>,
-}
+    /// The limits of this domain with what runs counted.
+    fn limits(&self, view: &View<'_>) -> Limits {
+        let in_service: BTreeSet<String> = view
+            .others
+            .iter()
+            .chain(std::iter::once(&self.domain))
+            .filter(|domain| view.catalogue.domain_state(domain) == DomainState::In)
+            .cloned()
+            .collect();
+        let mut limits = Limits::new(view.catalogue.documents(), &self.domain, &in_service);
+        let counted = |state| state == TaskState::Running;
+        for task in self.tasks.values().filter(|task| counted(task.row.state) || task.assigning) {
+            limits.add(&task.row.entry, &task.row.owner, &task.row.resources);
+        }
+        limits
+    }
 
-impl Misses {
-    /// True if a task of this size cannot find a worker in this tick.
-    pub(super) fn covers(&self, size: &Resources) -> bool {
-        self.sizes.iter().any(|missed| missed.fits_in(size))
+    /// Opens and closes workers by what is known of their health.
+    fn update_standing(&mut self, now: Instant) {
+        let names: Vec<String> = self.pool.workers().keys().cloned().collect();
+        for name in names {
+            let running = self.pool.worker(&name).map_or(0, |worker| worker.commitments().len());
+            let usable = self.quarantine.may_start(&name, running, now);
+            let known = self.fleet.get(&name).is_some_and(|view| view.is_usable());
+            self.pool.set_open(&name, usable && known);
+        }
+        let out_of_use = self.quarantine.suspects();
+        for name in out_of_use.difference(&self.out_of_use) {
+            log::WORKER_QUARANTINED.emit(format_args!("{name} in {}", self.domain));
+        }
+        self.out_of_use = out_of_use;
     }
 
-    /// Notes a size that found no worker.
-    pub(super) fn add(&mut self, size: Resources) {
-        self.sizes.push(size);
+    /// Tells the interference model which services are protected.
+    fn update_targets(&mut self, view: &View<'_>) {
+        if self.targets_at == Some(view.catalogue.revision()) {
+            return;
+        }
+        self.targets_at = Some(view.catalogue.revision());
+        for (name, document) in view.catalogue.documents() {
+            if let Document::Entry(entry) = document {
+                let target = entry.p99_target_ms.map(std::time::Duration::from_millis);
+                self.interference.set_target(name, target);
+            }
+        }
+    }
+}
+
+/// The commitment of a candidate; its priority is set once the task is known.
+fn commitment_of(candidate: &Candidate<'_>) -> Commitment {
+    Commitment {
+        entry: candidate.entry.to_owned(),
+        class: candidate.class,
+        priority: 0,
+        resources: candidate.resources,
     }
 }
--- a/src/ops/schedule/reports.rs
+++ b/src/ops/schedule/reports.rs
@@ -11,6 +11,7 @@
 use crate::platform::worker::{AttemptRef, AttemptReport, AttemptState, Inventory, StartResult};
 use crate::task::TaskId;
 use crate::worker::Commitment;
+use crate::worker::quarantine::Quarantine;
 
 impl Core {
     /// Takes the end of a call.
@@ -22,11 +23,11 @@
         match end.result {
             CallResult::Inventory(inventory) => self.on_inventory(&end.worker, &inventory, end.at),
             CallResult::Started { attempt, answer, lease_end } => {
-                self.on_start(&attempt, Some(&answer), lease_end);
+                self.on_start(&attempt, Some(&answer), lease_end, end.at);
                 self.fleet.expect_news(&end.worker, end.at, self.timing.inventory_poll());
             }
             CallResult::StartUnknown { attempt, lease_end } => {
-                self.on_start(&attempt, None, lease_end);
+                self.on_start(&attempt, None, lease_end, end.at);
             }
             CallResult::StartNotSent { attempt, .. } => self.on_start_not_sent(&attempt),
             CallResult::Renewed(attempts) => self.on_renewed(&attempts),
@@ -37,7 +38,13 @@
         }
     }
 
-    fn on_start(&mut self, attempt: &AttemptRef, answer: Option<&StartResult>, lease_end: Instant) {
+    fn on_start(
+        &mut self,
+        attempt: &AttemptRef,
+        answer: Option<&StartResult>,
+        lease_end: Instant,
+        at: Instant,
+    ) {
         let Some(task) = self.tasks.get_mut(&attempt.task) else { return };
         if task.row.attempt != attempt.attempt {
             return;
@@ -56,6 +63,10 @@
                 live.outcome.get_or_insert(Outcome::Interrupted(reason));
             }
             Some(StartResult::Failed { message }) => {
+                if live.outcome.is_none() {
+                    let (id, entry) = (&task.row.id, task.row.entry.as_str());
+                    self.quarantine.record_failure(&worker, id, entry, at);
+                }
                 live.outcome.get_or_insert(Outcome::Failed(message.clone()));
             }
             // The start is repeated; a repeated start of an attempt that runs changes nothing.
@@ -105,16 +116,14 @@
             self.pool.upsert(name, &rack, &address, inventory.capacity);
         }
         for report in &inventory.attempts {
-            self.on_report(name, report);
+            self.on_report(name, report, at);
         }
         if kind == InventoryKind::Full {
             self.end_unreported(name, inventory);
         }
-        let leaving = self.fleet.get(name).is_none_or(|view| view.leaving);
-        self.pool.set_open(name, !leaving);
     }
 
-    fn on_report(&mut self, name: &str, report: &AttemptReport) {
+    fn on_report(&mut self, name: &str, report: &AttemptReport, at: Instant) {
         let running = report.state == AttemptState::Running;
         if !running {
             // An ended attempt occupies nothing, whatever its row says.
@@ -127,8 +136,12 @@
         });
         match known {
             Some(task) => {
-                if let Some(live) = &mut task.live {
-                    live.on_report(report);
+                let Some(live) = &mut task.live else { return };
+                let fresh = live.outcome.is_none();
+                live.on_report(report);
+                if fresh {
+                    let (id, entry) = (&task.row.id, task.row.entry.as_str());
+                    count(&mut self.quarantine, name, id, entry, live.outcome.as_ref(), at);
                 }
             }
             None if running => self.adopt_stray(name, report),
@@ -188,3 +201,19 @@
         self.pool.release(&worker, &attempt);
     }
 }
+
+/// Counts an outcome for or against a worker. Interruptions say nothing about it.
+fn count(
+    quarantine: &mut Quarantine,
+    worker: &str,
+    task: &TaskId,
+    entry: &str,
+    outcome: Option<&Outcome>,
+    at: Instant,
+) {
+    match outcome {
+        Some(Outcome::Succeeded) => quarantine.record_success(worker, task, entry, at),
+        Some(Outcome::Failed(_)) => quarantine.record_failure(worker, task, entry, at),
+        Some(Outcome::Interrupted(_)) | None => {}
+    }
+}
--- a/src/ops/schedule/run.rs
+++ b/src/ops/schedule/run.rs
@@ -7,7 +7,6 @@
 use super::batch;
 use super::core::Core;
 use super::event::{CallOrder, Event, RowChange, WriteOrder};
-use super::place::FirstFit;
 use super::shared::SharedHolds;
 use super::status::{SchedulerStatus, status};
 use super::tick::View;
@@ -66,7 +65,7 @@
         match (event, core) {
             (Event::Taken(takeover), core) => {
                 let timing = self.cx.cfg.timing.clone();
-                *core = Some(Core::new(&self.domain, timing, takeover, Box::new(FirstFit)));
+                *core = Some(Core::new(&self.domain, timing, takeover));
             }
             (Event::Lost, core) => *core = None,
             (Event::Epoch(epoch), Some(core)) => core.takeover.epoch = epoch,
--- a/src/ops/schedule/status.rs
+++ b/src/ops/schedule/status.rs
@@ -9,6 +9,7 @@
 use super::tick::View;
 use crate::domain::hold::holding::Holding;
 use crate::task::TaskState;
+use crate::worker::quarantine::Standing;
 
 /// Most unplaceable tasks that the status names.
 const MAX_UNPLACEABLE: usize = 100;
@@ -48,6 +49,17 @@
         .take(MAX_UNPLACEABLE)
         .map(|task| (task.row.id.to_string(), task.row.reason.clone().unwrap_or_default()))
         .collect();
+    let quarantined = core.out_of_use.iter().map(|name| {
+        let standing = match core.quarantine.standing(name, view.now) {
+            Standing::InUse => "in use".to_owned(),
+            Standing::Probation => "on probation, one task at a time".to_owned(),
+            Standing::OutOfUse { until } => {
+                let left = until.saturating_duration_since(view.now).as_secs();
+                format!("fails what other workers run; out of use for {left} s")
+            }
+        };
+        (name.clone(), standing)
+    });
     SchedulerStatus {
         domain: core.domain.clone(),
         holder: Some(holding.row().holder.clone()),
@@ -56,7 +68,7 @@
         freshness_ms: view.catalogue.age(view.now).map(millis),
         waiting: count(TaskState::is_waiting),
         running: count(|state| state == TaskState::Running),
-        quarantined: BTreeMap::new(),
+        quarantined: quarantined.collect(),
         unplaceable,
     }
 }
--- a/src/ops/schedule/tick.rs
+++ b/src/ops/schedule/tick.rs
@@ -6,7 +6,6 @@
 use super::attempt::{EndingStep, Stage, row_after};
 use super::core::{Core, commitment};
 use super::event::{Call, Change, RowChange};
-use super::place::{Misses, order};
 use crate::catalogue::copy::CatalogueCopy;
 use crate::domain::DomainState;
 use crate::domain::hold::holding::Holding;
@@ -15,7 +14,7 @@
     AttemptRef, CheckpointRequest, RenewRequest, StartRequest, StopRequest,
 };
 use crate::task::lifecycle::AnyTask;
-use crate::task::{TaskId, TaskState};
+use crate::task::{TaskId, TaskRow, TaskState};
 
 /// How long the rows of ended tasks are kept for callers.
 const KEEP_ENDED: Duration = Duration::from_secs(3_600);
@@ -38,6 +37,13 @@
     fn is_out(&self, domain: &str) -> bool {
         self.catalogue.domain_state(domain) == DomainState::Out
     }
+
+    /// Other domains that are in service and where the task may run.
+    pub(super) fn open_for<'a>(&'a self, row: &'a TaskRow) -> impl Iterator<Item = &'a String> {
+        self.others
+            .iter()
+            .filter(|domain| !self.is_out(domain) && is_allowed(self.catalogue, row, domain))
+    }
 }
 
 impl Core {
@@ -65,6 +71,7 @@
         if out {
             changes.extend(self.moves(view));
         } else if view.catalogue.is_fresh(view.now, self.timing.freshness()) {
+            changes.extend(self.reconsidered(view));
             changes.extend(self.placements(view));
             self.queue_starts();
         }
@@ -246,7 +253,7 @@
             .filter_map(|task| {
                 let live = task.live.as_ref()?;
                 let max_attempts = max_attempts(view.catalogue, &task.row.entry);
-                let row = row_after(&task.row, live, max_attempts)?;
+                let row = row_after(&task.row, live, max_attempts, &self.out_of_use)?;
                 Some(RowChange {
                     id: task.row.id.clone(),
                     revision: task.revision,
@@ -271,40 +278,6 @@
             .collect()
     }
 
-    /// Places waiting tasks and commits their resources.
-    fn placements(&mut self, view: &View<'_>) -> Vec<RowChange> {
-        let mut waiting: Vec<_> = self
-            .tasks
-            .values()
-            .filter(|task| task.row.state.is_waiting() && !task.writing)
-            .map(|task| &task.row)
-            .collect();
-        order(&mut waiting);
-        let mut misses = Misses::default();
-        let mut changes = Vec::new();
-        for row in waiting {
-            if misses.covers(&row.resources) || !allowed_here(view.catalogue, row, &self.domain) {
-                continue;
-            }
-            let Some(worker) = self.chooser.choose(&self.pool, row) else {
-                misses.add(row.resources);
-                continue;
-            };
-            let attempt = AttemptRef { task: row.id.clone(), attempt: row.attempt };
-            if self.pool.commit(&worker, &attempt, commitment(row)).is_err() {
-                continue;
-            }
-            let AnyTask::Pending(task) = AnyTask::from(row.clone()) else { continue };
-            let Some(tracked) = self.tasks.get(&row.id) else { continue };
-            changes.push(RowChange {
-                id: row.id.clone(),
-                revision: tracked.revision,
-                change: Change::Put(Box::new(task.assign(&worker).into_row())),
-            });
-        }
-        changes
-    }
-
     /// Queues the starts of committed assignments.
     fn queue_starts(&mut self) {
         for task in self.tasks.values_mut() {
@@ -340,10 +313,7 @@
             if !waits || task.writing {
                 continue;
             }
-            let open = |domain: &&String| {
-                !view.is_out(domain) && allowed_here(view.catalogue, &task.row, domain)
-            };
-            let candidates: Vec<&String> = view.others.iter().filter(open).collect();
+            let candidates: Vec<&String> = view.open_for(&task.row).collect();
             let AnyTask::Pending(pending) = AnyTask::from(task.row.clone()) else { continue };
             if candidates.is_empty() {
                 continue;
@@ -366,7 +336,7 @@
     }
 }
 
-fn allowed_here(catalogue: &CatalogueCopy, row: &crate::task::TaskRow, domain: &str) -> bool {
+fn is_allowed(catalogue: &CatalogueCopy, row: &TaskRow, domain: &str) -> bool {
     match catalogue.document(&row.entry) {
         Some(crate::catalogue::Document::Entry(entry)) => entry.allows_domain(domain),
         _ => true,
--- a/src/telemetry/event/schedule.rs
+++ b/src/telemetry/event/schedule.rs
@@ -18,6 +18,8 @@
 pub const HOLD_RELEASED: Event = Event::new(405, Level::Info, "hold-released");
 /// This process took over a domain that cannot be reached, and moves its tasks away.
 pub const DOMAIN_RESCUED: Event = Event::new(406, Level::Warn, "domain-rescued");
+/// A worker fails what other workers run, and takes nothing for a while.
+pub const WORKER_QUARANTINED: Event = Event::new(407, Level::Warn, "worker-quarantined");
 
 /// All events of this module.
 pub const ALL: &[Event] = &[
@@ -28,4 +30,5 @@
     HOLD_HANDED_OVER,
     HOLD_RELEASED,
     DOMAIN_RESCUED,
+    WORKER_QUARANTINED,
 ];
