--- a/src/bin/plantainlever/commands/domain/out.rs
+++ b/src/bin/plantainlever/commands/domain/out.rs
@@ -55,7 +55,7 @@
         shell.result(format_args!("{} runs no task", self.name))?;
         if left.waiting > 0 {
             shell.note(format_args!(
-                "{} tasks wait; \"plantainlever task list\" shows why",
+                "{} tasks wait; \"plantainlever task show ID\" tells the reason",
                 left.waiting
             ));
         }
--- a/src/bin/plantainlever/commands/status.rs
+++ b/src/bin/plantainlever/commands/status.rs
@@ -98,26 +98,22 @@
 
 fn print_quarantined(shell: &Shell, status: &StatusView) -> eyre::Result<()> {
     shell.result(format_args!("\nquarantined workers: {}", status.quarantined.len()))?;
-    if status.quarantined.is_empty() {
-        return Ok(());
-    }
-    let mut table = Table::new(&["WORKER", "DOMAIN", "REASON"]);
     for worker in &status.quarantined {
-        table.row(vec![worker.worker.clone(), worker.domain.clone(), worker.reason.clone()]);
+        shell.result(format_args!("  {} in {}", worker.worker, worker.domain))?;
+        shell.explanation(&worker.reason)?;
     }
-    shell.table(&table)?;
     Ok(())
 }
 
 fn print_unplaceable(shell: &Shell, status: &StatusView) -> eyre::Result<()> {
     shell.result(format_args!("unplaceable tasks: {}", status.unplaceable_count))?;
-    if status.unplaceable.is_empty() {
-        return Ok(());
-    }
-    let mut table = Table::new(&["TASK", "ENTRY", "REASON"]);
     for task in &status.unplaceable {
-        table.row(vec![task.id.clone(), task.entry.clone(), task.reason.clone()]);
+        shell.result(format_args!("  {} of {}", task.id, task.entry))?;
+        shell.explanation(&task.reason)?;
+    }
+    let hidden = status.unplaceable_count.saturating_sub(status.unplaceable.len());
+    if hidden > 0 {
+        shell.result(format_args!("  and {hidden} more"))?;
     }
-    shell.table(&table)?;
     Ok(())
 }
--- a/src/bin/plantainlever/commands/task/list.rs
+++ b/src/bin/plantainlever/commands/task/list.rs
@@ -46,22 +46,19 @@
             self.remote.shell.json(&tasks)?;
             return Ok(());
         }
-        let mut table = Table::new(&["ID", "ENTRY", "STATE", "TRY", "DOMAIN", "WORKER OR REASON"]);
+        let mut table = Table::new(&["ID", "STATE", "ENTRY", "DOMAIN"]);
         for task in &tasks {
             table.row(row(task));
         }
         self.remote.shell.table(&table)?;
+        if tasks.iter().any(|task| task.reason.is_some()) {
+            self.remote.shell.note(format_args!("\"plantainlever task show ID\" tells the reason"));
+        }
         Ok(())
     }
 }
 
 fn row(task: &TaskView) -> Vec<String> {
-    vec![
-        task.id.clone(),
-        task.entry.clone(),
-        state_text(task.state).to_owned(),
-        task.attempt.to_string(),
-        task.domain.clone(),
-        task.worker.clone().or_else(|| task.reason.clone()).unwrap_or_else(|| "-".to_owned()),
-    ]
+    let state = state_text(task.state).to_owned();
+    vec![task.id.clone(), state, task.entry.clone(), task.domain.clone()]
 }
--- a/src/bin/plantainlever/main.rs
+++ b/src/bin/plantainlever/main.rs
@@ -15,14 +15,11 @@
 /// Exit code for usage and settings errors.
 const USAGE: u8 = 2;
 
-/// Width of help texts.
-const WIDTH: usize = 80;
-
 fn main() -> ExitCode {
     match cli::options().run_inner(Args::current_args()) {
         Ok(command) => run(command),
         Err(failure) => {
-            failure.print_message(WIDTH);
+            failure.print_message(table::WIDTH);
             match failure {
                 ParseFailure::Stderr(_) => ExitCode::from(USAGE),
                 ParseFailure::Stdout(..) | ParseFailure::Completion(_) => ExitCode::SUCCESS,
--- a/src/bin/plantainlever/shell.rs
+++ b/src/bin/plantainlever/shell.rs
@@ -8,7 +8,10 @@
 use plantainlever::config::SettingsError;
 use serde::Serialize;
 
-use crate::table::Table;
+use crate::table::{Table, WIDTH};
+
+/// Indentation of explanations.
+const INDENT: &str = "    ";
 
 /// How much is printed.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -55,6 +58,23 @@
         write!(io::stdout().lock(), "{table}")
     }
 
+    /// Prints a text below a line of a list, indented and broken at spaces.
+    pub fn explanation(&self, text: &str) -> io::Result<()> {
+        let mut line = INDENT.to_owned();
+        for word in text.split_whitespace() {
+            if line.len() > INDENT.len() && line.chars().count() + 1 + word.chars().count() > WIDTH
+            {
+                self.result(format_args!("{line}"))?;
+                line = INDENT.to_owned();
+            }
+            if line.len() > INDENT.len() {
+                line.push(' ');
+            }
+            line.push_str(word);
+        }
+        self.result(format_args!("{line}"))
+    }
+
     /// Prints progress or a remark.
     pub fn note(&self, text: fmt::Arguments<'_>) {
         self.to_stderr(Verbosity::Normal, text);
--- a/src/bin/plantainlever/table.rs
+++ b/src/bin/plantainlever/table.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 /// Widest line.
-const WIDTH: usize = 80;
+pub const WIDTH: usize = 80;
 
 /// Between two columns.
 const GAP: &str = "  ";
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -406,3 +406,137 @@
     assert_eq!(task.code, 1);
     assert!(task.err.contains("404 (unknown-task)"), "{}", task.err);
 }
+
+/// Guards against a process that begins to serve with settings that it should refuse.
+#[test]
+fn entry_and_dev_refuse_bad_settings_with_exit_code_2() {
+    let file = TempFile::new("bad.yaml", "domains: []\nlog: {level: loud}\n");
+    for command in ["entry", "dev"] {
+        let run = run(&[command, "--config", file.text()]);
+        assert_eq!((run.code, run.out.as_str()), (2, ""), "{command}: {}", run.err);
+        let level = format!(
+            "{}:2: log.level: found \"loud\"; allowed: error, warn, info, debug",
+            file.text()
+        );
+        assert!(run.err.lines().any(|line| line == level), "{command}: {}", run.err);
+        assert!(!run.err.contains("P0100"), "{command}: {}", run.err);
+    }
+}
+
+/// Guards against a status that hides what an operator looks for, or that breaks a terminal of 80 columns.
+#[test]
+fn status_shows_everything_at_a_glance() {
+    let server = FakeServer::start(|_, _| {
+        Reply::json(
+            200,
+            &json!({
+                "process": "entry-1-0f", "domain": "dc-a", "stopping": false, "revision": 12,
+                "revision_age_ms": 2300, "fresh": false, "schedulers_known": true,
+                "domains": [
+                    {"name": "dc-a", "state": "in", "scheduler": "entry-1-0f", "epoch": 3, "claimant": null},
+                    {"name": "dc-b", "state": "out", "scheduler": null, "epoch": null, "claimant": "entry-2-aa"}],
+                "queues": [{"name": "tasks", "class": "batch", "waiting": 4, "running": 2}],
+                "quarantined": [{"worker": "w7", "domain": "dc-a", "reason": "failed 5 of 5 starts"}],
+                "unplaceable_count": 2,
+                "unplaceable": [{"id": "t-1", "entry": "count", "reason":
+                    "asks for 64000 processor thousandths, and the largest worker of any domain has 32000 in all"}],
+            }),
+        )
+    });
+    assert_eq!(
+        server.run(&["status"]).out,
+        "\
+process  entry-1-0f in dc-a
+revision 12, 2300 ms old, too old for tasks to start
+
+DOMAIN  STATE  SCHEDULER   EPOCH  CLAIMED BY
+dc-a    in     entry-1-0f  3      -
+dc-b    out    none        -      entry-2-aa
+
+QUEUE  CLASS  WAITING  RUNNING
+tasks  batch  4        2
+
+quarantined workers: 1
+  w7 in dc-a
+    failed 5 of 5 starts
+unplaceable tasks: 2
+  t-1 of count
+    asks for 64000 processor thousandths, and the largest worker of any domain
+    has 32000 in all
+  and 1 more
+"
+    );
+    server.close();
+}
+
+/// Guards against ids that are cut in a table and then cannot be used.
+#[test]
+fn task_list_shows_whole_ids_within_80_columns() {
+    let id = "t-0123456789abcdef0123456789abcdef";
+    let server = FakeServer::start(move |_, path| {
+        let state = if path == "/v1/tasks" { "running" } else { "unplaceable" };
+        Reply::json(
+            200,
+            &json!({"next": if path == "/v1/tasks" { Some(id) } else { None }, "tasks": [{
+                "id": id, "entry": "a-name-of-more-than-twenty-characters", "state": state,
+                "attempt": 1, "domain": "dc-a", "worker": null, "reason": "r"}]}),
+        )
+    });
+    let list = server.run(&["task", "list"]);
+    assert_eq!(
+        list.out,
+        format!(
+            "ID                                  STATE        ENTRY                    DOMAIN\n\
+             {id}  running      a-name-of-more-than-...  dc-a\n\
+             {id}  unplaceable  a-name-of-more-than-...  dc-a\n"
+        )
+    );
+    assert_eq!(list.err, "\"plantainlever task show ID\" tells the reason\n");
+    let one = server.run(&["task", "list", "--state", "unplaceable", "--json"]).out;
+    let one: serde_json::Value = serde_json::from_str(&one).unwrap();
+    assert_eq!(one.as_array().map(Vec::len), Some(1));
+    let paths: Vec<String> = server.close().into_iter().map(|req| req.path).collect();
+    assert_eq!(paths[..2], ["/v1/tasks".to_owned(), format!("/v1/tasks?after={id}")]);
+}
+
+fn batch_entry() -> plantainlever::catalogue::Document {
+    serde_json::from_value(json!({
+        "kind": "entry", "owner": "tests", "class": "batch",
+        "limits": {"per_task": {"cpu_millis": 1000, "memory_mb": 1024}},
+    }))
+    .unwrap()
+}
+
+/// Guards against a wait that ends while tasks still run in the domain, and against a task that does not go on.
+#[test]
+fn domain_out_wait_ends_when_the_tasks_have_moved() {
+    let site = SiteBuilder::new(env!("CARGO_BIN_EXE_plantainlever"))
+        .domains(&["dc-a", "dc-b"])
+        .document("count", batch_entry())
+        .start()
+        .unwrap();
+    let client = site.entries()[0].client();
+    let submit =
+        || client.submit("count", &json!({"run_ms": 4000})).map_err(|error| error.to_string());
+    let id = wait::until("a task is submitted", wait::BOUND, submit).id;
+    let state = || client.task(&id).map_err(|error| error.to_string());
+    let seen = |task: &dyn std::fmt::Debug| format!("{task:?}");
+    let before = wait::until("the task runs", wait::BOUND, || {
+        let task = state()?;
+        if task.worker.is_some() { Ok(task) } else { Err(seen(&task)) }
+    });
+    let server = site.entries()[0].process.address().to_string();
+    let out = run(&["domain", "out", &before.domain, "--wait", "--server", &server]);
+    assert_eq!(out.code, 0, "{}{}", out.out, out.err);
+    let workers = site.workers(&before.domain).unwrap();
+    assert_eq!(
+        [1, 2].map(|n| workers.running(&format!("{}-worker-{n}", before.domain)).len()),
+        [0, 0]
+    );
+    let after = wait::until("the task ends", wait::BOUND, || {
+        let task = state()?;
+        if task.state.is_final() { Ok(task) } else { Err(seen(&task)) }
+    });
+    assert_eq!(after.state, plantainlever::task::TaskState::Succeeded, "{after:?}");
+    assert_eq!((after.attempt, after.domain == before.domain), (2, false), "{after:?}");
+}
