Test the promises over real processes: all faults in one run, and racing operators

Cause: nothing went through the whole system with real processes yet. Change: a site of three domains with two entry processes each; callers and 40 recomputes; a domain taken out and back in; the scheduler of another one frozen past its lease; an entry process killed and one added; one checker over the history of workers, targets and table. Edits raced by two operators with lost answers of the table. Ruled out: a narrower test per fault first; the parts have those.

--- a/tests/testsuite/promises.rs
+++ b/tests/testsuite/promises.rs
@@ -1,1 +1,6 @@
-//! Tests of the ten promises over real processes.
+//! The ten promises over real entry processes, with one checker over what the stand-ins saw.
+
+mod faults;
+mod rig;
+mod stops;
+mod together;
--- /dev/null
+++ b/tests/testsuite/promises/faults.rs
@@ -0,0 +1,102 @@
+//! Outages of the store, races of operators, and freezes.
+
+use std::time::{Duration, Instant};
+
+use plantainlever::catalogue::Document;
+use plantainlever_test_support::caller::{CallerPlan, Callers, summary};
+use plantainlever_test_support::wait;
+
+use super::rig::{
+    BOOKING, BOUND, RECOMPUTE, addresses, assert_kept, builder, running, submit, wait_succeeded,
+};
+
+/// Bound on the time until a change is in force in every process.
+const IN_FORCE: Duration = Duration::from_secs(7);
+
+/// Longer than a task lease, so that running tasks need renewals while the store is down.
+const OUTAGE: Duration = Duration::from_secs(20);
+
+/// Guards against requests or running tasks that stop with the store.
+#[test]
+fn work_goes_on_while_the_store_is_down() {
+    let site = builder(&["north", "coast"]).start().unwrap();
+    let client = site.entries()[0].client();
+    let ids = submit(&client, 6, 30_000);
+    wait::until_true("tasks run", BOUND, || running(&client, &ids) == 6, String::new);
+    let callers = Callers::start(&CallerPlan::posting_to(BOOKING), &addresses(&site));
+    // The lists of the hold must name the other processes before promises can confirm it.
+    std::thread::sleep(Duration::from_secs(3));
+    site.table_faults().set_down(true);
+    let before = callers.completed();
+    std::thread::sleep(OUTAGE);
+    let during = callers.completed() - before;
+    site.table_faults().set_down(false);
+    let tasks = wait_succeeded(&client, &ids);
+    let records = callers.close();
+    assert_kept(&site, &records);
+    assert!(during > 200, "{during} requests in {OUTAGE:?}: {:?}", summary(&records));
+    let attempts: Vec<u32> = tasks.iter().map(|task| task.attempt).collect();
+    assert_eq!(attempts, vec![1; 6], "running tasks must survive the outage");
+}
+
+/// Guards against edits that get lost between racing operators, and changes that a process learns late or forgets.
+#[test]
+fn racing_edits_are_in_force_everywhere_within_seconds() {
+    let mut site = builder(&["north", "coast"]).start().unwrap();
+    let clients: Vec<_> = site.entries().iter().map(|entry| entry.client()).collect();
+    site.table_faults().lose_answers(3);
+    let mut accepted = 0;
+    for round in 1..=8_u8 {
+        let current =
+            wait::until("the document is read", BOUND, || match clients[0].document(RECOMPUTE) {
+                Ok(Some(found)) => Ok(found),
+                other => Err(format!("{other:?}")),
+            });
+        let edit = |priority: u8| {
+            let Document::Entry(mut entry) = current.document.clone() else { unreachable!() };
+            entry.priority = priority;
+            Document::Entry(entry)
+        };
+        let won: Vec<bool> = std::thread::scope(|scope| {
+            let racing: Vec<_> = [(1, round), (3, round + 1)]
+                .into_iter()
+                .map(|(index, priority)| {
+                    let client = &clients[index];
+                    let document = edit(priority);
+                    scope.spawn(move || {
+                        client.put_document(RECOMPUTE, &document, current.revision).is_ok()
+                    })
+                })
+                .collect();
+            racing.into_iter().map(|edit| edit.join().unwrap()).collect()
+        });
+        assert!(won.iter().filter(|won| **won).count() <= 1, "both edits of one revision won");
+        if won.iter().any(|won| *won) {
+            accepted += 1;
+            let since = Instant::now();
+            wait::until("the change is everywhere", IN_FORCE, || {
+                let seen = |client: &plantainlever::ops::client::Client| {
+                    let found = client.document(RECOMPUTE).ok().flatten();
+                    found.map_or(0, |found| found.revision)
+                };
+                let behind =
+                    clients.iter().filter(|client| seen(client) <= current.revision).count();
+                if behind == 0 {
+                    Ok(())
+                } else {
+                    Err(format!("{behind} after {:?}", since.elapsed()))
+                }
+            });
+        }
+    }
+    assert!(accepted >= 4, "{accepted} of 8 races had a winner");
+    let last = clients[0].document(RECOMPUTE).unwrap().unwrap();
+    let fresh = site.start_entry("north").unwrap().client();
+    wait::until("a new process has the newest revision", IN_FORCE, || {
+        match fresh.document(RECOMPUTE) {
+            Ok(Some(found)) if found == last => Ok(()),
+            other => Err(format!("{other:?}")),
+        }
+    });
+    assert_kept(&site, &[]);
+}
--- /dev/null
+++ b/tests/testsuite/promises/together.rs
@@ -0,0 +1,73 @@
+//! Requests and tasks beside each other while a domain leaves and returns and entry processes die and freeze.
+
+use std::time::Duration;
+
+use plantainlever::domain::DomainState;
+use plantainlever_test_support::caller::{CallerPlan, Callers, summary};
+use plantainlever_test_support::wait;
+
+use super::rig::{
+    BOOKING, BOUND, accepted, addresses, assert_kept, builder, running, scheduler_of, submit,
+    tasks, wait_succeeded,
+};
+
+/// Longer than a scheduler lease, so that a successor takes over.
+const FREEZE: Duration = Duration::from_secs(5);
+
+/// Guards against lost, doubled or misplaced work and requests under all of these faults in one run.
+#[test]
+fn a_domain_leaves_and_returns_while_processes_die_and_freeze() {
+    let mut site = builder(&["north", "pass", "coast"]).start().unwrap();
+    let operator = site.entries()[0].client();
+    let callers = Callers::start(&CallerPlan::posting_to(BOOKING), &addresses(&site));
+    let mut ids = submit(&site.entries()[2].client(), 20, 3_000);
+    ids.extend(submit(&operator, 20, 3_000));
+    wait::until_true(
+        "tasks run",
+        BOUND,
+        || running(&operator, &ids) > 10,
+        || format!("{:?}", tasks(&operator, &ids)),
+    );
+
+    accepted("pass is taken out", || operator.set_domain("pass", DomainState::Out));
+    wait::until("pass is empty", BOUND, || {
+        let left = tasks(&operator, &ids)?;
+        let left = left.iter().filter(|task| task.domain == "pass" && task.worker.is_some());
+        match left.count() {
+            0 => Ok(()),
+            count => Err(format!("{count} tasks run there")),
+        }
+    });
+
+    let scheduler = scheduler_of(&operator, "coast").unwrap();
+    let frozen = site.entries_of("coast").find(|entry| entry.process.process() == scheduler);
+    let frozen = frozen.unwrap().process.pid();
+    let is_frozen =
+        |entry: &&plantainlever_test_support::site::SiteEntry| entry.process.pid() == frozen;
+    site.entries().iter().find(is_frozen).unwrap().process.pause().unwrap();
+    std::thread::sleep(FREEZE);
+    wait::until_true(
+        "a successor schedules coast",
+        BOUND,
+        || scheduler_of(&operator, "coast").is_some_and(|now| now != scheduler),
+        || format!("{:?}", scheduler_of(&operator, "coast")),
+    );
+    site.entries().iter().find(is_frozen).unwrap().process.resume().unwrap();
+
+    site.entries()[1].process.kill().unwrap();
+    accepted("pass is taken in", || operator.set_domain("pass", DomainState::In));
+    site.start_entry("north").unwrap();
+
+    wait_succeeded(&operator, &ids);
+    let before = callers.completed();
+    wait::until_true(
+        "requests go on",
+        BOUND,
+        || callers.completed() > before + 50,
+        || callers.completed().to_string(),
+    );
+    let records = callers.close();
+    assert_kept(&site, &records);
+    let completed = records.iter().filter(|record| record.is_completed()).count();
+    assert!(completed * 10 >= records.len() * 9, "{:?}", summary(&records));
+}
