Show what each attempt was told in the summary of callers

Cause: the summary showed the last attempt only, and not why it was refused. Change: all attempts with the server's message. Ruled out: logs of the processes; they do not name single requests.

--- a/crates/plantainlever-test-support/src/caller.rs
+++ b/crates/plantainlever-test-support/src/caller.rs
@@ -176,19 +176,29 @@
     }
 }
 
-/// Counts records by what the last attempt was told, for the message of a failed assertion.
+/// Counts records by what their attempts were told, for the message of a failed assertion.
 #[must_use]
 pub fn summary(records: &[Record]) -> BTreeMap<String, usize> {
     let mut counts = BTreeMap::new();
     for record in records {
-        let told = record.attempts.last().map_or("none".to_owned(), |last| {
-            format!("{:?} {} after {}", last.told, last.status.unwrap_or(0), record.attempts.len())
-        });
-        *counts.entry(told).or_insert(0) += 1;
+        let told: Vec<String> = record.attempts.iter().map(Attempt::summary).collect();
+        *counts.entry(told.join(", ")).or_insert(0) += 1;
     }
     counts
 }
 
+impl Attempt {
+    /// What the caller was told, with the server's message if it was an error.
+    fn summary(&self) -> String {
+        let status = self.status.unwrap_or(0);
+        if self.told == Told::Completed {
+            return format!("{:?} {status}", self.told);
+        }
+        let error: serde_json::Value = serde_json::from_slice(&self.body).unwrap_or_default();
+        format!("{:?} {status} {}", self.told, error["error"]["message"])
+    }
+}
+
 fn is_refused(error: &ureq::Error) -> bool {
     matches!(error, ureq::Error::Io(error) if error.kind() == ErrorKind::ConnectionRefused)
 }
