Test leaving targets, planned stops and forwards; add two benches

Change: tests of a target that leaves by its own report, by the VM list or by its silence; of a planned stop under load; of forwarded requests and their trace context. A queueing model on a manual clock compares routing with random choice and admission with a plain queue; tests check the same bounds on smaller runs.

--- a/src/local/target.rs
+++ b/src/local/target.rs
@@ -14,6 +14,7 @@
 use super::server::ListenError;
 use crate::platform::target::{REQUEST_ID, TargetHealth};
 use crate::request::OUTCOME;
+use crate::telemetry::trace::TRACEPARENT;
 
 /// Slots of a stand-in.
 pub const SLOTS: u32 = 8;
@@ -41,6 +42,8 @@
     CloseIdle,
     /// Accepts connections and reads nothing.
     Deaf,
+    /// Answers everything but health checks.
+    NoHealth,
 }
 
 #[derive(Debug)]
@@ -55,6 +58,7 @@
     most_connections: AtomicU32,
     refused: AtomicU64,
     sockets: Mutex<Vec<TcpStream>>,
+    traces: Mutex<Vec<String>>,
 }
 
 /// The executor.
@@ -93,6 +97,7 @@
             most_connections: AtomicU32::new(0),
             refused: AtomicU64::new(0),
             sockets: Mutex::default(),
+            traces: Mutex::default(),
         });
         let accepting = Arc::clone(&shared);
         let thread = std::thread::spawn(move || accept(&listener, &accepting));
@@ -133,6 +138,12 @@
         self.shared.refused.load(Ordering::SeqCst)
     }
 
+    /// Trace contexts received, in order.
+    #[must_use]
+    pub fn traces(&self) -> Vec<String> {
+        self.shared.traces.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Closes the listener and all connections at once, as the death of the VM does.
     pub fn kill(mut self) {
         self.stop();
@@ -209,6 +220,9 @@
     /// Answers one request. False if the connection must be closed.
     fn answer(&self, stream: &TcpStream, message: &Message) -> bool {
         if message.path == "/health" {
+            if self.fault() == TargetFault::NoHealth {
+                return false;
+            }
             let health = TargetHealth {
                 in_flight: self.in_flight.load(Ordering::SeqCst),
                 slots: SLOTS,
@@ -217,6 +231,10 @@
             let body = serde_json::to_vec(&health).unwrap_or_default();
             return write_answer(stream, 200, &[], &body, body.len()) && !message.closes();
         }
+        if let Some(trace) = message.header(TRACEPARENT) {
+            let mut traces = self.traces.lock().unwrap_or_else(PoisonError::into_inner);
+            traces.push(trace.to_owned());
+        }
         let id = message.header(REQUEST_ID).unwrap_or_default().to_owned();
         let fault = self.fault();
         if fault == TargetFault::CloseBefore {
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -4,8 +4,10 @@
 #![allow(clippy::unwrap_used)]
 
 mod answers;
+mod bounds;
+mod forwards;
 mod front;
 mod keys;
 mod membership;
-#[allow(dead_code)]
 mod rig;
+mod stops;
--- a/tests/testsuite/requests/keys.rs
+++ b/tests/testsuite/requests/keys.rs
@@ -118,6 +118,7 @@
 fn a_key_whose_request_did_not_run_can_be_used_again_anywhere() {
     let (site, entries) = site_of_three();
     assert_eq!(post(&entries[0], "k", "1", "booking").outcome, "not-run");
+    wait_for("the deletion of the row", || site.table.keys().is_empty());
     let _target = site.target("t1", "a");
     entries.iter().for_each(|entry| entry.wait_for_slots(8));
     site.table.down.store(true, Ordering::SeqCst);
--- a/tests/testsuite/requests/rig.rs
+++ b/tests/testsuite/requests/rig.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -191,6 +191,7 @@
 pub struct Wires {
     nodes: Arc<Mutex<BTreeMap<String, Arc<dyn Node>>>>,
     cut: Arc<Mutex<BTreeSet<String>>>,
+    forwards: Arc<AtomicU64>,
 }
 
 impl std::fmt::Debug for Wires {
@@ -208,6 +209,11 @@
         self.cut.lock().unwrap().insert(address.to_owned());
     }
 
+    /// Requests that were forwarded.
+    pub fn forwards(&self) -> u64 {
+        self.forwards.load(Ordering::SeqCst)
+    }
+
     fn node(&self, address: &str) -> Result<Arc<dyn Node>, PeerError> {
         let cut = self.cut.lock().unwrap().contains(address);
         let node = self.nodes.lock().unwrap().get(address).cloned().filter(|_| !cut);
@@ -250,7 +256,9 @@
         msg: ForwardedRequest,
         _: Duration,
     ) -> Result<ForwardedAnswer, PeerError> {
-        Ok(self.node(address)?.forward(&msg))
+        let node = self.node(address)?;
+        self.forwards.fetch_add(1, Ordering::SeqCst);
+        Ok(node.forward(&msg))
     }
 }
 
