--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod answers;
+mod bounds;
 mod forwards;
 mod front;
 mod keys;
--- a/tests/testsuite/requests/forwards.rs
+++ b/tests/testsuite/requests/forwards.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use plantainlever::local::target::LocalTarget;
+
 use super::rig::{EntryProcess, Site};
 
 fn two_domains() -> (Site, Arc<EntryProcess>, Arc<EntryProcess>) {
@@ -31,11 +33,13 @@
 #[test]
 fn a_forwarded_request_is_not_forwarded_again() {
     let (site, here, there) = two_domains();
-    let target = site.target("t1", "b");
+    let targets = [site.target("t1", "b"), site.target("t2", "a")];
     there.wait_for_slots(8);
-    target.kill();
+    here.wait_for_slots(8);
+    targets.into_iter().for_each(LocalTarget::kill);
     let seen = here.post("", b"nowhere");
     assert_eq!((seen.status, seen.outcome.as_str()), (503, "not-run"));
+    assert_eq!(site.wires.forwards(), 1);
     assert_eq!(site.runs_of(b"nowhere"), 0);
 }
 
--- a/tests/testsuite/requests/rig.rs
+++ b/tests/testsuite/requests/rig.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -193,6 +193,7 @@
 pub struct Wires {
     nodes: Arc<Mutex<BTreeMap<String, Arc<dyn Node>>>>,
     cut: Arc<Mutex<BTreeSet<String>>>,
+    forwards: Arc<AtomicU64>,
 }
 
 impl std::fmt::Debug for Wires {
@@ -210,6 +211,11 @@
         self.cut.lock().unwrap().insert(address.to_owned());
     }
 
+    /// Requests that were forwarded.
+    pub fn forwards(&self) -> u64 {
+        self.forwards.load(Ordering::SeqCst)
+    }
+
     pub fn heal(&self, address: &str) {
         self.cut.lock().unwrap().remove(address);
     }
@@ -256,7 +262,9 @@
         msg: ForwardedRequest,
         _: Duration,
     ) -> Result<ForwardedAnswer, PeerError> {
-        Ok(self.node(address)?.forward(&msg))
+        let node = self.node(address)?;
+        self.forwards.fetch_add(1, Ordering::SeqCst);
+        Ok(node.forward(&msg))
     }
 }
 
