Break dropped connections at once in the stand-ins' server

Cause: a stand-in told to drop a connection left it open, because tiny_http waits for the next request on it. Clients noticed only by their timeout: one dropped call took 1.03 s with a timeout of 1 s, so a store that is down looked like a slow one.

Ruled out: a real close; tiny_http gives a handler no access to the socket, and its "Connection: close" is decided by the client's header alone.

Change: the server sends a line that is no HTTP, on which the client closes the connection. The test of members with later deadlines now also fails if a refused merged write is not split.

--- a/src/local/server.rs
+++ b/src/local/server.rs
@@ -1,6 +1,6 @@
 //! A small HTTP server for the stand-ins.
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,6 +16,9 @@
 /// Largest request body that a stand-in reads.
 const MAX_BODY_BYTES: u64 = 64 << 20;
 
+/// Sent instead of an answer to break a connection.
+const BROKEN_LINE: &[u8] = b"\0\r\n\r\n";
+
 /// What a handler answers.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
@@ -28,7 +31,7 @@
         /// The body.
         body: Vec<u8>,
     },
-    /// Close the connection without an answer.
+    /// Break the connection without an answer.
     Drop,
 }
 
@@ -185,8 +188,11 @@
     }
 }
 
-/// Closes the connection of a request without an answer.
+/// Breaks the connection of a request without an answer.
 fn drop_connection(req: tiny_http::Request) {
-    // Dropping a request makes tiny_http answer 500, so the writer is taken and dropped unused instead.
-    drop(req.into_writer());
+    // Dropping a request makes tiny_http answer 500. Dropping only its writer leaves the connection open, and the client
+    // waits for its timeout. A line that is no HTTP makes the client close the connection at once.
+    let mut writer = req.into_writer();
+    // The client may have gone away, which is as good.
+    let _ = writer.write_all(BROKEN_LINE).and_then(|()| writer.flush());
 }
--- a/tests/testsuite/platform/commits.rs
+++ b/tests/testsuite/platform/commits.rs
@@ -116,13 +116,15 @@
 /// refused merged write whose members are not tried alone.
 #[test]
 fn members_with_later_deadlines_outlive_the_first_one() {
-    let faults: [fn(&Faults); 4] = [
-        |faults| faults.lose_requests(1),
-        |faults| faults.lose_requests(u32::MAX),
-        |faults| faults.lose_answers(u32::MAX),
-        |faults| faults.refuse(1),
+    let soon = Duration::from_millis(350);
+    type Case = (fn(&Faults), Duration);
+    let cases: [Case; 4] = [
+        (|faults| faults.lose_requests(1), soon),
+        (|faults| faults.lose_requests(u32::MAX), soon),
+        (|faults| faults.lose_answers(u32::MAX), soon),
+        (|faults| faults.refuse(1), WAIT),
     ];
-    for fault in faults {
+    for (fault, deadline) in cases {
         let t = InProcess::with_clock(SystemClock);
         // The rate leaves 100 ms after the first write for the others to arrive.
         let commits = &threaded(&t.faulty, 10);
@@ -132,7 +134,7 @@
             |id: &str, time| commits.submit(&put(id, id, Vec::new()), Instant::now() + time);
         let [short, long] = std::thread::scope(|scope| {
             let long = scope.spawn(|| submit("long", WAIT));
-            let short = submit("short", Duration::from_millis(350));
+            let short = submit("short", deadline);
             t.faults.lose_requests(0);
             t.faults.lose_answers(0);
             [short, long.join().expect("the submitter does not panic")]
@@ -141,6 +143,7 @@
         let times = |id| effects(&t.table).iter().filter(|operation| *operation == id).count();
         assert_eq!(times("long"), 1);
         match short {
+            // The write of a member that is not told the outcome may have taken effect.
             Err(CommitFailure::Unknown { .. }) => assert!(times("short") < 2),
             short => assert_eq!(times("short"), usize::from(short.is_ok()), "{short:?}"),
         }
--- a/tests/testsuite/platform/http.rs
+++ b/tests/testsuite/platform/http.rs
@@ -76,8 +76,10 @@
     let unreachable = PlatformError::Unreachable { service: "worker", address, cause };
     assert_eq!(error, unreachable);
 
+    // A broken connection is noticed at once and not by the timeout.
     let error = read_with(|| Reply::Drop);
-    assert!(matches!(error, PlatformError::NoAnswer { .. }), "{error}");
+    let cause = "protocol: http parse fail: invalid HTTP version".to_owned();
+    assert_eq!(error, PlatformError::NoAnswer { service, waited: TIMEOUT, cause });
     let error = read_with(|| answer(500, "disk full"));
     let cause = "status 500: disk full".to_owned();
     assert_eq!(error, PlatformError::NoAnswer { service, waited: TIMEOUT, cause });
