Ask for the VM list by its entity tag

Cause: each process read the whole VM list once a second: 15,868 bytes for 140 VMs, more than the 11 KB/s that a node may spend for control, and growing with the number of VMs although about a hundred of them change per day.

Ruled out: reading less often; the list is one of the ways by which a leaving target must be noticed within 5 s.

Change: the client sends If-None-Match and keeps the list on 304; the stand-in sends ETag. A service without tags is read as before. Fault switches ask for whole lists, because a lagging answer may go to another client. This extends the protocol note in src/platform/vms.rs.

--- a/crates/plantainlever-test-support/src/fault.rs
+++ b/crates/plantainlever-test-support/src/fault.rs
@@ -137,16 +137,19 @@
             faults.wait_while_held();
             let (fate, delay) = faults.next_fate();
             SystemClock.sleep(delay);
+            // An answer that is kept for later may go to another client, so it must be a whole one.
+            let mut req = req.clone();
+            req.headers.retain(|(name, _)| !name.eq_ignore_ascii_case("If-None-Match"));
             match fate {
                 Fate::Down | Fate::RequestLost => Reply::Drop,
                 Fate::Refused => Reply::json(TOO_LARGE, &"too large"),
                 Fate::AnswerLost => {
-                    handler(req);
+                    handler(&req);
                     Reply::Drop
                 }
                 Fate::Answered => {
                     let lag = faults.lock().lag;
-                    lagging(&kept, lag, handler(req))
+                    lagging(&kept, lag, handler(&req))
                 }
             }
         }
--- a/src/local/vms.rs
+++ b/src/local/vms.rs
@@ -1,7 +1,7 @@
 //! VM list kept in memory.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use super::server::{JsonServer, ListenError, Reply, ServerRequest};
 use crate::platform::PlatformError;
@@ -10,7 +10,22 @@
 /// The list, shared by threads. Cloning shares it.
 #[derive(Clone, Debug, Default)]
 pub struct MemoryVms {
-    listing: Arc<Mutex<VmListing>>,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug)]
+struct State {
+    listing: VmListing,
+    /// Tells the tags of this list from those of an earlier one at the same address.
+    incarnation: u64,
+    /// Raised by each change.
+    version: u64,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self { listing: VmListing::default(), incarnation: rand::random(), version: 0 }
+    }
 }
 
 impl MemoryVms {
@@ -40,7 +55,7 @@
     #[must_use]
     pub fn answer(&self, req: &ServerRequest) -> Reply {
         match (req.method.as_str(), req.path.as_str()) {
-            ("GET", "/vms") => Reply::json(200, &self.snapshot()),
+            ("GET", "/vms") => self.answer_list(req.header("If-None-Match")),
             _ => Reply::json(404, &"the VM list has no such path"),
         }
     }
@@ -55,17 +70,35 @@
         JsonServer::start(address, threads, move |req| vms.answer(req))
     }
 
+    fn answer_list(&self, known: Option<&str>) -> Reply {
+        let (tag, listing) = {
+            let state = self.lock();
+            let tag = format!("\"{:x}-{}\"", state.incarnation, state.version);
+            (tag, state.listing.clone())
+        };
+        if known == Some(tag.as_str()) {
+            return Reply::Answer { status: 304, headers: Vec::new(), body: Vec::new() };
+        }
+        let mut reply = Reply::json(200, &listing);
+        if let Reply::Answer { headers, .. } = &mut reply {
+            headers.push(("ETag".to_owned(), tag));
+        }
+        reply
+    }
+
     fn change(&self, change: impl FnOnce(&mut Vec<Vm>)) {
-        change(&mut self.listing.lock().unwrap_or_else(PoisonError::into_inner).vms);
+        let mut state = self.lock();
+        change(&mut state.listing.vms);
+        state.version += 1;
     }
 
-    fn snapshot(&self) -> VmListing {
-        self.listing.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl VmList for MemoryVms {
     fn list(&self) -> Result<VmListing, PlatformError> {
-        Ok(self.snapshot())
+        Ok(self.lock().listing.clone())
     }
 }
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 use ureq::Agent;
 use ureq::config::Config;
+use ureq::http::header::{ETAG, IF_NONE_MATCH};
 use ureq::http::{Response, Uri};
 use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
 use ureq::unversioned::transport::{ConnectionDetails, Connector, NextTimeout, TcpConnector};
@@ -168,6 +169,24 @@
         self.finish(&address.to_string(), sent)
     }
 
+    /// Gets a path unless it still has the entity tag `known`. Returns the status, the new tag and the body.
+    fn get_changed(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        known: Option<&str>,
+    ) -> Result<(u16, Option<String>, Vec<u8>), PlatformError> {
+        let mut req = self.agent.get(format!("http://{address}{path}"));
+        if let Some(known) = known {
+            req = req.header(IF_NONE_MATCH, known);
+        }
+        let sent = req.call();
+        let tag = sent.as_ref().ok().and_then(|response| response.headers().get(ETAG));
+        let tag = tag.and_then(|tag| tag.to_str().ok()).map(str::to_owned);
+        let (status, body) = self.finish(&address.to_string(), sent)?;
+        Ok((status, tag, body))
+    }
+
     fn finish(
         &self,
         address: &str,
--- a/src/platform/http/clients.rs
+++ b/src/platform/http/clients.rs
@@ -1,6 +1,7 @@
 //! The platform's traits over HTTP.
 
 use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -21,6 +22,9 @@
 /// Status of an object that does not exist.
 const NOT_FOUND: u16 = 404;
 
+/// Status of a list that still has the tag asked for.
+const NOT_MODIFIED: u16 = 304;
+
 /// The table service over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpTable {
@@ -89,25 +93,39 @@
 }
 
 /// The VM list over HTTP.
-#[derive(Clone, Debug)]
+///
+/// The list has about 110 bytes per VM and seldom changes, so it is asked for by its entity tag. A service without tags
+/// sends the whole list each time.
+#[derive(Debug)]
 pub struct HttpVmList {
     http: HttpClient,
     address: SocketAddr,
+    /// The last list with its tag.
+    last: Mutex<Option<(String, VmListing)>>,
 }
 
 impl HttpVmList {
     /// A client with a bound per call. Counts `vms.reads`.
     #[must_use]
     pub fn new(address: SocketAddr, timeout: Duration, metrics: Metrics) -> Self {
-        Self { http: HttpClient::new("VM list", timeout, metrics), address }
+        let http = HttpClient::new("VM list", timeout, metrics);
+        Self { http, address, last: Mutex::default() }
     }
 }
 
 impl VmList for HttpVmList {
     fn list(&self) -> Result<VmListing, PlatformError> {
         self.http.metrics.count("vms.reads", 1);
-        let (status, body) = self.http.get(self.address, "/vms")?;
-        self.http.decode(status, &body)
+        let last = self.last.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let known = last.as_ref().map(|(tag, _)| tag.as_str());
+        let (status, tag, body) = self.http.get_changed(self.address, "/vms", known)?;
+        if let (NOT_MODIFIED, Some((_, listing))) = (status, last) {
+            return Ok(listing);
+        }
+        let listing: VmListing = self.http.decode(status, &body)?;
+        let next = tag.map(|tag| (tag, listing.clone()));
+        *self.last.lock().unwrap_or_else(PoisonError::into_inner) = next;
+        Ok(listing)
     }
 }
 
--- a/src/platform/vms.rs
+++ b/src/platform/vms.rs
@@ -1,6 +1,7 @@
 //! The VM list: live and leaving VMs, with a lag.
 //!
-//! Protocol (HTTP): `GET /vms` answers a [`VmListing`].
+//! Protocol (HTTP): `GET /vms` answers a [`VmListing`] with an `ETag`. With `If-None-Match` and the current tag it answers
+//! 304 without a body.
 
 use std::fmt::Debug;
 
--- a/tests/testsuite/platform/http.rs
+++ b/tests/testsuite/platform/http.rs
@@ -129,6 +129,30 @@
     server.join().unwrap();
 }
 
+/// Guards against a list of hundreds of VMs that is sent once a second without a change: 140 VMs have 15.8 KB, more than
+/// the 11 KB/s that a node may spend for control.
+#[test]
+fn unchanged_vm_list_is_not_sent_again() {
+    let (vms, statuses) = (MemoryVms::default(), Arc::new(std::sync::Mutex::new(Vec::new())));
+    let (served, seen) = (vms.clone(), Arc::clone(&statuses));
+    let server = JsonServer::start(loopback(), 1, move |req| {
+        let reply = served.answer(req);
+        if let Reply::Answer { status, .. } = &reply {
+            seen.lock().unwrap().push(*status);
+        }
+        reply
+    });
+    let server = server.unwrap();
+    let list = HttpVmList::new(server.address(), TIMEOUT, Metrics::disabled());
+    vms.insert(target("t1"));
+    assert_eq!(list.list().unwrap().vms, [target("t1")]);
+    assert_eq!(list.list().unwrap().vms, [target("t1")]);
+    vms.remove(VmRole::Target, "t1");
+    assert!(list.list().unwrap().vms.is_empty());
+    assert_eq!(*statuses.lock().unwrap(), [200, 304, 200]);
+    server.close();
+}
+
 /// Guards against a fault switch that does not do what the tests of the promises rely on.
 #[test]
 fn vm_list_can_lag() {
