--- a/src/local/worker/state.rs
+++ b/src/local/worker/state.rs
@@ -157,7 +157,7 @@
         if self.attempts.contains_key(&attempt_ref) {
             return (StartResult::Started, None);
         }
-        if req.lease_until_ms <= now_ms {
+        if req.lease_until_ms <= now_ms || req.incarnation != self.incarnation {
             self.tombstones.insert(attempt_ref, StartResult::LeaseLapsed);
             return (StartResult::LeaseLapsed, None);
         }
