Leave and refill a failure domain at the object store's pace

Cause: a domain that is taken out must be emptied without stopping services or flooding the object store, and refilled when it returns.

Restores therefore count against the same pace as evictions.

Change: `next_steps` replaces services before batch work is evicted; `Pace` follows what the store shows; `Ramp` limits the starts of a returned domain; `Destinations` assigns by headroom and moves a waiting task only to room. Rows of impacts are indexed by number.

--- a/crates/plantainlever-test-support/src/model.rs
+++ b/crates/plantainlever-test-support/src/model.rs
@@ -4,6 +4,7 @@
 //! baselines with the same seed and the same arrivals.
 
 pub mod colocation;
+pub mod evacuation;
 pub mod placement;
 pub mod tasks;
 pub mod urgent;
--- a/crates/plantainlever-test-support/src/model/colocation.rs
+++ b/crates/plantainlever-test-support/src/model/colocation.rs
@@ -216,7 +216,7 @@
 
     fn choose(&self, candidate: &Candidate<'_>, second: u64) -> Result<String, NoWorker> {
         match self.policy {
-            Policy::Oracle => self.choose_as_oracle(candidate, second).ok_or(NoWorker::Full),
+            Policy::Oracle => self.choose_as_oracle(candidate, second).ok_or(NoWorker::NearTarget),
             _ => choose(&self.pool, candidate, &self.model).map(str::to_owned),
         }
     }
--- /dev/null
+++ b/crates/plantainlever-test-support/src/model/evacuation.rs
@@ -0,0 +1,503 @@
+//! A failure domain leaves and returns.
+//!
+//! Three domains of 864 cores are full of batch work and run 15 services of 8 cores each. After five minutes one domain
+//! is taken out, and some time later it returns. Evictions, restores and the regular checkpoints share the object store's
+//! bandwidth; a transfer that takes 30 s fails, and an eviction whose checkpoint failed loses the work since the last
+//! one. Workers are not modelled one by one: a task runs where its domain has cores.
+
+mod store;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use plantainlever::catalogue::{Class, Document, Entry};
+use plantainlever::platform::worker::AttemptRef;
+use plantainlever::policy::evacuation::{
+    Destinations, Headroom, Pace, Ramp, Resident, Step, next_steps,
+};
+use plantainlever::task::TaskId;
+use plantainlever::worker::Resources;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::tasks;
+use store::{Purpose, Store};
+
+const DOMAINS: usize = 3;
+/// The domain that leaves.
+const LEAVING: usize = 0;
+const CORES: f64 = 864.0;
+const SERVICES: usize = 15;
+const SERVICE_CORES: f64 = 8.0;
+const OUT_S: u64 = 300;
+/// Seconds that are counted after the return.
+const AFTER_S: u64 = 600;
+const CHECKPOINT_EVERY_S: u64 = 300;
+const SERVICE_START_S: u64 = 5;
+
+/// How the domain is left and filled again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Evacuation {
+    /// The policy of this project.
+    Paced,
+    /// Everything is evicted at once, and everything that fits is started on return.
+    AtOnce,
+    /// The policy of this project without the ramp of starts.
+    NoRamp,
+}
+
+/// Figures from the leave to the end.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Figures {
+    /// Batch work completed in the domains in service, in core-seconds, less what was lost anywhere. What the domain
+    /// that leaves completes until it is empty is not counted.
+    pub work: f64,
+    /// Batch work that the domains in service allow, in core-seconds.
+    pub allowed: f64,
+    /// Transfers that failed.
+    pub failed_transfers: u32,
+    /// Most concurrent transfers.
+    pub most_transfers: usize,
+    /// Seconds that services of the leaving domain did not run anywhere, summed over them.
+    pub service_gap_s: u64,
+    /// Seconds from the leave until no service, and no task at all, was left in the domain.
+    pub services_left_s: u64,
+    /// See `services_left_s`.
+    pub empty_s: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Waiting,
+    /// Reads its checkpoint.
+    Restoring,
+    Running,
+    /// Writes a checkpoint before it is stopped.
+    Saving,
+    /// A service that begins to run.
+    Starting {
+        until_s: u64,
+    },
+}
+
+struct Task {
+    domain: usize,
+    class: Class,
+    cores: f64,
+    state: State,
+    left_s: f64,
+    unsaved_s: f64,
+    has_checkpoint: bool,
+    /// For a replacement: the attempt that it replaces.
+    replaces: Option<u32>,
+}
+
+impl Task {
+    fn occupies(&self) -> f64 {
+        if self.state == State::Waiting { 0.0 } else { self.cores }
+    }
+}
+
+struct Run {
+    evacuation: Evacuation,
+    rng: StdRng,
+    start: Instant,
+    return_s: u64,
+    second: u64,
+    tasks: BTreeMap<u32, Task>,
+    next_id: u32,
+    store: Store,
+    paces: Vec<Pace>,
+    ramp: Option<Ramp>,
+    entry: Entry,
+    figures: Figures,
+}
+
+/// Takes the domain out for `outage_s` seconds. Equal seeds give equal tasks.
+#[must_use]
+pub fn run(evacuation: Evacuation, outage_s: u64, seed: u64) -> Figures {
+    let mut run = Run::new(evacuation, OUT_S + outage_s, seed);
+    for second in 0..OUT_S + outage_s + AFTER_S {
+        run.second = second;
+        run.supply();
+        run.transfer();
+        if second == run.return_s && evacuation == Evacuation::Paced {
+            run.ramp = Some(Ramp::new(run.now()));
+        }
+        if run.is_out() {
+            run.leave();
+        }
+        run.start_waiting();
+        run.advance();
+    }
+    run.figures.most_transfers = run.store.most;
+    run.figures
+}
+
+impl Run {
+    fn new(evacuation: Evacuation, return_s: u64, seed: u64) -> Self {
+        let Document::Entry(entry) = tasks::entry(Class::Batch, Resources::new(1, 1, 0)) else {
+            unreachable!("the builder makes an entry")
+        };
+        let mut run = Self {
+            evacuation,
+            rng: StdRng::seed_from_u64(seed),
+            start: Instant::now(),
+            return_s,
+            second: 0,
+            tasks: BTreeMap::new(),
+            next_id: 0,
+            store: Store::default(),
+            paces: (0..DOMAINS).map(|_| Pace::default()).collect(),
+            ramp: None,
+            entry,
+            figures: Figures::default(),
+        };
+        for domain in 0..DOMAINS {
+            for _ in 0..SERVICES {
+                run.add(domain, Class::LatencyCritical, SERVICE_CORES, State::Running);
+            }
+        }
+        run
+    }
+
+    fn now(&self) -> Instant {
+        self.start + Duration::from_secs(self.second)
+    }
+
+    fn is_out(&self) -> bool {
+        (OUT_S..self.return_s).contains(&self.second)
+    }
+
+    fn is_in_service(&self, domain: usize) -> bool {
+        domain != LEAVING || !self.is_out()
+    }
+
+    fn add(&mut self, domain: usize, class: Class, cores: f64, state: State) -> u32 {
+        self.next_id += 1;
+        let left_s = match class {
+            Class::LatencyCritical => f64::INFINITY,
+            Class::Batch => self.rng.random_range(120.0..1200.0),
+        };
+        let unsaved_s = 0.0;
+        let task = Task {
+            domain,
+            class,
+            cores,
+            state,
+            left_s,
+            unsaved_s,
+            has_checkpoint: false,
+            replaces: None,
+        };
+        self.tasks.insert(self.next_id, task);
+        self.next_id
+    }
+
+    /// Keeps batch work waiting in every domain in service.
+    fn supply(&mut self) {
+        for domain in 0..DOMAINS {
+            let waiting = |task: &&Task| task.domain == domain && task.state == State::Waiting;
+            let waiting = self.tasks.values().filter(waiting).count();
+            if self.is_in_service(domain) && domain != LEAVING || self.second < OUT_S {
+                for _ in waiting..250 {
+                    let cores = f64::from(self.rng.random_range(2..=6));
+                    self.add(domain, Class::Batch, cores, State::Waiting);
+                }
+            }
+        }
+    }
+
+    fn leave(&mut self) {
+        self.move_waiting(LEAVING);
+        if self.evacuation == Evacuation::AtOnce {
+            self.leave_at_once();
+        } else {
+            self.leave_by_steps();
+        }
+        let left: Vec<&Task> = self.tasks.values().filter(|task| task.domain == LEAVING).collect();
+        if left.iter().any(|task| task.class == Class::LatencyCritical) {
+            self.figures.services_left_s = self.second - OUT_S + 1;
+        }
+        if !left.is_empty() {
+            self.figures.empty_s = self.second - OUT_S + 1;
+        }
+    }
+
+    fn leave_by_steps(&mut self) {
+        let mut residents = Vec::new();
+        let mut under_way = 0;
+        for (id, task) in self.tasks.iter().filter(|(_, task)| task.domain == LEAVING) {
+            if !matches!(task.state, State::Running) {
+                continue;
+            }
+            let replacement =
+                self.tasks.values().find(|replacement| replacement.replaces == Some(*id));
+            let replaced = replacement.is_some_and(|task| task.state == State::Running);
+            if replacement.is_some() && !replaced {
+                under_way += 1;
+                continue;
+            }
+            residents.push(Resident {
+                attempt: attempt(*id),
+                class: task.class,
+                priority: 0,
+                exclusive: task.class == Class::Batch,
+                cores: task.cores,
+                unsaved: Duration::from_secs_f64(task.unsaved_s),
+                replaced,
+            });
+        }
+        for step in next_steps(&residents, under_way, &self.paces[LEAVING]) {
+            match step {
+                Step::Replace { attempt } => self.replace(number(&attempt)),
+                Step::Stop { attempt } => drop(self.tasks.remove(&number(&attempt))),
+                Step::Evict { attempt } => self.save_and_stop(number(&attempt)),
+            }
+        }
+    }
+
+    fn leave_at_once(&mut self) {
+        let here = self.tasks.iter().filter(|(_, task)| {
+            task.domain == LEAVING && matches!(task.state, State::Running | State::Restoring)
+        });
+        let here: Vec<(u32, Class)> = here.map(|(id, task)| (*id, task.class)).collect();
+        for (id, class) in here {
+            match class {
+                Class::LatencyCritical => {
+                    self.replace(id);
+                    self.tasks.remove(&id);
+                }
+                Class::Batch => self.save_and_stop(id),
+            }
+        }
+    }
+
+    /// Starts a service elsewhere, on cores that the least valuable batch work there gives up.
+    fn replace(&mut self, id: u32) {
+        let mut destinations = self.destinations();
+        let size = resources(SERVICE_CORES);
+        let Some(domain) = destinations.assign(&self.entry, &size).and_then(parse) else { return };
+        let new = self.add(domain, Class::LatencyCritical, SERVICE_CORES, State::Waiting);
+        if let Some(task) = self.tasks.get_mut(&new) {
+            task.replaces = Some(id);
+        }
+        let mut victims: Vec<(u32, f64, f64)> = self
+            .tasks
+            .iter()
+            .filter(|(_, task)| {
+                task.domain == domain && task.class == Class::Batch && task.state == State::Running
+            })
+            .map(|(id, task)| (*id, task.unsaved_s * task.cores, task.cores))
+            .collect();
+        victims.sort_by(|a, b| a.1.total_cmp(&b.1));
+        let mut freed = 0.0;
+        for (victim, _, cores) in victims {
+            if freed >= SERVICE_CORES {
+                break;
+            }
+            freed += cores;
+            self.save_and_stop(victim);
+        }
+    }
+
+    fn save_and_stop(&mut self, id: u32) {
+        let now = self.now();
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        task.state = State::Saving;
+        self.paces[task.domain].begin(&attempt(id), now);
+        self.store.begin(id, Purpose::Evict, task.cores, self.second);
+    }
+
+    fn destinations(&self) -> Destinations {
+        let domains = (0..DOMAINS).filter(|domain| self.is_in_service(*domain));
+        Destinations::new(
+            domains.map(|domain| (domain.to_string(), self.headroom(domain))).collect(),
+        )
+    }
+
+    fn headroom(&self, domain: usize) -> Headroom {
+        let here = self.tasks.values().filter(|task| task.domain == domain);
+        let used: f64 = here.clone().map(Task::occupies).sum();
+        let waiting = here.filter(|task| task.state == State::Waiting).map(|task| task.cores).sum();
+        Headroom {
+            capacity: resources(CORES),
+            free: resources(CORES - used),
+            waiting: resources(waiting),
+            largest: resources(32.0),
+        }
+    }
+
+    fn move_waiting(&mut self, from: usize) {
+        let mut destinations = self.destinations();
+        let waiting =
+            self.tasks.values_mut().filter(|t| t.domain == from && t.state == State::Waiting);
+        for task in waiting {
+            let assigned = destinations.assign(&self.entry, &resources(task.cores));
+            if let Some(domain) = assigned.and_then(parse) {
+                task.domain = domain;
+            }
+        }
+    }
+
+    /// Waiting tasks of full domains move to one that has room.
+    fn rebalance(&mut self) {
+        let mut destinations = self.destinations();
+        let waiting = self.tasks.values_mut().filter(|task| task.state == State::Waiting);
+        for task in waiting {
+            let size = resources(task.cores);
+            let own = task.domain.to_string();
+            if let Some(domain) = destinations.reassign(&own, &self.entry, &size).and_then(parse) {
+                task.domain = domain;
+            }
+        }
+    }
+
+    fn start_waiting(&mut self) {
+        self.rebalance();
+        let now = self.now();
+        let mut allowance = [usize::MAX; DOMAINS];
+        if let Some(ramp) = &mut self.ramp {
+            allowance[LEAVING] = ramp.allowance(now).unwrap_or(usize::MAX);
+        }
+        let is_paced = self.evacuation != Evacuation::AtOnce;
+        let mut started = 0;
+        let mut order: Vec<(Class, u32)> = self
+            .tasks
+            .iter()
+            .filter(|(_, task)| task.state == State::Waiting)
+            .map(|(id, task)| (task.class, *id))
+            .collect();
+        order.sort_unstable();
+        let mut free: Vec<f64> = (0..DOMAINS)
+            .map(|domain| {
+                let here = self.tasks.values().filter(|task| task.domain == domain);
+                CORES - here.map(Task::occupies).sum::<f64>()
+            })
+            .collect();
+        for (_, id) in order {
+            let Some(task) = self.tasks.get_mut(&id) else { continue };
+            let domain = task.domain;
+            let is_out = domain == LEAVING && (OUT_S..self.return_s).contains(&self.second);
+            if is_out || task.cores > free[domain] || allowance[domain] == 0 {
+                if task.class == Class::LatencyCritical {
+                    // The room that is freed for a service is promised to it.
+                    free[domain] = 0.0;
+                }
+                continue;
+            }
+            if task.has_checkpoint && is_paced {
+                if self.paces[domain].allowance() == 0 {
+                    continue;
+                }
+                self.paces[domain].begin(&attempt(id), now);
+            }
+            free[domain] -= task.cores;
+            allowance[domain] -= 1;
+            started += usize::from(domain == LEAVING);
+            task.state = if task.class == Class::LatencyCritical {
+                State::Starting { until_s: self.second + SERVICE_START_S }
+            } else if task.has_checkpoint {
+                self.store.begin(id, Purpose::Restore, task.cores, self.second);
+                State::Restoring
+            } else {
+                State::Running
+            };
+        }
+        if let Some(ramp) = &mut self.ramp {
+            ramp.count(started);
+        }
+    }
+
+    fn transfer(&mut self) {
+        let now = self.now();
+        let ended = self.store.advance(self.second);
+        for (id, purpose, is_ok) in ended {
+            if !is_ok && self.second >= OUT_S {
+                self.figures.failed_transfers += 1;
+            }
+            let Some(task) = self.tasks.get_mut(&id) else { continue };
+            let pace = &mut self.paces[task.domain];
+            match (purpose, is_ok) {
+                (Purpose::Regular, _) => {}
+                (_, true) => pace.complete(&attempt(id), now),
+                (_, false) => pace.fail(&attempt(id), now),
+            }
+            match (purpose, is_ok) {
+                (Purpose::Evict | Purpose::Regular, true) => {
+                    task.has_checkpoint = true;
+                    task.unsaved_s = 0.0;
+                }
+                (Purpose::Evict, false) => {
+                    task.left_s += task.unsaved_s;
+                    if self.second >= OUT_S {
+                        self.figures.work -= task.unsaved_s * task.cores;
+                    }
+                    task.unsaved_s = 0.0;
+                }
+                (Purpose::Restore, true) => task.state = State::Running,
+                (Purpose::Restore, false) => task.state = State::Waiting,
+                (Purpose::Regular, false) => {}
+            }
+            if purpose == Purpose::Evict {
+                task.state = State::Waiting;
+            }
+        }
+        for pace in &mut self.paces {
+            pace.check(now);
+        }
+    }
+
+    fn advance(&mut self) {
+        let is_out = self.is_out();
+        let mut ended = Vec::new();
+        for (id, task) in &mut self.tasks {
+            if matches!(task.state, State::Starting { until_s } if until_s <= self.second) {
+                task.state = State::Running;
+            }
+            if task.state != State::Running || task.class == Class::LatencyCritical {
+                continue;
+            }
+            task.left_s -= 1.0;
+            task.unsaved_s += 1.0;
+            let is_counted = task.domain != LEAVING || !is_out;
+            if self.second >= OUT_S && is_counted {
+                self.figures.work += task.cores;
+            }
+            if task.left_s <= 0.0 {
+                ended.push(*id);
+            } else if (self.second + u64::from(*id)).is_multiple_of(CHECKPOINT_EVERY_S) {
+                self.store.begin(*id, Purpose::Regular, task.cores, self.second);
+            }
+        }
+        for id in ended {
+            self.tasks.remove(&id);
+        }
+        if self.second >= OUT_S {
+            let domains = (0..DOMAINS).filter(|domain| self.is_in_service(*domain)).count();
+            let services = (DOMAINS * SERVICES) as f64 * SERVICE_CORES;
+            self.figures.allowed += domains as f64 * CORES - services;
+            let is_running =
+                |task: &&Task| task.class == Class::LatencyCritical && task.state == State::Running;
+            let running = self.tasks.values().filter(is_running).count();
+            self.figures.service_gap_s += (DOMAINS * SERVICES).saturating_sub(running) as u64;
+        }
+    }
+}
+
+fn attempt(id: u32) -> AttemptRef {
+    AttemptRef { task: TaskId::new(id.to_string()), attempt: 1 }
+}
+
+fn number(attempt: &AttemptRef) -> u32 {
+    attempt.task.as_str().parse().unwrap_or_default()
+}
+
+fn parse(domain: &str) -> Option<usize> {
+    domain.parse().ok()
+}
+
+fn resources(cores: f64) -> Resources {
+    let millis = (cores.max(0.0) * 1000.0) as u64;
+    Resources::new(millis, millis, 0)
+}
--- a/src/policy/interference.rs
+++ b/src/policy/interference.rs
@@ -33,9 +33,6 @@
 /// Growth of a baseline's variance per measurement. A baseline follows the load and moves faster than an impact.
 const BASELINE_DRIFT: f64 = 1e-5;
 
-/// Weight of the newest measurement in a worker's own deviation from the prediction.
-const BIAS_WEIGHT: f64 = 0.3;
-
 /// Weight of one pair's change in the aggressor's estimate over all victims.
 const POOLING_WEIGHT: f64 = 0.05;
 
@@ -66,14 +63,6 @@
     typical: f64,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct WorkerView {
-    /// Identity of the newest measurement: incarnation and the worker's time.
-    measured: (u64, u64),
-    /// How far the tail is above the prediction.
-    bias: f64,
-}
-
 /// What is known about the pairs of entries.
 #[derive(Clone, Debug, Default)]
 pub struct InterferenceModel {
@@ -81,7 +70,8 @@
     services: BTreeMap<String, Service>,
     /// Impact per core of an entry on services that it was not measured with.
     aggressors: BTreeMap<String, f64>,
-    workers: BTreeMap<String, WorkerView>,
+    /// Newest measurement of each worker: incarnation and the worker's time.
+    measured: BTreeMap<String, (u64, u64)>,
     sizes: SizeModel,
 }
 
@@ -121,11 +111,9 @@
     /// Returns true if there was something new.
     pub fn observe(&mut self, worker: &str, service: Option<&str>, inventory: &Inventory) -> bool {
         let measured = (inventory.incarnation, inventory.measured_at_ms);
-        let view = self.workers.entry(worker.to_owned()).or_default();
-        if view.measured == measured {
+        if self.measured.insert(worker.to_owned(), measured) == Some(measured) {
             return false;
         }
-        view.measured = measured;
         let running =
             inventory.attempts.iter().filter(|attempt| attempt.state == AttemptState::Running);
         let mut activities = Vec::new();
@@ -139,14 +127,14 @@
             .zip(inventory.service_p99_us)
             .and_then(|(service, p99)| self.tail(service, Duration::from_micros(p99)));
         if let (Some(service), Some(tail)) = (service, tail) {
-            self.learn(worker, service, tail, &activities);
+            self.learn(service, tail, &activities);
         }
         true
     }
 
     /// Forgets a worker that has left.
     pub fn forget_worker(&mut self, worker: &str) {
-        self.workers.remove(worker);
+        self.measured.remove(worker);
     }
 
     /// Share of the target that the service uses when nothing disturbs it.
@@ -155,12 +143,6 @@
         self.services.get(service).map_or(PRIOR_BASELINE, |service| service.baseline).mean()
     }
 
-    /// How far the service of a worker is above what its neighbours explain.
-    #[must_use]
-    pub fn bias(&self, worker: &str) -> f64 {
-        self.workers.get(worker).map_or(0.0, |view| view.bias)
-    }
-
     /// Impact of one task of `aggressor` on `victim`. `declared_cores` stands in for a size that was never measured.
     #[must_use]
     pub fn impact(&self, victim: &str, aggressor: &str, declared_cores: f64) -> Impact {
@@ -190,7 +172,7 @@
         }
     }
 
-    fn learn(&mut self, worker: &str, service: &str, tail: f64, activities: &[Activity<'_>]) {
+    fn learn(&mut self, service: &str, tail: f64, activities: &[Activity<'_>]) {
         let mut cores: BTreeMap<&str, f64> = BTreeMap::new();
         for activity in activities {
             *cores.entry(activity.entry).or_default() += activity.cores;
@@ -205,9 +187,7 @@
         for (entry, prior) in cores.keys().zip(priors) {
             known.pairs.entry((*entry).to_owned()).or_insert(prior);
         }
-        let error = known.update(tail, &cores);
-        let view = self.workers.entry(worker.to_owned()).or_default();
-        view.bias += BIAS_WEIGHT * (error - view.bias);
+        known.update(tail, &cores);
         self.pool_aggressors(service, &cores);
     }
 
@@ -229,8 +209,8 @@
 }
 
 impl Service {
-    /// Splits the error of the prediction among baseline and pairs in proportion to their variances, and returns it.
-    fn update(&mut self, tail: f64, cores: &BTreeMap<&str, f64>) -> f64 {
+    /// Splits the error of the prediction among baseline and pairs in proportion to their variances.
+    fn update(&mut self, tail: f64, cores: &BTreeMap<&str, f64>) {
         self.baseline.drift(BASELINE_DRIFT, PRIOR_BASELINE);
         let mut predicted = self.baseline.mean();
         let mut variance = self.baseline.variance();
@@ -249,6 +229,5 @@
                 pair.correct(*used, error, total);
             }
         }
-        error
     }
 }
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -11,7 +11,7 @@
 
 use super::interference::InterferenceModel;
 use crate::catalogue::Class;
-use crate::worker::pool::index::{EntryIndex, EntryNumber};
+use crate::worker::pool::index::EntryIndex;
 use crate::worker::{Pool, Resources, Worker};
 
 /// Workers whose services' tails are predicted before the best one is taken.
@@ -81,12 +81,14 @@
     interference: &InterferenceModel,
 ) -> Result<&'p str, NoWorker> {
     let mut scorer = Scorer::new(pool.entries(), task, interference);
-    let mut admitted: Vec<(f64, &str, &Worker)> = pool
-        .workers()
-        .iter()
-        .filter(|(name, worker)| admits(task, name, worker))
-        .map(|(name, worker)| (scorer.static_cost(name, worker), name.as_str(), worker))
-        .collect();
+    let mut admitted: Vec<(f64, &str, &Worker)> = Vec::with_capacity(pool.workers().len());
+    for (name, worker) in pool.workers() {
+        let free = worker.free();
+        if worker.is_open() && task.resources.fits_in(&free) && !task.excluded.contains(name) {
+            let left = free.saturating_sub(&task.resources);
+            admitted.push((scorer.static_cost(name, worker, &left), name, worker));
+        }
+    }
     admitted.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
     if admitted.is_empty() {
         return Err(explain(pool, task));
@@ -94,10 +96,6 @@
     scorer.best(&admitted).ok_or(NoWorker::NearTarget)
 }
 
-fn admits(task: &Candidate<'_>, name: &str, worker: &Worker) -> bool {
-    task.resources.fits_in(&worker.free()) && worker.is_open() && !task.excluded.contains(name)
-}
-
 fn explain(pool: &Pool, task: &Candidate<'_>) -> NoWorker {
     let mut large_enough = pool
         .workers()
@@ -122,8 +120,11 @@
     interference: &'a InterferenceModel,
     by_rack: Option<&'a BTreeMap<String, u32>>,
     total: f64,
-    /// What is known of each service met so far, by its number.
-    services: BTreeMap<EntryNumber, Option<ServiceRow>>,
+    /// The task's own entry, if it has a target.
+    own: Option<ServiceRow>,
+    /// What is known of each entry met as a service so far, by its number; the inner option is empty for an entry without
+    /// a target.
+    services: Vec<Option<Option<ServiceRow>>>,
 }
 
 /// What the model says about one protected service. Workers share services and entries, so each value is looked up by
@@ -145,19 +146,14 @@
     ) -> Self {
         let by_rack = entries.by_rack(task.entry);
         let total = by_rack.map_or(0, |racks| racks.values().sum::<u32>());
-        Self {
-            task,
-            entries,
-            interference,
-            by_rack,
-            total: f64::from(total),
-            services: BTreeMap::new(),
-        }
+        let own = ServiceRow::new(task.entry, task, interference, entries.limit());
+        let services = std::iter::repeat_with(|| None).take(entries.limit()).collect();
+        Self { task, entries, interference, by_rack, total: f64::from(total), own, services }
     }
 
     /// Fit, rack spread and checkpoint locality.
-    fn static_cost(&self, name: &str, worker: &Worker) -> f64 {
-        let mut cost = FIT_WEIGHT * imbalance(worker, &self.task.resources);
+    fn static_cost(&self, name: &str, worker: &Worker, left: &Resources) -> f64 {
+        let mut cost = FIT_WEIGHT * imbalance(worker, left);
         if self.total > 0.0 {
             let here = self.by_rack.and_then(|racks| racks.get(worker.rack())).copied();
             cost += SPREAD_WEIGHT * f64::from(here.unwrap_or(0)) / self.total;
@@ -173,7 +169,7 @@
         let mut best: Option<(f64, &str)> = None;
         let mut detailed = 0;
         for (static_cost, name, worker) in admitted.iter().take(MAX_EXAMINED) {
-            let effect = self.effect(name, worker);
+            let effect = self.effect(worker);
             if self.task.class == Class::Batch && effect.tail > TAIL_LIMIT {
                 continue;
             }
@@ -190,61 +186,72 @@
     }
 
     /// What the task would do to the services of a worker. An urgent task counts as a service of its own.
-    fn effect(&mut self, name: &str, worker: &Worker) -> Effect {
+    fn effect(&mut self, worker: &Worker) -> Effect {
         let mut effect = Effect::default();
-        let residents = worker.residents().iter();
-        for resident in residents.filter(|resident| resident.class == Class::LatencyCritical) {
-            let Some(service) = self.entries.name(resident.entry) else { continue };
-            let Some(row) = self.row(resident.entry, service) else { continue };
-            let added = row.added;
-            effect.added += added - row.typical;
-            let tail = self.tail_of(resident.entry, worker) + added;
-            effect.tail = effect.tail.max(tail + self.interference.bias(name));
+        for resident in worker.residents() {
+            if resident.class == Class::Batch {
+                continue;
+            }
+            let (entries, interference, task) = (self.entries, self.interference, self.task);
+            let Some(service) = entries.name(resident.entry) else { continue };
+            let Some(known) = self.services.get_mut(resident.entry) else { continue };
+            let row = known.get_or_insert_with(|| {
+                ServiceRow::new(service, task, interference, entries.limit())
+            });
+            let Some(row) = row else { continue };
+            let tail = row.tail(service, worker, entries, interference, task) + row.added;
+            effect.added += row.added - row.typical;
+            effect.tail = effect.tail.max(tail);
         }
-        if self.task.class == Class::LatencyCritical {
-            effect.tail = effect.tail.max(self.tail_of(OWN_ROW, worker));
+        if self.task.class == Class::LatencyCritical
+            && let Some(row) = &mut self.own
+        {
+            let tail =
+                row.tail(self.task.entry, worker, self.entries, self.interference, self.task);
+            effect.tail = effect.tail.max(tail);
         }
         effect
     }
+}
+
+impl ServiceRow {
+    /// `None` if the service has no target.
+    fn new(
+        service: &str,
+        task: &Candidate<'_>,
+        interference: &InterferenceModel,
+        entries: usize,
+    ) -> Option<Self> {
+        interference.is_protected(service).then(|| Self {
+            baseline: interference.baseline(service),
+            added: impact_of(interference, service, task.entry, task),
+            typical: interference.typical_impact(service),
+            impacts: vec![f64::NAN; entries],
+        })
+    }
 
-    /// Predicted tail of a service among the residents of a worker; 0 if it has no target.
-    fn tail_of(&mut self, service: EntryNumber, worker: &Worker) -> f64 {
-        let entries = self.entries;
-        let interference = self.interference;
-        let task = self.task;
-        let name = if service == OWN_ROW { Some(task.entry) } else { entries.name(service) };
-        let Some(name) = name else { return 0.0 };
-        let Some(row) = self.row(service, name) else { return 0.0 };
-        let mut tail = row.baseline;
+    /// Predicted tail of the service among the residents of a worker.
+    fn tail(
+        &mut self,
+        service: &str,
+        worker: &Worker,
+        entries: &EntryIndex,
+        interference: &InterferenceModel,
+        task: &Candidate<'_>,
+    ) -> f64 {
+        let mut tail = self.baseline;
         for resident in worker.residents() {
-            let Some(impact) = row.impacts.get_mut(resident.entry) else { continue };
+            let impact = &mut self.impacts[resident.entry];
             if impact.is_nan() {
                 let aggressor = entries.name(resident.entry).unwrap_or_default();
-                *impact = impact_of(interference, name, aggressor, task);
+                *impact = impact_of(interference, service, aggressor, task);
             }
             tail += f64::from(resident.count) * *impact;
         }
         tail
     }
-
-    fn row(&mut self, number: EntryNumber, service: &str) -> Option<&mut ServiceRow> {
-        let (interference, task) = (self.interference, self.task);
-        let limit = self.entries.limit();
-        let row = self.services.entry(number).or_insert_with(|| {
-            interference.is_protected(service).then(|| ServiceRow {
-                baseline: interference.baseline(service),
-                added: impact_of(interference, service, task.entry, task),
-                typical: interference.typical_impact(service),
-                impacts: vec![f64::NAN; limit],
-            })
-        });
-        row.as_mut()
-    }
 }
 
-/// Row of the task's own entry, which may have no number yet.
-const OWN_ROW: EntryNumber = EntryNumber::MAX;
-
 /// Impact of one task. An entry does not slow itself, because its baseline was measured with its own load.
 fn impact_of(
     interference: &InterferenceModel,
@@ -271,8 +278,7 @@
 
 /// How unequal the shares of processors and memory left free would be, from 0 to 1. A worker with one of them used up
 /// strands the other.
-fn imbalance(worker: &Worker, resources: &Resources) -> f64 {
-    let left = worker.free().saturating_sub(resources);
+fn imbalance(worker: &Worker, left: &Resources) -> f64 {
     let cpu = share(left.cpu_millis, worker.capacity().cpu_millis);
     let memory = share(left.memory_mb, worker.capacity().memory_mb);
     (cpu - memory).abs()
--- a/tests/testsuite/policy.rs
+++ b/tests/testsuite/policy.rs
@@ -1,5 +1,6 @@
 //! Tests of the pure decisions.
 
+mod evacuation;
 mod interference;
 mod placement;
 mod preemption;
