--- a/src/ops/client/evacuation.rs
+++ b/src/ops/client/evacuation.rs
@@ -12,6 +12,9 @@
 /// Period of the queries.
 const POLL: Duration = Duration::from_millis(500);
 
+/// Until this long after the domain was taken out, a start that was under way may still take effect.
+const START_BOUND: Duration = Duration::from_secs(5);
+
 /// Tasks of a failure domain.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct TasksLeft {
@@ -67,7 +70,8 @@
     }
 }
 
-/// Waits until no task runs in the domain. `progress` is called with each new count.
+/// Waits until no task runs in a domain that was just taken out, and none can start any more. `progress` is called with
+/// each new count.
 ///
 /// # Errors
 ///
@@ -89,15 +93,15 @@
             progress(left);
             shown = Some(left);
         }
-        if left.running == 0 {
+        let waited = clock.now().saturating_duration_since(started);
+        if left.running == 0 && waited >= START_BOUND {
             return Ok(left);
         }
         let domains = client.domains().map_err(query)?.domains;
         if domains.iter().any(|view| view.name == domain && view.state == DomainState::In) {
             return Err(EvacuationError::BroughtBack { domain: domain.to_owned() });
         }
-        let waited = clock.now().saturating_duration_since(started);
-        if waited >= timeout {
+        if waited >= timeout.max(START_BOUND) {
             let running = left.running;
             return Err(EvacuationError::TimedOut { domain: domain.to_owned(), running, waited });
         }
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -289,6 +289,8 @@
     assert_eq!(server.close().len(), 0);
 }
 
+/// Guards against a wait that ends before a start that was under way has taken effect: the task shows up as running only
+/// at the third query.
 #[test]
 fn domain_out_waits_until_no_task_runs_and_shows_how_many_are_left() {
     let calls = Mutex::new(0);
@@ -297,7 +299,11 @@
         (_, "/v1/tasks") => {
             let mut calls = calls.lock().unwrap();
             *calls += 1;
-            let state = if *calls == 1 { "running" } else { "succeeded" };
+            let state = match *calls {
+                1 | 2 => "pending",
+                3 => "running",
+                _ => "succeeded",
+            };
             Reply::json(
                 200,
                 &json!({"next": null, "tasks": [{"id": "t1", "entry": "count", "state": state,
@@ -316,7 +322,7 @@
             code: 0,
             out: "dc-a is out; no task starts there after 5 s\ndc-a runs no task\n".to_owned(),
             err:
-                "1 tasks left, 0 wait for another worker\n0 tasks left, 0 wait for another worker\n"
+                "0 tasks left, 1 wait for another worker\n1 tasks left, 0 wait for another worker\n0 tasks left, 0 wait for another worker\n"
                     .to_owned(),
         }
     );
