Let a key be claimed again once its holder has released it

A process with a record of the earlier holder did not count its own vote although the holder had released its claim, the holder's row still stood, and records of a holder that had ended could not be released. In a store outage every keyed request waited a quarter of its deadline for the row (78 requests in 20 s). Ruled out: load (the processes were idle) and lost messages (rounds answered). Change: the own vote counts once the earlier holder has voted; a row of a holder that has released is void; a release is sent to the recorders; after a claim without an answer the table is left out until a read of the catalogue succeeds; a process without a share of slots queues or forwards instead of refusing; and /readyz answers 503 until the process has its catalogue and its share. Conclusion: a repeat is refused only where the earlier holder cannot be asked.

--- a/src/ops/dispatch.rs
+++ b/src/ops/dispatch.rs
@@ -191,6 +191,12 @@
         matches!(copy.document(service), Some(Document::Entry(_)))
     }
 
+    /// True unless the process may use no slots, because its peers have not counted it yet or it was paused.
+    #[must_use]
+    pub fn has_share(&self) -> bool {
+        self.inner.slots.has_share()
+    }
+
     /// Free slots of this process.
     #[must_use]
     pub fn free_slots(&self) -> u32 {
@@ -306,6 +312,13 @@
         if forward && let Some(attempt) = self.forward_near(req, span, tried) {
             return Ok(attempt);
         }
+        // Without a share the wait is for the peers, so another domain is faster.
+        if forward
+            && !self.slots.has_share()
+            && let Some(attempt) = self.forward_far(req, span, tried)
+        {
+            return Ok(attempt);
+        }
         let refusal = match self.wait(req, span) {
             Ok(slot) => return Ok(self.send(req, span, &slot, tried)),
             Err(refusal) => refusal,
--- a/src/ops/dispatch/slots.rs
+++ b/src/ops/dispatch/slots.rs
@@ -77,6 +77,10 @@
         self.lock().executors.serves(service)
     }
 
+    pub(super) fn has_share(&self) -> bool {
+        self.shares.current(self.clock.now()).is_some()
+    }
+
     pub(super) fn free_slots(&self) -> u32 {
         let now = self.clock.now();
         if self.shares.current(now).is_none() {
@@ -155,7 +159,11 @@
     ) -> Result<u64, NoSlot> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let rate = state.executors.rate(service, now);
+        let mut rate = state.executors.rate(service, now);
+        // A process without a share gets one within seconds, or its deadline ends the wait.
+        if rate.slots == 0 && !self.has_share() && state.executors.serves(service) {
+            rate.slots = 1;
+        }
         let ticket = state.next_ticket;
         state.next_ticket += 1;
         let admitted = state
--- a/src/ops/front/routes.rs
+++ b/src/ops/front/routes.rs
@@ -1,5 +1,6 @@
 //! Which part answers a request.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use super::FrontAnswer;
@@ -51,11 +52,12 @@
     dispatcher: Dispatcher,
     keys: Keys,
     api: ApiRoutes,
+    ready: AtomicBool,
 }
 
 impl Routes {
     pub(super) fn new(cx: Context, dispatcher: Dispatcher, keys: Keys, api: ApiRoutes) -> Self {
-        Self { cx, dispatcher, keys, api }
+        Self { cx, dispatcher, keys, api, ready: AtomicBool::new(false) }
     }
 
     pub(super) fn answer(&self, req: &mut IncomingRequest) -> FrontAnswer {
@@ -70,6 +72,7 @@
         match segments.as_slice() {
             ["healthz"] => status(200, "alive"),
             ["readyz"] if self.cx.stop.is_draining() => status(503, "stopping"),
+            ["readyz"] if !self.is_ready() => status(503, "starting"),
             ["readyz"] => status(200, "ready"),
             ["v1", "services", service, rest @ ..] => {
                 let mut target_path = format!("/{}", rest.join("/"));
@@ -99,6 +102,18 @@
         }
     }
 
+    /// True once the process can serve: it has read the catalogue, and its peers have counted it. It stays true, so that
+    /// a short pause of all processes does not leave the balancer without any.
+    fn is_ready(&self) -> bool {
+        if self.ready.load(Ordering::SeqCst) {
+            return true;
+        }
+        let copy = self.cx.catalogue.snapshot();
+        let ready = copy.confirmed_at().is_some() && self.dispatcher.has_share();
+        self.ready.fetch_or(ready, Ordering::SeqCst);
+        ready
+    }
+
     fn call_service(&self, call: Call<'_>) -> Result<FrontAnswer, ApiError> {
         let copy = self.cx.catalogue.snapshot();
         let Some(Document::Entry(entry)) = copy.document(call.service) else {
--- a/src/ops/keys.rs
+++ b/src/ops/keys.rs
@@ -26,7 +26,7 @@
 };
 use crate::telemetry::event::request as event;
 
-use round::{Round, RowClaim};
+use round::{Local, Round, RowClaim};
 
 /// Share of the remaining deadline in which the table and the peers must have answered.
 const ROUND_SHARE: u32 = 4;
@@ -98,6 +98,8 @@
     /// Keys that this process claims at the moment although another process has recorded them.
     claiming: Mutex<BTreeSet<(String, String)>>,
     updates: SyncSender<RowUpdate>,
+    /// When the table last gave no answer to a claim.
+    table_failed: Mutex<Option<Instant>>,
 }
 
 /// The keys of a process. Cloning shares them.
@@ -116,7 +118,13 @@
     pub fn start(cx: Context, limits: KeyLimits) -> Result<Self, KeysError> {
         let (updates, rx) = mpsc::sync_channel(ROW_RING);
         let store = Mutex::new(KeyStore::new(limits));
-        let inner = Arc::new(Inner { cx, store, claiming: Mutex::default(), updates });
+        let inner = Arc::new(Inner {
+            cx,
+            store,
+            claiming: Mutex::default(),
+            updates,
+            table_failed: Mutex::default(),
+        });
         let updating = Arc::clone(&inner);
         let thread = std::thread::Builder::new()
             .name("key-rows".to_owned())
@@ -154,6 +162,10 @@
     pub fn on_record(&self, msg: &RecordKey) -> RecordKeyReply {
         let now = self.inner.cx.clock.now();
         let mut store = self.inner.store();
+        if msg.release {
+            store.release(&msg.service, &msg.key, &msg.holder);
+            return RecordKeyReply::Recorded;
+        }
         match store.record(&msg.service, &msg.key, &msg.digest, &msg.holder, now) {
             Recording::Recorded => RecordKeyReply::Recorded,
             Recording::Known(known) if known.holder == msg.holder && known.digest == msg.digest => {
@@ -186,7 +198,7 @@
         let recording = self.store().record(&req.service, &req.key, &req.digest, own, now);
         match recording {
             Recording::Recorded => {
-                let claim = self.ask(req, true);
+                let claim = self.ask(req, &Local::Recorded);
                 if !matches!(claim, Claim::Fresh | Claim::Unprotected) {
                     self.store().release(&req.service, &req.key, own);
                 }
@@ -196,18 +208,18 @@
             Recording::Known(known) if known.digest != req.digest => Claim::Mismatch,
             Recording::Known(KeyRecord { finished: Some(answer), .. }) => Claim::Finished(answer),
             Recording::Known(known) if known.holder == *own => Claim::InProgress,
-            Recording::Known(_) => self.claim_from_other(req),
+            Recording::Known(known) => self.claim_from_other(req, known.holder),
         }
     }
 
     /// Claims a key that another process has recorded, and may have released or finished since.
-    fn claim_from_other(&self, req: &KeyedRequest) -> Claim {
+    fn claim_from_other(&self, req: &KeyedRequest, holder: String) -> Claim {
         let name = (req.service.clone(), req.key.clone());
         // Peers grant a repeated claim of one process, so two requests of this process must not claim at once.
         if !self.claiming().insert(name.clone()) {
             return Claim::InProgress;
         }
-        let claim = match self.ask(req, false) {
+        let claim = match self.ask(req, &Local::Known(holder)) {
             Claim::Fresh => {
                 self.store().take_over(&req.service, &req.key, &self.cx.process);
                 Claim::Fresh
@@ -220,9 +232,13 @@
         claim
     }
 
-    fn ask(&self, req: &KeyedRequest, local: bool) -> Claim {
+    fn ask(&self, req: &KeyedRequest, local: &Local) -> Claim {
         let remaining = req.deadline.saturating_duration_since(self.cx.clock.now());
-        let round = round::ask(&self.cx, req, local, remaining / ROUND_SHARE);
+        let ask_table = self.is_table_answering();
+        let round = round::ask(&self.cx, req, local, ask_table, remaining / ROUND_SHARE);
+        if ask_table && round.row == RowClaim::NoAnswer {
+            *self.table_failed() = Some(self.cx.clock.now());
+        }
         let claim = decide(&round, req);
         if round.row == RowClaim::Won && claim != Claim::Fresh {
             self.update(RowUpdate::Delete { row: row_key(&req.service, &req.key) });
@@ -230,6 +246,20 @@
         claim
     }
 
+    /// False from a claim that got no answer of the table until a later read of the catalogue succeeds. Otherwise every
+    /// claim would wait for its whole share of the deadline during an outage.
+    fn is_table_answering(&self) -> bool {
+        let copy = self.cx.catalogue.snapshot();
+        match *self.table_failed() {
+            Some(failed) => copy.confirmed_at().is_some_and(|confirmed| confirmed > failed),
+            None => true,
+        }
+    }
+
+    fn table_failed(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.table_failed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn claiming(&self) -> MutexGuard<'_, BTreeSet<(String, String)>> {
         self.claiming.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -237,6 +267,7 @@
     fn release(&self, req: &KeyedRequest) {
         if self.store().release(&req.service, &req.key, &self.cx.process) {
             self.update(RowUpdate::Delete { row: row_key(&req.service, &req.key) });
+            round::release(&self.cx, req);
         }
     }
 
@@ -311,7 +342,10 @@
 }
 
 fn decide(round: &Round, req: &KeyedRequest) -> Claim {
-    if let RowClaim::Known(row) = &round.row {
+    // A holder that released its claim deletes its row a moment later.
+    if let RowClaim::Known(row) = &round.row
+        && (row.finished || !round.has_released(&row.holder))
+    {
         if row.digest != req.digest {
             return Claim::Mismatch;
         }
--- a/src/ops/keys/round.rs
+++ b/src/ops/keys/round.rs
@@ -31,6 +31,8 @@
     votes: BTreeSet<String>,
     /// Domains in which a process recorded the claim.
     domains: BTreeSet<String>,
+    /// This process and the earlier holder that it knows of; its own vote counts once that holder has voted.
+    withheld: Option<(Member, String)>,
     /// Digests of records of other holders.
     pub(super) taken: Vec<String>,
     /// The table's part.
@@ -44,44 +46,69 @@
         self.recorders.is_majority(&self.votes) && self.recorders.domains.is_subset(&self.domains)
     }
 
+    /// True if an earlier holder has recorded this claim, which it only does after it released its own.
+    pub(super) fn has_released(&self, holder: &str) -> bool {
+        self.votes.contains(holder)
+    }
+
     fn vote(&mut self, member: &Member) {
         self.votes.insert(member.process.clone());
         self.domains.insert(member.domain.clone());
+        if let Some((own, _)) = self.withheld.take_if(|(_, holder)| *holder == member.process) {
+            self.votes.insert(own.process);
+            self.domains.insert(own.domain);
+        }
     }
 
     /// True once nothing that is still under way can change the decision.
-    fn is_decided(&self) -> bool {
-        self.is_granted() && self.row == RowClaim::Won && self.taken.is_empty()
+    fn is_decided(&self, ask_table: bool) -> bool {
+        self.is_granted() && (self.row == RowClaim::Won || !ask_table)
     }
 }
 
+/// Timeout of a message that releases a key.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+
 enum Part {
     Peer(Member, Result<RecordKeyReply, PeerError>),
     Row(RowClaim),
 }
 
-/// Asks all at once and waits for at most `wait`. `local` tells whether this process has recorded the claim itself.
-pub(super) fn ask(cx: &Context, req: &KeyedRequest, local: bool, wait: Duration) -> Round {
+/// What this process itself knows of the key.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Local {
+    /// It has recorded the claim.
+    Recorded,
+    /// It has a record of an earlier holder.
+    Known(String),
+}
+
+/// Asks all at once and waits for at most `wait`. The table is asked only if `ask_table`.
+pub(super) fn ask(
+    cx: &Context,
+    req: &KeyedRequest,
+    local: &Local,
+    ask_table: bool,
+    wait: Duration,
+) -> Round {
     let deadline = Instant::now() + wait;
     let directory = cx.directory.snapshot();
     let is_repeat = req.attempt != Some(1);
     let recorders = Recorders::choose(&directory, &cx.process, &req.key, is_repeat);
     let (tx, rx) = mpsc::sync_channel(recorders.asked.len() + 1);
-    let mut open = 1;
-    start(cx, req, &tx, move |cx, req| {
-        Part::Row(claim_row(cx.table.as_ref(), &cx.process, req, local))
-    });
+    let mut open = 0;
+    if ask_table {
+        open += 1;
+        let recorded = *local == Local::Recorded;
+        start(cx, req, &tx, move |cx, req| {
+            Part::Row(claim_row(cx.table.as_ref(), &cx.process, req, recorded))
+        });
+    }
     for member in recorders.asked.values() {
         open += 1;
         let member = member.clone();
         start(cx, req, &tx, move |cx, req| {
-            let msg = RecordKey {
-                service: req.service.clone(),
-                key: req.key.clone(),
-                digest: req.digest.clone(),
-                holder: cx.process.clone(),
-            };
-            let reply = cx.peers.record_key(&member.peer_address, msg, wait);
+            let reply = cx.peers.record_key(&member.peer_address, message(cx, req, false), wait);
             Part::Peer(member, reply)
         });
     }
@@ -89,13 +116,43 @@
         recorders,
         votes: BTreeSet::new(),
         domains: BTreeSet::new(),
+        withheld: None,
         taken: Vec::new(),
         row: RowClaim::NoAnswer,
     };
-    if let Some(own) = directory.get(&cx.process).filter(|_| local) {
-        round.vote(own);
+    if let Some(own) = directory.get(&cx.process) {
+        match local {
+            Local::Recorded => round.vote(own),
+            Local::Known(holder) => round.withheld = Some((own.clone(), holder.clone())),
+        }
+    }
+    collect(round, &rx, open, deadline, ask_table)
+}
+
+/// Tells the processes that recorded a claim that its request did not run. A process that misses it asks the holder
+/// when the key is claimed again; the message matters if the holder ends before that.
+pub(super) fn release(cx: &Context, req: &KeyedRequest) {
+    let directory = cx.directory.snapshot();
+    let is_repeat = req.attempt != Some(1);
+    let recorders = Recorders::choose(&directory, &cx.process, &req.key, is_repeat);
+    let (tx, _) = mpsc::sync_channel(recorders.asked.len());
+    for member in recorders.asked.into_values() {
+        start(cx, req, &tx, move |cx, req| {
+            let msg = message(cx, req, true);
+            let reply = cx.peers.record_key(&member.peer_address, msg, RELEASE_TIMEOUT);
+            Part::Peer(member, reply)
+        });
+    }
+}
+
+fn message(cx: &Context, req: &KeyedRequest, release: bool) -> RecordKey {
+    RecordKey {
+        service: req.service.clone(),
+        key: req.key.clone(),
+        digest: req.digest.clone(),
+        holder: cx.process.clone(),
+        release,
     }
-    collect(round, &rx, open, deadline)
 }
 
 /// Runs one part in a thread. A part whose thread cannot be started gives no answer.
@@ -113,7 +170,13 @@
     });
 }
 
-fn collect(mut round: Round, rx: &Receiver<Part>, open: usize, deadline: Instant) -> Round {
+fn collect(
+    mut round: Round,
+    rx: &Receiver<Part>,
+    open: usize,
+    deadline: Instant,
+    ask_table: bool,
+) -> Round {
     // Records of other holders by holder, with the peers that reported each.
     let mut others: BTreeMap<String, (String, Vec<Member>)> = BTreeMap::new();
     for _ in 0..open {
@@ -129,7 +192,7 @@
             }
             Part::Peer(..) => {}
         }
-        if others.is_empty() && round.is_decided() {
+        if others.is_empty() && round.is_decided(ask_table) {
             break;
         }
     }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -92,12 +92,14 @@
     pub digest: String,
     /// Process that dispatches.
     pub holder: String,
+    /// True if the request certainly did not run and the record of this holder is to be removed.
+    pub release: bool,
 }
 
 /// Answers a [`RecordKey`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum RecordKeyReply {
-    /// Recorded for the asking holder.
+    /// Recorded for the asking holder, or removed.
     Recorded,
     /// Already recorded by another holder; nothing changed.
     Taken {
