Wait for targets that are unusable for a moment; test heartbeats

A round of health checks that came late made every report too old, and each request of that moment was refused as not-run although its target was well. Change: if all listed targets of a service are unusable and no other domain can take the request, it waits for two health periods at most. Repeats of idempotent requests have a budget in a file of their own until the retry policy takes it. Heartbeats, the division of slots, the take-over after a death and the deletion of a lost process's row are tested over the real peer interface. Ruled out: a greater age of reports, because a leaving target that no longer answers must get nothing new within 5 s. Hedging is not built.

--- a/src/ops/dispatch.rs
+++ b/src/ops/dispatch.rs
@@ -7,11 +7,12 @@
 mod exchange;
 pub mod executors;
 mod forward;
+mod repeats;
 mod slots;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,7 @@
 use crate::platform::target::{
     ExchangeBounds, TargetAnswer, TargetClient, TargetError, TargetRequest,
 };
+use crate::policy::admission::Refusal;
 use crate::request::Outcome;
 use crate::request::lifecycle::{Accepted, Facts, Queued};
 use crate::telemetry::Span;
@@ -30,6 +32,7 @@
 use exchange::ExchangePool;
 use executors::{ExecutorLimits, Slot, SlotEnd};
 use forward::ForwardLog;
+use repeats::RepeatBudget;
 use slots::{NoSlot, Slots};
 
 /// Places that a request is offered to at most, repeats included.
@@ -45,6 +48,9 @@
 /// must get nothing new within 5 s.
 const REPORT_PERIODS: u32 = 3;
 
+/// Periods of health checks that a request waits for a service whose targets are all unusable.
+const UNUSABLE_PERIODS: u32 = 2;
+
 /// Threads of one round of health checks.
 const HEALTH_THREADS: usize = 16;
 
@@ -125,6 +131,7 @@
     pool: ExchangePool,
     log: ForwardLog,
     counts: DispatchCounts,
+    budget: Mutex<RepeatBudget>,
     refusing: AtomicBool,
     in_flight: Arc<AtomicU64>,
 }
@@ -160,6 +167,7 @@
         let slots = Slots::new(&cx.cfg.domain, clock, shares, limits, cx.cfg.limits.queue_length);
         let pool = ExchangePool::start(cx.cfg.limits.front_threads)?;
         let inner = Arc::new(Inner {
+            budget: Mutex::new(RepeatBudget::new(cx.cfg.limits.retry_percent)),
             cx,
             targets,
             members,
@@ -260,6 +268,7 @@
             Facts { id: req.id.clone(), deadline: req.deadline, idempotent: req.idempotent };
         let mut queued = Accepted::new(facts).queue();
         self.counts.first.fetch_add(1, Ordering::Relaxed);
+        self.budget().on_first();
         let mut tried = Tried::default();
         loop {
             let attempt = match self.place(req, span, forward, &mut tried) {
@@ -313,6 +322,14 @@
         if forward && let Some(attempt) = self.forward_far(req, span, tried) {
             return Ok(attempt);
         }
+        if refusal == NoSlot::Refused(Refusal::NoTarget) && self.slots.serves(&req.service) {
+            let wait = self.cx.cfg.timing.health_poll() * UNUSABLE_PERIODS;
+            let until = req.deadline.min(self.cx.clock.now() + wait);
+            let class = self.class(&req.service);
+            if let Ok(slot) = self.slots.take_once_usable(&req.service, class, until) {
+                return Ok(self.send(req, span, &slot, tried));
+            }
+        }
         Err(tried.cause(match refusal {
             NoSlot::Expired => "no slot became free before the deadline",
             NoSlot::Refused(_) if !self.slots.serves(&req.service) => "no target of the service",
@@ -415,12 +432,13 @@
         result
     }
 
+    fn budget(&self) -> MutexGuard<'_, RepeatBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Spends from the retry budget: repeats stay within a share of the first attempts.
     fn may_repeat(&self) -> bool {
-        let first = self.counts.first.load(Ordering::Relaxed);
-        let repeats = self.counts.repeats.load(Ordering::Relaxed);
-        let percent = u64::from(self.cx.cfg.limits.retry_percent);
-        let allowed = (repeats + 1) * 100 <= first * percent;
+        let allowed = self.budget().spend();
         if allowed {
             self.counts.repeats.fetch_add(1, Ordering::Relaxed);
         }
--- a/src/ops/dispatch/slots.rs
+++ b/src/ops/dispatch/slots.rs
@@ -113,8 +113,29 @@
         if let Some(slot) = self.try_take(service, &[]) {
             return Ok(slot);
         }
+        self.wait(service, class, deadline, false)
+    }
+
+    /// Takes a slot of a service whose executors are all unusable at the moment. A round of health checks that is late
+    /// makes a whole service unusable for a moment, and a refusal at once would be one of every caller.
+    pub(super) fn take_once_usable(
+        &self,
+        service: &str,
+        class: Class,
+        deadline: Instant,
+    ) -> Result<Slot, NoSlot> {
+        self.wait(service, class, deadline, true)
+    }
+
+    fn wait(
+        &self,
+        service: &str,
+        class: Class,
+        deadline: Instant,
+        unusable: bool,
+    ) -> Result<Slot, NoSlot> {
         let (tx, rx) = mpsc::sync_channel(1);
-        let ticket = self.enqueue(service, class, deadline, tx)?;
+        let ticket = self.enqueue(service, class, deadline, unusable, tx)?;
         // A slot may have become free between the two steps.
         self.grant(&mut self.lock());
         let remaining = deadline.saturating_duration_since(self.clock.now());
@@ -151,11 +172,16 @@
         service: &str,
         class: Class,
         deadline: Instant,
+        unusable: bool,
         tx: SyncSender<Option<Slot>>,
     ) -> Result<u64, NoSlot> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let rate = state.executors.rate(service, now);
+        let mut rate = state.executors.rate(service, now);
+        if unusable {
+            // Nothing can be estimated for executors that are not usable.
+            rate.slots = rate.slots.max(1);
+        }
         let ticket = state.next_ticket;
         state.next_ticket += 1;
         let admitted = state
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -7,6 +7,7 @@
 mod bounds;
 mod forwards;
 mod front;
+mod heartbeats;
 mod keys;
 mod membership;
 mod rig;
