Preempt, throttle, and measure the scheduler's costs

Cause: urgent work waited for batch work to end on a full domain, a service beside batch work was not protected, and no cost was measured.

Change: plans of the preemption policy are carried out with a checkpoint, and their room is kept from batch work. Workers with a protected service are read in full, because interference is learned from the usage of all neighbours; the controller's decisions throttle, evict and restore.

Ruled out: learning interference from inventories of changes only. They leave out attempts whose report did not change, usage apart.

--- a/src/ops/api/tasks/submit.rs
+++ b/src/ops/api/tasks/submit.rs
@@ -85,7 +85,8 @@
 fn new_row(cx: &Context, submission: &Submission, entry: &Entry, key: Option<&str>) -> TaskRow {
     let id = match key {
         Some(key) => format!("k-{:032x}", fnv1a(key.as_bytes())),
-        None => format!("t-{:032x}", rand::random::<u128>()),
+        // Renewals repeat the id of every running task, so it is short. The row must be absent, which catches a repeat.
+        None => format!("t-{:016x}", rand::random::<u64>()),
     };
     TaskRow {
         id: TaskId::new(id),
--- a/src/ops/schedule/attempt.rs
+++ b/src/ops/schedule/attempt.rs
@@ -4,13 +4,11 @@
 use std::time::{Duration, Instant};
 
 use crate::platform::worker::{AttemptReport, AttemptState};
+use crate::policy::preemption::CHECKPOINT_WAIT;
 use crate::policy::queue::give_up;
 use crate::task::lifecycle::AnyTask;
 use crate::task::{Running, Task, TaskRow};
 
-/// How long an eviction waits for the checkpoint before it stops the attempt.
-const CHECKPOINT_WAIT: Duration = Duration::from_secs(5);
-
 /// How often a stop is repeated until the worker reports the end.
 const STOP_REPEAT: Duration = Duration::from_secs(2);
 
@@ -70,6 +68,8 @@
     pub(super) renewed_until: Instant,
     /// True if it was found at take-over and the worker has not been heard since.
     pub(super) inherited: bool,
+    /// When it was assigned, found, or last known to have written a checkpoint.
+    pub(super) saved_at: Instant,
     /// Newest complete checkpoint that was reported.
     pub(super) checkpoint: Option<String>,
     /// Set once it has ended on the worker.
@@ -88,6 +88,7 @@
             granted_until: now,
             renewed_until: now,
             inherited: false,
+            saved_at: now,
             checkpoint: None,
             outcome: None,
             ending: None,
@@ -116,11 +117,12 @@
     }
 
     /// Takes the worker's report.
-    pub(super) fn on_report(&mut self, report: &AttemptReport) {
+    pub(super) fn on_report(&mut self, report: &AttemptReport, at: Instant) {
         self.stage = Stage::Started;
         self.inherited = false;
-        if report.checkpoint.is_some() {
+        if report.checkpoint.is_some() && report.checkpoint != self.checkpoint {
             self.checkpoint.clone_from(&report.checkpoint);
+            self.saved_at = at;
         }
         let message = || report.message.clone().unwrap_or_else(|| "no message".to_owned());
         let reason = || self.ending.as_ref().map(|(_, reason)| reason.clone());
--- a/src/ops/schedule/calls.rs
+++ b/src/ops/schedule/calls.rs
@@ -62,6 +62,7 @@
                     .map_or(CallResult::Failed, |()| CallResult::Renewed(req.attempts.clone()));
             }
             Call::Checkpoint(req) => workers.checkpoint(address, req),
+            Call::Throttle(req) => workers.throttle(address, req),
             Call::Stop(req) => workers.stop(address, req),
         };
         outcome.map_or(CallResult::Failed, |()| CallResult::Done)
--- a/src/ops/schedule/core.rs
+++ b/src/ops/schedule/core.rs
@@ -6,10 +6,12 @@
 use super::attempt::Live;
 use super::event::{Change, RowChange, Takeover};
 use super::fleet::Fleet;
+use super::preempt::PlannedEviction;
 use crate::config::Timing;
 use crate::platform::table::{CommitResult, ReadResponse, Revision, Row};
 use crate::platform::worker::AttemptRef;
 use crate::policy::interference::InterferenceModel;
+use crate::policy::interference::control::Controller;
 use crate::policy::queue::{Waiting, WaitingQueue};
 use crate::task::{TaskId, TaskRow, TaskState};
 use crate::worker::quarantine::Quarantine;
@@ -55,9 +57,12 @@
     /// Exactly the waiting tasks without a change on its way.
     pub(super) queue: WaitingQueue,
     pub(super) quarantine: Quarantine,
+    /// Evictions for urgent tasks that have not started yet.
+    pub(super) plans: BTreeMap<TaskId, PlannedEviction>,
     /// Out of use at the last tick, so that each quarantine is logged once.
     pub(super) out_of_use: BTreeSet<String>,
     pub(super) interference: InterferenceModel,
+    pub(super) controller: Controller,
     /// Catalogue revision at which the protected services were last read.
     pub(super) targets_at: Option<Revision>,
     /// Catalogue revision and capacity at which unplaceable tasks were last tried again.
@@ -65,6 +70,7 @@
     /// Changes by batch.
     inflight: BTreeMap<u64, Vec<RowChange>>,
     next_batch: u64,
+    pub(super) longest_tick_us: u64,
     /// True once all rows of the domain have been read.
     pub(super) loaded: bool,
     /// True once the wait for the predecessor's starts is over.
@@ -82,12 +88,15 @@
             strays: BTreeSet::new(),
             queue: WaitingQueue::default(),
             quarantine: Quarantine::default(),
+            plans: BTreeMap::new(),
             out_of_use: BTreeSet::new(),
             interference: InterferenceModel::default(),
+            controller: Controller::default(),
             targets_at: None,
             reconsidered_at: None,
             inflight: BTreeMap::new(),
             next_batch: 1,
+            longest_tick_us: 0,
             loaded: !takeover.tasks.is_empty(),
             ready: !takeover.predecessor,
             first_epoch: takeover.epoch,
--- a/src/ops/schedule/event.rs
+++ b/src/ops/schedule/event.rs
@@ -5,7 +5,7 @@
 use crate::platform::table::{CommitResult, ReadResponse, Revision, Transaction};
 use crate::platform::worker::{
     AttemptRef, CheckpointRequest, Inventory, InventoryRequest, RenewRequest, StartRequest,
-    StartResult, StopRequest, WorkerTimeMs,
+    StartResult, StopRequest, ThrottleRequest, WorkerTimeMs,
 };
 use crate::task::{TaskId, TaskRow, TaskState};
 
@@ -79,6 +79,8 @@
     Renew(RenewRequest),
     /// Asks for a checkpoint.
     Checkpoint(CheckpointRequest),
+    /// Limits processors.
+    Throttle(ThrottleRequest),
     /// Stops an attempt.
     Stop(StopRequest),
 }
--- a/src/ops/schedule/fleet.rs
+++ b/src/ops/schedule/fleet.rs
@@ -10,7 +10,7 @@
 const MAX_SUSPECT_CALLS: usize = 4;
 
 /// Polls of a worker without news are this many times rarer, to keep the traffic of control within its budget.
-const QUIET_FACTOR: u32 = 5;
+const QUIET_FACTOR: u32 = 6;
 
 /// A worker counts as busy for this long after its last news.
 const BUSY_FOR: Duration = Duration::from_secs(5);
@@ -29,6 +29,10 @@
     seen_ms: WorkerTimeMs,
     next_poll: Instant,
     polling: bool,
+    /// True if the read on its way asks for all attempts.
+    full_poll: bool,
+    /// True if a service is measured there: its reports must show the usage of all neighbours.
+    pub(super) has_service: bool,
     last_news: Instant,
     /// When it answered last.
     pub(super) answered_at: Option<Instant>,
@@ -77,6 +81,8 @@
             seen_ms: 0,
             next_poll: now,
             polling: false,
+            full_poll: false,
+            has_service: false,
             last_news: now,
             answered_at: None,
             failures: 0,
@@ -102,6 +108,13 @@
         self.workers.get(name)
     }
 
+    /// Notes whether a service is measured on a worker.
+    pub(super) fn set_service(&mut self, name: &str, has_service: bool) {
+        if let Some(view) = self.workers.get_mut(name) {
+            view.has_service = has_service;
+        }
+    }
+
     /// Adds a call behind the ones that wait. False if the worker is not known.
     pub(super) fn push(&mut self, name: &str, call: Call) -> bool {
         let Some(view) = self.workers.get_mut(name) else { return false };
@@ -118,7 +131,9 @@
             view.polling = true;
             let quiet = now >= view.last_news + BUSY_FOR;
             view.next_poll = now + if quiet { period * QUIET_FACTOR } else { period };
-            let req = InventoryRequest { changed_after_ms: view.seen_ms };
+            view.full_poll = view.seen_ms == 0 || view.has_service;
+            let changed_after_ms = if view.full_poll { 0 } else { view.seen_ms };
+            let req = InventoryRequest { changed_after_ms };
             view.queue.push_back(Call::Inventory(req));
         }
     }
@@ -199,7 +214,7 @@
         if !inventory.attempts.is_empty() {
             view.last_news = at;
         }
-        let full = view.seen_ms == 0;
+        let full = view.full_poll;
         if !full && view.incarnation != Some(inventory.incarnation) {
             view.seen_ms = 0;
             view.next_poll = at;
--- a/src/ops/schedule/place.rs
+++ b/src/ops/schedule/place.rs
@@ -6,16 +6,17 @@
 use super::core::Core;
 use super::event::{Change, RowChange};
 use super::tick::View;
-use crate::catalogue::Document;
+use crate::catalogue::{Class, Document};
 use crate::domain::DomainState;
 use crate::platform::worker::AttemptRef;
+use crate::policy::interference::InterferenceModel;
 use crate::policy::placement::{self, Candidate, NoWorker};
 use crate::policy::queue::{Limits, Selection, Unplaceable};
 use crate::task::lifecycle::AnyTask;
 use crate::task::{TaskId, TaskState};
 use crate::telemetry::event::schedule as log;
-use crate::worker::Commitment;
 use crate::worker::quarantine::Standing;
+use crate::worker::{Commitment, Pool};
 
 /// Placements tried in one tick, which bounds the tick's time. At the tick's default period this is 2,000 a second.
 const MAX_PLACEMENTS: usize = 400;
@@ -29,7 +30,10 @@
             return Vec::new();
         }
         let mut limits = self.limits(view);
-        let selection = self.select(&mut limits, view.now);
+        self.drop_old_plans(view.now);
+        let reserved = self.reserved_workers();
+        let selection = self.select(&mut limits, &reserved, view.now);
+        self.preempt(&selection.urgent_without_room, view.now);
         let mut changes: Vec<RowChange> = selection
             .started
             .iter()
@@ -43,11 +47,16 @@
 
     /// Makes one pass over the queue. The pass does not name the task to its callback, so each placement is held by a
     /// placeholder until the pass has ended.
-    fn select(&mut self, limits: &mut Limits, now: Instant) -> Selection {
+    fn select(
+        &mut self,
+        limits: &mut Limits,
+        reserved: &BTreeSet<String>,
+        now: Instant,
+    ) -> Selection {
         let Self { queue, pool, interference, quarantine, .. } = self;
         let mut placed: Vec<(String, AttemptRef, Commitment)> = Vec::new();
         let selection = queue.select(limits, MAX_PLACEMENTS, |candidate| {
-            let worker = placement::choose(pool, candidate, interference)?.to_owned();
+            let worker = choose(pool, candidate, reserved, interference)?;
             let number = u32::try_from(placed.len()).unwrap_or(u32::MAX);
             let holder = AttemptRef { task: TaskId::new("placement"), attempt: number };
             let commitment = commitment_of(candidate);
@@ -166,6 +175,25 @@
     }
 }
 
+/// Chooses a worker. Batch work does not take the room that evictions make for urgent tasks.
+fn choose(
+    pool: &Pool,
+    candidate: &Candidate<'_>,
+    reserved: &BTreeSet<String>,
+    interference: &InterferenceModel,
+) -> Result<String, NoWorker> {
+    if candidate.class == Class::LatencyCritical || reserved.is_empty() {
+        return placement::choose(pool, candidate, interference).map(str::to_owned);
+    }
+    let excluded = candidate.excluded.union(reserved).cloned().collect();
+    let candidate = Candidate { excluded: &excluded, ..candidate.clone() };
+    match placement::choose(pool, &candidate, interference) {
+        Ok(worker) => Ok(worker.to_owned()),
+        Err(NoWorker::AllExcluded) => Err(NoWorker::Full),
+        Err(other) => Err(other),
+    }
+}
+
 /// The commitment of a candidate; its priority is set once the task is known.
 fn commitment_of(candidate: &Candidate<'_>) -> Commitment {
     Commitment {
--- /dev/null
+++ b/src/ops/schedule/preempt.rs
@@ -0,0 +1,85 @@
+//! Makes room for urgent tasks by evicting batch attempts, as the preemption policy decides.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use super::core::Core;
+use super::event::Call;
+use crate::platform::worker::{AttemptRef, CheckpointRequest};
+use crate::policy::preemption::{Plan, Planner};
+use crate::task::TaskId;
+use crate::telemetry::event::schedule as log;
+
+/// Age at which a plan has failed and its room is given up.
+const PLAN_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Plans made in one tick, which bounds the tick's time.
+const MAX_PLANS: usize = 20;
+
+/// A plan under way.
+#[derive(Clone, Debug)]
+pub(super) struct PlannedEviction {
+    plan: Plan,
+    since: Instant,
+}
+
+impl Core {
+    /// Drops the plans of tasks that no longer wait, and those that failed.
+    pub(super) fn drop_old_plans(&mut self, now: Instant) {
+        let Self { plans, queue, .. } = self;
+        plans.retain(|id, planned| {
+            let young = now.saturating_duration_since(planned.since) < PLAN_TIMEOUT;
+            young && queue.get(id).is_some()
+        });
+    }
+
+    /// Workers where only urgent tasks may be placed.
+    pub(super) fn reserved_workers(&self) -> BTreeSet<String> {
+        self.plans.values().map(|planned| planned.plan.worker.clone()).collect()
+    }
+
+    /// Plans evictions for urgent tasks that found no room, and begins them.
+    pub(super) fn preempt(&mut self, urgent: &[TaskId], now: Instant) {
+        let mut planner = Planner::new(self.plans.values().map(|planned| &planned.plan));
+        let unplanned = urgent.iter().filter(|id| !self.plans.contains_key(*id));
+        let mut made = Vec::new();
+        for id in unplanned.take(MAX_PLANS) {
+            let Some(task) = self.queue.get(id) else { continue };
+            let unsaved = |attempt: &AttemptRef| self.unsaved(attempt, now);
+            if let Some(plan) = planner.plan(&self.pool, &task.candidate(), unsaved) {
+                made.push((id.clone(), plan));
+            }
+        }
+        for (id, plan) in made {
+            log::PREEMPTED.emit(format_args!(
+                "{} attempts on {} for {id}, {:.0} core-seconds since their checkpoints",
+                plan.attempts.len(),
+                plan.worker,
+                plan.lost
+            ));
+            for attempt in &plan.attempts {
+                self.evict(attempt, &format!("evicted for urgent task {id}"), now);
+            }
+            self.plans.insert(id, PlannedEviction { plan, since: now });
+        }
+    }
+
+    /// Time since the last checkpoint of an attempt.
+    fn unsaved(&self, attempt: &AttemptRef, now: Instant) -> Duration {
+        let live = self.tasks.get(&attempt.task).and_then(|task| task.live.as_ref());
+        live.map_or(Duration::MAX, |live| now.saturating_duration_since(live.saved_at))
+    }
+
+    /// Begins to evict an attempt: a checkpoint is asked for, and the stop follows.
+    pub(super) fn evict(&mut self, attempt: &AttemptRef, reason: &str, now: Instant) {
+        let Some(task) = self.tasks.get_mut(&attempt.task) else { return };
+        if task.row.attempt != attempt.attempt {
+            return;
+        }
+        let Some(live) = &mut task.live else { return };
+        if live.begin_ending(reason, true, now) {
+            let req = CheckpointRequest { attempt: attempt.clone() };
+            self.fleet.push(&live.worker, Call::Checkpoint(req));
+        }
+    }
+}
--- a/src/ops/schedule/reports.rs
+++ b/src/ops/schedule/reports.rs
@@ -120,6 +120,7 @@
         }
         if kind == InventoryKind::Full {
             self.end_unreported(name, inventory);
+            self.control_interference(name, inventory, at);
         }
     }
 
@@ -138,7 +139,7 @@
             Some(task) => {
                 let Some(live) = &mut task.live else { return };
                 let fresh = live.outcome.is_none();
-                live.on_report(report);
+                live.on_report(report, at);
                 if fresh {
                     let (id, entry) = (&task.row.id, task.row.entry.as_str());
                     count(&mut self.quarantine, name, id, entry, live.outcome.as_ref(), at);
--- a/src/ops/schedule/run.rs
+++ b/src/ops/schedule/run.rs
@@ -97,9 +97,12 @@
             };
             let changes = core.tick(&view);
             self.write(core, &changes);
-            let status = status(core, holding, &view);
+            let took = started.elapsed();
+            let tick_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+            core.longest_tick_us = core.longest_tick_us.max(tick_us);
+            let status = SchedulerStatus { tick_us, ..status(core, holding, &view) };
             *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
-            self.cx.metrics.time("schedule.tick", started.elapsed());
+            self.cx.metrics.time("schedule.tick", took);
         }
     }
 
--- a/src/ops/schedule/status.rs
+++ b/src/ops/schedule/status.rs
@@ -31,6 +31,10 @@
     pub waiting: usize,
     /// Tasks that run.
     pub running: usize,
+    /// Time of the last tick in microseconds.
+    pub tick_us: u64,
+    /// Time of the longest tick under the present hold in microseconds.
+    pub longest_tick_us: u64,
     /// Workers that are out of use because everything fails on them, with the reason.
     pub quarantined: BTreeMap<String, String>,
     /// Tasks that can never run, with the reason.
@@ -68,6 +72,8 @@
         freshness_ms: view.catalogue.age(view.now).map(millis),
         waiting: count(TaskState::is_waiting),
         running: count(|state| state == TaskState::Running),
+        tick_us: 0,
+        longest_tick_us: core.longest_tick_us,
         quarantined: quarantined.collect(),
         unplaceable,
     }
--- a/src/ops/schedule/tick.rs
+++ b/src/ops/schedule/tick.rs
@@ -94,6 +94,13 @@
             .filter(|vm| vm.role == VmRole::Worker && vm.domain == self.domain)
             .map(|vm| (vm.name.as_str(), vm))
             .collect();
+        let services: BTreeMap<&str, &str> = view
+            .vms
+            .vms
+            .iter()
+            .filter(|vm| vm.role == VmRole::Target && vm.domain == self.domain)
+            .filter_map(|vm| Some((vm.name.as_str(), vm.service.as_deref()?)))
+            .collect();
         for (name, vm) in &listed {
             let leaving = vm.state == VmState::Leaving;
             self.fleet.upsert(name, &vm.address, leaving, view.now);
@@ -102,6 +109,10 @@
             if capacity.is_none() {
                 self.adopt_rows(name);
             }
+            let service = services.get(name).copied();
+            self.pool.set_service(name, service);
+            let protected = service.is_some_and(|name| self.interference.is_protected(name));
+            self.fleet.set_service(name, protected);
             if leaving {
                 self.pool.set_open(name, false);
             }
@@ -115,6 +126,9 @@
             if !in_use {
                 self.fleet.remove(&name);
                 self.pool.remove(&name);
+                self.quarantine.forget_worker(&name);
+                self.interference.forget_worker(&name);
+                self.controller.forget_worker(&name);
             }
         }
     }
--- a/src/telemetry/event/schedule.rs
+++ b/src/telemetry/event/schedule.rs
@@ -20,6 +20,8 @@
 pub const DOMAIN_RESCUED: Event = Event::new(406, Level::Warn, "domain-rescued");
 /// A worker fails what other workers run, and takes nothing for a while.
 pub const WORKER_QUARANTINED: Event = Event::new(407, Level::Warn, "worker-quarantined");
+/// Batch attempts are evicted to make room for an urgent task.
+pub const PREEMPTED: Event = Event::new(408, Level::Info, "preempted");
 
 /// All events of this module.
 pub const ALL: &[Event] = &[
@@ -31,4 +33,5 @@
     HOLD_RELEASED,
     DOMAIN_RESCUED,
     WORKER_QUARANTINED,
+    PREEMPTED,
 ];
--- a/tests/testsuite/schedule.rs
+++ b/tests/testsuite/schedule.rs
@@ -5,6 +5,7 @@
 mod gate;
 mod hold;
 mod hold_model;
+mod measure;
 mod promises;
 mod support;
 mod takeover;
--- a/tests/testsuite/schedule/duty.rs
+++ b/tests/testsuite/schedule/duty.rs
@@ -67,3 +67,84 @@
     assert_eq!((&row["domain"], &row["attempt"]), (&json!("b"), &json!(2)));
     assert!(row["checkpoint"].is_string());
 }
+
+/// Guards against urgent work that waits for batch work to end on a full domain, and against batch work that takes the
+/// room that was made for it.
+#[test]
+fn urgent_work_preempts_batch_work() {
+    let site = Site::new(short_timing(), &[2]);
+    let process = site.process("p1", "a");
+    process.wait_fresh();
+    let batch: Vec<String> =
+        (0..12).map(|_| process.submit("count", &json!({"run_ms": 4000}))).collect();
+    wait_for("the domain is full", || {
+        let running = site.workers.running("a-0").len() + site.workers.running("a-1").len();
+        (running == 8).then_some(())
+    });
+    let submitted = std::time::Instant::now();
+    let urgent = process.submit("urgent", &json!({"run_ms": 300}));
+    wait_for("the urgent task has started", || (site.starts(&urgent) == 1).then_some(()));
+    let took = submitted.elapsed();
+    assert!(took < std::time::Duration::from_millis(6_300), "{took:?}");
+    for id in &batch {
+        site.wait_state(id, "succeeded");
+    }
+    assert!(batch.iter().any(|id| site.starts(id) == 2));
+    site.assert_promises();
+}
+
+/// Guards against a worker that fails everything and keeps receiving tasks, or that uses up the attempts of good tasks.
+#[test]
+fn a_worker_that_fails_everything_is_quarantined() {
+    let site = Site::new(short_timing(), &[4]);
+    site.workers.set_faults("a-0", |faults| faults.fails_starts = true);
+    let process = site.process("p1", "a");
+    process.wait_fresh();
+    let ids: Vec<String> =
+        (0..40).map(|_| process.submit("count", &json!({"run_ms": 100}))).collect();
+    for id in &ids {
+        site.wait_state(id, "succeeded");
+    }
+    let status = process.scheduler.as_ref().unwrap().status();
+    assert_eq!(status.quarantined.keys().collect::<Vec<_>>(), ["a-0"]);
+    site.assert_promises();
+}
+
+/// Guards against a slow worker that delays the starts on others.
+#[test]
+fn a_slow_worker_does_not_delay_the_others() {
+    let site = Site::new(short_timing(), &[4]);
+    let slow = std::time::Duration::from_millis(1_500);
+    site.workers.set_faults("a-0", |faults| faults.slow = Some(slow));
+    let process = site.process("p1", "a");
+    process.wait_fresh();
+    let begun = std::time::Instant::now();
+    let ids: Vec<String> =
+        (0..12).map(|_| process.submit("count", &json!({"run_ms": 100}))).collect();
+    for id in &ids {
+        site.wait_state(id, "succeeded");
+    }
+    let took = begun.elapsed();
+    assert!(took < slow * 3, "{took:?}");
+}
+
+/// Guards against batch work that keeps slowing a service down beside which it runs.
+#[test]
+fn batch_work_beside_a_slow_service_is_throttled_and_moved() {
+    let mut site = Site::new(short_timing(), &[1]);
+    site.add_service("a-0", "echo");
+    site.workers.set_service_p99_us("a-0", Some(50_000));
+    let process = site.process("p1", "a");
+    process.wait_fresh();
+    let id = process.submit("count", &json!({"run_ms": 600_000}));
+    site.wait_running(&["a-0"]);
+    site.workers.set_service_p99_us("a-0", Some(300_000));
+    wait_for("the task is throttled", || {
+        (site.workers.counts().calls.get("throttle").copied() > Some(0)).then_some(())
+    });
+    wait_for("the task is evicted with a checkpoint", || {
+        let row = site.task(&id)?;
+        (row["attempt"] == 2 && row["checkpoint"].is_string()).then_some(())
+    });
+    site.assert_promises();
+}
--- a/tests/testsuite/schedule/support.rs
+++ b/tests/testsuite/schedule/support.rs
@@ -22,12 +22,14 @@
 };
 use plantainlever::platform::PlatformError;
 use plantainlever::platform::group_commit::GroupCommit;
+use plantainlever::platform::http::HttpWorkers;
 use plantainlever::platform::objects::Objects;
 use plantainlever::platform::table::{
     CommitResult, Condition, OperationQuery, OperationStatus, ReadRequest, ReadResponse, Row,
     Table, Transaction, Write,
 };
 use plantainlever::platform::vms::{Vm, VmList, VmListing, VmRole, VmState};
+use plantainlever::platform::worker::WorkerClient;
 use plantainlever::telemetry::Metrics;
 use plantainlever::worker::Resources;
 use plantainlever_test_support::checker::{CheckLimits, check};
@@ -307,6 +309,9 @@
     }
 }
 
+/// Counts the bytes between the schedulers and the workers.
+pub type Relayed = plantainlever_test_support::link::Link;
+
 /// A whole deployment.
 #[derive(Debug)]
 pub struct Site {
@@ -317,6 +322,8 @@
     pub timing: Timing,
     vms: VmListing,
     domains: Vec<String>,
+    /// A relay in front of the workers, if they are called over HTTP.
+    pub link: Option<Relayed>,
 }
 
 /// An entry process.
@@ -371,7 +378,7 @@
         let history = History::default();
         let address = "127.0.0.1:0".parse().unwrap();
         let workers =
-            WorkerGroup::start(address, 1, specs.clone(), Checkpoints::default(), history.clone())
+            WorkerGroup::start(address, 4, specs.clone(), Checkpoints::default(), history.clone())
                 .unwrap();
         let vm = |spec: &WorkerSpec| Vm {
             name: spec.name.clone(),
@@ -390,7 +397,38 @@
         };
         store.put("catalogue/count", entry(true));
         store.put("catalogue/shared", entry(false));
-        Self { store, workers, history, network: Arc::default(), timing, vms, domains }
+        store.put(
+            "catalogue/small",
+            json!({"kind": "entry", "owner": "tests", "class": "batch",
+                "limits": {"per_task": {"cpu_millis": 500, "memory_mb": 512}}}),
+        );
+        store.put(
+            "catalogue/urgent",
+            json!({"kind": "entry", "owner": "tests", "class": "latency-critical",
+                "limits": {"per_task": {"cpu_millis": 2000, "memory_mb": 1024}}}),
+        );
+        let network = Arc::default();
+        Self { store, workers, history, network, timing, vms, domains, link: None }
+    }
+
+    /// Puts an executor of a protected service, with a target of 100 ms, on a worker's VM.
+    pub fn add_service(&mut self, worker: &str, service: &str) {
+        let vm = self.vms.vms.iter().find(|vm| vm.name == worker).unwrap().clone();
+        let service = Some(service.to_owned());
+        let entry = json!({"kind": "entry", "owner": "tests", "class": "latency-critical",
+            "limits": {}, "p99_target_ms": 100});
+        self.store.put(&format!("catalogue/{}", service.as_deref().unwrap()), entry);
+        self.vms.vms.push(Vm { role: VmRole::Target, service, ..vm });
+    }
+
+    /// Calls the workers over HTTP from now on, through a relay that counts bytes.
+    pub fn use_http(&mut self) {
+        let target = self.workers.address("").trim_end_matches('/').parse().unwrap();
+        let link = Relayed::to(target).unwrap();
+        for vm in &mut self.vms.vms {
+            vm.address = format!("{}/{}", link.address(), vm.name);
+        }
+        self.link = Some(link);
     }
 
     /// Starts an entry process.
@@ -415,7 +453,11 @@
             faults: Mutex::default(),
             gate: Arc::clone(&gate),
         });
-        let workers = GatedWorkers { inner: self.workers.direct(), gate: Arc::clone(&gate) };
+        let gated = GatedWorkers { inner: self.workers.direct(), gate: Arc::clone(&gate) };
+        let workers: Arc<dyn WorkerClient> = match self.link {
+            Some(_) => Arc::new(HttpWorkers::new(Duration::from_secs(1), Metrics::disabled())),
+            None => Arc::new(gated),
+        };
         let listing = SharedVmListing::default();
         listing.replace(self.vms.clone());
         let table: Arc<dyn Table> = store.clone();
@@ -430,7 +472,7 @@
             commits,
             objects: Arc::new(NoObjects),
             vms: Arc::new(NoVms),
-            workers: Arc::new(workers),
+            workers,
             catalogue: SharedCatalogue::default(),
             vm_listing: listing,
             peers: Arc::new(Link { network: Arc::clone(&self.network), process: name.to_owned() }),
