Tell bad workers from bad tasks also in bursts and after a change

Cause: a worker could fail a whole batch of starts before the first outcome was known; an entry that turned bad after a long good time closed the workers that met it first; nothing tested when a task is given up.

Ruled out: counting all successes and failures of an entry. A long good history outweighs the failures that matter, so the latest outcome per worker decides.

Change: at most five attempts of a worker are unproven or blamed on it at a time, with ten seconds of running as proof; `record_start` and `record_stop` feed this. A worker is reinstated once the failures that closed it are no longer blamed on it.

Conclusion: the five-failure bound holds for bursts as well, if the scheduler reports each start.

--- a/src/worker/quarantine.rs
+++ b/src/worker/quarantine.rs
@@ -1,8 +1,9 @@
 //! Takes workers that fail unlike their peers out of use.
 //!
 //! A failure is evidence against the worker and against the task. The blame is split by who else failed: a failure of an
-//! entry that mostly fails on other healthy workers too says little about the worker. Failures are kept and judged again
-//! whenever evidence arrives, because the outcome elsewhere often comes later.
+//! entry whose latest outcomes on other healthy workers are failures too says little about the worker. Failures are kept
+//! and judged again whenever evidence arrives, because the outcome elsewhere often comes later; a worker that turns out
+//! to be blameless is used again at once.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -12,13 +13,21 @@
 /// Blame since the last success at which a worker is out of use.
 const BLAME_LIMIT: f64 = 3.0;
 
-/// Failures that are kept and judged per worker. With `BLAME_LIMIT` it bounds the failures of a worker that fails
-/// everything: five with a blame of 0.6 each are enough.
+/// Failures that are kept and judged per worker.
 const FAILURES_KEPT: usize = 16;
 
-/// Smallest blame that is counted. Below it the entry is the likelier cause.
+/// Smallest blame that is counted. Below it the entry is the likelier cause. Five failures with this blame reach
+/// `BLAME_LIMIT`, so a worker that fails everything is out of use after at most five.
 const MIN_BLAME: f64 = 0.6;
 
+/// Most attempts that may be unproven or have failed at the same time. Without it a whole batch of starts could fail
+/// before the first outcome is known.
+const MAX_AT_RISK: usize = 5;
+
+/// Time after which a running attempt counts as proof that its worker can run something. Workers that fail everything
+/// do so within seconds.
+const PROVEN_AFTER: Duration = Duration::from_secs(10);
+
 /// Time out of use after the first quarantine.
 const FIRST_BACKOFF: Duration = Duration::from_secs(60);
 
@@ -52,6 +61,10 @@
 struct Record {
     /// Failures since the last success.
     failures: VecDeque<Failure>,
+    /// Attempts that have started and not ended, with their start.
+    started: BTreeMap<TaskId, Instant>,
+    /// Failures for which it was taken out of use.
+    causes: VecDeque<Failure>,
     /// End of the time out of use; `None` while in use.
     out_until: Option<Instant>,
     /// Successes since the probation began.
@@ -60,38 +73,40 @@
     relapses: u32,
 }
 
-/// Successes and failures of an entry by worker.
-#[derive(Clone, Debug, Default)]
-struct EntryRecord {
-    by_worker: BTreeMap<String, (u32, u32)>,
-}
-
 /// What is known about the health of the workers.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     workers: BTreeMap<String, Record>,
-    entries: BTreeMap<String, EntryRecord>,
+    /// For each entry, whether its latest attempt on a worker failed.
+    entries: BTreeMap<String, BTreeMap<String, bool>>,
     /// Workers on which a task failed.
     tasks: BTreeMap<TaskId, BTreeSet<String>>,
 }
 
 impl Quarantine {
+    /// Counts a start, so that few enough attempts are at risk on an unproven worker.
+    pub fn record_start(&mut self, worker: &str, task: &TaskId, now: Instant) {
+        self.workers.entry(worker.to_owned()).or_default().started.insert(task.clone(), now);
+    }
+
+    /// Counts an attempt that ended in neither success nor failure: evicted, cancelled or lapsed.
+    pub fn record_stop(&mut self, worker: &str, task: &TaskId) {
+        if let Some(record) = self.workers.get_mut(worker) {
+            record.started.remove(task);
+        }
+    }
+
     /// Counts a success.
     pub fn record_success(&mut self, worker: &str, task: &TaskId, entry: &str, now: Instant) {
         self.tasks.remove(task);
-        self.entries
-            .entry(entry.to_owned())
-            .or_default()
-            .by_worker
-            .entry(worker.to_owned())
-            .or_default()
-            .0 += 1;
+        self.set_outcome(entry, worker, false);
         let record = self.workers.entry(worker.to_owned()).or_default();
+        record.started.remove(task);
         record.failures.clear();
         if record.out_until.is_some_and(|until| until <= now) {
             record.probation_successes += 1;
             if record.probation_successes >= PROBATION_SUCCESSES {
-                *record = Record::default();
+                record.reinstate(0);
             }
         }
         self.judge_all(now);
@@ -100,14 +115,9 @@
     /// Counts a failure. Evictions, cancellations and lapsed leases are not failures.
     pub fn record_failure(&mut self, worker: &str, task: &TaskId, entry: &str, now: Instant) {
         self.tasks.entry(task.clone()).or_default().insert(worker.to_owned());
-        self.entries
-            .entry(entry.to_owned())
-            .or_default()
-            .by_worker
-            .entry(worker.to_owned())
-            .or_default()
-            .1 += 1;
+        self.set_outcome(entry, worker, true);
         let record = self.workers.entry(worker.to_owned()).or_default();
+        record.started.remove(task);
         if record.failures.len() == FAILURES_KEPT {
             record.failures.pop_front();
         }
@@ -115,6 +125,10 @@
         self.judge_all(now);
     }
 
+    fn set_outcome(&mut self, entry: &str, worker: &str, failed: bool) {
+        self.entries.entry(entry.to_owned()).or_default().insert(worker.to_owned(), failed);
+    }
+
     /// Whether a worker may be used.
     #[must_use]
     pub fn standing(&self, worker: &str, now: Instant) -> Standing {
@@ -129,7 +143,7 @@
     #[must_use]
     pub fn may_start(&self, worker: &str, running: usize, now: Instant) -> bool {
         match self.standing(worker, now) {
-            Standing::InUse => true,
+            Standing::InUse => self.at_risk(worker, now) < MAX_AT_RISK,
             Standing::Probation => running == 0,
             Standing::OutOfUse { .. } => false,
         }
@@ -146,7 +160,7 @@
     pub fn forget_worker(&mut self, worker: &str) {
         self.workers.remove(worker);
         for entry in self.entries.values_mut() {
-            entry.by_worker.remove(worker);
+            entry.remove(worker);
         }
     }
 
@@ -155,33 +169,59 @@
         self.tasks.remove(task);
     }
 
+    /// At least as many as the attempts that may still turn out to be failures of the worker and those that have; exact
+    /// from `MAX_AT_RISK` on.
+    fn at_risk(&self, worker: &str, now: Instant) -> usize {
+        let Some(record) = self.workers.get(worker) else { return 0 };
+        let is_unproven =
+            |started: &&Instant| now.saturating_duration_since(**started) < PROVEN_AFTER;
+        let unproven = record.started.values().filter(is_unproven).count();
+        if unproven + record.failures.len() < MAX_AT_RISK {
+            return unproven + record.failures.len();
+        }
+        let suspects = self.suspects();
+        let blames = record.failures.iter().map(|failure| self.blame(worker, failure, &suspects));
+        unproven + blames.filter(|blame| *blame >= MIN_BLAME).count()
+    }
+
     fn judge_all(&mut self, now: Instant) {
         let suspects = self.suspects();
-        let guilty: Vec<String> = self
+        let verdicts: Vec<(String, Verdict)> = self
             .workers
             .iter()
-            .filter(|(name, record)| self.is_guilty(name, record, &suspects, now))
-            .map(|(name, _)| name.clone())
+            .map(|(name, record)| (name.clone(), self.judge(name, record, &suspects, now)))
+            .filter(|(_, verdict)| *verdict != Verdict::Unchanged)
             .collect();
-        for name in guilty {
-            if let Some(record) = self.workers.get_mut(&name) {
+        for (name, verdict) in verdicts {
+            let Some(record) = self.workers.get_mut(&name) else { continue };
+            if verdict == Verdict::TakeOut {
                 record.take_out(now);
+            } else {
+                record.reinstate(record.relapses.saturating_sub(1));
             }
         }
     }
 
-    fn is_guilty(
+    fn judge(
         &self,
         name: &str,
         record: &Record,
         suspects: &BTreeSet<String>,
         now: Instant,
-    ) -> bool {
-        let blames = record.failures.iter().map(|failure| self.blame(name, failure, suspects));
-        let blame: f64 = blames.filter(|blame| *blame >= MIN_BLAME).sum();
+    ) -> Verdict {
+        let blame_of = |failure: &Failure| self.blame(name, failure, suspects);
+        let counted = |failures: &VecDeque<Failure>| -> f64 {
+            failures.iter().map(blame_of).filter(|blame| *blame >= MIN_BLAME).sum()
+        };
         match record.out_until {
-            None => blame >= BLAME_LIMIT,
-            Some(until) => until <= now && blame >= MIN_BLAME,
+            // Each failure counts for 1 at most, so this is decided without looking at the other workers.
+            None if (record.failures.len() as f64) < BLAME_LIMIT => Verdict::Unchanged,
+            None if counted(&record.failures) >= BLAME_LIMIT => Verdict::TakeOut,
+            Some(until) if until <= now && counted(&record.failures) >= MIN_BLAME => {
+                Verdict::TakeOut
+            }
+            Some(_) if counted(&record.causes) < MIN_BLAME => Verdict::Reinstate,
+            _ => Verdict::Unchanged,
         }
     }
 
@@ -193,27 +233,35 @@
         if failed_elsewhere {
             return 0.0;
         }
-        let Some(entry) = self.entries.get(&failure.entry) else { return 1.0 };
-        let witnesses = entry.by_worker.iter().filter(|(name, _)| is_witness(name));
-        let (mut succeeded, mut failed, mut failing_workers) = (0, 0, 0);
-        for (_, (successes, failures)) in witnesses {
-            succeeded += successes;
-            failed += failures;
-            failing_workers += u32::from(failures > successes);
-        }
-        if failing_workers < 2 {
+        let Some(outcomes) = self.entries.get(&failure.entry) else { return 1.0 };
+        let witnesses = outcomes.iter().filter(|(name, _)| is_witness(name));
+        let (failed, succeeded): (Vec<_>, Vec<_>) = witnesses.partition(|(_, failed)| **failed);
+        if failed.len() < 2 {
             return 1.0;
         }
-        1.0 - f64::from(failed) / f64::from(failed + succeeded)
+        1.0 - failed.len() as f64 / (failed.len() + succeeded.len()) as f64
     }
 }
 
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Verdict {
+    Unchanged,
+    TakeOut,
+    Reinstate,
+}
+
 impl Record {
     fn take_out(&mut self, now: Instant) {
         let factor = 2_u32.saturating_pow(self.relapses);
         self.out_until = Some(now + FIRST_BACKOFF.saturating_mul(factor).min(MAX_BACKOFF));
         self.relapses += 1;
         self.probation_successes = 0;
-        self.failures.clear();
+        self.causes = std::mem::take(&mut self.failures);
+    }
+
+    /// Puts the worker back into use. Running attempts stay known.
+    fn reinstate(&mut self, relapses: u32) {
+        let started = std::mem::take(&mut self.started);
+        *self = Self { started, relapses, ..Self::default() };
     }
 }
--- a/tests/testsuite/policy/quarantine.rs
+++ b/tests/testsuite/policy/quarantine.rs
@@ -4,6 +4,8 @@
 
 use plantainlever::task::TaskId;
 use plantainlever::worker::quarantine::{Quarantine, Standing};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 /// Guards against a worker that fails everything being given more than five tasks.
 #[test]
@@ -65,3 +67,95 @@
     }
     assert_eq!(pauses[..4], [60, 120, 240, 480]);
 }
+
+/// Guards against a whole batch of starts failing on one worker before the first outcome is known.
+#[test]
+fn at_most_five_starts_at_once_are_at_risk() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let tasks: Vec<TaskId> = (0..20).map(|number| TaskId::new(number.to_string())).collect();
+    let mut failures = 0;
+    while quarantine.may_start("bad", 0, now) {
+        let mut started = Vec::new();
+        for task in &tasks[failures..] {
+            if !quarantine.may_start("bad", started.len(), now) {
+                break;
+            }
+            quarantine.record_start("bad", task, now);
+            started.push(task);
+        }
+        for task in started {
+            quarantine.record_failure("bad", task, "standings", now);
+            failures += 1;
+        }
+        assert!(failures <= 5, "{failures} failures");
+    }
+    assert!(matches!(quarantine.standing("bad", now), Standing::OutOfUse { .. }));
+}
+
+/// Guards against long-running work keeping its worker from taking more.
+#[test]
+fn running_attempts_are_proof_after_ten_seconds() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    for number in 0..5 {
+        quarantine.record_start("w", &TaskId::new(number.to_string()), now);
+    }
+    assert!(!quarantine.may_start("w", 5, now + Duration::from_secs(9)));
+    assert!(quarantine.may_start("w", 5, now + Duration::from_secs(10)));
+}
+
+/// Guards against an entry that turns bad after a long good time closing the workers that meet it first for good.
+#[test]
+fn worker_is_reinstated_once_the_entry_fails_elsewhere_too() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    for number in 0..1000 {
+        let task = TaskId::new(format!("good-{number}"));
+        quarantine.record_success(&format!("w{}", number % 10), &task, "standings", now);
+    }
+    for number in 0..3 {
+        quarantine.record_failure("w0", &TaskId::new(format!("bad-{number}")), "standings", now);
+    }
+    assert!(matches!(quarantine.standing("w0", now), Standing::OutOfUse { .. }));
+    for worker in 1..10 {
+        let task = TaskId::new(format!("worse-{worker}"));
+        quarantine.record_failure(&format!("w{worker}"), &task, "standings", now);
+    }
+    assert!(quarantine.suspects().is_empty(), "out of use: {:?}", quarantine.suspects());
+}
+
+/// Guards against the two mistakes together: bad workers that stay in use among failing tasks, and healthy workers that
+/// are closed by them. Of ten entries one always fails and one fails one time in five; two of 81 workers fail everything.
+#[test]
+fn bad_workers_are_told_from_bad_tasks() {
+    for seed in 0..3 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let now = Instant::now();
+        let mut quarantine = Quarantine::default();
+        let mut failures_of_bad = [0; 2];
+        let mut closed_healthy = 0;
+        for number in 0..10_000 {
+            let worker = rng.random_range(0..81);
+            let name = format!("w{worker}");
+            if !quarantine.may_start(&name, 0, now) {
+                closed_healthy += u32::from(worker >= 2);
+                continue;
+            }
+            let task = TaskId::new(number.to_string());
+            let entry = rng.random_range(0..10);
+            let fails = worker < 2 || entry == 0 || (entry == 1 && rng.random_range(0..5) == 0);
+            quarantine.record_start(&name, &task, now);
+            if !fails {
+                quarantine.record_success(&name, &task, &format!("e{entry}"), now);
+                continue;
+            }
+            quarantine.record_failure(&name, &task, &format!("e{entry}"), now);
+            if worker < 2 {
+                failures_of_bad[worker] += 1;
+            }
+        }
+        assert!(failures_of_bad.iter().all(|failures| *failures <= 5), "{failures_of_bad:?}");
+        assert_eq!(closed_healthy, 0, "seed {seed}");
+    }
+}
--- a/tests/testsuite/policy/queue.rs
+++ b/tests/testsuite/policy/queue.rs
@@ -5,8 +5,8 @@
 
 use plantainlever::catalogue::{Class, Document, Entry, EntryLimits, Owner};
 use plantainlever::policy::placement::NoWorker;
-use plantainlever::policy::queue::{Limits, Unplaceable, Waiting, WaitingQueue};
-use plantainlever::task::TaskId;
+use plantainlever::policy::queue::{GiveUp, Limits, Unplaceable, Waiting, WaitingQueue, give_up};
+use plantainlever::task::{TaskId, TaskRow, TaskState};
 use plantainlever::worker::Resources;
 use plantainlever_test_support::model::placement::{domain, queue_cost};
 
@@ -182,3 +182,39 @@
     }
     assert_eq!(cost.started_after_cancel, 0);
 }
+
+/// Guards against a bad task that is tried for ever, and against giving up a good one that met bad workers.
+#[test]
+fn task_is_given_up_for_failures_on_healthy_workers() {
+    let row = |failures: u32| TaskRow {
+        id: TaskId::new("t"),
+        entry: "a".to_owned(),
+        owner: "team".to_owned(),
+        class: Class::Batch,
+        exclusive: true,
+        priority: 0,
+        args: serde_json::Value::Null,
+        resources: Resources::new(1000, 1000, 0),
+        state: TaskState::Pending,
+        attempt: failures + 1,
+        domain: "d1".to_owned(),
+        worker: None,
+        checkpoint: None,
+        failed_on: (0..failures).map(|number| format!("w{number}")).collect(),
+        failures,
+        reason: None,
+        submitted_ms: 0,
+        cancel: false,
+    };
+    let none = BTreeSet::new();
+    assert_eq!(give_up(&row(2), 3, &none), None);
+    let workers = "w0, w1, w2".to_owned();
+    let expected = GiveUp::FailsOnHealthyWorkers { failures: 3, workers, allowed: 3 };
+    assert_eq!(give_up(&row(3), 3, &none), Some(expected));
+    let bad = domains(&["w0", "w1"]);
+    assert_eq!(give_up(&row(4), 3, &bad), None);
+    let all_bad: BTreeSet<String> = (0..9).map(|number| format!("w{number}")).collect();
+    assert_eq!(give_up(&row(8), 3, &all_bad), None);
+    let expected = GiveUp::FailsTooOften { failures: 9, allowed: 3 };
+    assert_eq!(give_up(&row(9), 3, &all_bad), Some(expected));
+}
