--- a/src/bin/plantainlever/commands/domain/list.rs
+++ b/src/bin/plantainlever/commands/domain/list.rs
@@ -33,9 +33,8 @@
         }
         let mut table = Table::new(&["DOMAIN", "STATE", "REVISION"]);
         for domain in &list.domains {
-            // Zero is a state that was never set.
-            let set = domain.revision.filter(|revision| *revision > 0);
-            let revision = set.map_or_else(|| "-".to_owned(), |revision| revision.to_string());
+            let never_set = domain.revision == 0;
+            let revision = if never_set { "-".to_owned() } else { domain.revision.to_string() };
             let state = domain_state_text(domain.state).to_owned();
             table.row(vec![domain.name.clone(), state, revision]);
         }
--- a/src/ops/client/message.rs
+++ b/src/ops/client/message.rs
@@ -49,9 +49,9 @@
 /// Answer to `GET /v1/domains`.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct DomainList {
-    /// Revision of the copy that answered; zero if the server does not say.
-    #[serde(default)]
-    pub revision: Revision,
+    /// Revision of the copy that answered; none if the server does not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<Revision>,
     /// The failure domains.
     pub domains: Vec<DomainView>,
 }
@@ -63,8 +63,8 @@
     pub name: String,
     /// State.
     pub state: DomainState,
-    /// Revision at which the state was set; none if it never was.
-    pub revision: Option<Revision>,
+    /// Revision at which the state was set; zero if it never was.
+    pub revision: Revision,
 }
 
 /// Answer to `GET /v1/tasks`.
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -183,7 +183,7 @@
         Reply::json(
             200,
             &json!({"revision": 7, "domains": [
-                {"name": "dc-a", "state": "in", "revision": null},
+                {"name": "dc-a", "state": "in", "revision": 0},
                 {"name": "dc-b", "state": "out", "revision": 7}]}),
         )
     });
