--- a/src/ops/schedule/fleet.rs
+++ b/src/ops/schedule/fleet.rs
@@ -196,7 +196,6 @@
     ) -> Option<InventoryKind> {
         let view = self.workers.get_mut(name)?;
         view.polling = false;
-        view.base = Some(ClockBase { time_ms: inventory.time_ms, received_at: at });
         if !inventory.attempts.is_empty() {
             view.last_news = at;
         }
@@ -204,8 +203,11 @@
         if !full && view.incarnation != Some(inventory.incarnation) {
             view.seen_ms = 0;
             view.next_poll = at;
+            // The clock of the old incarnation says nothing any more.
+            view.base = None;
             return Some(InventoryKind::Restarted);
         }
+        view.base = Some(ClockBase { time_ms: inventory.time_ms, received_at: at });
         view.incarnation = Some(inventory.incarnation);
         // A change in the millisecond of the answer may have come after it, so that millisecond is read again.
         view.seen_ms = inventory.time_ms.saturating_sub(1);
--- a/src/ops/schedule/tick.rs
+++ b/src/ops/schedule/tick.rs
@@ -287,7 +287,9 @@
             if !due || live.ending.is_some() || task.row.cancel {
                 continue;
             }
-            let Some(base) = self.fleet.get(&live.worker).and_then(|view| view.base) else {
+            let view = self.fleet.get(&live.worker);
+            let Some((base, incarnation)) = view.and_then(|view| view.base.zip(view.incarnation))
+            else {
                 continue;
             };
             let req = StartRequest {
@@ -297,6 +299,7 @@
                 args: task.row.args.clone(),
                 resources: task.row.resources,
                 checkpoint: task.row.checkpoint.clone(),
+                incarnation,
                 lease_until_ms: 0,
             };
             if self.fleet.push(&live.worker, Call::Start(Box::new(req), base)) {
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -31,6 +31,9 @@
     pub resources: Resources,
     /// Name of the checkpoint object to resume from.
     pub checkpoint: Option<String>,
+    /// The incarnation whose clock states the lease. A worker of another incarnation answers that the lease has lapsed:
+    /// its clock has started anew, and a delayed start could otherwise be accepted long after its time.
+    pub incarnation: u64,
     /// The worker refuses the start if its clock has passed this time, and stops the attempt then unless renewed.
     pub lease_until_ms: WorkerTimeMs,
 }
--- a/tests/testsuite/requests/stops.rs
+++ b/tests/testsuite/requests/stops.rs
@@ -17,6 +17,15 @@
 /// Time after which the system's own rules stop new work at the latest in these tests, with health checks each 100 ms.
 const EXPECTED: Duration = Duration::from_millis(1_000);
 
+/// Ends the load when dropped, so that a failed assertion does not leave the callers running.
+struct EndOfLoad<'a>(&'a AtomicBool);
+
+impl Drop for EndOfLoad<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 /// Sends requests from `callers` threads until the flag is set and returns what each saw.
 fn load(entry: &EntryProcess, callers: usize, done: &AtomicBool, query: &str) -> Vec<Seen> {
     let seen = Mutex::new(Vec::new());
@@ -60,6 +69,7 @@
         entry.wait_for_slots(16);
         let done = AtomicBool::new(false);
         std::thread::scope(|scope| {
+            let end = EndOfLoad(&done);
             let callers = scope.spawn(|| load(&entry, 6, &done, "?sleep_ms=2"));
             wait_for("work at the target", || {
                 !starts_after(&site, "t1", Instant::now() - LEAVING_BOUND).is_empty()
@@ -71,7 +81,7 @@
             }
             let moment = Instant::now();
             wait_for("the time in which nothing may start", || moment.elapsed() > EXPECTED * 2);
-            done.store(true, Ordering::SeqCst);
+            drop(end);
             let seen = callers.join().unwrap();
             assert!(seen.iter().all(|seen| seen.outcome == "completed"), "{signal}");
             let last = starts_after(&site, "t1", moment).into_iter().max().unwrap_or_default();
@@ -91,6 +101,7 @@
     entry.wait_for_slots(8);
     let done = AtomicBool::new(false);
     std::thread::scope(|scope| {
+        let end = EndOfLoad(&done);
         let callers = scope.spawn(|| load(&entry, 8, &done, "?sleep_ms=150"));
         wait_for("requests in flight", || entry.dispatcher.in_flight() >= 8);
         let drained = drain(&entry.cx, &entry.dispatcher);
@@ -103,7 +114,7 @@
         assert_eq!(started, ended);
         assert_eq!(entry.call("GET", "/readyz", &[], b"").status, 503);
         assert_eq!(entry.call("GET", "/healthz", &[], b"").status, 200);
-        done.store(true, Ordering::SeqCst);
+        drop(end);
         let seen = callers.join().unwrap();
         let completed = seen.iter().filter(|seen| seen.outcome == "completed").count();
         assert_eq!(completed, site.ran().len());
--- a/tests/testsuite/schedule/promises.rs
+++ b/tests/testsuite/schedule/promises.rs
@@ -212,3 +212,35 @@
     assert_eq!(site.task(&id).unwrap()["state"], "cancelled");
     site.assert_promises();
 }
+
+/// Guards against a delayed start that a restarted worker accepts because its clock has started anew.
+#[test]
+fn a_restarted_worker_refuses_a_delayed_start() {
+    let (site, first, second) = pair(&[1]);
+    first.gate.hold(&["start"]);
+    let id = first.submit("count", &json!({"run_ms": 4000}));
+    wait_for("a start is held back", || (first.gate.waiting("start") > 0).then_some(()));
+    first.gate.hold(gate::ALL);
+    site.network.cut("p1");
+    site.workers.restart("a-0");
+    wait_for("the successor runs the task", || {
+        (!site.workers.running("a-0").is_empty()).then_some(())
+    });
+    first.gate.release();
+    site.wait_state(&id, "succeeded");
+    assert_eq!(site.starts(&id), 1, "{}", site.trace(&id));
+    site.assert_promises();
+    drop(second);
+}
+
+/// Guards against tasks of a restarted worker that are never tried again.
+#[test]
+fn tasks_lost_in_a_restart_of_their_worker_run_again() {
+    let (site, first, _second) = pair(&[1]);
+    let id = first.submit("count", &json!({"run_ms": 2500}));
+    site.wait_running(&["a-0"]);
+    site.workers.restart("a-0");
+    let row = site.wait_state(&id, "succeeded");
+    assert_eq!(row["attempt"], 2);
+    site.assert_promises();
+}
