Leave a domain at the pace of the object store, and return by a ramp

Cause: a domain that was taken out asked for all checkpoints at once, and a domain that came back took its whole load at once.

Change: the evacuation policy's order and pace decide which attempts are evicted next; placements follow its ramp after a return. An attempt whose start is still on its way is not ended before the start's result is known: it could otherwise have waited for ever, since neither a report nor a lapse would have ended it.

--- a/src/ops/schedule.rs
+++ b/src/ops/schedule.rs
@@ -12,6 +12,7 @@
 mod handover;
 mod hold_duty;
 mod interfere;
+mod leave;
 mod lists;
 mod place;
 mod preempt;
--- a/src/ops/schedule/attempt.rs
+++ b/src/ops/schedule/attempt.rs
@@ -74,6 +74,8 @@
     pub(super) checkpoint: Option<String>,
     /// Set once it has ended on the worker.
     pub(super) outcome: Option<Outcome>,
+    /// True if the checkpoint of the ending under way was written.
+    pub(super) saved: bool,
     /// Why and how it is being ended.
     pub(super) ending: Option<(Ending, String)>,
 }
@@ -91,6 +93,7 @@
             saved_at: now,
             checkpoint: None,
             outcome: None,
+            saved: false,
             ending: None,
         }
     }
@@ -139,7 +142,12 @@
 
     /// Begins to end it: first a checkpoint if `keep_progress`. Returns true if a checkpoint must be asked for.
     pub(super) fn begin_ending(&mut self, reason: &str, keep_progress: bool, now: Instant) -> bool {
-        if self.ending.is_some() || self.outcome.is_some() {
+        // A start on its way is waited for: until its result is known, neither a report nor a lapse would end it.
+        if self.ending.is_some() || self.outcome.is_some() || self.stage == Stage::Starting {
+            return false;
+        }
+        if !self.sent {
+            self.outcome = Some(Outcome::Interrupted(reason.to_owned()));
             return false;
         }
         let ending = if keep_progress {
@@ -166,6 +174,9 @@
         if !due {
             return EndingStep::Nothing;
         }
+        if let Ending::Checkpointing { had, .. } = ending {
+            self.saved = *had != self.checkpoint;
+        }
         *ending = Ending::Stopping { sent: Some(now) };
         EndingStep::SendStop
     }
--- a/src/ops/schedule/core.rs
+++ b/src/ops/schedule/core.rs
@@ -10,6 +10,7 @@
 use crate::config::Timing;
 use crate::platform::table::{CommitResult, ReadResponse, Revision, Row};
 use crate::platform::worker::AttemptRef;
+use crate::policy::evacuation::{Pace, Ramp};
 use crate::policy::interference::InterferenceModel;
 use crate::policy::interference::control::Controller;
 use crate::policy::queue::{Waiting, WaitingQueue};
@@ -63,6 +64,12 @@
     pub(super) out_of_use: BTreeSet<String>,
     pub(super) interference: InterferenceModel,
     pub(super) controller: Controller,
+    /// How many checkpoints the object store takes at a time, and those that count for it.
+    pub(super) pace: Pace,
+    pub(super) paced: BTreeSet<AttemptRef>,
+    /// True since the domain was last seen out of service.
+    pub(super) was_out: bool,
+    pub(super) ramp: Option<Ramp>,
     /// Catalogue revision at which the protected services were last read.
     pub(super) targets_at: Option<Revision>,
     /// Catalogue revision and capacity at which unplaceable tasks were last tried again.
@@ -92,6 +99,10 @@
             out_of_use: BTreeSet::new(),
             interference: InterferenceModel::default(),
             controller: Controller::default(),
+            pace: Pace::default(),
+            paced: BTreeSet::new(),
+            was_out: false,
+            ramp: None,
             targets_at: None,
             reconsidered_at: None,
             inflight: BTreeMap::new(),
--- a/src/ops/schedule/place.rs
+++ b/src/ops/schedule/place.rs
@@ -53,9 +53,10 @@
         reserved: &BTreeSet<String>,
         now: Instant,
     ) -> Selection {
+        let most = self.placement_allowance(MAX_PLACEMENTS, now);
         let Self { queue, pool, interference, quarantine, .. } = self;
         let mut placed: Vec<(String, AttemptRef, Commitment)> = Vec::new();
-        let selection = queue.select(limits, MAX_PLACEMENTS, |candidate| {
+        let selection = queue.select(limits, most, |candidate| {
             let worker = choose(pool, candidate, reserved, interference)?;
             let number = u32::try_from(placed.len()).unwrap_or(u32::MAX);
             let holder = AttemptRef { task: TaskId::new("placement"), attempt: number };
@@ -67,11 +68,12 @@
             placed.push((worker.clone(), holder, commitment));
             Ok(worker)
         });
+        self.count_placements(selection.started.len());
         for ((id, _), (worker, holder, commitment)) in selection.started.iter().zip(placed) {
-            pool.release(&worker, &holder);
+            self.pool.release(&worker, &holder);
             let Some(task) = self.tasks.get(id) else { continue };
             let commitment = Commitment { priority: task.row.priority, ..commitment };
-            pool.adopt(&worker, &task.attempt(), commitment);
+            self.pool.adopt(&worker, &task.attempt(), commitment);
         }
         selection
     }
--- a/src/ops/schedule/tick.rs
+++ b/src/ops/schedule/tick.rs
@@ -65,6 +65,9 @@
         self.stop_strays();
         let out = view.is_out(&self.domain);
         self.begin_endings(view, out);
+        if out {
+            self.leave(view.now);
+        }
         self.step_endings(view.now);
         let mut changes = self.ended_rows(view);
         changes.extend(self.forgotten_rows(view.now));
@@ -178,18 +181,14 @@
             let leaving = self.fleet.get(&live.worker).is_some_and(|worker| worker.leaving);
             let (reason, keep) = if task.row.cancel {
                 ("cancelled", false)
-            } else if out {
+            } else if out && !live.sent {
                 ("its failure domain is out of service", true)
             } else if leaving {
                 ("its worker is leaving", true)
             } else {
                 continue;
             };
-            if live.stage == Stage::Assigned && !live.sent {
-                // Nothing was sent, and the tick thread is the only one that sends.
-                live.outcome = Some(super::attempt::Outcome::Interrupted(reason.to_owned()));
-                self.pool.release(&live.worker, &attempt);
-            } else if live.begin_ending(reason, keep, view.now) {
+            if live.begin_ending(reason, keep, view.now) {
                 let req = CheckpointRequest { attempt };
                 self.fleet.push(&live.worker, Call::Checkpoint(req));
             }
