Look at every worker before a task is refused

Cause: placement examined at most 128 workers. Their order is fixed, so in a domain with more workers a task could wait for ever while the 129th had room.

Ruled out: a start that moves from call to call, which needs a state or a random number and still refuses at times.

Change: the bound is removed; the search still ends after 16 workers that keep their services within target.

Proof: with the bound of 128 the new test gets NearTarget; without it, the worker with room.

--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -20,9 +20,6 @@
 /// Largest predicted share of the target at which batch work is still added.
 const TAIL_LIMIT: f64 = 0.95;
 
-/// Workers that are examined at most, so that a domain without room costs a bounded time.
-const MAX_EXAMINED: usize = 128;
-
 /// Cost of using up the whole target.
 const TAIL_WEIGHT: f64 = 0.5;
 
@@ -184,7 +181,7 @@
     fn best<'p>(&mut self, admitted: &[(f64, &'p str, &Worker)]) -> Option<&'p str> {
         let mut best: Option<(f64, &str)> = None;
         let mut detailed = 0;
-        for (static_cost, name, worker) in admitted.iter().take(MAX_EXAMINED) {
+        for (static_cost, name, worker) in admitted {
             let effect = self.effect(worker);
             if self.task.class == Class::Batch && effect.tail > TAIL_LIMIT {
                 continue;
--- a/tests/testsuite/policy/placement.rs
+++ b/tests/testsuite/policy/placement.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use plantainlever::catalogue::Class;
+use plantainlever::platform::worker::Inventory;
 use plantainlever::policy::interference::InterferenceModel;
 use plantainlever::policy::placement::{Candidate, NoWorker, choose};
 use plantainlever::worker::{Pool, Resources};
@@ -111,6 +112,32 @@
     assert_eq!(indexed.collect::<BTreeMap<_, _>>(), racks);
 }
 
+/// Guards against a task that waits for ever in a large domain because only the first workers are looked at.
+#[test]
+fn worker_behind_many_that_are_near_their_target_is_found() {
+    let mut model = InterferenceModel::default();
+    model.set_target("booking", Some(Duration::from_millis(1)));
+    let report = Inventory {
+        time_ms: 1,
+        incarnation: 1,
+        capacity: Resources::default(),
+        attempts: Vec::new(),
+        service_p99_us: Some(100_000),
+        measured_at_ms: 1,
+    };
+    model.observe("w0", Some("booking"), &report);
+    let mut pool = pool(300, 10);
+    for number in 0..299 {
+        pool.set_service(&format!("w{number}"), Some("booking"));
+    }
+    let none = names(&[]);
+    // The name of the last worker is the last in order, and its cost is the same as that of all others.
+    pool.upsert("z", "r", "127.0.0.1:1", Resources::new(16_000, 65_536, 0));
+    pool.set_open("z", true);
+    pool.set_open("w299", false);
+    assert_eq!(choose(&pool, &candidate(1000, &none), &model), Ok("z"));
+}
+
 /// Guards against a placement that takes so long that 200 starts a second cannot be decided. The bound is that of the
 /// design page, also for an unoptimized build.
 #[test]
