List known red tests by name instead of marking them ignored

Cause: two tests of tiny_http's missing bounds were marked ignore, so nothing ran them and the list could drift from the code. Ruled out: leaving them out of the README's test command, which would then show a pass that the whole suite does not have. Conclusion: the list is the only place that passes a test over.

--- a/tests/testsuite/requests/front.rs
+++ b/tests/testsuite/requests/front.rs
@@ -96,7 +96,6 @@
 
 /// Guards against a caller that holds a connection and its thread by sending its header one byte at a time.
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt: tiny_http bounds no header"]
 fn a_header_that_comes_byte_by_byte_is_refused() {
     let site = Site::default();
     let entry = site.entry("p1", "a");
@@ -120,7 +119,6 @@
 
 /// Guards against an answer of the library itself that does not tell the caller its outcome.
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt: tiny_http answers malformed requests itself"]
 fn a_malformed_request_gets_an_outcome() {
     let site = Site::default();
     let entry = site.entry("p1", "a");
