Bound the attempts at risk on a worker, type two errors, and measure capacity

Ruled out: a lower number of placements per tick, which would slow all workers. Change: each placement counts as a start and closes a worker with five unproven attempts for the pass; the test of a failing worker now also bounds its failures at 5. NoPlace and NotWhole replace texts, and finding a place has its own file.

--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,225 @@
+//! What an entry process costs, from real processes at several sizes: processor time, memory and bytes of control traffic
+//! by number of workers, and throughput and added latency of the request path.
+//!
+//! Figures are wall-clock figures of one machine. docs/CAPACITY.md works out the slopes. Run it on an idle machine:
+//! the bytes are counted on the loopback interface.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use plantainlever::catalogue::{Class, Document, Entry, EntryLimits};
+use plantainlever::task::TaskState;
+use plantainlever::worker::Resources;
+use plantainlever_test_support::site::{Site, SiteBuilder};
+use plantainlever_test_support::wait;
+
+/// Workers of the only domain; the last is a domain of the coming size.
+const WORKERS: [usize; 3] = [10, 40, 81];
+
+/// Running tasks per worker at the coming size: 600 on 81.
+const TASKS_PER_81_WORKERS: usize = 600;
+
+/// Time after the last start until the short polls have ended.
+const SETTLE: Duration = Duration::from_secs(8);
+
+/// Time of one measurement.
+const INTERVAL: Duration = Duration::from_secs(15);
+
+/// Callers at the same time on the request path.
+const CALLERS: [usize; 3] = [1, 4, 16];
+
+/// Time of one load on the request path.
+const LOAD: Duration = Duration::from_secs(4);
+
+/// Requests a second that two cores must carry.
+const TWO_CORES: f64 = 5_000.0;
+
+/// Clock ticks a second of `/proc/PID/stat`; fixed by the kernel's interface to user space.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+fn main() {
+    control();
+    requests();
+}
+
+fn document(class: Class, per_task: Resources) -> Document {
+    Document::Entry(Entry {
+        owner: "bench".to_owned(),
+        class,
+        limits: EntryLimits { per_task, max_running: None, max_attempts: 5 },
+        priority: 0,
+        exclusive: None,
+        idempotent: None,
+        p99_target_ms: None,
+        domains: Vec::new(),
+    })
+}
+
+fn builder() -> SiteBuilder {
+    SiteBuilder::new(env!("CARGO_BIN_EXE_plantainlever"))
+        .document("echo", document(Class::LatencyCritical, Resources::default()))
+        .document("count", document(Class::Batch, Resources::new(1_000, 1_024, 0)))
+}
+
+/// Processor time of a process since its start, in seconds.
+fn cpu_seconds(pid: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).expect("the process runs");
+    let (_, fields) = stat.rsplit_once(')').expect("the name is in parentheses");
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks = |index: usize| fields[index].parse::<f64>().expect("a number of ticks");
+    (ticks(11) + ticks(12)) / TICKS_PER_SECOND
+}
+
+/// Resident memory of a process in MiB.
+fn resident_mb(pid: u32) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("the process runs");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("a memory line");
+    let kib = line.split_whitespace().nth(1).and_then(|kib| kib.parse::<f64>().ok());
+    kib.expect("a number of KiB") / 1024.0
+}
+
+/// Bytes received on the loopback interface, all headers included.
+fn loopback_bytes() -> u64 {
+    let table = std::fs::read_to_string("/proc/net/dev").expect("the interface table");
+    let line = table.lines().find_map(|line| line.trim().strip_prefix("lo:"));
+    let bytes = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    bytes.expect("the loopback interface")
+}
+
+fn control() {
+    println!("one domain with two entry processes, {INTERVAL:?} without submissions");
+    println!("workers tasks scheduler_cpu_% scheduler_mb other_cpu_% other_mb bytes/s");
+    for workers in WORKERS {
+        let site = builder()
+            .entries_per_domain(2)
+            .workers_per_domain(workers, Resources::new(32_000, 125_000, 2))
+            .start()
+            .expect("the site starts");
+        let tasks = TASKS_PER_81_WORKERS * workers / 81;
+        let scheduler = fill(&site, tasks);
+        std::thread::sleep(SETTLE);
+        let pids: Vec<u32> = site.entries().iter().map(|entry| entry.process.pid()).collect();
+        let cpu: Vec<f64> = pids.iter().map(|pid| cpu_seconds(*pid)).collect();
+        let (bytes, relayed) = (loopback_bytes(), relayed(&site));
+        let calls = site.workers("dc-a").expect("the only domain").counts();
+        let begun = Instant::now();
+        std::thread::sleep(INTERVAL);
+        let seconds = begun.elapsed().as_secs_f64();
+        let spent = |index: usize| (cpu_seconds(pids[index]) - cpu[index]) / seconds * 100.0;
+        // The links to the platform carry each byte a second time.
+        let bytes = (loopback_bytes() - bytes).saturating_sub(self::relayed(&site) - relayed);
+        let other = 1 - scheduler;
+        println!(
+            "{workers:7} {tasks:5} {:15.2} {:12.1} {:11.2} {:8.1} {:7.0}",
+            spent(scheduler),
+            resident_mb(pids[scheduler]),
+            spent(other),
+            resident_mb(pids[other]),
+            bytes as f64 / seconds,
+        );
+        let after = site.workers("dc-a").expect("the only domain").counts();
+        println!("        calls of workers in the interval: {calls:?} to {after:?}");
+    }
+}
+
+fn relayed(site: &Site) -> u64 {
+    site.entries().iter().map(|entry| entry.link_bytes()).sum()
+}
+
+/// Starts tasks that run for long, and returns the index of the entry process that schedules.
+fn fill(site: &Site, tasks: usize) -> usize {
+    let client = site.entries()[0].client();
+    let args = serde_json::json!({ "run_ms": 600_000 });
+    for _ in 0..tasks {
+        client.submit("count", &args).expect("the task is accepted");
+    }
+    wait::until("all tasks run", wait::BOUND, || {
+        let listed = client.tasks().map_err(|error| error.to_string())?;
+        let running = listed.iter().filter(|task| task.state == TaskState::Running).count();
+        if running == tasks { Ok(()) } else { Err(format!("{running} run")) }
+    });
+    let status = client.status().expect("the process answers");
+    let holder = status.domains[0].scheduler.clone().expect("the domain is scheduled");
+    let is_holder =
+        |entry: &plantainlever_test_support::site::SiteEntry| entry.process.process() == holder;
+    site.entries().iter().position(is_holder).expect("one of the two schedules")
+}
+
+fn requests() {
+    let site = builder().targets_per_domain("echo", 8).start().expect("the site starts");
+    let entry = &site.entries()[0];
+    let through = format!("http://{}/v1/services/echo/x", entry.process.address());
+    let target = site.targets().values().next().expect("a target");
+    let direct = format!("http://{}/x", target.address());
+    println!("request path, closed loop for {LOAD:?}, one entry process");
+    println!("callers way     requests/s   p50_us   p99_us requests/cpu_s");
+    for callers in CALLERS {
+        load(callers, &direct, None).print(callers, "direct");
+        let result = load(callers, &through, Some(entry.process.pid()));
+        result.print(callers, "entry");
+        let two_cores = result.requests as f64 / result.cpu * 2.0;
+        let verdict = if two_cores >= TWO_CORES { "met" } else { "MISSED" };
+        println!("        two cores: {two_cores:.0} requests/s, target {TWO_CORES:.0} {verdict}");
+    }
+}
+
+struct Load {
+    requests: u64,
+    seconds: f64,
+    latency: Histogram<u64>,
+    cpu: f64,
+}
+
+impl Load {
+    fn print(&self, callers: usize, way: &str) {
+        println!(
+            "{callers:7} {way:7} {:10.0} {:8} {:8} {:14.0}",
+            self.requests as f64 / self.seconds,
+            self.latency.value_at_quantile(0.5),
+            self.latency.value_at_quantile(0.99),
+            if self.cpu > 0.0 { self.requests as f64 / self.cpu } else { 0.0 },
+        );
+    }
+}
+
+/// Callers that keep their connections and send one request after the other.
+fn load(callers: usize, url: &str, pid: Option<u32>) -> Load {
+    let latency = Mutex::new(Histogram::<u64>::new(3).expect("three digits are allowed"));
+    let refused = Mutex::new(Vec::new());
+    let cpu = pid.map(cpu_seconds);
+    let begun = Instant::now();
+    std::thread::scope(|scope| {
+        for _ in 0..callers {
+            scope.spawn(|| {
+                let config = ureq::Agent::config_builder().http_status_as_error(false);
+                let agent: ureq::Agent = config.build().into();
+                let mut own = Histogram::<u64>::new(3).expect("three digits are allowed");
+                while begun.elapsed() < LOAD {
+                    let sent = Instant::now();
+                    let mut answer = agent.get(url).call().expect("the request is answered");
+                    let body = answer.body_mut().read_to_string().expect("the answer is whole");
+                    if answer.status().as_u16() != 200 {
+                        refused.lock().expect("no caller panicked").push(body);
+                        continue;
+                    }
+                    own.saturating_record(
+                        sent.elapsed().as_micros().try_into().unwrap_or(u64::MAX),
+                    );
+                }
+                latency.lock().expect("no caller panicked").add(own).expect("same range");
+            });
+        }
+    });
+    let latency = latency.into_inner().expect("no caller panicked");
+    let refused = refused.into_inner().expect("no caller panicked");
+    if let Some(first) = refused.first() {
+        println!("        {} requests were refused, the first with {first}", refused.len());
+    }
+    Load {
+        requests: latency.len(),
+        seconds: begun.elapsed().as_secs_f64(),
+        latency,
+        cpu: pid.map(cpu_seconds).zip(cpu).map_or(0.0, |(after, before)| after - before),
+    }
+}
--- a/crates/plantainlever-test-support/src/site.rs
+++ b/crates/plantainlever-test-support/src/site.rs
@@ -185,6 +185,12 @@
         self.links.iter().for_each(Link::heal);
     }
 
+    /// Bytes relayed between it and the platform so far.
+    #[must_use]
+    pub fn link_bytes(&self) -> u64 {
+        self.links.iter().map(Link::bytes).sum()
+    }
+
     /// An operator's client of the process.
     #[must_use]
     pub fn client(&self) -> Client {
--- a/src/ops/dispatch.rs
+++ b/src/ops/dispatch.rs
@@ -7,6 +7,7 @@
 mod exchange;
 pub mod executors;
 mod forward;
+mod place;
 mod repeats;
 mod slots;
 
@@ -20,11 +21,10 @@
 
 use super::Context;
 use super::membership::{Heartbeats, ShareCell};
-use crate::catalogue::{Class, Document};
+use crate::catalogue::Document;
 use crate::platform::target::{
     ExchangeBounds, TargetAnswer, TargetClient, TargetError, TargetRequest,
 };
-use crate::policy::admission::Refusal;
 use crate::request::Outcome;
 use crate::request::lifecycle::{Accepted, Facts, Queued};
 use crate::telemetry::Span;
@@ -32,11 +32,9 @@
 use exchange::ExchangePool;
 use executors::{ExecutorLimits, Slot, SlotEnd};
 use forward::ForwardLog;
+use place::Tried;
 use repeats::RepeatBudget;
-use slots::{NoSlot, Slots};
-
-/// Places that a request is offered to at most, repeats included.
-const MAX_PLACES: usize = 4;
+use slots::Slots;
 
 /// Longest wait for a connection to an executor.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -48,9 +46,6 @@
 /// must get nothing new within 5 s.
 const REPORT_PERIODS: u32 = 3;
 
-/// Periods of health checks that a request waits for a service whose targets are all unusable.
-const UNUSABLE_PERIODS: u32 = 2;
-
 /// Threads of one round of health checks.
 const HEALTH_THREADS: usize = 16;
 
@@ -279,7 +274,7 @@
         loop {
             let attempt = match self.place(req, span, forward, &mut tried) {
                 Ok(attempt) => attempt,
-                Err(cause) => return end(queued, cause),
+                Err(no_place) => return end(queued, no_place.to_string()),
             };
             let dispatched = queued.dispatch();
             queued = match attempt {
@@ -303,67 +298,6 @@
         }
     }
 
-    /// Finds a place and offers the request to it. Fails if there is no place left.
-    fn place(
-        self: &Arc<Self>,
-        req: &ServiceRequest,
-        span: &Span,
-        forward: bool,
-        tried: &mut Tried,
-    ) -> Result<Attempt, String> {
-        if tried.count >= MAX_PLACES || self.cx.clock.now() >= req.deadline {
-            return Err(tried.cause("the deadline has passed"));
-        }
-        tried.count += 1;
-        if let Some(slot) = self.slots.try_take(&req.service, &tried.executors) {
-            return Ok(self.send(req, span, &slot, tried));
-        }
-        if forward && let Some(attempt) = self.forward_near(req, span, tried) {
-            return Ok(attempt);
-        }
-        // Without a share the wait is for the peers, so another domain is faster.
-        if forward
-            && !self.slots.has_share()
-            && let Some(attempt) = self.forward_far(req, span, tried)
-        {
-            return Ok(attempt);
-        }
-        let refusal = match self.wait(req, span) {
-            Ok(slot) => return Ok(self.send(req, span, &slot, tried)),
-            Err(refusal) => refusal,
-        };
-        if forward && let Some(attempt) = self.forward_far(req, span, tried) {
-            return Ok(attempt);
-        }
-        if refusal == NoSlot::Refused(Refusal::NoTarget) && self.slots.serves(&req.service) {
-            let wait = self.cx.cfg.timing.health_poll() * UNUSABLE_PERIODS;
-            let until = req.deadline.min(self.cx.clock.now() + wait);
-            let class = self.class(&req.service);
-            if let Ok(slot) = self.slots.take_once_usable(&req.service, class, until) {
-                return Ok(self.send(req, span, &slot, tried));
-            }
-        }
-        Err(tried.cause(match refusal {
-            NoSlot::Expired => "no slot became free before the deadline",
-            NoSlot::Refused(_) if !self.slots.serves(&req.service) => "no target of the service",
-            NoSlot::Refused(_) => "no slot is expected to become free before the deadline",
-        }))
-    }
-
-    fn wait(&self, req: &ServiceRequest, span: &Span) -> Result<Slot, NoSlot> {
-        let queue_span = span.child("queue");
-        let slot = self.slots.take(&req.service, self.class(&req.service), req.deadline);
-        queue_span.close();
-        slot
-    }
-
-    fn class(&self, service: &str) -> Class {
-        match self.cx.catalogue.snapshot().document(service) {
-            Some(Document::Entry(entry)) => entry.class,
-            _ => Class::Batch,
-        }
-    }
-
     /// Sends a request on a slot and waits for the answer until the deadline.
     fn send(
         self: &Arc<Self>,
@@ -503,21 +437,6 @@
     }
 }
 
-/// Places that have had their chance.
-#[derive(Debug, Default)]
-struct Tried {
-    count: usize,
-    executors: Vec<String>,
-    peers: Vec<String>,
-    cause: String,
-}
-
-impl Tried {
-    fn cause(&self, otherwise: &str) -> String {
-        if self.cause.is_empty() { otherwise.to_owned() } else { self.cause.clone() }
-    }
-}
-
 fn end(queued: Queued, cause: String) -> Dispatched {
     match queued.give_up().outcome {
         Outcome::NotRun => Dispatched::NotRun { cause },
--- a/src/ops/schedule/place.rs
+++ b/src/ops/schedule/place.rs
@@ -15,7 +15,6 @@
 use crate::task::lifecycle::AnyTask;
 use crate::task::{TaskId, TaskState};
 use crate::telemetry::event::schedule as log;
-use crate::worker::quarantine::Standing;
 use crate::worker::{Commitment, Pool};
 
 /// Placements tried in one tick, which bounds the tick's time. At the tick's default period this is 2,000 a second.
@@ -59,10 +58,13 @@
         let selection = queue.select(limits, most, |candidate| {
             let worker = choose(pool, candidate, reserved, interference)?;
             let number = u32::try_from(placed.len()).unwrap_or(u32::MAX);
-            let holder = AttemptRef { task: TaskId::new("placement"), attempt: number };
+            let holder = AttemptRef { task: placeholder(number), attempt: number };
             let commitment = commitment_of(candidate);
             pool.commit(&worker, &holder, commitment.clone()).map_err(|_| NoWorker::Full)?;
-            if quarantine.standing(&worker, now) == Standing::Probation {
+            quarantine.record_start(&worker, &holder.task, now);
+            let running = pool.worker(&worker).map_or(0, |worker| worker.commitments().len());
+            // A worker takes only so many attempts before the first of them has proved it.
+            if !quarantine.may_start(&worker, running, now) {
                 pool.set_open(&worker, false);
             }
             placed.push((worker.clone(), holder, commitment));
@@ -71,6 +73,8 @@
         self.count_placements(selection.started.len());
         for ((id, _), (worker, holder, commitment)) in selection.started.iter().zip(placed) {
             self.pool.release(&worker, &holder);
+            self.quarantine.record_stop(&worker, &holder.task);
+            self.quarantine.record_start(&worker, id, now);
             let Some(task) = self.tasks.get(id) else { continue };
             let commitment = Commitment { priority: task.row.priority, ..commitment };
             self.pool.adopt(&worker, &task.attempt(), commitment);
@@ -196,6 +200,11 @@
     }
 }
 
+/// Stands for a task while a pass is under way.
+fn placeholder(number: u32) -> TaskId {
+    TaskId::new(format!("placement-{number}"))
+}
+
 /// The commitment of a candidate; its priority is set once the task is known.
 fn commitment_of(candidate: &Candidate<'_>) -> Commitment {
     Commitment {
--- a/src/ops/schedule/reports.rs
+++ b/src/ops/schedule/reports.rs
@@ -199,6 +199,7 @@
         let Some(live) = &mut task.live else { return };
         live.outcome.get_or_insert_with(|| Outcome::Interrupted(reason.to_owned()));
         let worker = live.worker.clone();
+        self.quarantine.record_stop(&worker, id);
         self.pool.release(&worker, &attempt);
     }
 }
@@ -215,6 +216,7 @@
     match outcome {
         Some(Outcome::Succeeded) => quarantine.record_success(worker, task, entry, at),
         Some(Outcome::Failed(_)) => quarantine.record_failure(worker, task, entry, at),
-        Some(Outcome::Interrupted(_)) | None => {}
+        Some(Outcome::Interrupted(_)) => quarantine.record_stop(worker, task),
+        None => {}
     }
 }
--- a/src/platform/target/http.rs
+++ b/src/platform/target/http.rs
@@ -165,7 +165,7 @@
         .build();
     let mut answer = agent.run(message).map_err(|error| failure(address, &error))?;
     let whole = read_whole(&req.method, &mut answer, max_answer_bytes)
-        .map_err(|cause| no_answer(address, cause))?;
+        .map_err(|cause| no_answer(address, cause.to_string()))?;
     if started.elapsed() > bounds.total {
         return Err(TargetError::Late { address: address.to_owned() });
     }
@@ -198,26 +198,48 @@
     message.body(req.body.clone())
 }
 
+/// Why an answer cannot be passed on.
+#[derive(Clone, Debug, thiserror::Error, PartialEq)]
+enum NotWhole {
+    /// Its end cannot be told from a broken connection.
+    #[error("the answer announces no length")]
+    NoLength,
+    /// The connection or the encoding broke, or the body is over the limit.
+    #[error("{cause}")]
+    Broken {
+        /// The library's message.
+        cause: String,
+    },
+    /// It has fewer bytes than announced.
+    #[error("the answer has {received} of {announced} bytes")]
+    Short {
+        /// Bytes received.
+        received: usize,
+        /// Bytes announced.
+        announced: usize,
+    },
+}
+
 /// Reads the body and compares its length with the one announced.
 fn read_whole(
     method: &str,
     answer: &mut http::Response<Body>,
     limit: usize,
-) -> Result<Vec<u8>, String> {
+) -> Result<Vec<u8>, NotWhole> {
     let announced = answer.headers().get("content-length").cloned();
     let chunked = answer.headers().contains_key("transfer-encoding");
     let has_no_body = method == "HEAD" || matches!(answer.status().as_u16(), 204 | 304);
     if announced.is_none() && !chunked && !has_no_body {
         // Such a body ends with the connection, so a truncated one looks whole.
-        return Err("the answer announces no length".to_owned());
+        return Err(NotWhole::NoLength);
     }
     let limit = u64::try_from(limit).unwrap_or(u64::MAX);
     let body = answer.body_mut().with_config().limit(limit).read_to_vec();
-    let body = body.map_err(|error| error.to_string())?;
+    let body = body.map_err(|error| NotWhole::Broken { cause: error.to_string() })?;
     let announced = announced.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
     match announced {
         Some(length) if length != body.len() && !has_no_body => {
-            Err(format!("the answer has {} of {length} bytes", body.len()))
+            Err(NotWhole::Short { received: body.len(), announced: length })
         }
         _ => Ok(body),
     }
--- a/tests/testsuite/schedule/duty.rs
+++ b/tests/testsuite/schedule/duty.rs
@@ -1,5 +1,7 @@
 //! The life of tasks on one scheduler.
 
+use plantainlever::local::history::Entry;
+use plantainlever::platform::table::{CommitResult, Write};
 use serde_json::json;
 
 use super::support::{Site, short_timing, wait_for};
@@ -107,9 +109,28 @@
     }
     let status = process.scheduler.as_ref().unwrap().status();
     assert_eq!(status.quarantined.keys().collect::<Vec<_>>(), ["a-0"]);
+    let failures = failed_attempts(&site);
+    assert!(failures <= 5, "{failures} attempts failed before the worker was out of use");
     site.assert_promises();
 }
 
+/// Failed attempts of all tasks, by their newest rows.
+fn failed_attempts(site: &Site) -> u64 {
+    let mut failures = std::collections::BTreeMap::new();
+    for (_, entry) in site.history.snapshot() {
+        let Entry::Transaction { transaction, result: CommitResult::Committed { .. } } = entry
+        else {
+            continue;
+        };
+        for write in transaction.writes {
+            if let Write::Put { key, value } = write {
+                failures.insert(key, value["failures"].as_u64().unwrap_or(0));
+            }
+        }
+    }
+    failures.values().sum()
+}
+
 /// Guards against a slow worker that delays the starts on others.
 #[test]
 fn a_slow_worker_does_not_delay_the_others() {
--- a/tests/testsuite/schedule/support.rs
+++ b/tests/testsuite/schedule/support.rs
@@ -1,7 +1,9 @@
 //! Entry processes without sockets: an in-memory table, stand-in workers, and peers that call each other directly.
 
+mod store;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
 use plantainlever::catalogue::copy::{CatalogueCopy, SharedCatalogue};
@@ -24,10 +26,7 @@
 use plantainlever::platform::group_commit::GroupCommit;
 use plantainlever::platform::http::HttpWorkers;
 use plantainlever::platform::objects::Objects;
-use plantainlever::platform::table::{
-    CommitResult, Condition, OperationQuery, OperationStatus, ReadRequest, ReadResponse, Row,
-    Table, Transaction, Write,
-};
+use plantainlever::platform::table::{ReadRequest, Table};
 use plantainlever::platform::vms::{Vm, VmList, VmListing, VmRole, VmState};
 use plantainlever::platform::worker::WorkerClient;
 use plantainlever::telemetry::Metrics;
@@ -37,6 +36,8 @@
 
 use super::gate::{Gate, GatedWorkers};
 
+pub use store::{Store, StoreFaults, StoreLink};
+
 /// Longest wait for any condition.
 pub const BOUND: Duration = Duration::from_secs(30);
 
@@ -52,168 +53,6 @@
     }
 }
 
-#[derive(Debug, Default)]
-struct Rows {
-    revision: u64,
-    rows: BTreeMap<String, Row>,
-    decided: BTreeMap<String, CommitResult>,
-    forbidden: BTreeSet<String>,
-}
-
-/// An in-memory table shared by all processes.
-#[derive(Debug, Default)]
-pub struct Store {
-    rows: Mutex<Rows>,
-    history: History,
-}
-
-impl Store {
-    fn lock(&self) -> std::sync::MutexGuard<'_, Rows> {
-        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    pub fn value(&self, key: &str) -> Option<Value> {
-        self.lock().rows.get(key).and_then(|row| row.value.clone())
-    }
-
-    pub fn put(&self, key: &str, value: Value) {
-        let txn = Transaction {
-            operation: format!("test/{:x}", rand::random::<u128>()),
-            conditions: Vec::new(),
-            writes: vec![Write::Put { key: key.to_owned(), value }],
-        };
-        self.commit(&txn);
-    }
-
-    pub fn read(&self, req: &ReadRequest) -> ReadResponse {
-        let rows = self.lock();
-        let wanted = |row: &&Row| {
-            let named = req.keys.contains(&row.key)
-                || req.prefixes.iter().any(|prefix| row.key.starts_with(prefix.as_str()));
-            named
-                && match req.changed_after {
-                    Some(after) => row.revision > after,
-                    None => row.value.is_some(),
-                }
-        };
-        let found = rows.rows.values().filter(wanted).cloned().collect();
-        ReadResponse { revision: rows.revision, rows: found }
-    }
-
-    pub fn commit(&self, txn: &Transaction) -> CommitResult {
-        let mut rows = self.lock();
-        if let Some(result) = rows.decided.get(&txn.operation) {
-            return result.clone();
-        }
-        let failed: Vec<String> = txn
-            .conditions
-            .iter()
-            .filter(|condition| !holds(&rows, condition))
-            .map(|condition| condition.key().to_owned())
-            .collect();
-        let refused = rows.forbidden.contains(&txn.operation);
-        let result = if refused || !failed.is_empty() {
-            CommitResult::Conflict { failed }
-        } else {
-            rows.revision += 1;
-            let revision = rows.revision;
-            for write in &txn.writes {
-                let (key, value) = match write {
-                    Write::Put { key, value } => (key.clone(), Some(value.clone())),
-                    Write::Delete { key } => (key.clone(), None),
-                };
-                rows.rows.insert(key.clone(), Row { key, revision, value });
-            }
-            CommitResult::Committed { revision }
-        };
-        rows.decided.insert(txn.operation.clone(), result.clone());
-        self.history
-            .record(HistoryEntry::Transaction { transaction: txn.clone(), result: result.clone() });
-        result
-    }
-}
-
-fn holds(rows: &Rows, condition: &Condition) -> bool {
-    let live = rows.rows.get(condition.key()).filter(|row| row.value.is_some());
-    match condition {
-        Condition::Absent { .. } => live.is_none(),
-        Condition::AtRevision { revision, .. } => live.is_some_and(|row| row.revision == *revision),
-        Condition::FieldEquals { field, number, .. } => {
-            let value = live.and_then(|row| row.value.as_ref());
-            value.and_then(|value| value[field].as_u64()) == Some(*number)
-        }
-    }
-}
-
-/// Faults between one process and the table.
-#[derive(Clone, Debug, Default)]
-pub struct StoreFaults {
-    pub down: bool,
-    /// Commits that take effect and get no answer.
-    pub lose_answers: bool,
-}
-
-/// The table as one process reaches it.
-#[derive(Debug)]
-pub struct StoreLink {
-    store: Arc<Store>,
-    faults: Mutex<StoreFaults>,
-    gate: Arc<Gate>,
-}
-
-impl StoreLink {
-    pub fn set_faults(&self, faults: StoreFaults) {
-        *self.faults.lock().unwrap() = faults;
-    }
-
-    fn check(&self) -> Result<StoreFaults, PlatformError> {
-        let faults = self.faults.lock().unwrap().clone();
-        if faults.down {
-            return Err(PlatformError::Unreachable {
-                service: "table",
-                address: "test".to_owned(),
-                cause: "down".to_owned(),
-            });
-        }
-        Ok(faults)
-    }
-}
-
-impl Table for StoreLink {
-    fn read(&self, req: &ReadRequest) -> Result<ReadResponse, PlatformError> {
-        self.gate.pass("read")?;
-        self.check()?;
-        Ok(self.store.read(req))
-    }
-
-    fn commit(&self, txn: &Transaction) -> Result<CommitResult, PlatformError> {
-        self.gate.pass("commit")?;
-        let faults = self.check()?;
-        let result = self.store.commit(txn);
-        if faults.lose_answers {
-            return Err(PlatformError::NoAnswer {
-                service: "table",
-                waited: Duration::ZERO,
-                cause: "the answer was lost".to_owned(),
-            });
-        }
-        Ok(result)
-    }
-
-    fn operation(&self, query: &OperationQuery) -> Result<OperationStatus, PlatformError> {
-        self.gate.pass("operation")?;
-        self.check()?;
-        let mut rows = self.store.lock();
-        if let Some(result) = rows.decided.get(&query.operation) {
-            return Ok(OperationStatus::Decided { result: result.clone() });
-        }
-        if query.forbid {
-            rows.forbidden.insert(query.operation.clone());
-        }
-        Ok(OperationStatus::Unknown)
-    }
-}
-
 /// Peers that call each other's scheduler; a cut pair gets no answer.
 #[derive(Debug, Default)]
 pub struct Network {
@@ -390,7 +229,7 @@
             service: None,
         };
         let vms = VmListing { vms: specs.iter().map(vm).collect() };
-        let store = Arc::new(Store { history: history.clone(), ..Store::default() });
+        let store = Arc::new(Store::new(history.clone()));
         let entry = |exclusive: bool| {
             json!({"kind": "entry", "owner": "tests", "class": "batch", "exclusive": exclusive,
                 "limits": {"per_task": {"cpu_millis": 1000, "memory_mb": 1024}, "max_attempts": 3}})
@@ -545,7 +384,7 @@
     /// True if a row assigns a task to the worker.
     pub fn is_assigned(&self, worker: &str) -> bool {
         let req = ReadRequest { prefixes: vec!["task/".to_owned()], ..ReadRequest::default() };
-        let rows = self.store.read(&req).rows;
+        let rows = self.store.read(&req);
         rows.iter().any(|row| row.value.as_ref().is_some_and(|value| value["worker"] == worker))
     }
 
