--- a/src/ops/dispatch.rs
+++ b/src/ops/dispatch.rs
@@ -206,6 +206,12 @@
         self.inner.slots.free_slots()
     }
 
+    /// Requests that wait for a slot of this process.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.inner.slots.waiting()
+    }
+
     /// Requests in progress, of callers and of peers.
     #[must_use]
     pub fn in_flight(&self) -> u64 {
--- a/src/ops/dispatch/slots.rs
+++ b/src/ops/dispatch/slots.rs
@@ -77,6 +77,11 @@
         self.lock().executors.serves(service)
     }
 
+    /// Requests that wait for a slot.
+    pub(super) fn waiting(&self) -> usize {
+        self.lock().waiters.len()
+    }
+
     pub(super) fn has_share(&self) -> bool {
         self.shares.current(self.clock.now()).is_some()
     }
--- a/src/ops/entry.rs
+++ b/src/ops/entry.rs
@@ -37,7 +37,7 @@
 use crate::telemetry::event::process as event;
 
 use handler::EntryHandler;
-use sources::SchedulerSource;
+use sources::{RequestSource, SchedulerSource};
 
 /// Why an entry process could not start.
 #[derive(Debug, Error)]
@@ -103,6 +103,7 @@
         let dispatcher = Dispatcher::start(cx.clone(), targets, Some(Arc::clone(&heartbeats)))?;
         let keys = Keys::start(cx.clone(), KeyLimits::default())?;
         let scheduler = Scheduler::start(&cx)?;
+        cx.status.register(Arc::new(RequestSource::new(dispatcher.clone())));
         cx.status.register(Arc::new(SchedulerSource::new(scheduler.clone())));
         let handler = EntryHandler {
             heartbeats: Arc::clone(&heartbeats),
--- a/src/ops/entry/sources.rs
+++ b/src/ops/entry/sources.rs
@@ -2,6 +2,7 @@
 
 use crate::catalogue::Class;
 use crate::ops::api::status::{QuarantinedWorker, QueueStatus, StatusSource, UnplaceableTask};
+use crate::ops::dispatch::Dispatcher;
 use crate::ops::schedule::Scheduler;
 
 /// Shows the queue and the workers of the domain scheduler, if this process is the one.
@@ -46,3 +47,28 @@
         tasks.map(|(id, reason)| UnplaceableTask { id, entry: String::new(), reason }).collect()
     }
 }
+
+/// Shows the requests of this process.
+#[derive(Debug)]
+pub(super) struct RequestSource {
+    dispatcher: Dispatcher,
+}
+
+impl RequestSource {
+    pub(super) fn new(dispatcher: Dispatcher) -> Self {
+        Self { dispatcher }
+    }
+}
+
+impl StatusSource for RequestSource {
+    fn queues(&self) -> Vec<QueueStatus> {
+        let waiting = self.dispatcher.waiting();
+        let in_progress = usize::try_from(self.dispatcher.in_flight()).unwrap_or(usize::MAX);
+        vec![QueueStatus {
+            name: "requests".to_owned(),
+            class: Class::LatencyCritical,
+            waiting,
+            running: in_progress.saturating_sub(waiting),
+        }]
+    }
+}
