Prove the rescue of a frozen domain, and break both targets in the budget test

Cause: no test froze all real processes of a domain past the hold; and in a fresh clone idempotent_requests_are_repeated_within_the_budget saw 0 repeats of 200: the budget is empty at the start, and routing then avoids the only broken target. Change: the test breaks both targets after 100 requests and keeps its bounds (1 to 20 repeats). dev waits for /readyz before its request. New process test of a rescue.

--- a/src/ops/dev/proof.rs
+++ b/src/ops/dev/proof.rs
@@ -151,6 +151,19 @@
         Ok(())
     }
 
+    /// Waits until the balancer would send requests here, so that the time shown is that of a request.
+    fn wait_ready(&self, agent: &Agent) -> Result<(), ProofError> {
+        let url = format!("http://{}/readyz", self.client.server());
+        let ready = self.repeat(|| {
+            let answer = agent.get(&url).call().map_err(|error| error.to_string())?;
+            if answer.status().is_success() { Ok(()) } else { Err(answer.status().to_string()) }
+        });
+        ready.map_err(|ended| match ended {
+            Ended::Stopped => ProofError::Stopped,
+            Ended::Failed(last) => ProofError::Request { last },
+        })
+    }
+
     fn send_request(&self) -> Result<Duration, ProofError> {
         let config = Agent::config_builder()
             .timeout_global(Some(REQUEST_TIMEOUT))
@@ -159,6 +172,7 @@
             .build();
         let agent: Agent = config.into();
         let url = format!("http://{}/v1/services/echo/hello", self.client.server());
+        self.wait_ready(&agent)?;
         let answered = self.repeat(|| {
             let sent_at = self.clock.now();
             let mut answer = agent.put(&url).send(BODY).map_err(|error| error.to_string())?;
--- a/tests/testsuite/promises/faults.rs
+++ b/tests/testsuite/promises/faults.rs
@@ -3,11 +3,14 @@
 use std::time::{Duration, Instant};
 
 use plantainlever::catalogue::Document;
+use plantainlever::domain::hold::row_key;
+use plantainlever::platform::table::{ReadRequest, Table};
 use plantainlever_test_support::caller::{CallerPlan, Callers, summary};
 use plantainlever_test_support::wait;
 
 use super::rig::{
-    BOOKING, BOUND, RECOMPUTE, addresses, assert_kept, builder, running, submit, wait_succeeded,
+    BOOKING, BOUND, RECOMPUTE, addresses, assert_kept, builder, running, submit, tasks,
+    wait_succeeded,
 };
 
 /// Bound on the time until a change is in force in every process.
@@ -100,3 +103,40 @@
     });
     assert_kept(&site, &[]);
 }
+
+/// Guards against tasks that are lost or run twice when all entry processes of a domain freeze past the hold, another
+/// domain takes the tasks over, and the frozen processes wake.
+#[test]
+fn a_frozen_domain_is_rescued_and_wakes_without_a_double_run() {
+    let site = builder(&["north", "coast"]).start().unwrap();
+    let rescuer = site.entries_of("north").next().unwrap().client();
+    let ids = submit(&site.entries_of("coast").next().unwrap().client(), 6, 12_000);
+    wait::until_true("tasks run", BOUND, || running(&rescuer, &ids) == 6, String::new);
+    // The hold's lists must name a process of the other domain, or the rescue takes the force time.
+    wait::until("the hold names a rescuer", BOUND, || {
+        let req = ReadRequest { keys: vec![row_key("coast")], ..ReadRequest::default() };
+        let rows = site.table().read(&req).map_err(|error| error.to_string())?;
+        let value = rows.row(&row_key("coast")).and_then(|row| row.value.clone());
+        match value.as_ref().and_then(|value| value["rescuers"].as_array()) {
+            Some(rescuers) if !rescuers.is_empty() => Ok(()),
+            _ => Err(format!("{value:?}")),
+        }
+    });
+    for entry in site.entries_of("coast") {
+        entry.process.pause().unwrap();
+    }
+    wait::until("the tasks run in the other domain", BOUND, || {
+        let tasks = tasks(&rescuer, &ids)?;
+        let moved = tasks.iter().filter(|task| task.domain == "north" && task.worker.is_some());
+        match moved.count() {
+            6 => Ok(()),
+            count => Err(format!("{count} of 6: {tasks:?}")),
+        }
+    });
+    for entry in site.entries_of("coast") {
+        entry.process.resume().unwrap();
+    }
+    let done = wait_succeeded(&rescuer, &ids);
+    assert!(done.iter().all(|task| task.attempt == 2), "each resumes once: {done:?}");
+    assert_kept(&site, &[]);
+}
--- a/tests/testsuite/requests/answers.rs
+++ b/tests/testsuite/requests/answers.rs
@@ -239,12 +239,16 @@
 #[test]
 fn idempotent_requests_are_repeated_within_the_budget() {
     let site = Site::default();
-    let broken = site.target("t1", "a");
-    let _whole = site.target("t2", "a");
+    let first = site.target("t1", "a");
+    let second = site.target("t2", "a");
     let entry = site.entry("p1", "a");
     entry.wait_for_slots(16);
-    broken.set_fault(TargetFault::CloseAfter);
-    for _ in 0..200 {
+    for number in 0..200 {
+        // The budget is empty at the start. Both targets break, because routing avoids a single broken one.
+        if number == 100 {
+            first.set_fault(TargetFault::CloseAfter);
+            second.set_fault(TargetFault::CloseAfter);
+        }
         entry.call("GET", "/v1/services/echo/x", &[], b"");
     }
     let counts = entry.dispatcher.counts();
