Check the targets' health at once when a share of slots arrives

Ruled out: using gained slots without a report, which the limits forbid; the VM list, whose change already ends the wait. Change: the wait between two rounds of health checks also ends when the process gets or loses its share. Conclusion: a new entry process serves as soon as its peers have counted it.

--- a/src/ops/dispatch.rs
+++ b/src/ops/dispatch.rs
@@ -434,9 +434,12 @@
         const STEP: Duration = Duration::from_millis(50);
         let started = self.cx.clock.now();
         let listing = self.cx.vm_listing.snapshot();
+        // Slots are used once a report has come after they were gained, so a new share asks for reports at once.
+        let had_share = self.slots.has_share();
         while self.cx.clock.now().saturating_duration_since(started) < period
             && !self.cx.stop.is_stopped()
             && Arc::ptr_eq(&listing, &self.cx.vm_listing.snapshot())
+            && self.slots.has_share() == had_share
         {
             self.cx.clock.sleep(STEP.min(period));
         }
