Wait on conditions in the process tests of the promises

Cause: four fixed sleeps stood in these tests, one of them in place of a condition: that the hold's lists name the other processes. On a slow machine that sleep ends too early. Ruled out: longer sleeps. The sleeps left under tests are the poll periods of the wait functions, the arrival times of two loads, and a handler that is slow on purpose. Change: the tests wait for the lists; a freeze lasts until a successor schedules. The store outage now also requires during its 20 s that no attempt is interrupted, and the 5 s after a target leaves that every finished request is completed. Conclusion: stricter checks, no fixed wait in place of a condition.

--- a/tests/testsuite/promises/faults.rs
+++ b/tests/testsuite/promises/faults.rs
@@ -3,14 +3,14 @@
 use std::time::{Duration, Instant};
 
 use plantainlever::catalogue::Document;
-use plantainlever::domain::hold::row_key;
-use plantainlever::platform::table::{ReadRequest, Table};
+use plantainlever::local::Entry;
+use plantainlever::platform::worker::AttemptState;
 use plantainlever_test_support::caller::{CallerPlan, Callers, summary};
 use plantainlever_test_support::wait;
 
 use super::rig::{
     BOOKING, BOUND, RECOMPUTE, addresses, assert_kept, builder, running, submit, tasks,
-    wait_succeeded,
+    wait_listed, wait_succeeded,
 };
 
 /// Bound on the time until a change is in force in every process.
@@ -19,6 +19,10 @@
 /// Longer than a task lease, so that running tasks need renewals while the store is down.
 const OUTAGE: Duration = Duration::from_secs(20);
 
+fn is_interruption(entry: &Entry) -> bool {
+    matches!(entry, Entry::AttemptEnded { state, .. } if *state != AttemptState::Succeeded)
+}
+
 /// Guards against requests or running tasks that stop with the store.
 #[test]
 fn work_goes_on_while_the_store_is_down() {
@@ -27,11 +31,15 @@
     let ids = submit(&client, 6, 30_000);
     wait::until_true("tasks run", BOUND, || running(&client, &ids) == 6, String::new);
     let callers = Callers::start(&CallerPlan::posting_to(BOOKING), &addresses(&site));
-    // The lists of the hold must name the other processes before promises can confirm it.
-    std::thread::sleep(Duration::from_secs(3));
+    // Promises can confirm a hold only once its lists name the other processes.
+    wait_listed(&site, "north");
+    wait_listed(&site, "coast");
     site.table_faults().set_down(true);
     let before = callers.completed();
-    std::thread::sleep(OUTAGE);
+    wait::holds_for("no attempt is interrupted", OUTAGE, || {
+        let history = site.history().snapshot();
+        !history.iter().any(|(_, entry)| is_interruption(entry))
+    });
     let during = callers.completed() - before;
     site.table_faults().set_down(false);
     let tasks = wait_succeeded(&client, &ids);
@@ -112,16 +120,8 @@
     let rescuer = site.entries_of("north").next().unwrap().client();
     let ids = submit(&site.entries_of("coast").next().unwrap().client(), 6, 12_000);
     wait::until_true("tasks run", BOUND, || running(&rescuer, &ids) == 6, String::new);
-    // The hold's lists must name a process of the other domain, or the rescue takes the force time.
-    wait::until("the hold names a rescuer", BOUND, || {
-        let req = ReadRequest { keys: vec![row_key("coast")], ..ReadRequest::default() };
-        let rows = site.table().read(&req).map_err(|error| error.to_string())?;
-        let value = rows.row(&row_key("coast")).and_then(|row| row.value.clone());
-        match value.as_ref().and_then(|value| value["rescuers"].as_array()) {
-            Some(rescuers) if !rescuers.is_empty() => Ok(()),
-            _ => Err(format!("{value:?}")),
-        }
-    });
+    // Without a named rescuer the rescue takes the force time.
+    wait_listed(&site, "coast");
     for entry in site.entries_of("coast") {
         entry.process.pause().unwrap();
     }
--- a/tests/testsuite/promises/rig.rs
+++ b/tests/testsuite/promises/rig.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use plantainlever::catalogue::{Class, Document, Entry, EntryLimits};
+use plantainlever::domain::hold::row_key;
 use plantainlever::ops::client::Client;
 use plantainlever::ops::client::message::TaskView;
+use plantainlever::platform::table::{ReadRequest, Table};
 use plantainlever::task::TaskState;
 use plantainlever::worker::Resources;
 use plantainlever_test_support::caller::Record;
@@ -80,6 +82,18 @@
     ids.iter().map(seen).collect()
 }
 
+/// Waits until the hold of a domain names a successor and a rescuer.
+pub fn wait_listed(site: &Site, domain: &str) {
+    let req = ReadRequest { keys: vec![row_key(domain)], ..ReadRequest::default() };
+    wait::until("the hold names the other processes", BOUND, || {
+        let rows = site.table().read(&req).map_err(|error| error.to_string())?;
+        let value = rows.row(&row_key(domain)).and_then(|row| row.value.clone());
+        let value = value.unwrap_or_default();
+        let names = |list: &str| value[list].as_array().is_some_and(|names| !names.is_empty());
+        if names("successors") && names("rescuers") { Ok(()) } else { Err(value.to_string()) }
+    });
+}
+
 /// Number of these tasks that run.
 pub fn running(client: &Client, ids: &[String]) -> usize {
     let tasks = tasks(client, ids).unwrap_or_default();
--- a/tests/testsuite/promises/stops.rs
+++ b/tests/testsuite/promises/stops.rs
@@ -10,6 +10,9 @@
     BOOKING, BOUND, addresses, assert_kept, builder, running, submit, wait_succeeded,
 };
 
+/// Time after which a leaving target must get nothing new.
+const ALLOWED: Duration = Duration::from_secs(5);
+
 fn plan() -> CallerPlan {
     CallerPlan { path: "/?sleep_ms=50".to_owned(), ..CallerPlan::posting_to(BOOKING) }
 }
@@ -52,7 +55,10 @@
     site.vms().set_state(VmRole::Target, &name, VmState::Leaving);
     site.targets()[&name].set_leaving(true);
     let left = std::time::Instant::now();
-    std::thread::sleep(Duration::from_secs(5));
+    wait::holds_for("every request is completed", ALLOWED, || {
+        let finished = callers.finished();
+        callers.completed() >= finished
+    });
     let refused = site.targets()[&name].refused();
     let before = callers.completed();
     wait::until_true("requests go on", BOUND, || callers.completed() > before + 50, String::new);
--- a/tests/testsuite/promises/together.rs
+++ b/tests/testsuite/promises/together.rs
@@ -1,7 +1,5 @@
 //! Requests and tasks beside each other while a domain leaves and returns and entry processes die and freeze.
 
-use std::time::Duration;
-
 use plantainlever::domain::DomainState;
 use plantainlever_test_support::caller::{CallerPlan, Callers, summary};
 use plantainlever_test_support::wait;
@@ -11,9 +9,6 @@
     tasks, wait_succeeded,
 };
 
-/// Longer than a scheduler lease, so that a successor takes over.
-const FREEZE: Duration = Duration::from_secs(5);
-
 /// Guards against lost, doubled or misplaced work and requests under all of these faults in one run.
 #[test]
 fn a_domain_leaves_and_returns_while_processes_die_and_freeze() {
@@ -45,7 +40,6 @@
     let is_frozen =
         |entry: &&plantainlever_test_support::site::SiteEntry| entry.process.pid() == frozen;
     site.entries().iter().find(is_frozen).unwrap().process.pause().unwrap();
-    std::thread::sleep(FREEZE);
     wait::until_true(
         "a successor schedules coast",
         BOUND,
