--- a/src/bin/plantainlever/cli.rs
+++ b/src/bin/plantainlever/cli.rs
@@ -2,7 +2,7 @@
 
 use bpaf::{OptionParser, Parser, construct, long, short};
 
-use crate::commands::{catalogue, check, dev, domain, entry, status, task};
+use crate::commands::{catalogue, check, dev, domain, entry, node, status, task};
 use crate::shell::{Shell, Verbosity};
 
 /// Where a process listens unless told otherwise.
@@ -13,6 +13,8 @@
 pub enum Command {
     /// `entry`.
     Entry(entry::Entry),
+    /// `node`.
+    Node(node::Node),
     /// `dev`.
     Dev(dev::Dev),
     /// `check`.
@@ -32,6 +34,7 @@
     pub fn exec(self) -> eyre::Result<()> {
         match self {
             Self::Entry(command) => command.exec(),
+            Self::Node(command) => command.exec(),
             Self::Dev(command) => command.exec(),
             Self::Check(command) => command.exec(),
             Self::Catalogue(command) => command.exec(),
@@ -45,13 +48,14 @@
 /// The parser of the whole command line.
 pub fn options() -> OptionParser<Command> {
     let entry = entry::options().command("entry").map(Command::Entry);
+    let node = node::options().command("node").map(Command::Node);
     let dev = dev::options().command("dev").map(Command::Dev);
     let check = check::options().command("check").map(Command::Check);
     let catalogue = catalogue::options().command("catalogue").map(Command::Catalogue);
     let domain = domain::options().command("domain").map(Command::Domain);
     let task = task::options().command("task").map(Command::Task);
     let status = status::options().command("status").map(Command::Status);
-    construct!([entry, check, dev, catalogue, domain, task, status])
+    construct!([entry, node, check, dev, catalogue, domain, task, status])
         .to_options()
         .descr("Schedules latency-critical services and batch work on the same VMs")
         .footer("Example: plantainlever dev --once")
--- a/src/bin/plantainlever/commands.rs
+++ b/src/bin/plantainlever/commands.rs
@@ -5,5 +5,6 @@
 pub mod dev;
 pub mod domain;
 pub mod entry;
+pub mod node;
 pub mod status;
 pub mod task;
--- /dev/null
+++ b/src/bin/plantainlever/commands/node.rs
@@ -0,0 +1,45 @@
+//! `node`: runs an entry process on the users' platform.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use bpaf::{OptionParser, Parser, construct, long};
+use eyre::WrapErr;
+use plantainlever::adapter::{process, settings};
+use plantainlever::clock::SystemClock;
+use plantainlever::telemetry::lines;
+
+/// Options of `node`.
+#[derive(Debug)]
+pub struct Node {
+    settings: Option<PathBuf>,
+    level: log::LevelFilter,
+}
+
+/// The parser.
+pub fn options() -> OptionParser<Node> {
+    let settings = long("settings")
+        .help("The platform's settings file; by default the one that PLANTAINLEVER_NODE_FILE names")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let level = long("log")
+        .help("Least important lines that are logged: error, warn, info, debug")
+        .argument::<log::LevelFilter>("LEVEL")
+        .fallback(log::LevelFilter::Info)
+        .display_fallback();
+    construct!(Node { settings, level })
+        .to_options()
+        .descr("Run an entry process on the platform until SIGTERM or SIGINT, then stop gracefully")
+        .footer("Example: plantainlever node --settings node.json")
+}
+
+impl Node {
+    /// Runs the command.
+    pub fn exec(self) -> eyre::Result<()> {
+        let log = lines::start(self.level).wrap_err("logging cannot be started")?;
+        let path = self.settings.unwrap_or_else(settings::path);
+        let ended = process::run(&path, Arc::new(SystemClock));
+        log.close();
+        Ok(ended?)
+    }
+}
--- a/src/bin/plantainlever/main.rs
+++ b/src/bin/plantainlever/main.rs
@@ -33,8 +33,13 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             shell::print_error(&report);
-            let is_settings = report.downcast_ref::<plantainlever::config::SettingsError>();
-            ExitCode::from(if is_settings.is_some() { USAGE } else { FAILED })
+            ExitCode::from(if is_settings_error(&report) { USAGE } else { FAILED })
         }
     }
 }
+
+fn is_settings_error(report: &eyre::Report) -> bool {
+    use plantainlever::adapter::process::ProcessError;
+    let is_of_platform = matches!(report.downcast_ref(), Some(ProcessError::Settings(_)));
+    is_of_platform || report.downcast_ref::<plantainlever::config::SettingsError>().is_some()
+}
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -14,6 +14,10 @@
     /// Monotonic time. It goes on while the process is stopped by a signal.
     fn now(&self) -> Instant;
 
+    /// Time since an arbitrary origin that also counts while the VM is suspended. Leases and permissions use it, because
+    /// `now` stands still in a suspension while the other side's time goes on.
+    fn boot(&self) -> Duration;
+
     /// Milliseconds since the Unix epoch, for display only.
     fn unix_ms(&self) -> u64;
 
@@ -30,6 +34,14 @@
         Instant::now()
     }
 
+    fn boot(&self) -> Duration {
+        match nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME) {
+            Ok(time) => time.into(),
+            // Linux has this clock since 2.6.39. Without it no lease can be kept safely.
+            Err(e) => unreachable!("CLOCK_BOOTTIME cannot be read: {e}"),
+        }
+    }
+
     fn unix_ms(&self) -> u64 {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
@@ -82,6 +94,10 @@
         self.origin + self.elapsed()
     }
 
+    fn boot(&self) -> Duration {
+        self.elapsed()
+    }
+
     fn unix_ms(&self) -> u64 {
         self.elapsed_us.load(Ordering::SeqCst) / 1000
     }
--- /dev/null
+++ b/src/job/progress.rs
@@ -0,0 +1,283 @@
+//! How far a job has come.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::{JobSpec, TaskKey};
+
+/// State of a job as callers see it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum JobState {
+    /// No task has started.
+    #[default]
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks have succeeded.
+    Completed,
+    /// A task has failed as often as its queue allows.
+    Failed,
+    /// A caller has cancelled the job.
+    Cancelled,
+}
+
+impl JobState {
+    /// True if nothing of the job may start any more.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// What is known of a task that may still have to run.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TaskProgress {
+    /// The task has succeeded. Never reset.
+    pub is_done: bool,
+    /// Runs that ended as failed. Never decreases.
+    pub failures: u32,
+    /// Newest checkpoint; empty for none.
+    pub checkpoint: String,
+    /// Highest run number used. Never decreases.
+    pub last_run: u32,
+}
+
+/// Progress of one occurrence.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Occurrence {
+    /// Tasks by step.
+    pub steps: Vec<Vec<TaskProgress>>,
+    /// Tasks by step that have not succeeded; kept in agreement with `steps`.
+    left: Vec<u32>,
+}
+
+impl Occurrence {
+    fn new(spec: &JobSpec) -> Self {
+        let tasks = |count: u32| vec![TaskProgress::default(); count as usize];
+        Self {
+            steps: spec.steps.iter().map(|step| tasks(step.count)).collect(),
+            left: spec.steps.iter().map(|step| step.count).collect(),
+        }
+    }
+
+    /// True if all tasks of a step have succeeded.
+    #[must_use]
+    pub fn is_step_done(&self, step: u16) -> bool {
+        self.left.get(usize::from(step)).is_some_and(|left| *left == 0)
+    }
+
+    /// True if all tasks have succeeded.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.left.iter().all(|left| *left == 0)
+    }
+}
+
+/// Progress of a job.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Progress {
+    /// State shown to callers.
+    pub state: JobState,
+    /// Occurrences that have begun and not all succeeded, by number.
+    pub occurrences: BTreeMap<u32, Occurrence>,
+    /// Occurrences below this number are in `occurrences` or have succeeded.
+    pub next_occurrence: u32,
+}
+
+/// A stored progress that does not belong to its job.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub enum ProgressError {
+    /// Not the format of this program.
+    #[error("the row cannot be decoded: {cause}")]
+    Malformed {
+        /// The codec's message.
+        cause: String,
+    },
+    /// Other steps or tasks than the job's.
+    #[error("the row has other steps than the job")]
+    OtherShape,
+}
+
+/// Form of a stored occurrence: one character per task, `d` for done, else the number of failures (`z` from 35 on).
+#[derive(Debug, Deserialize, Serialize)]
+struct StoredOccurrence {
+    #[serde(rename = "t")]
+    tasks: Vec<String>,
+    /// Checkpoints as (step, index, text).
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    checkpoints: Vec<(u16, u16, String)>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct StoredProgress {
+    #[serde(rename = "s")]
+    state: JobState,
+    #[serde(rename = "n", default)]
+    next_occurrence: u32,
+    #[serde(rename = "o", default)]
+    occurrences: BTreeMap<u32, StoredOccurrence>,
+}
+
+/// Highest failure count that a stored row can tell apart.
+const MAX_STORED_FAILURES: u32 = 35;
+
+impl Progress {
+    /// Progress of a job that has just been accepted.
+    #[must_use]
+    pub fn new() -> Self {
+        Self { state: JobState::Queued, occurrences: BTreeMap::new(), next_occurrence: 0 }
+    }
+
+    /// Adds the next occurrence.
+    pub fn begin_occurrence(&mut self, spec: &JobSpec) -> u32 {
+        let number = self.next_occurrence;
+        self.occurrences.insert(number, Occurrence::new(spec));
+        self.next_occurrence += 1;
+        number
+    }
+
+    /// A task that may still have to run.
+    #[must_use]
+    pub fn task(&self, key: &TaskKey) -> Option<&TaskProgress> {
+        let occurrence = self.occurrences.get(&key.step.occurrence)?;
+        occurrence.steps.get(usize::from(key.step.step))?.get(usize::from(key.index))
+    }
+
+    /// The same, to change it.
+    pub fn task_mut(&mut self, key: &TaskKey) -> Option<&mut TaskProgress> {
+        let occurrence = self.occurrences.get_mut(&key.step.occurrence)?;
+        occurrence.steps.get_mut(usize::from(key.step.step))?.get_mut(usize::from(key.index))
+    }
+
+    /// Notes that a task has succeeded. Returns true if it had not before.
+    pub fn set_done(&mut self, key: &TaskKey) -> bool {
+        let Some(occurrence) = self.occurrences.get_mut(&key.step.occurrence) else { return false };
+        let step = usize::from(key.step.step);
+        let Some(task) =
+            occurrence.steps.get_mut(step).and_then(|s| s.get_mut(usize::from(key.index)))
+        else {
+            return false;
+        };
+        if task.is_done {
+            return false;
+        }
+        task.is_done = true;
+        task.checkpoint.clear();
+        occurrence.left[step] -= 1;
+        true
+    }
+
+    /// True if all occurrences have succeeded.
+    #[must_use]
+    pub fn is_done(&self, spec: &JobSpec) -> bool {
+        self.next_occurrence >= spec.occurrences() && self.occurrences.is_empty()
+    }
+
+    /// Forgets an occurrence whose tasks have all succeeded.
+    pub fn drop_done(&mut self, number: u32) -> bool {
+        let is_done = self.occurrences.get(&number).is_some_and(Occurrence::is_done);
+        if is_done {
+            self.occurrences.remove(&number);
+        }
+        is_done
+    }
+
+    /// The stored form.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let occurrences = if self.state.is_final() {
+            BTreeMap::new()
+        } else {
+            self.occurrences.iter().map(|(number, o)| (*number, encode_occurrence(o))).collect()
+        };
+        let stored = StoredProgress {
+            state: self.state,
+            next_occurrence: self.next_occurrence,
+            occurrences,
+        };
+        serde_json::to_vec(&stored).unwrap_or_default()
+    }
+
+    /// Reads the stored form.
+    ///
+    /// # Errors
+    ///
+    /// [`ProgressError`] if the row is not of this job.
+    pub fn decode(spec: &JobSpec, row: &[u8]) -> Result<Self, ProgressError> {
+        let stored = decode_row(row)?;
+        let mut occurrences = BTreeMap::new();
+        for (number, o) in stored.occurrences {
+            occurrences.insert(number, decode_occurrence(spec, &o)?);
+        }
+        Ok(Self { state: stored.state, occurrences, next_occurrence: stored.next_occurrence })
+    }
+
+    /// Reads only the state of the stored form.
+    ///
+    /// # Errors
+    ///
+    /// [`ProgressError::Malformed`] if the row is not in this program's format.
+    pub fn decode_state(row: &[u8]) -> Result<JobState, ProgressError> {
+        decode_row(row).map(|stored| stored.state)
+    }
+}
+
+impl Default for Progress {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn decode_row(row: &[u8]) -> Result<StoredProgress, ProgressError> {
+    serde_json::from_slice(row).map_err(|e| ProgressError::Malformed { cause: e.to_string() })
+}
+
+fn encode_occurrence(occurrence: &Occurrence) -> StoredOccurrence {
+    let mut checkpoints = Vec::new();
+    let mut tasks = Vec::new();
+    for (step, list) in occurrence.steps.iter().enumerate() {
+        tasks.push(list.iter().map(encode_task).collect());
+        for (index, task) in list.iter().enumerate().filter(|(_, task)| !task.checkpoint.is_empty()) {
+            checkpoints.push((step as u16, index as u16, task.checkpoint.clone()));
+        }
+    }
+    StoredOccurrence { tasks, checkpoints }
+}
+
+fn encode_task(task: &TaskProgress) -> char {
+    if task.is_done {
+        return 'd';
+    }
+    // 'd' means done, so failure counts are written in upper case.
+    let digit = char::from_digit(task.failures.min(MAX_STORED_FAILURES), 36).unwrap_or('Z');
+    digit.to_ascii_uppercase()
+}
+
+fn decode_occurrence(
+    spec: &JobSpec,
+    stored: &StoredOccurrence,
+) -> Result<Occurrence, ProgressError> {
+    let mut occurrence = Occurrence::new(spec);
+    if stored.tasks.len() != occurrence.steps.len() {
+        return Err(ProgressError::OtherShape);
+    }
+    for (step, text) in stored.tasks.iter().enumerate() {
+        if text.chars().count() != occurrence.steps[step].len() {
+            return Err(ProgressError::OtherShape);
+        }
+        for (task, c) in occurrence.steps[step].iter_mut().zip(text.chars()) {
+            task.is_done = c == 'd';
+            task.failures = if task.is_done { 0 } else { c.to_digit(36).unwrap_or(0) };
+        }
+        let left = occurrence.steps[step].iter().filter(|task| !task.is_done).count();
+        occurrence.left[step] = left as u32;
+    }
+    for (step, index, text) in &stored.checkpoints {
+        let task = occurrence.steps.get_mut(usize::from(*step)).and_then(|s| s.get_mut(usize::from(*index)));
+        task.ok_or(ProgressError::OtherShape)?.checkpoint.clone_from(text);
+    }
+    Ok(occurrence)
+}
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -6,6 +6,7 @@
 pub mod drain;
 pub mod entry;
 pub mod front;
+pub mod jobs;
 pub mod keys;
 pub mod membership;
 pub mod schedule;
--- /dev/null
+++ b/src/ops/jobs.rs
@@ -0,0 +1,23 @@
+//! Jobs: accepting them, and scheduling the shards that this process owns.
+//!
+//! All duties of a process run on one event loop ([`crate::net`] says why). Any process accepts a job by writing its row;
+//! the owner of the job's shard finds it in the table's changes, so no message between processes is needed. The rows:
+//!
+//! | table | partition | key | content | writer |
+//! | --- | --- | --- | --- | --- |
+//! | `layout` | none | `shards` | number of shards | the first process, once |
+//! | `owners` | `sK` | `owner` | holder and epoch of shard K | who claims it, under the row's version |
+//! | `owners` | `sK` | `heartbeat` | waiting jobs by queue, workers | the owner, under the owner row's version |
+//! | `jobs-K` | `sK` | job | the job as accepted | any process, if neither this nor the next row exists |
+//! | `progress-K` | `sK` | job | [`crate::job::Progress`] | the owner, under the versions of both rows |
+//! | `jobs-K` | `sK` | job, `.cancel` | empty | any process |
+
+pub mod accept;
+pub mod catalogue;
+pub mod layout;
+pub mod node;
+pub mod owner;
+pub mod watch;
+
+pub use catalogue::{JobCatalogue, Route};
+pub use node::{Node, NodeSettings};
--- /dev/null
+++ b/src/ops/jobs/accept.rs
@@ -0,0 +1,209 @@
+//! What callers ask for: submit a job, ask for its state, cancel it, count waiting jobs.
+//!
+//! A refusal must be true: a job is refused only if every write of it was answered with "nothing was done". If the
+//! outcome of a write is not known, the write is repeated under the same condition until the caller's time is over, and
+//! then the outcome is reported as unknown.
+
+use std::time::Duration;
+
+use crate::job::progress::Progress;
+use crate::job::{JobId, JobSpec, JobState};
+use crate::port::{Commit, Committed, RowStore, StoreError};
+use crate::shard::ShardId;
+use crate::telemetry::event::shard as event;
+
+use super::layout::{self, HeartbeatRow, StoredJob};
+use super::node::Node;
+
+/// Pause before the repetition of a call whose outcome is not known.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+
+/// What became of a submission.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Submission {
+    /// The job is stored, by this call or an earlier one.
+    Accepted,
+    /// The job is not stored and never runs.
+    Refused {
+        /// When the caller may try again.
+        retry_after: Duration,
+    },
+    /// The job may be stored.
+    Unknown,
+}
+
+/// The store's shortest outages are over after a second or two; other processes may reach it now.
+const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What became of a look-up or a cancellation.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Lookup<T> {
+    /// The answer.
+    Found(T),
+    /// There is no such job.
+    Absent,
+    /// The store gives no answer.
+    Unavailable,
+}
+
+impl<P: RowStore> Node<P> {
+    /// Accepts a job. `until` is the local time at which the caller stops waiting.
+    pub async fn submit(&self, id: JobId, queue: &str, spec: JobSpec, until: Duration) -> Submission {
+        let Some(shard) = self.shard_of(id) else {
+            return Submission::Refused { retry_after: REFUSED_RETRY_AFTER };
+        };
+        let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
+        let stored =
+            StoredJob { queue: queue.to_owned(), accepted_unix_ms: self.clock.unix_ms(), spec };
+        let row = layout::job_row(shard, id);
+        let commit = Commit {
+            partition: layout::partition(shard),
+            expected: vec![(row.clone(), 0), (layout::progress_row(shard, id), 0)],
+            writes: vec![(row, serde_json::to_vec(&stored).unwrap_or_default())],
+            removes: Vec::new(),
+        };
+        let began = self.clock.boot();
+        let submission = self.submit_row(&commit, until).await;
+        let waited = (self.clock.boot().saturating_sub(began)).as_millis();
+        match submission {
+            Submission::Accepted => event::JOB_ACCEPTED.emit(format_args!(
+                "job={id} queue={queue} shard={} tasks={tasks} waited_ms={waited}",
+                shard.0
+            )),
+            Submission::Refused { .. } => event::JOB_REFUSED
+                .emit(format_args!("job={id} queue={queue} cause=store waited_ms={waited}")),
+            Submission::Unknown => event::JOB_UNCERTAIN
+                .emit(format_args!("job={id} queue={queue} waited_ms={waited}")),
+        }
+        submission
+    }
+
+    async fn submit_row(&self, commit: &Commit, until: Duration) -> Submission {
+        let mut is_uncertain = false;
+        loop {
+            let outcome = self.port.commit(commit).await;
+            self.note_store(outcome.as_ref().err());
+            match outcome {
+                // A conflict means that an earlier write of the same job was applied.
+                Ok(Committed::Applied { .. } | Committed::Conflict { .. }) => {
+                    return Submission::Accepted;
+                }
+                Err(StoreError::Refused { .. }) if !is_uncertain => {
+                    return Submission::Refused { retry_after: REFUSED_RETRY_AFTER };
+                }
+                Err(StoreError::Refused { .. }) => {}
+                Err(_) => is_uncertain = true,
+            }
+            if self.clock.boot() + RETRY_PAUSE >= until {
+                return Submission::Unknown;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// The state of a job.
+    pub async fn job_state(&self, id: JobId, until: Duration) -> Lookup<JobState> {
+        let Some(shard) = self.shard_of(id) else { return Lookup::Unavailable };
+        match self.read_row(shard, &layout::progress(shard), id, until).await {
+            Lookup::Found(row) => match Progress::decode_state(&row) {
+                Ok(state) => return Lookup::Found(state),
+                Err(e) => {
+                    event::MALFORMED.emit(format_args!("row=progress job={id} cause={e}"));
+                    return Lookup::Unavailable;
+                }
+            },
+            Lookup::Absent => {}
+            Lookup::Unavailable => return Lookup::Unavailable,
+        }
+        match self.read_row(shard, &layout::jobs(shard), id, until).await {
+            Lookup::Found(_) => Lookup::Found(JobState::Queued),
+            Lookup::Unavailable => Lookup::Unavailable,
+            // The owner may have written the progress row and removed the job's row between the two reads.
+            Lookup::Absent => match self.read_row(shard, &layout::progress(shard), id, until).await {
+                Lookup::Found(row) => {
+                    Progress::decode_state(&row).map_or(Lookup::Unavailable, Lookup::Found)
+                }
+                Lookup::Absent => Lookup::Absent,
+                Lookup::Unavailable => Lookup::Unavailable,
+            },
+        }
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, id: JobId, until: Duration) -> Lookup<()> {
+        let Some(shard) = self.shard_of(id) else { return Lookup::Unavailable };
+        match self.job_state(id, until).await {
+            Lookup::Found(state) if state.is_final() => return Lookup::Found(()),
+            Lookup::Found(_) => {}
+            Lookup::Absent => return Lookup::Absent,
+            Lookup::Unavailable => return Lookup::Unavailable,
+        }
+        let row = layout::cancel_row(shard, id);
+        let commit = Commit {
+            partition: layout::partition(shard),
+            expected: vec![(row.clone(), 0)],
+            writes: vec![(row, b"{}".to_vec())],
+            removes: Vec::new(),
+        };
+        loop {
+            let outcome = self.port.commit(&commit).await;
+            self.note_store(outcome.as_ref().err());
+            if outcome.is_ok() {
+                event::JOB_CANCEL.emit(format_args!("job={id} outcome=stored"));
+                return Lookup::Found(());
+            }
+            if self.clock.boot() + RETRY_PAUSE >= until {
+                event::JOB_CANCEL.emit(format_args!("job={id} outcome=unknown"));
+                return Lookup::Unavailable;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Number of a queue's jobs of which no task has started.
+    pub async fn pending(&self, queue: &str, until: Duration) -> Lookup<u64> {
+        let Some(map) = self.map() else { return Lookup::Unavailable };
+        let mut pending = 0;
+        for shard in (0..map.shards).map(ShardId) {
+            let partition = layout::partition(shard);
+            let key = layout::HEARTBEAT;
+            match self.read_key(&partition, layout::OWNERS, key, until).await {
+                Lookup::Found(row) => match serde_json::from_slice::<HeartbeatRow>(&row) {
+                    Ok(heartbeat) => pending += heartbeat.pending.get(queue).copied().unwrap_or(0),
+                    Err(e) => {
+                        event::MALFORMED.emit(format_args!("row=heartbeat shard={} cause={e}", shard.0));
+                        return Lookup::Unavailable;
+                    }
+                },
+                Lookup::Absent => {}
+                Lookup::Unavailable => return Lookup::Unavailable,
+            }
+        }
+        Lookup::Found(pending)
+    }
+
+    fn shard_of(&self, id: JobId) -> Option<ShardId> {
+        self.map().map(|map| map.of_job(id))
+    }
+
+    async fn read_row(&self, shard: ShardId, table: &str, id: JobId, until: Duration) -> Lookup<Vec<u8>> {
+        self.read_key(&layout::partition(shard), table, &id.to_string(), until).await
+    }
+
+    async fn read_key(&self, partition: &str, table: &str, key: &str, until: Duration) -> Lookup<Vec<u8>> {
+        // The smallest key after `key`.
+        let to = format!("{key}\u{1}");
+        loop {
+            let outcome = self.port.read(table, partition, key, &to).await;
+            self.note_store(outcome.as_ref().err());
+            if let Ok(listing) = outcome {
+                let row = listing.rows.into_iter().find(|row| row.id.key == key);
+                return row.and_then(|row| row.value).map_or(Lookup::Absent, Lookup::Found);
+            }
+            if self.clock.boot() + RETRY_PAUSE >= until {
+                return Lookup::Unavailable;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/jobs/layout.rs
@@ -0,0 +1,113 @@
+//! Names of tables and rows, and the content of the rows that are not a job's progress.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::job::{JobId, JobSpec};
+use crate::port::RowKey;
+use crate::shard::ShardId;
+use crate::shard::scheduler::AcceptedJob;
+
+/// Table of the number of shards.
+pub const LAYOUT: &str = "layout";
+/// Key of the number of shards.
+pub const SHARDS: &str = "shards";
+/// Table of owners.
+pub const OWNERS: &str = "owners";
+/// Key of the owner row.
+pub const OWNER: &str = "owner";
+/// Key of the heartbeat row.
+pub const HEARTBEAT: &str = "heartbeat";
+/// What follows the job in the key of a cancellation.
+const CANCEL: &str = ".cancel";
+
+/// Partition of a shard.
+#[must_use]
+pub fn partition(shard: ShardId) -> String {
+    format!("s{}", shard.0)
+}
+
+/// Table of accepted jobs and cancellations of a shard.
+#[must_use]
+pub fn jobs(shard: ShardId) -> String {
+    format!("jobs-{}", shard.0)
+}
+
+/// Table of the progress of a shard's jobs.
+#[must_use]
+pub fn progress(shard: ShardId) -> String {
+    format!("progress-{}", shard.0)
+}
+
+/// The row of an accepted job.
+#[must_use]
+pub fn job_row(shard: ShardId, id: JobId) -> RowKey {
+    RowKey::new(jobs(shard), id.to_string())
+}
+
+/// The row of a cancellation.
+#[must_use]
+pub fn cancel_row(shard: ShardId, id: JobId) -> RowKey {
+    RowKey::new(jobs(shard), format!("{id}{CANCEL}"))
+}
+
+/// The row of a job's progress.
+#[must_use]
+pub fn progress_row(shard: ShardId, id: JobId) -> RowKey {
+    RowKey::new(progress(shard), id.to_string())
+}
+
+/// What a row of the table of jobs is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum JobsKey {
+    /// An accepted job.
+    Job(JobId),
+    /// A cancellation.
+    Cancel(JobId),
+}
+
+/// Reads a key of the table of jobs.
+#[must_use]
+pub fn parse_jobs_key(key: &str) -> Option<JobsKey> {
+    match key.strip_suffix(CANCEL) {
+        Some(id) => id.parse().ok().map(JobsKey::Cancel),
+        None => key.parse().ok().map(JobsKey::Job),
+    }
+}
+
+/// Content of a job's row.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct StoredJob {
+    /// Queue.
+    pub queue: String,
+    /// When it was accepted, in milliseconds since the Unix epoch.
+    pub accepted_unix_ms: u64,
+    /// Description.
+    pub spec: JobSpec,
+}
+
+impl StoredJob {
+    /// The job for the scheduler.
+    #[must_use]
+    pub fn into_accepted(self, id: JobId) -> AcceptedJob {
+        AcceptedJob {
+            id,
+            queue: self.queue,
+            accepted_unix_ms: self.accepted_unix_ms,
+            spec: Rc::new(self.spec),
+        }
+    }
+}
+
+/// Content of the heartbeat row.
+#[derive(Debug, Default, Deserialize, Serialize)]
+pub struct HeartbeatRow {
+    /// Counts heartbeats, so that each changes the row.
+    pub beat: u64,
+    /// Jobs of which no task has started, by queue.
+    pub pending: BTreeMap<String, u64>,
+    /// Workers that may run something of the shard.
+    pub workers: Vec<String>,
+}
--- /dev/null
+++ b/src/ops/jobs/node.rs
@@ -0,0 +1,151 @@
+//! What the duties of one process share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{Notify, watch};
+
+use crate::clock::Clock;
+use crate::shard::ShardMap;
+use crate::shard::scheduler::Timing;
+use crate::telemetry::event::shard as event;
+
+use super::catalogue::JobCatalogue;
+
+/// What a process is told about itself.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Name of the VM.
+    pub vm: String,
+    /// Failure domain of the VM.
+    pub domain: String,
+    /// Periods that the platform sets.
+    pub timing: Timing,
+    /// Longest time for a caller's call if it names none.
+    pub call_timeout: Duration,
+}
+
+/// Shared by the duties of a process.
+#[derive(Debug)]
+pub struct Node<P> {
+    /// Settings.
+    pub cfg: NodeSettings,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// Start of this process, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
+    /// Store and workers.
+    pub port: P,
+    catalogue: RefCell<Rc<JobCatalogue>>,
+    catalogue_changed: Notify,
+    map: watch::Sender<Option<ShardMap>>,
+    stop: watch::Sender<bool>,
+    is_store_lost: Cell<bool>,
+    owned: Cell<u32>,
+}
+
+impl<P> Node<P> {
+    /// A process that knows nothing yet.
+    #[must_use]
+    pub fn new(cfg: NodeSettings, clock: Arc<dyn Clock>, port: P) -> Self {
+        let started_unix_ms = clock.unix_ms();
+        Self {
+            cfg,
+            clock,
+            started_unix_ms,
+            port,
+            catalogue: RefCell::default(),
+            catalogue_changed: Notify::new(),
+            map: watch::Sender::new(None),
+            stop: watch::Sender::new(false),
+            is_store_lost: Cell::new(false),
+            owned: Cell::new(0),
+        }
+    }
+
+    /// What operators have set; version 0 if nothing was read yet.
+    #[must_use]
+    pub fn catalogue(&self) -> Rc<JobCatalogue> {
+        Rc::clone(&self.catalogue.borrow())
+    }
+
+    /// Puts a newer catalogue in force. An older version never replaces a newer one.
+    pub fn replace_catalogue(&self, catalogue: JobCatalogue) {
+        let old = self.catalogue();
+        if catalogue.version < old.version || catalogue == *old {
+            return;
+        }
+        event::QUEUES_CHANGED.emit(format_args!(
+            "version={} before={} routes={} queues={} domains_out={:?}",
+            catalogue.version,
+            old.version,
+            catalogue.routes.len(),
+            catalogue.queues.len(),
+            catalogue.domains_out
+        ));
+        *self.catalogue.borrow_mut() = Rc::new(catalogue);
+        self.catalogue_changed.notify_waiters();
+    }
+
+    /// How jobs and workers are divided, once that is known.
+    #[must_use]
+    pub fn map(&self) -> Option<ShardMap> {
+        *self.map.borrow()
+    }
+
+    /// Notes how jobs and workers are divided.
+    pub fn set_map(&self, map: ShardMap) {
+        self.map.send_replace(Some(map));
+    }
+
+    /// True once callers' jobs can be accepted.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.catalogue.borrow().version > 0 && self.map().is_some() && !self.is_stopping()
+    }
+
+    /// Begins the planned stop.
+    pub fn begin_stop(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// True once a planned stop has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        *self.stop.borrow()
+    }
+
+    /// Told when a planned stop begins.
+    #[must_use]
+    pub fn stop_receiver(&self) -> watch::Receiver<bool> {
+        self.stop.subscribe()
+    }
+
+    /// Number of shards that this process owns.
+    #[must_use]
+    pub fn owned(&self) -> u32 {
+        self.owned.get()
+    }
+
+    /// Changes the number of shards that this process owns.
+    pub fn set_owned(&self, owned: u32) {
+        self.owned.set(owned);
+    }
+
+    /// Notes whether a call to the store succeeded; logs changes.
+    pub fn note_store(&self, failure: Option<&crate::port::StoreError>) {
+        match failure {
+            Some(e) if !self.is_store_lost.get() => {
+                self.is_store_lost.set(true);
+                event::STORE_LOST.emit(format_args!("cause={e}"));
+            }
+            None if self.is_store_lost.get() => {
+                self.is_store_lost.set(false);
+                event::STORE_REGAINED.emit(format_args!("vm={}", self.cfg.vm));
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/jobs/watch.rs
@@ -0,0 +1,172 @@
+//! Watches the shards that this process does not own, and claims those without a live owner.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::port::{Commit, Committed, RowKey, RowStore, WorkerPort};
+use crate::shard::ownership::{Claim, ClaimReason, Ownership};
+use crate::shard::{OwnerRow, ShardId, ShardMap};
+use crate::telemetry::event::shard as event;
+
+use super::layout;
+use super::node::Node;
+use super::owner::{self, Claimed};
+
+/// Time between two looks at an owner. With [`crate::shard::ownership::SILENCE`] it decides how long a shard is without
+/// an owner.
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
+
+/// Pause after a failed call to the store.
+const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+
+/// Longest extra wait of a process before it claims, so that claims of several processes rarely meet.
+const STAGGER: Duration = Duration::from_millis(300);
+
+/// Extra wait for each shard that the process owns already, so that shards spread over the processes.
+const OWNED_STAGGER: Duration = Duration::from_millis(700);
+
+/// Finds out how jobs and workers are divided, or decides it if no process has.
+pub async fn learn_map<P: RowStore + WorkerPort>(node: &Node<P>) {
+    loop {
+        if let Some(map) = try_learn_map(node).await {
+            node.set_map(map);
+            return;
+        }
+        tokio::time::sleep(FAILURE_PAUSE).await;
+    }
+}
+
+async fn try_learn_map<P: RowStore + WorkerPort>(node: &Node<P>) -> Option<ShardMap> {
+    let listing = node.port.read(layout::LAYOUT, "", "", "").await;
+    node.note_store(listing.as_ref().err());
+    let row = listing.ok()?.rows.into_iter().find(|row| row.id.key == layout::SHARDS);
+    if let Some(value) = row.and_then(|row| row.value) {
+        match serde_json::from_slice(&value) {
+            Ok(shards) => return Some(ShardMap { shards }),
+            Err(e) => event::MALFORMED.emit(format_args!("row=layout cause={e}")),
+        }
+        return None;
+    }
+    let workers = node.port.list().await.ok()?;
+    if workers.is_empty() {
+        return None;
+    }
+    let map = ShardMap::for_workers(workers.len());
+    let key = RowKey::new(layout::LAYOUT, layout::SHARDS);
+    let commit = Commit {
+        expected: vec![(key.clone(), 0)],
+        writes: vec![(key, map.shards.to_string().into_bytes())],
+        ..Commit::default()
+    };
+    // Another process may have decided first, or the answer may be lost: the next round reads the row.
+    if let Err(e) = node.port.commit(&commit).await {
+        node.note_store(Some(&e));
+    }
+    None
+}
+
+/// Watches a shard until the planned stop, and schedules it while this process owns it.
+pub async fn run<P: RowStore + WorkerPort + 'static>(node: Rc<Node<P>>, shard: ShardId) {
+    let stagger = STAGGER.mul_f64(share(&node.cfg.vm, shard));
+    let mut ownership = Ownership::new(&node.cfg.vm, stagger);
+    // All processes start together; the first claims spread by the stagger as well.
+    tokio::time::sleep(stagger).await;
+    while !node.is_stopping() {
+        match look(&node, shard, &mut ownership).await {
+            Ok(Some(claimed)) => {
+                node.set_owned(node.owned() + 1);
+                owner::run(Rc::clone(&node), claimed).await;
+                node.set_owned(node.owned() - 1);
+                ownership.reset();
+            }
+            Ok(None) => tokio::time::sleep(LOOK_PERIOD).await,
+            Err(()) => {
+                ownership.reset();
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// A number from 0 to 1 that differs between processes.
+fn share(vm: &str, shard: ShardId) -> f64 {
+    let map = ShardMap { shards: 1_000 };
+    f64::from(map.of_worker(&format!("{vm}/{}", shard.0)).0) / 1_000.0
+}
+
+async fn look<P: RowStore + WorkerPort>(
+    node: &Node<P>,
+    shard: ShardId,
+    ownership: &mut Ownership,
+) -> Result<Option<Claimed>, ()> {
+    let asked = node.clock.boot();
+    let listing = node.port.read(layout::OWNERS, &layout::partition(shard), "", "").await;
+    node.note_store(listing.as_ref().err());
+    let listing = listing.map_err(drop)?;
+    let now = node.clock.boot();
+    let row = listing.rows.iter().find(|row| row.id.key == layout::OWNER);
+    let heartbeat = listing.rows.iter().find(|row| row.id.key == layout::HEARTBEAT);
+    let owner: Option<OwnerRow> = match row.and_then(|row| row.value.as_deref()) {
+        None => None,
+        Some(value) => match serde_json::from_slice(value) {
+            Ok(owner) => Some(owner),
+            Err(e) => {
+                event::MALFORMED.emit(format_args!("row=owner shard={} cause={e}", shard.0));
+                return Err(());
+            }
+        },
+    };
+    let beat = heartbeat.map_or(0, |row| row.version);
+    let reason = match ownership.on_read(owner.as_ref(), beat, asked, now) {
+        Claim::Now(reason) => reason,
+        Claim::No => return Ok(None),
+    };
+    if reason != ClaimReason::OwnPredecessor {
+        tokio::time::sleep(OWNED_STAGGER * node.owned()).await;
+    }
+    let version = row.map_or(0, |row| row.version);
+    let predecessor = owner.as_ref();
+    claim(node, shard, reason, predecessor, version).await
+}
+
+async fn claim<P: RowStore>(
+    node: &Node<P>,
+    shard: ShardId,
+    reason: ClaimReason,
+    predecessor: Option<&OwnerRow>,
+    version: u64,
+) -> Result<Option<Claimed>, ()> {
+    let epoch = predecessor.map_or(0, |row| row.epoch) + 1;
+    let row = OwnerRow { epoch, vm: node.cfg.vm.clone(), started_unix_ms: node.started_unix_ms };
+    let key = RowKey::new(layout::OWNERS, layout::OWNER);
+    let commit = Commit {
+        partition: layout::partition(shard),
+        expected: vec![(key.clone(), version)],
+        writes: vec![(key, serde_json::to_vec(&row).unwrap_or_default())],
+        removes: Vec::new(),
+    };
+    let sent = node.clock.boot();
+    let outcome = node.port.commit(&commit).await;
+    node.note_store(outcome.as_ref().err());
+    match outcome {
+        Ok(Committed::Applied { version }) => {
+            event::SHARD_CLAIMED.emit(format_args!(
+                "shard={} epoch={epoch} reason={reason:?} predecessor={}",
+                shard.0,
+                predecessor.map_or("none", |row| row.vm.as_str())
+            ));
+            Ok(Some(Claimed { shard, epoch, version, sent }))
+        }
+        // Somebody else was faster, or an earlier claim of this process whose answer was lost took effect.
+        Ok(Committed::Conflict { rows }) => Ok(own_claim(node, shard, &rows, sent)),
+        Err(_) => Err(()),
+    }
+}
+
+/// The claim that a current owner row names, if it is one of this process.
+fn own_claim<P>(node: &Node<P>, shard: ShardId, rows: &[crate::port::Row], sent: Duration) -> Option<Claimed> {
+    let row = rows.iter().find(|row| row.id.key == layout::OWNER)?;
+    let owner: OwnerRow = serde_json::from_slice(row.value.as_deref()?).ok()?;
+    let is_own = owner.vm == node.cfg.vm && owner.started_unix_ms == node.started_unix_ms;
+    is_own.then_some(Claimed { shard, epoch: owner.epoch, version: row.version, sent })
+}
--- /dev/null
+++ b/src/shard/ownership.rs
@@ -0,0 +1,127 @@
+//! Who owns a shard.
+//!
+//! The owner row names the holder and an epoch. A process claims it by a conditional write with a higher epoch: at once
+//! if nobody holds it or if its holder was an earlier life of the same process, otherwise once the holder's heartbeat row
+//! has not changed for [`SILENCE`]. The holder must not order anything once its last confirmation by the store is older
+//! than [`UNCONFIRMED_LIMIT`]; up to then it renews leases through an outage of the store, because nobody can have
+//! claimed the shard without the store.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Time without a heartbeat after which an owner is taken for dead: more than two heartbeats and a slow store's answer.
+pub const SILENCE: Duration = Duration::from_millis(2_000);
+
+/// Time between heartbeats of an owner.
+pub const HEARTBEAT: Duration = Duration::from_millis(700);
+
+/// Longest time for which an owner orders without a confirmation of the store. It bridges the outages of a few seconds
+/// that are usual; a successor waits as long for workers that do not answer.
+pub const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(9);
+
+/// The owner row.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OwnerRow {
+    /// Raised by each claim; orders carry it, and workers refuse lower ones.
+    pub epoch: u64,
+    /// Name of the VM that holds the shard; empty if it was released.
+    pub vm: String,
+    /// Start of the process on that VM, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
+}
+
+/// What a process knows of the owner of a shard that it does not hold.
+#[derive(Clone, Debug)]
+pub struct Ownership {
+    vm: String,
+    /// Version of the heartbeat row and the local time at which it was first seen.
+    heartbeat: Option<(u64, Duration)>,
+    /// Extra wait of this process, so that not all processes claim at the same moment.
+    stagger: Duration,
+}
+
+/// What to do about a shard.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Claim {
+    /// Claim it now, for this reason.
+    Now(ClaimReason),
+    /// Leave it.
+    No,
+}
+
+/// Why a shard is claimed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClaimReason {
+    /// There was no owner yet.
+    New,
+    /// The owner released it at a planned stop.
+    Released,
+    /// The owner was an earlier life of this process, or a claim of this process whose answer was lost.
+    OwnPredecessor,
+    /// The owner's heartbeat has not changed for too long.
+    Silent,
+}
+
+impl Ownership {
+    /// Knows nothing yet.
+    #[must_use]
+    pub fn new(vm: &str, stagger: Duration) -> Self {
+        Self { vm: vm.to_owned(), heartbeat: None, stagger }
+    }
+
+    /// Takes a reading of the owner row and the version of the heartbeat row. `asked` is when the read was sent and
+    /// `now` when its answer arrived.
+    pub fn on_read(&mut self, row: Option<&OwnerRow>, heartbeat: u64, asked: Duration, now: Duration) -> Claim {
+        let since = match self.heartbeat {
+            Some((version, since)) if version == heartbeat => since,
+            _ => {
+                self.heartbeat = Some((heartbeat, now));
+                now
+            }
+        };
+        let Some(row) = row else { return Claim::Now(ClaimReason::New) };
+        if row.vm.is_empty() {
+            return Claim::Now(ClaimReason::Released);
+        }
+        if row.vm == self.vm {
+            return Claim::Now(ClaimReason::OwnPredecessor);
+        }
+        // Counted up to when the read was sent: an answer that was long on its way says nothing about later heartbeats.
+        if asked.saturating_sub(since) >= SILENCE + self.stagger {
+            return Claim::Now(ClaimReason::Silent);
+        }
+        Claim::No
+    }
+
+    /// Forgets the heartbeat, for example after a time in which the store could not be read.
+    pub fn reset(&mut self) {
+        self.heartbeat = None;
+    }
+}
+
+/// The time for which a holder may give orders.
+#[derive(Clone, Copy, Debug)]
+pub struct Permission {
+    /// Local time before the newest confirmed write or read was sent.
+    confirmed: Duration,
+}
+
+impl Permission {
+    /// A permission by a write that was sent at `sent` and has been confirmed.
+    #[must_use]
+    pub fn new(sent: Duration) -> Self {
+        Self { confirmed: sent }
+    }
+
+    /// Notes a confirmation of a call that was sent at `sent`.
+    pub fn confirm(&mut self, sent: Duration) {
+        self.confirmed = self.confirmed.max(sent);
+    }
+
+    /// True if orders may be sent now.
+    #[must_use]
+    pub fn is_valid(&self, now: Duration) -> bool {
+        now.saturating_sub(self.confirmed) < UNCONFIRMED_LIMIT
+    }
+}
--- /dev/null
+++ b/src/shard/scheduler.rs
@@ -0,0 +1,549 @@
+//! The owner's state and the events that change it.
+//!
+//! Each event method takes the local time, counted with suspensions of the VM. Orders are left in a list and are sent by
+//! the caller after it has checked its permission; the scheduler assumes that each was sent and waits for its outcome.
+//!
+//! What is stored of a job is its [`Progress`]: a job's row is written before the first of its tasks starts, and an end
+//! is acknowledged to a worker only after the row that contains it was written. So a successor knows that a job without
+//! a row runs nowhere, and finds every end that is not in a row on the workers.
+
+mod ends;
+mod holds;
+mod placing;
+mod rows;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::job::{JobId, JobSpec, JobState, Progress, TaskKey};
+use crate::telemetry::event::shard as event;
+
+use super::lapse;
+use super::ownership::UNCONFIRMED_LIMIT;
+use super::queue::{QueuePolicy, Rank, WaitingTasks};
+use super::report::WorkerListing;
+use super::worker::{Phase, Worker, WorkerId};
+
+pub use holds::HoldFailure;
+pub use rows::RowBatch;
+
+/// Periods that the platform sets.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Longest lease that a worker grants.
+    pub max_lease: Duration,
+    /// Longest time that a stop takes.
+    pub stop: Duration,
+    /// Time until a change of pace takes effect.
+    pub pace_delay: Duration,
+}
+
+/// Something to be sent to a worker.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Worker.
+    pub worker: WorkerId,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// What to send.
+    pub kind: OrderKind,
+}
+
+/// Kinds of orders.
+#[derive(Clone, Debug)]
+pub enum OrderKind {
+    /// Renews the lease of all runs, acknowledges ends and asks for the lists.
+    Hold {
+        /// New expiry on the worker's clock; none while its clock is not known.
+        expiry_ms: Option<u64>,
+        /// Ends up to this number are stored.
+        acked_end: u64,
+        /// How long the worker may wait for an end before it answers.
+        wait: Duration,
+    },
+    /// Starts a run.
+    Start {
+        /// Task.
+        task: TaskKey,
+        /// Number of the run.
+        run: u32,
+        /// Job of the task, for its payload.
+        spec: Rc<JobSpec>,
+        /// Lease expiry on the worker's clock.
+        expiry_ms: u64,
+        /// Checkpoint to resume from; empty for none.
+        checkpoint: String,
+    },
+    /// Stops a run.
+    Stop {
+        /// Task.
+        task: TaskKey,
+        /// Number of the run.
+        run: u32,
+    },
+    /// Changes the share at which a run works.
+    Pace {
+        /// Task.
+        task: TaskKey,
+        /// Number of the run.
+        run: u32,
+        /// Share in percent.
+        percent: u8,
+    },
+}
+
+/// What became of a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartOutcome {
+    /// The worker has the run.
+    Started,
+    /// The worker refused it and does not have it.
+    Refused(StartRefusal),
+    /// It was not sent.
+    NotSent,
+    /// It may be carried out now or later.
+    Unknown,
+}
+
+/// Why a worker refused a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartRefusal {
+    /// A higher epoch was seen: the shard has another owner.
+    Fenced,
+    /// The run is not newer than one that was stopped or ended there.
+    Old,
+    /// The lease had expired.
+    Late,
+    /// No room.
+    Room,
+    /// The worker is not healthy, or is another life.
+    Unhealthy,
+    /// The worker does not accept the message.
+    Invalid,
+}
+
+/// What became of a stop or a change of pace.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderOutcome {
+    /// Answered: it is in effect.
+    Done,
+    /// A higher epoch was seen: the shard has another owner.
+    Fenced,
+    /// No answer, or not sent.
+    Unknown,
+}
+
+/// A job of the shard that may still run.
+#[derive(Debug)]
+pub(crate) struct Job {
+    /// Name of its queue.
+    queue: String,
+    /// When it was accepted, in milliseconds since the Unix epoch.
+    accepted_unix_ms: u64,
+    spec: Rc<JobSpec>,
+    progress: Progress,
+    /// Its row exists, so its tasks may start.
+    is_begun: bool,
+    /// A predecessor may have started tasks on workers that have not answered; nothing new may start.
+    is_ambiguous: bool,
+    /// Workers on which a task failed.
+    avoid: BTreeMap<TaskKey, Vec<WorkerId>>,
+}
+
+/// A job as it was accepted.
+#[derive(Clone, Debug)]
+pub struct AcceptedJob {
+    /// Identity.
+    pub id: JobId,
+    /// Name of its queue.
+    pub queue: String,
+    /// When it was accepted, in milliseconds since the Unix epoch.
+    pub accepted_unix_ms: u64,
+    /// Description.
+    pub spec: Rc<JobSpec>,
+}
+
+/// Runs of an epoch are numbered from its own range, so they are higher than those of all earlier epochs even if the
+/// workers that had them are gone.
+const RUNS_PER_EPOCH: u64 = 10_000;
+
+/// The owner's state of one shard.
+#[derive(Debug)]
+pub struct Scheduler {
+    epoch: u64,
+    timing: Timing,
+    jobs: BTreeMap<JobId, Job>,
+    workers: BTreeMap<WorkerId, Worker>,
+    /// Workers that have, or may have, a run of the task.
+    live: BTreeMap<TaskKey, Vec<WorkerId>>,
+    waiting: WaitingTasks,
+    queues: BTreeMap<String, QueuePolicy>,
+    domains_out: BTreeSet<String>,
+    /// Workers of the predecessor that have not answered this epoch.
+    suspects: BTreeSet<WorkerId>,
+    /// When the predecessor's leases have lapsed everywhere.
+    predecessor_lapsed: Duration,
+    rows: rows::PendingRows,
+    orders: Vec<Order>,
+    /// A worker refused an order because of a higher epoch.
+    is_fenced: bool,
+    /// Room or waiting tasks have changed since the last placement.
+    is_placement_due: bool,
+    /// Local time minus nothing: wall time at the last tick, for occurrences and objectives.
+    unix_ms: u64,
+}
+
+impl Scheduler {
+    /// State of a new owner that claimed the shard at `now`. `predecessor_workers` are those that the predecessor's last
+    /// heartbeat named.
+    #[must_use]
+    pub fn new(epoch: u64, timing: Timing, now: Duration, predecessor_workers: &[WorkerId]) -> Self {
+        Self {
+            epoch,
+            timing,
+            jobs: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            live: BTreeMap::new(),
+            waiting: WaitingTasks::default(),
+            queues: BTreeMap::new(),
+            domains_out: BTreeSet::new(),
+            suspects: predecessor_workers.iter().cloned().collect(),
+            predecessor_lapsed: now + UNCONFIRMED_LIMIT + lapse::longest(timing.max_lease),
+            rows: rows::PendingRows::default(),
+            orders: Vec::new(),
+            is_fenced: false,
+            is_placement_due: true,
+            unix_ms: 0,
+        }
+    }
+
+    /// Epoch of this owner.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// True once a worker refused an order because of a higher epoch.
+    #[must_use]
+    pub fn is_fenced(&self) -> bool {
+        self.is_fenced
+    }
+
+    /// Takes the orders that are to be sent.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Replaces what operators set for the queues.
+    pub fn on_queues(&mut self, queues: BTreeMap<String, QueuePolicy>) {
+        self.queues = queues;
+        self.is_placement_due = true;
+    }
+
+    /// Replaces the failure domains that are out of service.
+    pub fn on_domains_out(&mut self, out: BTreeSet<String>) {
+        if out != self.domains_out {
+            event::DOMAINS_OUT.emit(format_args!("epoch={} out={out:?}", self.epoch));
+            self.domains_out = out;
+            self.is_placement_due = true;
+        }
+    }
+
+    /// Replaces the VM list. Workers that it no longer has are kept until their leases have lapsed.
+    pub fn on_listing(&mut self, now: Duration, listing: Vec<WorkerListing>) {
+        for entry in listing {
+            let Some(worker) = self.workers.get_mut(&entry.id) else {
+                self.workers.insert(entry.id.clone(), Worker::new(entry, now));
+                continue;
+            };
+            worker.listed = now;
+            let is_new_life = entry.born_unix_ms.is_some()
+                && worker.born_unix_ms.is_some()
+                && entry.born_unix_ms > worker.born_unix_ms;
+            let starts_to_drain = entry.is_draining && !worker.listing.is_draining;
+            worker.listing = entry;
+            let id = worker.listing.id.clone();
+            if is_new_life {
+                self.on_new_life(&id, now);
+            }
+            if starts_to_drain {
+                self.on_draining(&id, now);
+            }
+        }
+        self.is_placement_due = true;
+    }
+
+    /// Adds a job that was accepted and has no row yet.
+    pub fn on_job(&mut self, job: AcceptedJob) {
+        if !self.jobs.contains_key(&job.id) && !self.rows.has_ended(job.id) {
+            self.insert_job(job, Progress::new(), false);
+        }
+    }
+
+    /// Adds a job whose row a predecessor has written. `row` is its stored progress.
+    ///
+    /// # Errors
+    ///
+    /// If the row does not belong to the job.
+    pub fn on_begun_job(&mut self, job: AcceptedJob, row: &[u8]) -> Result<(), crate::job::progress::ProgressError> {
+        let progress = Progress::decode(&job.spec, row)?;
+        if progress.state.is_final() {
+            self.rows.note_ended(job.id);
+        } else {
+            self.insert_job(job, progress, true);
+        }
+        Ok(())
+    }
+
+    fn insert_job(&mut self, job: AcceptedJob, progress: Progress, is_begun: bool) {
+        let id = job.id;
+        let is_first = progress.next_occurrence == 0;
+        self.jobs.insert(
+            id,
+            Job {
+                queue: job.queue,
+                accepted_unix_ms: job.accepted_unix_ms,
+                spec: job.spec,
+                progress,
+                is_begun,
+                is_ambiguous: is_begun,
+                avoid: BTreeMap::new(),
+            },
+        );
+        if is_first {
+            self.begin_due_occurrences(id);
+        }
+    }
+
+    /// Cancels a job. Nothing of it starts any more.
+    pub fn on_cancel(&mut self, now: Duration, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if !job.progress.state.is_final() {
+            event::JOB_ENDED.emit(format_args!("job={id} state=cancelled by=caller"));
+            self.end_job(now, id, JobState::Cancelled);
+        }
+    }
+
+    /// Ends a job: its waiting tasks are dropped and its runs are stopped.
+    fn end_job(&mut self, now: Duration, id: JobId, state: JobState) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.progress.state = state;
+        let occurrences: Vec<u32> = job.progress.occurrences.keys().copied().collect();
+        let steps = job.spec.steps.len();
+        for occurrence in occurrences {
+            for step in 0..steps {
+                let step = crate::job::StepKey { job: id, occurrence, step: step as u16 };
+                self.waiting.remove_step(&step);
+            }
+        }
+        for (task, workers) in self.runs_of(id) {
+            for worker in workers {
+                self.stop_run(now, &worker, &task, true);
+            }
+        }
+        self.rows.mark(id);
+    }
+
+    fn runs_of(&self, id: JobId) -> Vec<(TaskKey, Vec<WorkerId>)> {
+        let key = |occurrence, step, index| TaskKey {
+            step: crate::job::StepKey { job: id, occurrence, step },
+            index,
+        };
+        let range = key(0, 0, 0)..=key(u32::MAX, u16::MAX, u16::MAX);
+        self.live.range(range).map(|(task, workers)| (*task, workers.clone())).collect()
+    }
+
+    /// Orders the stop of a run. An abandoned run is not started again.
+    fn stop_run(&mut self, now: Duration, worker_id: &WorkerId, task: &TaskKey, is_abandoned: bool) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let Some(run) = worker.runs.get_mut(task) else { return };
+        run.is_abandoned |= is_abandoned;
+        if run.phase == Phase::Active {
+            run.phase = Phase::Stopping;
+        } else if run.phase == Phase::Starting {
+            run.phase = Phase::Unsettled;
+        }
+        if run.is_stop_in_flight || run.stop_answered.is_some() {
+            return;
+        }
+        run.is_stop_in_flight = true;
+        run.stop_sent = Some(now);
+        let kind = OrderKind::Stop { task: *task, run: run.number };
+        let address = worker.listing.address;
+        self.orders.push(Order { worker: worker_id.clone(), address, kind });
+    }
+
+    /// Jobs without a schedule of which no task has started, by queue.
+    #[must_use]
+    pub fn pending(&self) -> BTreeMap<String, u64> {
+        let mut pending = BTreeMap::new();
+        for job in self.jobs.values() {
+            if job.spec.schedule.is_none() && job.progress.state == JobState::Queued {
+                *pending.entry(job.queue.clone()).or_default() += 1;
+            }
+        }
+        pending
+    }
+
+    /// Workers of the shard that are in the VM list or may still run something.
+    #[must_use]
+    pub fn worker_ids(&self) -> Vec<String> {
+        self.workers.keys().map(|id| id.as_str().to_owned()).collect()
+    }
+
+    /// Load of the shard, for metrics and the log.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            jobs: self.jobs.len(),
+            waiting_steps: self.waiting.len(),
+            runs: self.live.len(),
+            workers: self.workers.len(),
+            suspects: self.suspects.len(),
+        }
+    }
+
+    /// Does what is due at `now`. `unix_ms` is the wall time.
+    pub fn tick(&mut self, now: Duration, unix_ms: u64) {
+        self.unix_ms = unix_ms;
+        self.begin_scheduled_occurrences();
+        self.resolve_lapsed(now);
+        self.resolve_suspects(now);
+        self.repeat_stops(now);
+        self.place(now);
+        self.request_holds(now);
+    }
+
+    fn begin_scheduled_occurrences(&mut self) {
+        let scheduled = |job: &Job| job.spec.schedule.is_some() && !job.progress.state.is_final();
+        let ids: Vec<JobId> =
+            self.jobs.iter().filter(|(_, job)| scheduled(job)).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.begin_due_occurrences(id);
+        }
+    }
+
+    /// Begins the occurrences of a job that are due; a job without a schedule is due at once.
+    fn begin_due_occurrences(&mut self, id: JobId) {
+        let unix_ms = self.unix_ms;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let mut begun = Vec::new();
+        while job.progress.next_occurrence < job.spec.occurrences() {
+            let next = job.progress.next_occurrence;
+            if job.spec.schedule.is_some_and(|schedule| schedule.due_unix_ms(next) > unix_ms) {
+                break;
+            }
+            begun.push(job.progress.begin_occurrence(&job.spec));
+        }
+        // The row of a scheduled job is written at once as well: a successor must not take it for new.
+        if !begun.is_empty() || !job.is_begun {
+            self.rows.mark(id);
+        }
+        if self.jobs.get(&id).is_some_and(|job| job.is_begun && !job.is_ambiguous) {
+            self.push_ready(id);
+        }
+    }
+
+    /// Queues every task of a job that may run and neither runs nor waits.
+    fn push_ready(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if job.progress.state.is_final() || !job.is_begun || job.is_ambiguous {
+            return;
+        }
+        let policy = self.queues.get(&job.queue);
+        for (number, occurrence) in &job.progress.occurrences {
+            for (index, step) in job.spec.steps.iter().enumerate() {
+                if !step.after.iter().all(|after| occurrence.is_step_done(*after)) {
+                    continue;
+                }
+                let key = crate::job::StepKey { job: id, occurrence: *number, step: index as u16 };
+                let rank = rank(job, policy, *number, index);
+                for (task, progress) in occurrence.steps[index].iter().enumerate() {
+                    let task = TaskKey { step: key, index: task as u16 };
+                    if !progress.is_done && !self.live.contains_key(&task) {
+                        self.waiting.push(rank, task);
+                        self.is_placement_due = true;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Queues one task again, after a run that did not succeed.
+    fn push_again(&mut self, task: &TaskKey) {
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        if job.progress.state.is_final() || job.is_ambiguous || self.live.contains_key(task) {
+            return;
+        }
+        if job.progress.task(task).is_none_or(|progress| progress.is_done) {
+            return;
+        }
+        let step = usize::from(task.step.step);
+        let rank = rank(job, self.queues.get(&job.queue), task.step.occurrence, step);
+        self.waiting.push(rank, *task);
+        self.is_placement_due = true;
+    }
+
+    /// Once all workers of the predecessor have answered, or its leases have lapsed, its jobs go on.
+    fn resolve_suspects(&mut self, now: Duration) {
+        if self.suspects.is_empty() && self.rows.is_takeover_done {
+            return;
+        }
+        if now >= self.predecessor_lapsed {
+            self.suspects.clear();
+        }
+        if !self.suspects.is_empty() {
+            return;
+        }
+        // A worker that was listed only after the claim may be one that the predecessor used as well.
+        if now < self.predecessor_lapsed && self.workers.values().any(|worker| !worker.is_known) {
+            return;
+        }
+        self.rows.is_takeover_done = true;
+        let ids: Vec<JobId> =
+            self.jobs.iter().filter(|(_, job)| job.is_ambiguous).map(|(id, _)| *id).collect();
+        event::TAKEOVER_DONE.emit(format_args!("epoch={} jobs={}", self.epoch, ids.len()));
+        for id in ids {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.is_ambiguous = false;
+            }
+            self.begin_due_occurrences(id);
+            self.push_ready(id);
+            self.check_job_end(now, id);
+        }
+    }
+
+    fn next_run(&self, last_run: u32) -> u32 {
+        let first = (self.epoch.saturating_sub(1) * RUNS_PER_EPOCH + 1).min(u64::from(u32::MAX));
+        last_run.saturating_add(1).max(first as u32)
+    }
+}
+
+/// Figures of a shard.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Jobs that have not ended.
+    pub jobs: usize,
+    /// Steps with waiting tasks.
+    pub waiting_steps: usize,
+    /// Tasks that run or may run.
+    pub runs: usize,
+    /// Workers known.
+    pub workers: usize,
+    /// Workers of the predecessor that have not answered.
+    pub suspects: usize,
+}
+
+/// Rank of a step: it should start so early that the rest of its chain still meets the objective.
+fn rank(job: &Job, policy: Option<&QueuePolicy>, occurrence: u32, step: usize) -> Rank {
+    let due = job.spec.schedule.map_or(job.accepted_unix_ms, |s| s.due_unix_ms(occurrence));
+    let chain_ms = job.spec.chain().as_millis() as f64;
+    let (priority, objective_ms) = policy.map_or((u32::MAX, chain_ms), |policy| {
+        (policy.priority, policy.stretch * chain_ms + policy.target_latency_ms as f64)
+    });
+    let left_ms = job.spec.chain_from(step).as_millis() as u64;
+    let start_by_unix_ms = (due + objective_ms as u64).saturating_sub(left_ms);
+    Rank { priority, start_by_unix_ms }
+}
--- /dev/null
+++ b/src/shard/scheduler/ends.rs
@@ -0,0 +1,173 @@
+//! What follows from the end of a run.
+
+use std::time::Duration;
+
+use crate::job::{JobId, JobState, TaskKey};
+use crate::shard::report::{EndCause, EndReport};
+use crate::shard::worker::{Run, WorkerId};
+use crate::telemetry::event::shard as event;
+
+use super::Scheduler;
+
+impl Scheduler {
+    /// Takes an end that a worker has listed.
+    pub(super) fn on_end(&mut self, now: Duration, worker_id: &WorkerId, end: &EndReport) {
+        let task = end.task;
+        let held = self.worker_run(worker_id, &task).map(|run| run.number);
+        if held.is_some_and(|number| number == end.run) {
+            self.remove_run(worker_id, &task);
+        }
+        self.rows.note_end(worker_id, end.number);
+        self.note_health(now, worker_id, end);
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        if job.progress.state.is_final() {
+            return;
+        }
+        if let Some(progress) = job.progress.task_mut(&task) {
+            progress.last_run = progress.last_run.max(end.run);
+            if !end.checkpoint.is_empty() && !progress.is_done && end.cause != EndCause::Done {
+                progress.checkpoint.clone_from(&end.checkpoint);
+                self.rows.mark(task.step.job);
+            }
+        }
+        match end.cause {
+            EndCause::Done => self.on_done(now, &task),
+            EndCause::Failed => self.on_failed(now, worker_id, &task),
+            EndCause::Stopped | EndCause::Lapsed | EndCause::Broken | EndCause::Alone => {
+                self.push_again(&task);
+            }
+        }
+    }
+
+    fn note_health(&mut self, now: Duration, worker_id: &WorkerId, end: &EndReport) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        match end.cause {
+            EndCause::Done => worker.health.on_done(),
+            EndCause::Failed => {
+                if worker.health.on_failed(end.task.step.job, now) {
+                    let until = worker.health.quarantined_until.saturating_sub(now);
+                    event::WORKER_QUARANTINED.emit(format_args!(
+                        "worker={worker_id} cause=failed-runs task={} for_ms={}",
+                        end.task,
+                        until.as_millis()
+                    ));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn on_done(&mut self, now: Duration, task: &TaskKey) {
+        let id = task.step.job;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let step = &job.spec.steps[usize::from(task.step.step)];
+        if step.is_long_running {
+            self.push_again(task);
+            return;
+        }
+        // The end of one member of a gang stands for all of them.
+        let members = if step.is_gang { 0..step.count as u16 } else { task.index..task.index + 1 };
+        let mut has_changed = false;
+        for index in members {
+            let member = TaskKey { step: task.step, index };
+            has_changed |= job.progress.set_done(&member);
+            job.avoid.remove(&member);
+            self.waiting.remove(&member);
+        }
+        if !has_changed {
+            return;
+        }
+        let is_step_done = job
+            .progress
+            .occurrences
+            .get(&task.step.occurrence)
+            .is_some_and(|occurrence| occurrence.is_step_done(task.step.step));
+        self.rows.mark(id);
+        self.stop_copies(now, task);
+        if is_step_done {
+            self.push_ready(id);
+            self.check_job_end(now, id);
+        }
+    }
+
+    /// Stops other runs of a task that has succeeded.
+    fn stop_copies(&mut self, now: Duration, task: &TaskKey) {
+        for worker in self.live.get(task).cloned().unwrap_or_default() {
+            self.stop_run(now, &worker, task, true);
+        }
+    }
+
+    fn on_failed(&mut self, now: Duration, worker_id: &WorkerId, task: &TaskKey) {
+        let id = task.step.job;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let attempts = self.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.attempts);
+        let step = &job.spec.steps[usize::from(task.step.step)];
+        let Some(progress) = job.progress.task_mut(task) else { return };
+        if progress.is_done {
+            return;
+        }
+        progress.failures += 1;
+        let mut failures = progress.failures;
+        if step.is_gang {
+            failures = (0..step.count as u16)
+                .filter_map(|index| job.progress.task(&TaskKey { step: task.step, index }))
+                .map(|member| member.failures)
+                .sum();
+        }
+        job.avoid.entry(*task).or_default().push(worker_id.clone());
+        self.rows.mark(id);
+        event::TASK_FAILED.emit(format_args!(
+            "job={id} task={task} worker={worker_id} failures={failures} attempts={attempts}"
+        ));
+        if failures >= attempts && !step.is_long_running {
+            event::JOB_ENDED.emit(format_args!("job={id} state=failed task={task} failures={failures}"));
+            self.end_job(now, id, JobState::Failed);
+        } else {
+            self.push_again(task);
+        }
+    }
+
+    /// Ends a job whose occurrences have all succeeded.
+    pub(super) fn check_job_end(&mut self, now: Duration, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.progress.state.is_final() {
+            return;
+        }
+        let numbers: Vec<u32> = job.progress.occurrences.keys().copied().collect();
+        for number in numbers {
+            if job.progress.drop_done(number) {
+                self.rows.mark(id);
+            }
+        }
+        if job.progress.is_done(&job.spec) {
+            event::JOB_ENDED.emit(format_args!("job={id} state=completed"));
+            self.end_job(now, id, JobState::Completed);
+        }
+    }
+
+    /// Forgets a run that has ended or can't exist any more, and queues its task again if need be.
+    pub(super) fn drop_run(&mut self, worker_id: &WorkerId, task: &TaskKey) -> Option<Run> {
+        let run = self.remove_run(worker_id, task)?;
+        if !run.is_abandoned {
+            self.push_again(task);
+        }
+        Some(run)
+    }
+
+    fn worker_run(&self, worker_id: &WorkerId, task: &TaskKey) -> Option<&Run> {
+        self.workers.get(worker_id)?.runs.get(task)
+    }
+
+    /// Frees a worker from a run.
+    pub(super) fn remove_run(&mut self, worker_id: &WorkerId, task: &TaskKey) -> Option<Run> {
+        let run = self.workers.get_mut(worker_id)?.remove_run(task)?;
+        if let Some(workers) = self.live.get_mut(task) {
+            workers.retain(|id| id != worker_id);
+            if workers.is_empty() {
+                self.live.remove(task);
+            }
+        }
+        self.is_placement_due = true;
+        Some(run)
+    }
+}
--- /dev/null
+++ b/src/shard/scheduler/holds.rs
@@ -0,0 +1,457 @@
+//! Renewing leases, and what the workers' lists say.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::job::{Resources, TaskKey};
+use crate::shard::interference;
+use crate::shard::lapse::WorkerClock;
+use crate::shard::report::{HoldReport, RunReport};
+use crate::shard::worker::{Phase, Run, Worker, WorkerId};
+use crate::telemetry::event::shard as event;
+
+use super::{Order, OrderKind, OrderOutcome, Scheduler};
+
+/// Time for ends to gather before a worker is asked again: each look costs, and a step's tasks end close together.
+const GATHER: Duration = Duration::from_millis(30);
+
+/// A worker with an end that is not acknowledged answers at once, so it is asked again only after this long.
+const UNACKED_PAUSE: Duration = Duration::from_millis(150);
+
+/// Longest wait of a worker that runs something: well below a lease, so that a successor finds most leases alive.
+const BUSY_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Longest wait of a worker where serving and filling tasks meet: their tails are judged each half second.
+const MIXED_WAIT: Duration = Duration::from_millis(500);
+
+/// Longest wait of an idle worker; it only shows that the worker lives.
+const IDLE_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Pause after a renewal without an answer.
+const MISSED_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause between two stops of one run.
+const STOP_PAUSE: Duration = Duration::from_millis(300);
+
+/// Without progress for this long a task is stuck: the shortest tasks take half a second, the longest some seconds, and
+/// progress is reported in hundredths.
+const STUCK_AFTER: Duration = Duration::from_millis(2_500);
+
+/// A long-running task that is not at work by then is started elsewhere.
+const LONG_START_LIMIT: Duration = Duration::from_millis(6_000);
+
+/// Why a renewal has no report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HoldFailure {
+    /// Not sent, or no answer.
+    NoAnswer,
+    /// Another life answers at the address.
+    OtherLife,
+    /// A higher epoch was seen: the shard has another owner.
+    Fenced,
+}
+
+impl Scheduler {
+    /// Asks for the renewals that are due.
+    pub(super) fn request_holds(&mut self, now: Duration) {
+        for (id, worker) in &mut self.workers {
+            if worker.is_hold_in_flight || now < worker.next_hold {
+                continue;
+            }
+            let is_unacked = worker.acked_end < worker.seen_end;
+            if is_unacked && now < worker.next_hold + UNACKED_PAUSE {
+                continue;
+            }
+            worker.is_hold_in_flight = true;
+            // The lease may not begin before the worker's clock is known, so the first renewal only reads it.
+            let expiry_ms = worker.clock.map(|clock| clock.expiry_ms(now, self.timing.max_lease));
+            worker.granted_ms = worker.granted_ms.max(expiry_ms.unwrap_or(0));
+            let wait = if worker.is_known { wait(worker) } else { Duration::ZERO };
+            let kind = OrderKind::Hold { expiry_ms, acked_end: worker.acked_end, wait };
+            self.orders.push(Order { worker: id.clone(), address: worker.listing.address, kind });
+        }
+    }
+
+    /// Takes the outcome of a renewal that was sent at `sent`.
+    pub fn on_hold(
+        &mut self,
+        now: Duration,
+        worker_id: &WorkerId,
+        sent: Duration,
+        outcome: Result<HoldReport, HoldFailure>,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        worker.is_hold_in_flight = false;
+        let report = match outcome {
+            Ok(report) => report,
+            Err(failure) => return self.on_hold_failure(now, worker_id, failure),
+        };
+        let is_new_life = worker.born_unix_ms.is_some()
+            && report.born_unix_ms.is_some()
+            && worker.born_unix_ms != report.born_unix_ms;
+        if is_new_life {
+            self.on_new_life(worker_id, now);
+        }
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        if worker.missed >= MISSED_REPORTED {
+            event::WORKER_ANSWERS.emit(format_args!("worker={worker_id} missed={}", worker.missed));
+        }
+        worker.born_unix_ms = report.born_unix_ms.or(worker.born_unix_ms);
+        worker.clock = Some(WorkerClock::new(report.clock_ms, now));
+        worker.answered = Some(now);
+        worker.missed = 0;
+        worker.health.unanswered = 0;
+        worker.next_hold = if worker.is_known { now + GATHER } else { now };
+        worker.is_known = true;
+        self.suspects.remove(worker_id);
+        self.take_ends(now, worker_id, &report);
+        self.take_active(now, worker_id, sent, &report);
+        self.judge_pace(now, worker_id);
+        self.is_placement_due = true;
+    }
+
+    fn on_hold_failure(&mut self, now: Duration, worker_id: &WorkerId, failure: HoldFailure) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        worker.next_hold = now + MISSED_PAUSE;
+        match failure {
+            HoldFailure::Fenced => self.on_fenced(worker_id),
+            HoldFailure::OtherLife => self.on_new_life(worker_id, now),
+            HoldFailure::NoAnswer => {
+                worker.missed += 1;
+                if worker.missed == MISSED_REPORTED {
+                    event::WORKER_SILENT.emit(format_args!(
+                        "worker={worker_id} missed={} runs={}",
+                        worker.missed,
+                        worker.runs.len()
+                    ));
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_fenced(&mut self, worker_id: &WorkerId) {
+        if !self.is_fenced {
+            event::FENCED.emit(format_args!("worker={worker_id} epoch={}", self.epoch));
+        }
+        self.is_fenced = true;
+    }
+
+    /// Drops what the earlier life of a worker ran. Starts that may still arrive stay until a stop is answered.
+    pub(super) fn on_new_life(&mut self, worker_id: &WorkerId, now: Duration) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        event::WORKER_RESTARTED.emit(format_args!("worker={worker_id} runs={}", worker.runs.len()));
+        let lost: Vec<TaskKey> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| matches!(run.phase, Phase::Active | Phase::Stopping))
+            .map(|(task, _)| *task)
+            .collect();
+        worker.born_unix_ms = None;
+        worker.clock = None;
+        worker.granted_ms = 0;
+        worker.is_known = false;
+        worker.seen_end = 0;
+        worker.acked_end = 0;
+        worker.next_hold = now;
+        for task in lost {
+            self.drop_run(worker_id, &task);
+        }
+    }
+
+    fn take_ends(&mut self, now: Duration, worker_id: &WorkerId, report: &HoldReport) {
+        for end in &report.ended {
+            let Some(worker) = self.workers.get_mut(worker_id) else { return };
+            if end.number <= worker.seen_end {
+                continue;
+            }
+            worker.seen_end = end.number;
+            self.on_end(now, worker_id, end);
+        }
+    }
+
+    fn take_active(&mut self, now: Duration, worker_id: &WorkerId, sent: Duration, report: &HoldReport) {
+        let mut listed = BTreeSet::new();
+        for run in &report.active {
+            listed.insert((run.task, run.run));
+            self.take_run(now, worker_id, run);
+        }
+        let Some(worker) = self.workers.get(worker_id) else { return };
+        let is_gone = |task: &TaskKey, run: &Run| {
+            if listed.contains(&(*task, run.number)) || report.is_cut {
+                return false;
+            }
+            match run.phase {
+                Phase::Active => run.seen < sent,
+                Phase::Stopping | Phase::Unsettled => run.stop_answered.is_some_and(|at| at < sent),
+                Phase::Starting => false,
+            }
+        };
+        let gone: Vec<TaskKey> = worker
+            .runs
+            .iter()
+            .filter(|(task, run)| is_gone(task, run))
+            .map(|(task, _)| *task)
+            .collect();
+        for task in gone {
+            event::RUN_GONE.emit(format_args!("task={task} worker={worker_id} cause=not-listed"));
+            self.drop_run(worker_id, &task);
+        }
+        self.settle_unknown_starts(now, worker_id, sent);
+        self.stop_stuck(now, worker_id);
+    }
+
+    /// Takes a run that is listed as active.
+    fn take_run(&mut self, now: Duration, worker_id: &WorkerId, listed: &RunReport) {
+        let task = listed.task;
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let Some(run) = worker.runs.get_mut(&task) else {
+            return self.adopt(now, worker_id, listed);
+        };
+        if run.number != listed.run {
+            return;
+        }
+        if matches!(run.phase, Phase::Starting | Phase::Unsettled) && run.stop_sent.is_none() {
+            run.phase = Phase::Active;
+            run.seen = now;
+        }
+        if run.percent != listed.percent {
+            run.percent = listed.percent;
+            run.advanced = now;
+        }
+        run.load = listed.load;
+        if listed.checkpoint.is_empty() {
+            return;
+        }
+        let progress = self.jobs.get_mut(&task.step.job).and_then(|job| job.progress.task_mut(&task));
+        if let Some(progress) = progress.filter(|progress| progress.checkpoint != listed.checkpoint) {
+            progress.checkpoint.clone_from(&listed.checkpoint);
+        }
+    }
+
+    /// Takes over a run that this process did not start, or stops it if its task is not to run there.
+    fn adopt(&mut self, now: Duration, worker_id: &WorkerId, listed: &RunReport) {
+        let task = listed.task;
+        let is_live = self.live.contains_key(&task);
+        let job = self.jobs.get_mut(&task.step.job).filter(|job| !job.progress.state.is_final());
+        let progress = job.and_then(|job| {
+            let step = job.spec.steps.get(usize::from(task.step.step))?.clone();
+            Some((step, job.progress.task_mut(&task)?))
+        });
+        let is_wanted = progress.as_ref().is_some_and(|(_, progress)| !progress.is_done) && !is_live;
+        let mut run = new_run(listed.run, Phase::Active, now);
+        if let Some((step, progress)) = progress {
+            progress.last_run = progress.last_run.max(listed.run);
+            if !listed.checkpoint.is_empty() {
+                progress.checkpoint.clone_from(&listed.checkpoint);
+            }
+            describe(&mut run, &step);
+        }
+        run.percent = listed.percent;
+        run.load = listed.load;
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        worker.add_run(task, run);
+        self.live.entry(task).or_default().push(worker_id.clone());
+        self.waiting.remove(&task);
+        if is_wanted {
+            event::RUN_ADOPTED.emit(format_args!("task={task} run={} worker={worker_id}", listed.run));
+        } else {
+            event::RUN_UNWANTED.emit(format_args!("task={task} run={} worker={worker_id}", listed.run));
+            self.stop_run(now, worker_id, &task, true);
+        }
+    }
+
+    /// A start whose answer was lost and that a later list doesn't have may still arrive, so it is stopped first.
+    fn settle_unknown_starts(&mut self, now: Duration, worker_id: &WorkerId, sent: Duration) {
+        let Some(worker) = self.workers.get(worker_id) else { return };
+        let is_lost = |run: &Run| run.phase == Phase::Unsettled && run.stop_sent.is_none() && run.seen < sent;
+        let lost: Vec<TaskKey> =
+            worker.runs.iter().filter(|(_, run)| is_lost(run)).map(|(task, _)| *task).collect();
+        for task in lost {
+            self.stop_run(now, worker_id, &task, false);
+        }
+    }
+
+    /// Stops tasks that make no progress; they go elsewhere.
+    fn stop_stuck(&mut self, now: Duration, worker_id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let is_stuck = |run: &Run| {
+            let idle = now.saturating_sub(run.advanced.max(run.paced));
+            match run.tail_target_ms {
+                Some(_) => run.percent < 100 && idle >= LONG_START_LIMIT,
+                None => run.leftover_cpu == 0 && run.percent < 100 && idle >= STUCK_AFTER,
+            }
+        };
+        let stuck: Vec<TaskKey> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| run.phase == Phase::Active && is_stuck(run))
+            .map(|(task, _)| *task)
+            .collect();
+        if stuck.is_empty() {
+            return;
+        }
+        if !worker.health.is_quarantined(now) {
+            worker.health.quarantine(now);
+            event::WORKER_QUARANTINED
+                .emit(format_args!("worker={worker_id} cause=no-progress task={}", stuck[0]));
+        }
+        for task in stuck {
+            self.stop_run(now, worker_id, &task, false);
+        }
+    }
+
+    fn judge_pace(&mut self, now: Duration, worker_id: &WorkerId) {
+        let pace_delay = self.timing.pace_delay;
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        for change in interference::judge(worker, now, pace_delay) {
+            let Some(run) = worker.runs.get(&change.task) else { continue };
+            let kind = OrderKind::Pace { task: change.task, run: run.number, percent: change.percent };
+            let address = worker.listing.address;
+            self.orders.push(Order { worker: worker_id.clone(), address, kind });
+        }
+    }
+
+    /// Takes the outcome of a change of pace.
+    pub fn on_pace(&mut self, worker_id: &WorkerId, task: &TaskKey, run: u32, outcome: OrderOutcome) {
+        match outcome {
+            OrderOutcome::Done => {}
+            OrderOutcome::Fenced => self.on_fenced(worker_id),
+            OrderOutcome::Unknown => {
+                let Some(worker) = self.workers.get_mut(worker_id) else { return };
+                // Any other value makes the next judgement order it again.
+                if let Some(held) = worker.runs.get_mut(task).filter(|held| held.number == run) {
+                    held.pace = 100 - held.pace.min(99);
+                }
+                worker.sum_leftover();
+            }
+        }
+    }
+
+    /// A draining worker ends what it runs when it leaves: what lasts, or can resume, moves in time.
+    pub(super) fn on_draining(&mut self, worker_id: &WorkerId, now: Duration) {
+        let Some(worker) = self.workers.get(worker_id) else { return };
+        event::WORKER_DRAINING.emit(format_args!("worker={worker_id} runs={}", worker.runs.len()));
+        let moved: Vec<TaskKey> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| run.phase == Phase::Active)
+            .map(|(task, _)| *task)
+            .filter(|task| self.is_moved_from_draining(task))
+            .collect();
+        for task in moved {
+            self.stop_run(now, worker_id, &task, false);
+        }
+    }
+
+    fn is_moved_from_draining(&self, task: &TaskKey) -> bool {
+        let Some(job) = self.jobs.get(&task.step.job) else { return true };
+        let step = job.spec.steps.get(usize::from(task.step.step));
+        step.is_none_or(|step| step.is_long_running)
+    }
+
+    /// Drops runs whose lease has certainly lapsed on workers that don't answer, and workers that are gone.
+    pub(super) fn resolve_lapsed(&mut self, now: Duration) {
+        let mut lapsed = Vec::new();
+        let mut gone = Vec::new();
+        for (id, worker) in &self.workers {
+            let is_silent = worker.missed > 0 || worker.answered.is_none();
+            let has_lapsed = worker.clock.is_none_or(|clock| now >= clock.lapsed_at(worker.granted_ms));
+            if !is_silent || !has_lapsed {
+                continue;
+            }
+            lapsed.extend(worker.runs.keys().map(|task| (id.clone(), *task)));
+            let is_unlisted = now.saturating_sub(worker.listed) >= FORGET_AFTER;
+            if is_unlisted && !worker.is_hold_in_flight {
+                gone.push(id.clone());
+            }
+        }
+        for (worker_id, task) in lapsed {
+            event::RUN_GONE.emit(format_args!("task={task} worker={worker_id} cause=lease-lapsed"));
+            self.drop_run(&worker_id, &task);
+        }
+        for id in gone {
+            event::WORKER_GONE.emit(format_args!("worker={id}"));
+            self.workers.remove(&id);
+            // A suspect stays one until the predecessor's leases have lapsed.
+        }
+    }
+
+    /// Repeats stops that were not answered.
+    pub(super) fn repeat_stops(&mut self, now: Duration) {
+        let is_due = |run: &Run| {
+            let is_wanted = run.stop_sent.is_some_and(|at| now.saturating_sub(at) >= STOP_PAUSE);
+            is_wanted && !run.is_stop_in_flight && run.stop_answered.is_none()
+        };
+        let mut due = Vec::new();
+        for (id, worker) in &self.workers {
+            due.extend(worker.runs.iter().filter(|(_, run)| is_due(run)).map(|(task, _)| (id.clone(), *task)));
+        }
+        for (worker_id, task) in due {
+            self.stop_run(now, &worker_id, &task, false);
+        }
+    }
+
+    /// Takes the outcome of a stop.
+    pub fn on_stop(&mut self, now: Duration, worker_id: &WorkerId, task: &TaskKey, run: u32, outcome: OrderOutcome) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        if let Some(held) = worker.runs.get_mut(task).filter(|held| held.number == run) {
+            held.is_stop_in_flight = false;
+            if outcome == OrderOutcome::Done {
+                held.stop_answered = Some(now);
+                // The end is listed soon; a waiting renewal returns with it.
+                worker.next_hold = worker.next_hold.min(now);
+            }
+        }
+        if outcome == OrderOutcome::Fenced {
+            self.on_fenced(worker_id);
+        }
+    }
+}
+
+/// Renewals without an answer in a row that are worth a log line.
+const MISSED_REPORTED: u32 = 2;
+
+/// A worker that is not listed any more and whose leases have lapsed is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(4);
+
+/// How long a worker may hold its answer back.
+fn wait(worker: &Worker) -> Duration {
+    if worker.runs.is_empty() {
+        return IDLE_WAIT;
+    }
+    let is_serving = worker.runs.values().any(|run| run.tail_target_ms.is_some());
+    let is_filling = worker.runs.values().any(|run| run.leftover_cpu > 0);
+    if is_serving && is_filling { MIXED_WAIT } else { BUSY_WAIT }
+}
+
+/// A run of which only the number is known.
+pub(super) fn new_run(number: u32, phase: Phase, now: Duration) -> Run {
+    Run {
+        number,
+        phase,
+        committed: Resources::default(),
+        leftover_cpu: 0,
+        tail_target_ms: None,
+        image: None,
+        since: now,
+        seen: now,
+        percent: 0,
+        advanced: now,
+        load: 0,
+        pace: 100,
+        paced: now,
+        is_stop_in_flight: false,
+        stop_sent: None,
+        stop_answered: None,
+        is_abandoned: false,
+    }
+}
+
+/// Fills in what a run of a step occupies.
+pub(super) fn describe(run: &mut Run, step: &crate::job::StepSpec) {
+    run.committed = step.committed();
+    run.leftover_cpu = if step.uses_leftover_cpu { step.resources.cpu_millis } else { 0 };
+    run.tail_target_ms = step.tail_target_ms;
+    run.image = step.image.as_deref().map(Rc::from);
+}
--- a/src/telemetry/event.rs
+++ b/src/telemetry/event.rs
@@ -8,6 +8,7 @@
 pub mod process;
 pub mod request;
 pub mod schedule;
+pub mod shard;
 
 use std::fmt;
 
@@ -40,5 +41,5 @@
 /// All events.
 #[must_use]
 pub fn all() -> Vec<Event> {
-    [process::ALL, platform::ALL, request::ALL, schedule::ALL, peer::ALL].concat()
+    [process::ALL, platform::ALL, request::ALL, schedule::ALL, shard::ALL, peer::ALL].concat()
 }
--- /dev/null
+++ b/src/telemetry/event/shard.rs
@@ -0,0 +1,100 @@
+//! Events of job scheduling: numbers 600 to 699.
+
+use log::Level;
+
+use super::Event;
+
+/// A caller's job was accepted and is stored.
+pub const JOB_ACCEPTED: Event = Event::new(600, Level::Info, "job-accepted");
+/// A caller's job was refused; it never runs.
+pub const JOB_REFUSED: Event = Event::new(601, Level::Info, "job-refused");
+/// Whether a caller's job is stored could not be found out in time.
+pub const JOB_UNCERTAIN: Event = Event::new(602, Level::Warn, "job-uncertain");
+/// The first task of a job has started.
+pub const JOB_STARTED: Event = Event::new(603, Level::Info, "job-started");
+/// A job has ended.
+pub const JOB_ENDED: Event = Event::new(604, Level::Info, "job-ended");
+/// A caller asked for a job's cancellation.
+pub const JOB_CANCEL: Event = Event::new(605, Level::Info, "job-cancel");
+/// A run of a task has failed.
+pub const TASK_FAILED: Event = Event::new(610, Level::Info, "task-failed");
+/// A start has no answer and may be carried out later.
+pub const START_UNKNOWN: Event = Event::new(611, Level::Info, "start-unknown");
+/// A worker refused a start.
+pub const START_REFUSED: Event = Event::new(612, Level::Info, "start-refused");
+/// A run is gone without an end, and its task is queued again.
+pub const RUN_GONE: Event = Event::new(613, Level::Info, "run-gone");
+/// A run of a predecessor was taken over.
+pub const RUN_ADOPTED: Event = Event::new(614, Level::Debug, "run-adopted");
+/// A run that is not to run there was found and is stopped.
+pub const RUN_UNWANTED: Event = Event::new(615, Level::Info, "run-unwanted");
+/// A worker gets no task for a while.
+pub const WORKER_QUARANTINED: Event = Event::new(620, Level::Warn, "worker-quarantined");
+/// A worker does not answer renewals.
+pub const WORKER_SILENT: Event = Event::new(621, Level::Warn, "worker-silent");
+/// A silent worker answers again.
+pub const WORKER_ANSWERS: Event = Event::new(622, Level::Info, "worker-answers");
+/// A worker has started anew and runs nothing of before.
+pub const WORKER_RESTARTED: Event = Event::new(623, Level::Warn, "worker-restarted");
+/// A worker leaves soon.
+pub const WORKER_DRAINING: Event = Event::new(624, Level::Info, "worker-draining");
+/// A worker is no longer listed, and its leases have lapsed.
+pub const WORKER_GONE: Event = Event::new(625, Level::Info, "worker-gone");
+/// The failure domains that are out of service have changed.
+pub const DOMAINS_OUT: Event = Event::new(630, Level::Info, "domains-out");
+/// This process has claimed a shard.
+pub const SHARD_CLAIMED: Event = Event::new(640, Level::Info, "shard-claimed");
+/// The jobs of the predecessor go on.
+pub const TAKEOVER_DONE: Event = Event::new(641, Level::Info, "takeover-done");
+/// A worker has seen a higher epoch: the shard has another owner.
+pub const FENCED: Event = Event::new(642, Level::Warn, "fenced");
+/// This process no longer schedules a shard.
+pub const SHARD_LOST: Event = Event::new(643, Level::Warn, "shard-lost");
+/// A planned stop has released a shard.
+pub const SHARD_RELEASED: Event = Event::new(644, Level::Info, "shard-released");
+/// The queues and their limits have changed.
+pub const QUEUES_CHANGED: Event = Event::new(650, Level::Info, "queues-changed");
+/// The store cannot be used.
+pub const STORE_LOST: Event = Event::new(660, Level::Warn, "store-lost");
+/// The store can be used again.
+pub const STORE_REGAINED: Event = Event::new(661, Level::Info, "store-regained");
+/// A row or a message could not be decoded and was passed over.
+pub const MALFORMED: Event = Event::new(662, Level::Warn, "malformed");
+/// The store's history no longer reaches back; all rows are read again.
+pub const HISTORY_GONE: Event = Event::new(663, Level::Info, "history-gone");
+/// A row was changed by an earlier write whose answer was lost.
+pub const ROW_CONFLICT: Event = Event::new(664, Level::Info, "row-conflict");
+
+/// All events of this module.
+pub const ALL: &[Event] = &[
+    JOB_ACCEPTED,
+    JOB_REFUSED,
+    JOB_UNCERTAIN,
+    JOB_STARTED,
+    JOB_ENDED,
+    JOB_CANCEL,
+    TASK_FAILED,
+    START_UNKNOWN,
+    START_REFUSED,
+    RUN_GONE,
+    RUN_ADOPTED,
+    RUN_UNWANTED,
+    WORKER_QUARANTINED,
+    WORKER_SILENT,
+    WORKER_ANSWERS,
+    WORKER_RESTARTED,
+    WORKER_DRAINING,
+    WORKER_GONE,
+    DOMAINS_OUT,
+    SHARD_CLAIMED,
+    TAKEOVER_DONE,
+    FENCED,
+    SHARD_LOST,
+    SHARD_RELEASED,
+    QUEUES_CHANGED,
+    STORE_LOST,
+    STORE_REGAINED,
+    MALFORMED,
+    HISTORY_GONE,
+    ROW_CONFLICT,
+];
