--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -17,9 +17,7 @@
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::TcpStream;
-
-/// Idle connections kept per address. A worker is used by one order and one long poll at a time, with bursts of starts.
-const MAX_IDLE_PER_ADDRESS: usize = 4;
+use tokio::sync::Semaphore;
 
 /// Time to open a connection. Addresses are in the same region; a dropped opening packet is sent again after 1 s.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -94,13 +92,29 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Connections to one address.
+#[derive(Debug)]
+struct Pool {
+    /// Calls at the same time; each uses one connection.
+    permits: Rc<Semaphore>,
+    idle: Vec<Sender>,
+}
+
 /// Connection pools by address. Cloning shares the pools.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Client {
-    idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<Sender>>>>,
+    pools: Rc<RefCell<BTreeMap<SocketAddr, Pool>>>,
+    /// Connections per address; further calls wait, since a new connection costs more than a few milliseconds.
+    connections: usize,
 }
 
 impl Client {
+    /// A client with at most `connections` to each address.
+    #[must_use]
+    pub fn new(connections: usize) -> Self {
+        Self { pools: Rc::default(), connections }
+    }
+
     /// Sends a request and reads the whole answer within `timeout`.
     ///
     /// # Errors
@@ -112,6 +126,11 @@
         call: &Call,
         timeout: Duration,
     ) -> Result<Answer, CallError> {
+        let permits = self.permits(address);
+        let permit = tokio::time::timeout(timeout, permits.acquire()).await;
+        let Ok(Ok(_permit)) = permit else {
+            return Err(CallError::NotSent { cause: "all connections are in use".to_owned() });
+        };
         let mut sender = match self.take_idle(address) {
             Some(sender) => sender,
             None => connect(address, timeout).await?,
@@ -144,13 +163,25 @@
 
     /// Closes the idle connections to an address.
     pub fn forget(&self, address: SocketAddr) {
-        self.idle.borrow_mut().remove(&address);
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&address) {
+            pool.idle.clear();
+        }
+    }
+
+    fn permits(&self, address: SocketAddr) -> Rc<Semaphore> {
+        let mut pools = self.pools.borrow_mut();
+        let connections = self.connections;
+        let pool = pools.entry(address).or_insert_with(|| Pool {
+            permits: Rc::new(Semaphore::new(connections)),
+            idle: Vec::new(),
+        });
+        Rc::clone(&pool.permits)
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
-        let mut idle = self.idle.borrow_mut();
-        let pool = idle.get_mut(&address)?;
-        while let Some(sender) = pool.pop() {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.get_mut(&address)?;
+        while let Some(sender) = pool.idle.pop() {
             if sender.is_ready() {
                 return Some(sender);
             }
@@ -159,10 +190,10 @@
     }
 
     fn keep(&self, address: SocketAddr, sender: Sender) {
-        let mut idle = self.idle.borrow_mut();
-        let pool = idle.entry(address).or_default();
-        if pool.len() < MAX_IDLE_PER_ADDRESS && !sender.is_closed() {
-            pool.push(sender);
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&address)
+            && !sender.is_closed()
+        {
+            pool.idle.push(sender);
         }
     }
 }
--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -1,26 +1,93 @@
 //! Keeps serving tasks within their tail target beside tasks that use leftover processors.
 //!
-//! Load: disturbance differs by pair of images, changes within seconds, and is seen only in the reported tails. A worker
-//! whose serving tasks are close to their target has its filling tasks slowed at once and steeply, because a breach of a
-//! few seconds counts against the service; they get their pace back in small steps once the tails are well below.
+//! Load: how much a filling task disturbs a serving one differs by pair of images, and a serving task's own load swings
+//! within seconds; both are seen only in the reported tails. A tail behaves like that of a queue, `floor / (1 - u)`, so a
+//! report gives the utilization `u` that the task feels. Neighbours multiply it by `1 + pressure * share`, where the
+//! share is the part of the worker's processors that they use. The pressure of a pair is learned from reports between
+//! which the share of one image has changed and the others' have not. In played days a pair presses by 2 to 3 or hardly
+//! at all, so most filling tasks find a worker where they cost nothing.
+//!
+//! A filling task costs the expected number of serving tasks that it pushes over their target. It is placed where it
+//! costs least, and it works at the highest pace at which it costs less than it is worth. A serving task that is over
+//! its target by its own load costs nothing, since slowing its neighbours would not help it.
 
+use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use crate::job::TaskKey;
 
-use super::worker::{Phase, Worker};
+use super::worker::{Phase, Run, Worker};
 
-/// Tail in percent of the target above which filling tasks are slowed.
-const SLOW_ABOVE_PERCENT: u64 = 92;
-/// Tail in percent of the target above which filling tasks are stopped from working at once.
-const HALT_ABOVE_PERCENT: u64 = 125;
-/// Tail in percent of the target below which filling tasks get pace back.
-const RECOVER_BELOW_PERCENT: u64 = 75;
-/// Step by which pace comes back, in percent of full speed.
-const RECOVERY_STEP: u8 = 25;
+/// Serving tasks over their target that one filling task at full speed is worth. A serving task that is pushed over its
+/// target counts four times, and a filling task earns about as much in its time as 0.4 of that.
+const WORTH: f64 = 0.3;
+/// Utilizations within this of the target's are about as likely to be over it as not: noise of a half-second report and
+/// swings of the serving task's load until the next one.
+const SPREAD: f64 = 0.045;
+/// Time over the target after which every filling neighbour is halted; the limit is some seconds.
+const HALT_AFTER: Duration = Duration::from_millis(1_500);
+/// Paces that are tried, in percent, the highest first.
+const PACES: [u8; 4] = [100, 60, 30, 0];
 /// Reports cover half a second, and a pace takes effect after `pace_delay`: no second step before both have passed.
 const REPORT_WINDOW: Duration = Duration::from_millis(500);
 
+/// Pressure of a pair that has not been observed.
+const UNKNOWN_PRESSURE: f64 = 1.5;
+/// Weight of that assumption, in squared shares: a change by a tenth of a worker weighs 0.01.
+const UNKNOWN_WEIGHT: f64 = 0.008;
+/// Largest pressure that is believed.
+const MAX_PRESSURE: f64 = 8.0;
+/// Changes of an image's share of a worker below this are noise.
+const SMALLEST_SIGNAL: f64 = 0.03;
+/// Part of a change of shares that must be of one image, so that its effect can be told from the others'.
+const DOMINANT: f64 = 0.75;
+/// A queue that is this full reports tails that say little about the utilization.
+const SATURATED: f64 = 0.93;
+/// Share of the older observations that is kept with each new one: pressures change within seconds.
+const KEPT: f64 = 0.97;
+/// Ratio of target to floor that is assumed until a lower tail was seen.
+const FLOOR_OF_TARGET: f64 = 0.25;
+
+/// Learned pressures, shared by all workers of a shard.
+#[derive(Debug, Default)]
+pub struct Pressures {
+    /// Observations by serving and filling image.
+    pairs: BTreeMap<(Rc<str>, Rc<str>), Observed>,
+    /// Lowest tail seen by serving image, in milliseconds.
+    floors: BTreeMap<Rc<str>, f64>,
+}
+
+/// Sums of a regression through the origin of the logarithm of the utilization on the share.
+#[derive(Clone, Copy, Debug)]
+struct Observed {
+    product: f64,
+    square: f64,
+}
+
+impl Observed {
+    fn new() -> Self {
+        Self { product: UNKNOWN_PRESSURE * UNKNOWN_WEIGHT, square: UNKNOWN_WEIGHT }
+    }
+
+    fn add(&mut self, share: f64, effect: f64) {
+        self.product = self.product * KEPT + share * effect;
+        self.square = self.square * KEPT + share * share;
+    }
+
+    fn pressure(&self) -> f64 {
+        (self.product / self.square).clamp(0.0, MAX_PRESSURE)
+    }
+}
+
+/// What a serving task felt at its last report.
+#[derive(Clone, Debug)]
+pub struct Felt {
+    utilization: f64,
+    /// Share of the worker that each filling image used.
+    shares: BTreeMap<Rc<str>, f64>,
+}
+
 /// A change of pace.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PaceChange {
@@ -30,62 +97,202 @@
     pub percent: u8,
 }
 
-/// Worst tail of the serving tasks of a worker, in percent of its target.
-#[must_use]
-pub fn worst_tail_percent(worker: &Worker) -> Option<u64> {
-    let serving = worker.runs.values().filter(|run| run.phase == Phase::Active);
-    serving.filter_map(|run| Some(run.load * 100 / run.tail_target_ms?.max(1))).max()
-}
+impl Pressures {
+    fn pair(&self, serving: &Run, filling: Option<&Rc<str>>) -> f64 {
+        let (Some(serving), Some(filling)) = (&serving.image, filling) else {
+            return UNKNOWN_PRESSURE;
+        };
+        let observed = self.pairs.get(&(Rc::clone(serving), Rc::clone(filling)));
+        observed.map_or(UNKNOWN_PRESSURE, Observed::pressure)
+    }
 
-/// Judges a worker after a report and returns the changes of pace to order.
-pub fn judge(worker: &mut Worker, now: Duration, pace_delay: Duration) -> Vec<PaceChange> {
-    let Some(tail) = worst_tail_percent(worker) else {
-        worker.over_target_since = None;
-        return restore_all(worker, now);
-    };
-    if tail >= 100 {
-        worker.over_target_since.get_or_insert(now);
-    } else {
-        worker.over_target_since = None;
+    fn floor(&self, serving: &Run) -> f64 {
+        let target = serving.tail_target_ms.unwrap_or(1).max(1) as f64;
+        let seen = serving.image.as_ref().and_then(|image| self.floors.get(image)).copied();
+        seen.unwrap_or(f64::INFINITY).min(target * FLOOR_OF_TARGET)
     }
-    if now.saturating_sub(worker.judged) < REPORT_WINDOW + pace_delay {
-        return Vec::new();
+
+    /// Probability that a serving task is over its target at a utilization.
+    fn risk(&self, serving: &Run, utilization: f64) -> f64 {
+        let target = serving.tail_target_ms.unwrap_or(1).max(1) as f64;
+        let limit = 1.0 - self.floor(serving) / target;
+        1.0 / (1.0 + ((limit - utilization) / SPREAD).exp())
     }
-    let target = |pace: u8| {
-        if tail > HALT_ABOVE_PERCENT {
-            0
-        } else if tail > SLOW_ABOVE_PERCENT {
-            if pace > RECOVERY_STEP { pace / 2 } else { 0 }
-        } else if tail < RECOVER_BELOW_PERCENT {
-            pace.saturating_add(RECOVERY_STEP).min(100)
-        } else {
-            pace
+
+    fn felt(&self, serving: &Run) -> f64 {
+        let tail = (serving.load as f64).max(0.1);
+        (1.0 - self.floor(serving) / tail).clamp(0.0, 0.999)
+    }
+
+    /// Expected number of serving tasks that a filling task would push over their target, in multiples of what it is
+    /// worth; above 1.0 it must not go there. 0.0 for a worker without serving tasks.
+    #[must_use]
+    pub fn cost_with(&self, worker: &Worker, image: Option<&str>, cpu_millis: u64) -> f64 {
+        let capacity = worker.listing.capacity.cpu_millis.max(1) as f64;
+        let image: Option<Rc<str>> = image.map(Rc::from);
+        let mut cost = 0.0;
+        for serving in worker.runs.values().filter(|run| run.tail_target_ms.is_some()) {
+            let added = self.pair(serving, image.as_ref()) * cpu_millis as f64 / capacity;
+            // What was started or sped up after the report comes on top of what the report shows.
+            let mut now = 1.0;
+            let mut soon = 1.0;
+            for filling in worker.runs.values().filter(|run| run.leftover_cpu > 0) {
+                let pressure = self.pair(serving, filling.image.as_ref()) / capacity;
+                now += pressure * filling.load as f64;
+                soon += pressure * expected_cpu(filling).max(filling.load as f64);
+            }
+            let own = self.felt(serving) / now;
+            cost += self.risk(serving, own * (soon + added)) - self.risk(serving, own * soon);
         }
-    };
-    let changes = set_paces(worker, now, target);
-    if !changes.is_empty() {
-        worker.judged = now;
+        cost / WORTH
     }
-    changes
-}
 
-fn restore_all(worker: &mut Worker, now: Duration) -> Vec<PaceChange> {
-    set_paces(worker, now, |_| 100)
-}
+    /// Learns from a report that the worker's runs already contain.
+    pub fn learn(&mut self, worker: &mut Worker) {
+        let capacity = worker.listing.capacity.cpu_millis.max(1) as f64;
+        let mut shares: BTreeMap<Rc<str>, f64> = BTreeMap::new();
+        for filling in worker.runs.values().filter(|run| run.leftover_cpu > 0) {
+            if let Some(image) = &filling.image {
+                *shares.entry(Rc::clone(image)).or_default() += filling.load as f64 / capacity;
+            }
+        }
+        for serving in worker.runs.values_mut() {
+            if serving.tail_target_ms.is_none() || serving.phase != Phase::Active || serving.load == 0 {
+                continue;
+            }
+            self.note_floor(serving);
+            let felt = Felt { utilization: self.felt(serving), shares: shares.clone() };
+            if let (Some(image), Some(before)) = (serving.image.clone(), serving.felt.take()) {
+                self.correct(&image, &before, &felt);
+            }
+            serving.felt = Some(felt);
+        }
+    }
+
+    fn note_floor(&mut self, serving: &Run) {
+        let Some(image) = &serving.image else { return };
+        let floor = self.floors.entry(Rc::clone(image)).or_insert(f64::INFINITY);
+        *floor = floor.min(serving.load as f64);
+    }
 
-fn set_paces(worker: &mut Worker, now: Duration, target: impl Fn(u8) -> u8) -> Vec<PaceChange> {
-    let mut changes = Vec::new();
-    for (task, run) in &mut worker.runs {
-        let percent = target(run.pace);
-        if run.leftover_cpu == 0 || run.phase != Phase::Active || percent == run.pace {
-            continue;
+    /// Learns the pressure of the one image whose share has changed.
+    fn correct(&mut self, serving: &Rc<str>, before: &Felt, after: &Felt) {
+        let images: std::collections::BTreeSet<&Rc<str>> =
+            before.shares.keys().chain(after.shares.keys()).collect();
+        let share_of = |felt: &Felt, image: &Rc<str>| felt.shares.get(image).copied().unwrap_or(0.0);
+        let changes: Vec<(Rc<str>, f64)> = images
+            .into_iter()
+            .map(|image| (Rc::clone(image), share_of(after, image) - share_of(before, image)))
+            .collect();
+        let total: f64 = changes.iter().map(|(_, change)| change.abs()).sum();
+        let largest = changes.iter().max_by(|a, b| a.1.abs().total_cmp(&b.1.abs()));
+        let Some((image, change)) = largest else { return };
+        if change.abs() < SMALLEST_SIGNAL || change.abs() < total * DOMINANT {
+            return;
         }
-        run.pace = percent;
-        run.paced = now;
-        changes.push(PaceChange { task: *task, percent });
+        if before.utilization.max(after.utilization) > SATURATED
+            && before.utilization.min(after.utilization) > SATURATED
+        {
+            return;
+        }
+        let effect = after.utilization.clamp(0.05, 0.95).ln() - before.utilization.clamp(0.05, 0.95).ln();
+        let key = (Rc::clone(serving), Rc::clone(image));
+        self.pairs.entry(key).or_insert_with(Observed::new).add(*change, effect);
     }
-    if !changes.is_empty() {
+
+    /// Judges a worker after a report and returns the changes of pace to order.
+    pub fn judge(&self, worker: &mut Worker, now: Duration, pace_delay: Duration) -> Vec<PaceChange> {
+        let worst = worst_tail_percent(worker);
+        if worst.is_some_and(|tail| tail >= 100) {
+            worker.over_target_since.get_or_insert(now);
+        } else {
+            worker.over_target_since = None;
+        }
+        if now.saturating_sub(worker.judged) < REPORT_WINDOW + pace_delay {
+            return Vec::new();
+        }
+        let changes = self.wanted_paces(worker, now);
+        if !changes.is_empty() {
+            worker.judged = now;
+        }
+        for change in &changes {
+            if let Some(run) = worker.runs.get_mut(&change.task) {
+                run.pace = change.percent;
+                run.paced = now;
+            }
+        }
         worker.sum_leftover();
+        changes
+    }
+
+    /// Admits the worker's filling tasks one after the other, those that press least first, each at the highest pace at
+    /// which it costs less than it is worth.
+    fn wanted_paces(&self, worker: &Worker, now: Duration) -> Vec<PaceChange> {
+        let capacity = worker.listing.capacity.cpu_millis.max(1) as f64;
+        let is_active = |run: &Run| run.phase == Phase::Active;
+        let serving: Vec<&Run> = worker
+            .runs
+            .values()
+            .filter(|run| run.tail_target_ms.is_some() && is_active(run) && run.load > 0)
+            .collect();
+        let mut filling: Vec<(&TaskKey, &Run)> =
+            worker.runs.iter().filter(|(_, run)| run.leftover_cpu > 0 && is_active(run)).collect();
+        // What each serving task would feel without filling neighbours, and the factor by which they raise it.
+        let own: Vec<f64> = serving
+            .iter()
+            .map(|task| {
+                let pressed: f64 = filling
+                    .iter()
+                    .map(|(_, run)| self.pair(task, run.image.as_ref()) * run.load as f64 / capacity)
+                    .sum();
+                self.felt(task) / (1.0 + pressed)
+            })
+            .collect();
+        let mut factors = vec![1.0; serving.len()];
+        let press = |run: &Run| -> f64 {
+            let pressure = |task: &&Run| self.pair(task, run.image.as_ref()) * run.leftover_cpu as f64;
+            serving.iter().map(pressure).sum()
+        };
+        filling.sort_by(|a, b| press(a.1).total_cmp(&press(b.1)));
+        let is_halted = worker.over_target_since.is_some_and(|at| now.saturating_sub(at) >= HALT_AFTER);
+        let mut changes = Vec::new();
+        for (task, run) in filling {
+            let added = |pace: u8, task: &Run| {
+                let share = run.leftover_cpu as f64 / capacity * f64::from(pace) / 100.0;
+                self.pair(task, run.image.as_ref()) * share
+            };
+            let costs_little = |pace: &u8| {
+                let cost: f64 = serving
+                    .iter()
+                    .zip(own.iter().zip(&factors))
+                    .map(|(task, (own, factor))| {
+                        self.risk(task, own * (factor + added(*pace, task)))
+                            - self.risk(task, own * factor)
+                    })
+                    .sum();
+                cost <= WORTH * f64::from(*pace) / 100.0
+            };
+            let percent =
+                if is_halted { 0 } else { PACES.into_iter().find(costs_little).unwrap_or(0) };
+            for (task, factor) in serving.iter().zip(&mut factors) {
+                *factor += added(percent, task);
+            }
+            if percent != run.pace {
+                changes.push(PaceChange { task: *task, percent });
+            }
+        }
+        changes
     }
-    changes
+}
+
+/// Processors that a filling task uses at its pace if it gets them.
+fn expected_cpu(filling: &Run) -> f64 {
+    filling.leftover_cpu as f64 * f64::from(filling.pace) / 100.0
+}
+
+/// Worst tail of the serving tasks of a worker, in percent of its target.
+#[must_use]
+pub fn worst_tail_percent(worker: &Worker) -> Option<u64> {
+    let serving = worker.runs.values().filter(|run| run.phase == Phase::Active);
+    serving.filter_map(|run| Some(run.load * 100 / run.tail_target_ms?.max(1))).max()
 }
--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -1,15 +1,17 @@
 //! Which worker gets a task.
 //!
 //! Load: many small steps a second beside long-running tasks that hold most of the committed processors while they use
-//! about half of them. Tasks that count against the capacity go to the worker with the most room, so that no worker
-//! fills up while others are empty. Tasks that use leftover processors go where the most are left; they wait if none
-//! has enough, because a worker that is shared by too many finishes all of them late.
+//! about half of them. Tasks that count against the capacity go to the fullest worker that has room, so that some
+//! workers stay without serving tasks. Tasks that use leftover processors go there first, and otherwise beside serving
+//! tasks that they press little; they wait if no worker has enough left, because a worker that is shared by too many
+//! finishes all of them late.
 
 use std::time::Duration;
 
-use crate::job::{StepKey, StepSpec};
+use crate::job::{Resources, StepKey, StepSpec};
 
-use super::worker::{Phase, Worker, WorkerId};
+use super::interference::Pressures;
+use super::worker::{Phase, Run, Worker, WorkerId};
 
 /// Without an answer for this long a worker gets no task: two renewals and their answer.
 pub const ANSWER_AGE_LIMIT: Duration = Duration::from_millis(2_600);
@@ -73,9 +75,10 @@
 
 /// Score of a worker for a task, higher is better; none if the task can't go there.
 #[must_use]
-pub fn score(worker: &Worker, wish: &Wish<'_>) -> Option<i64> {
+pub fn score(worker: &Worker, wish: &Wish<'_>, pressures: &Pressures) -> Option<i64> {
     let step = wish.step;
-    if worker.listing.service != wish.service || !step.committed().fits(&worker.room()) {
+    let room = worker.room();
+    if worker.listing.service != wish.service || !step.committed().fits(&room) {
         return None;
     }
     if step.required_label.as_ref().is_some_and(|label| !worker.listing.labels.contains(label)) {
@@ -84,23 +87,50 @@
     if step.max_per_worker.is_some_and(|most| worker.tasks_of(wish.key) >= most) {
         return None;
     }
+    let base = if step.uses_leftover_cpu {
+        score_filling(worker, step, pressures)?
+    } else {
+        score_committed(worker, step, &room)
+    };
+    Some(base - penalty(worker, wish))
+}
+
+/// Score for a task that counts against the capacity: the fullest worker that still has room. Serving tasks of one image
+/// go together, so that filling tasks that press only other images find workers where they cost nothing.
+fn score_committed(worker: &Worker, step: &StepSpec, room: &Resources) -> i64 {
+    const SAME_IMAGE: i64 = 20_000;
+    const OTHER_IMAGE: i64 = 20_000;
+    let mut score = -(room.cpu_millis as i64);
+    if step.tail_target_ms.is_none() {
+        return score;
+    }
+    let mut serving = worker.runs.values().filter(|run| run.tail_target_ms.is_some()).peekable();
+    if serving.peek().is_some() {
+        let is_same = |run: &Run| run.image.as_deref() == step.image.as_deref();
+        score += if serving.all(is_same) { SAME_IMAGE } else { -OTHER_IMAGE };
+    }
+    score
+}
+
+/// Score for a task that uses leftover processors: low cost for serving neighbours first, then many processors left.
+fn score_filling(worker: &Worker, step: &StepSpec, pressures: &Pressures) -> Option<i64> {
+    const COST_WEIGHT: f64 = 60_000.0;
+    let cpu_millis = step.resources.cpu_millis;
     let leftover = leftover_cpu(worker);
-    if step.uses_leftover_cpu
-        && leftover < (step.resources.cpu_millis * LEFTOVER_NEEDED_PERCENT / 100) as i64
-    {
+    if leftover < (cpu_millis * LEFTOVER_NEEDED_PERCENT / 100) as i64 {
         return None;
     }
-    Some(leftover - penalty(worker, wish))
+    if worker.over_target_since.is_some() {
+        return None;
+    }
+    let cost = pressures.cost_with(worker, step.image.as_deref(), cpu_millis);
+    (cost <= 1.0).then(|| leftover - (cost * COST_WEIGHT) as i64)
 }
 
-/// Keeps a task away from where it failed, from its data's other racks, from the neighbours that it would disturb and,
-/// for a step that must stay available, from the worker that has its other tasks.
+/// Keeps a task away from where it failed and from racks other than its data's.
 fn penalty(worker: &Worker, wish: &Wish<'_>) -> i64 {
     const FAILED_HERE: i64 = 1_000_000;
     const FAR_DATA: i64 = 200_000;
-    const OVER_TARGET: i64 = 100_000;
-    const SAME_STEP: i64 = 2_000;
-    const PER_FILLING_NEIGHBOUR: i64 = 1_500;
     let mut penalty = 0;
     if wish.avoid.contains(&worker.listing.id) {
         penalty += FAILED_HERE;
@@ -108,16 +138,6 @@
     if wish.step.data_rack.is_some() && wish.step.data_rack.as_deref() != worker.listing.rack() {
         penalty += FAR_DATA;
     }
-    if wish.step.uses_leftover_cpu && worker.over_target_since.is_some() {
-        penalty += OVER_TARGET;
-    }
-    if wish.step.tail_target_ms.is_some() {
-        let filling = worker.runs.values().filter(|run| run.leftover_cpu > 0).count();
-        penalty += PER_FILLING_NEIGHBOUR * filling as i64;
-    }
-    if wish.step.is_long_running {
-        penalty += SAME_STEP * i64::from(worker.tasks_of(wish.key));
-    }
     penalty
 }
 
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -20,6 +20,7 @@
 use crate::job::{JobId, JobSpec, JobState, Progress, TaskKey};
 use crate::telemetry::event::shard as event;
 
+use super::interference::Pressures;
 use super::lapse;
 use super::ownership::UNCONFIRMED_LIMIT;
 use super::queue::{QueuePolicy, Rank, WaitingTasks};
@@ -185,6 +186,7 @@
     suspects: BTreeSet<WorkerId>,
     /// When the predecessor's leases have lapsed everywhere.
     predecessor_lapsed: Duration,
+    pressures: Pressures,
     rows: rows::PendingRows,
     orders: Vec<Order>,
     /// A worker refused an order because of a higher epoch.
@@ -211,6 +213,7 @@
             domains_out: BTreeSet::new(),
             suspects: predecessor_workers.iter().cloned().collect(),
             predecessor_lapsed: now + UNCONFIRMED_LIMIT + lapse::longest(timing.max_lease),
+            pressures: Pressures::default(),
             rows: rows::PendingRows::default(),
             orders: Vec::new(),
             is_fenced: false,
--- a/src/shard/scheduler/holds.rs
+++ b/src/shard/scheduler/holds.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use crate::job::{Resources, TaskKey};
-use crate::shard::interference;
 use crate::shard::lapse::WorkerClock;
 use crate::shard::report::{HoldReport, RunReport};
 use crate::shard::worker::{Phase, Run, Worker, WorkerId};
@@ -304,7 +303,8 @@
     fn judge_pace(&mut self, now: Duration, worker_id: &WorkerId) {
         let pace_delay = self.timing.pace_delay;
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        for change in interference::judge(worker, now, pace_delay) {
+        self.pressures.learn(worker);
+        for change in self.pressures.judge(worker, now, pace_delay) {
             let Some(run) = worker.runs.get(&change.task) else { continue };
             let kind = OrderKind::Pace { task: change.task, run: run.number, percent: change.percent };
             let address = worker.listing.address;
@@ -439,6 +439,7 @@
         percent: 0,
         advanced: now,
         load: 0,
+        felt: None,
         pace: 100,
         paced: now,
         is_stop_in_flight: false,
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -125,7 +125,7 @@
             if rack.is_some() && worker.listing.rack() != rack {
                 continue;
             }
-            let Some(score) = pick::score(worker, &wish) else { continue };
+            let Some(score) = pick::score(worker, &wish, &self.pressures) else { continue };
             if best.is_none_or(|(highest, _)| score > highest) {
                 best = Some((score, id));
             }
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -72,6 +72,8 @@
     pub advanced: Duration,
     /// Tail latency in ms or processors in use, as last reported.
     pub load: u64,
+    /// For a serving task: what it felt at its last report.
+    pub felt: Option<super::interference::Felt>,
     /// Share at which it may work, in percent.
     pub pace: u8,
     /// When the pace was last changed.
