Keep leases, ends and unknown runs safe over a change of owner

(2) LOST: each renewal sent to a silent worker moved its lease's end, so its tasks were never given up. (3) TWICE: a heartbeat written before the new owner knew its workers named none, so the next owner did not wait for those it could not reach; and after a failed write a smaller batch acknowledged ends of jobs that it did not contain. Ruled out: duplicate claims (the owner row's version is a condition of every write).

--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -10,6 +10,7 @@
 
 use crate::job::JobId;
 use crate::port::{Commit, Committed, Listing, Row, RowKey, RowStore, StoreError, WorkerPort};
+use crate::shard::lapse;
 use crate::shard::ownership::{HEARTBEAT, Permission};
 use crate::shard::scheduler::{HoldFailure, Order, OrderKind, OrderOutcome, RowBatch, StartOutcome};
 use crate::shard::{OwnerRow, Scheduler, ShardId, WorkerId};
@@ -57,6 +58,8 @@
     pub version: u64,
     /// Local time before the claim was sent.
     pub sent: Duration,
+    /// Local time from which the predecessor gives no orders.
+    pub predecessor_silent: Duration,
 }
 
 struct Owner<P> {
@@ -107,7 +110,8 @@
     let progress = read_all(&node, &layout::progress(shard), &partition).await?;
     let workers = predecessor_workers(&heartbeat);
     let now = node.clock.boot();
-    let mut scheduler = Scheduler::new(claimed.epoch, node.cfg.timing, now, &workers);
+    let lapsed = claimed.predecessor_silent + lapse::longest(node.cfg.timing.lease);
+    let mut scheduler = Scheduler::new(claimed.epoch, node.cfg.timing, &workers, lapsed);
     apply_catalogue(&node, &mut scheduler);
     let mut versions = BTreeMap::new();
     let mut rows = BTreeMap::new();
--- a/src/ops/jobs/watch.rs
+++ b/src/ops/jobs/watch.rs
@@ -155,18 +155,12 @@
                 shard.0,
                 predecessor.map_or("none", |row| row.vm.as_str())
             ));
-            Ok(Some(Claimed { shard, epoch, version, sent }))
+            let predecessor_silent = reason.predecessor_silent_at(sent);
+            Ok(Some(Claimed { shard, epoch, version, sent, predecessor_silent }))
         }
-        // Somebody else was faster, or an earlier claim of this process whose answer was lost took effect.
-        Ok(Committed::Conflict { rows }) => Ok(own_claim(node, shard, &rows, sent)),
+        // Somebody else was faster, or an earlier claim of this process whose answer was lost took effect: the next look
+        // shows which.
+        Ok(Committed::Conflict { .. }) => Ok(None),
         Err(_) => Err(()),
     }
 }
-
-/// The claim that a current owner row names, if it is one of this process.
-fn own_claim<P>(node: &Node<P>, shard: ShardId, rows: &[crate::port::Row], sent: Duration) -> Option<Claimed> {
-    let row = rows.iter().find(|row| row.id.key == layout::OWNER)?;
-    let owner: OwnerRow = serde_json::from_slice(row.value.as_deref()?).ok()?;
-    let is_own = owner.vm == node.cfg.vm && owner.started_unix_ms == node.started_unix_ms;
-    is_own.then_some(Claimed { shard, epoch: owner.epoch, version: row.version, sent })
-}
--- a/src/shard/ownership.rs
+++ b/src/shard/ownership.rs
@@ -18,7 +18,7 @@
 
 /// Longest time for which an owner orders without a confirmation of the store. It bridges the outages of a few seconds
 /// that are usual; a successor waits as long for workers that do not answer.
-pub const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(9);
+pub const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(7);
 
 /// The owner row.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -50,6 +50,17 @@
     No,
 }
 
+impl ClaimReason {
+    /// Local time from which the predecessor gives no orders, for a claim that is made at `now`.
+    #[must_use]
+    pub fn predecessor_silent_at(self, now: Duration) -> Duration {
+        match self {
+            Self::New | Self::Released | Self::OwnPredecessor => now,
+            Self::Silent { since } => (since + UNCONFIRMED_LIMIT).max(now),
+        }
+    }
+}
+
 /// Why a shard is claimed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ClaimReason {
@@ -60,7 +71,10 @@
     /// The owner was an earlier life of this process, or a claim of this process whose answer was lost.
     OwnPredecessor,
     /// The owner's heartbeat has not changed for too long.
-    Silent,
+    Silent {
+        /// Local time at which the last heartbeat was first seen; the owner's permission is not newer.
+        since: Duration,
+    },
 }
 
 impl Ownership {
@@ -89,7 +103,7 @@
         }
         // Counted up to when the read was sent: an answer that was long on its way says nothing about later heartbeats.
         if asked.saturating_sub(since) >= SILENCE + self.stagger {
-            return Claim::Now(ClaimReason::Silent);
+            return Claim::Now(ClaimReason::Silent { since });
         }
         Claim::No
     }
--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -49,6 +49,7 @@
     let is_fresh = worker.answered.is_some_and(|at| now.saturating_sub(at) < ANSWER_AGE_LIMIT);
     worker.is_known
         && is_fresh
+        && worker.missed == 0
         && !is_domain_out
         && !worker.listing.is_draining
         && now.saturating_sub(worker.listed) < LISTING_AGE_LIMIT
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -21,8 +21,6 @@
 use crate::telemetry::event::shard as event;
 
 use super::interference::Pressures;
-use super::lapse;
-use super::ownership::UNCONFIRMED_LIMIT;
 use super::queue::{QueuePolicy, Rank, WaitingTasks};
 use super::report::WorkerListing;
 use super::worker::{Phase, Worker, WorkerId};
@@ -33,8 +31,9 @@
 /// Periods that the platform sets.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
-    /// Longest lease that a worker grants.
-    pub max_lease: Duration,
+    /// Lease of what runs on a worker. A successor must reach the workers before it lapses; a worker that is lost keeps
+    /// its tasks from going elsewhere until it has.
+    pub lease: Duration,
     /// Longest time that a stop takes.
     pub stop: Duration,
     /// Time until a change of pace takes effect.
@@ -198,10 +197,15 @@
 }
 
 impl Scheduler {
-    /// State of a new owner that claimed the shard at `now`. `predecessor_workers` are those that the predecessor's last
-    /// heartbeat named.
+    /// State of a new owner. `predecessor_workers` are those that the predecessor's last heartbeat named; none of them
+    /// has a lease of the predecessor at `predecessor_lapsed`.
     #[must_use]
-    pub fn new(epoch: u64, timing: Timing, now: Duration, predecessor_workers: &[WorkerId]) -> Self {
+    pub fn new(
+        epoch: u64,
+        timing: Timing,
+        predecessor_workers: &[WorkerId],
+        predecessor_lapsed: Duration,
+    ) -> Self {
         Self {
             epoch,
             timing,
@@ -212,7 +216,7 @@
             queues: BTreeMap::new(),
             domains_out: BTreeSet::new(),
             suspects: predecessor_workers.iter().cloned().collect(),
-            predecessor_lapsed: now + UNCONFIRMED_LIMIT + lapse::longest(timing.max_lease),
+            predecessor_lapsed,
             pressures: Pressures::default(),
             rows: rows::PendingRows::default(),
             orders: Vec::new(),
@@ -393,7 +397,8 @@
     /// Workers of the shard that are in the VM list or may still run something.
     #[must_use]
     pub fn worker_ids(&self) -> Vec<String> {
-        self.workers.keys().map(|id| id.as_str().to_owned()).collect()
+        let ids: BTreeSet<&WorkerId> = self.workers.keys().chain(&self.suspects).collect();
+        ids.into_iter().map(|id| id.as_str().to_owned()).collect()
     }
 
     /// Load of the shard, for metrics and the log.
--- a/src/shard/scheduler/holds.rs
+++ b/src/shard/scheduler/holds.rs
@@ -63,8 +63,10 @@
                 continue;
             }
             worker.is_hold_in_flight = true;
-            // The lease may not begin before the worker's clock is known, so the first renewal only reads it.
-            let expiry_ms = worker.clock.map(|clock| clock.expiry_ms(now, self.timing.max_lease));
+            // The first renewal only reads the worker's clock. While a worker does not answer, its lease is not extended:
+            // a renewal that arrives late would keep runs alive whose tasks are to go elsewhere.
+            let clock = worker.clock.filter(|_| worker.missed == 0);
+            let expiry_ms = clock.map(|clock| clock.expiry_ms(now, self.timing.lease));
             worker.granted_ms = worker.granted_ms.max(expiry_ms.unwrap_or(0));
             let wait = if worker.is_known { wait(worker) } else { Duration::ZERO };
             let kind = OrderKind::Hold { expiry_ms, acked_end: worker.acked_end, wait };
@@ -232,19 +234,26 @@
     fn adopt(&mut self, now: Duration, worker_id: &WorkerId, listed: &RunReport) {
         let task = listed.task;
         let is_live = self.live.contains_key(&task);
-        let job = self.jobs.get_mut(&task.step.job).filter(|job| !job.progress.state.is_final());
-        let progress = job.and_then(|job| {
-            let step = job.spec.steps.get(usize::from(task.step.step))?.clone();
-            Some((step, job.progress.task_mut(&task)?))
-        });
-        let is_wanted = progress.as_ref().is_some_and(|(_, progress)| !progress.is_done) && !is_live;
         let mut run = new_run(listed.run, Phase::Active, now);
-        if let Some((step, progress)) = progress {
-            progress.last_run = progress.last_run.max(listed.run);
-            if !listed.checkpoint.is_empty() {
-                progress.checkpoint.clone_from(&listed.checkpoint);
+        let mut is_wanted = false;
+        let mut is_described = false;
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            let is_final = job.progress.state.is_final();
+            if let Some(step) = job.spec.steps.get(usize::from(task.step.step)) {
+                describe(&mut run, step);
+                is_described = true;
             }
-            describe(&mut run, &step);
+            if let Some(progress) = job.progress.task_mut(&task) {
+                progress.last_run = progress.last_run.max(listed.run);
+                if !listed.checkpoint.is_empty() {
+                    progress.checkpoint.clone_from(&listed.checkpoint);
+                }
+                is_wanted = !progress.is_done && !is_final && !is_live;
+            }
+        }
+        if let Some(worker) = self.workers.get(worker_id).filter(|_| !is_described) {
+            // What a run of a forgotten job occupies is not known, so nothing starts beside it.
+            run.committed = worker.listing.capacity;
         }
         run.percent = listed.percent;
         run.load = listed.load;
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -153,11 +153,11 @@
     }
 
     fn send_start(&mut self, now: Duration, worker_id: &WorkerId, task: &TaskKey, run: u32) {
-        let max_lease = self.timing.max_lease;
+        let lease = self.timing.lease;
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let Some(clock) = worker.clock else { return };
-        let expiry_ms = clock.expiry_ms(now, max_lease);
+        let expiry_ms = clock.expiry_ms(now, lease);
         worker.granted_ms = worker.granted_ms.max(expiry_ms);
         let checkpoint = self.checkpoint(job, task);
         let kind =
--- a/src/shard/scheduler/rows.rs
+++ b/src/shard/scheduler/rows.rs
@@ -121,8 +121,15 @@
 
     /// Notes that a batch was not written; its jobs are written with the next one.
     pub fn on_write_failed(&mut self, batch: &RowBatch) {
-        if self.rows.in_flight.take().is_some() {
-            self.rows.dirty.extend(batch.rows.keys());
+        if self.rows.in_flight.take().is_none() {
+            return;
+        }
+        self.rows.dirty.extend(batch.rows.keys());
+        // The ends of the failed batch are stored only once all of its jobs are, which may take several batches.
+        let later = self.rows.ends.split_off(&(batch.number + 1));
+        let failed = std::mem::replace(&mut self.rows.ends, later);
+        for (worker, number) in failed.into_values().flatten() {
+            self.rows.note_end(&worker, number);
         }
     }
 
