--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -39,6 +39,8 @@
     pub is_done: bool,
     /// Runs that ended as failed. Never decreases.
     pub failures: u32,
+    /// Newest run that `failures` counts. A new owner reads the same end again if it was not acknowledged.
+    pub failed_run: u32,
     /// Newest checkpoint; empty for none.
     pub checkpoint: String,
     /// Highest run number used. Never decreases.
@@ -109,6 +111,9 @@
     /// Checkpoints as (step, index, text).
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     checkpoints: Vec<(u16, u16, String)>,
+    /// Newest failed runs as (step, index, run).
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    failed_runs: Vec<(u16, u16, u32)>,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -236,15 +241,21 @@
 }
 
 fn encode_occurrence(occurrence: &Occurrence) -> StoredOccurrence {
-    let mut checkpoints = Vec::new();
-    let mut tasks = Vec::new();
+    let mut stored =
+        StoredOccurrence { tasks: Vec::new(), checkpoints: Vec::new(), failed_runs: Vec::new() };
     for (step, list) in occurrence.steps.iter().enumerate() {
-        tasks.push(list.iter().map(encode_task).collect());
-        for (index, task) in list.iter().enumerate().filter(|(_, task)| !task.checkpoint.is_empty()) {
-            checkpoints.push((step as u16, index as u16, task.checkpoint.clone()));
+        stored.tasks.push(list.iter().map(encode_task).collect());
+        for (index, task) in list.iter().enumerate().filter(|(_, task)| !task.is_done) {
+            let (step, index) = (step as u16, index as u16);
+            if !task.checkpoint.is_empty() {
+                stored.checkpoints.push((step, index, task.checkpoint.clone()));
+            }
+            if task.failed_run > 0 {
+                stored.failed_runs.push((step, index, task.failed_run));
+            }
         }
     }
-    StoredOccurrence { tasks, checkpoints }
+    stored
 }
 
 fn encode_task(task: &TaskProgress) -> char {
@@ -276,8 +287,19 @@
         occurrence.left[step] = left as u32;
     }
     for (step, index, text) in &stored.checkpoints {
-        let task = occurrence.steps.get_mut(usize::from(*step)).and_then(|s| s.get_mut(usize::from(*index)));
-        task.ok_or(ProgressError::OtherShape)?.checkpoint.clone_from(text);
+        stored_task(&mut occurrence, *step, *index)?.checkpoint.clone_from(text);
+    }
+    for (step, index, run) in &stored.failed_runs {
+        stored_task(&mut occurrence, *step, *index)?.failed_run = *run;
     }
     Ok(occurrence)
 }
+
+fn stored_task(
+    occurrence: &mut Occurrence,
+    step: u16,
+    index: u16,
+) -> Result<&mut TaskProgress, ProgressError> {
+    let tasks = occurrence.steps.get_mut(usize::from(step));
+    tasks.and_then(|tasks| tasks.get_mut(usize::from(index))).ok_or(ProgressError::OtherShape)
+}
--- a/src/shard/scheduler/ends.rs
+++ b/src/shard/scheduler/ends.rs
@@ -32,7 +32,7 @@
         }
         match end.cause {
             EndCause::Done => self.on_done(now, &task),
-            EndCause::Failed => self.on_failed(now, worker_id, &task),
+            EndCause::Failed => self.on_failed(now, worker_id, &task, end.run),
             EndCause::Stopped | EndCause::Lapsed | EndCause::Broken | EndCause::Alone => {
                 self.push_again(&task);
             }
@@ -97,7 +97,7 @@
         }
     }
 
-    fn on_failed(&mut self, now: Duration, worker_id: &WorkerId, task: &TaskKey) {
+    fn on_failed(&mut self, now: Duration, worker_id: &WorkerId, task: &TaskKey, run: u32) {
         let id = task.step.job;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let attempts = self.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.attempts);
@@ -106,6 +106,11 @@
         if progress.is_done {
             return;
         }
+        if run <= progress.failed_run {
+            // Counted by a predecessor that stored it and had no time to acknowledge it.
+            return self.push_again(task);
+        }
+        progress.failed_run = run;
         progress.failures += 1;
         let mut failures = progress.failures;
         if step.is_gang {
