Bound the owner's rounds, and divide large fleets into two shards

The number of shards was decided from a VM list that had only just begun to fill. Ruled out: one shard for 80 workers: jobs are divided by identity, and lasting tasks hold 80 to 90% of the capacity, so small shards fill up while others have room. Change: rounds are 3 ms apart, looks at everything 20 ms; rows are written each 60 ms, at once for new jobs; the shards are decided once the VM list has settled; small VMs look at owners less often and claim later; the stand-in's stops take time.

--- a/src/ops/jobs/node.rs
+++ b/src/ops/jobs/node.rs
@@ -21,6 +21,8 @@
     pub vm: String,
     /// Failure domain of the VM.
     pub domain: String,
+    /// Share of a core that the VM has.
+    pub cpu_share: f64,
     /// Periods that the platform sets.
     pub timing: Timing,
     /// Longest time for a caller's call if it names none.
--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -22,8 +22,14 @@
 /// Longest time between two rounds of the scheduler: leases and lapses are exact to this.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Shortest time between two writes of rows, so that ends that come close together share a write.
-const WRITE_PERIOD: Duration = Duration::from_millis(25);
+/// Pause between two rounds: answers of many workers that come close together share one.
+const ROUND_PAUSE: Duration = Duration::from_millis(3);
+
+/// Time between two writes of rows, so that ends that come close together share a write.
+const WRITE_PERIOD: Duration = Duration::from_millis(60);
+
+/// The same while a job waits for its first row, without which none of its tasks may start.
+const FIRST_WRITE_PERIOD: Duration = Duration::from_millis(12);
 
 /// Pause after a write that was refused or not answered.
 const WRITE_PAUSE: Duration = Duration::from_millis(120);
@@ -273,6 +279,7 @@
                 tokio::task::spawn_local(send(Rc::clone(&owner), order));
             }
         }
+        tokio::time::sleep(ROUND_PAUSE).await;
         tokio::select! {
             () = owner.wake.notified() => {}
             () = tokio::time::sleep(TICK) => {}
@@ -331,14 +338,22 @@
 async fn write_rows<P: RowStore + WorkerPort>(owner: Rc<Owner<P>>) {
     let mut beat = 0;
     let mut last_beat: Option<Duration> = None;
+    let mut last_write = Duration::ZERO;
     loop {
         let now = owner.node.clock.boot();
-        let batch = owner.scheduler.borrow_mut().take_rows(JOBS_PER_WRITE);
+        let is_write_due = owner.scheduler.borrow().has_new_jobs()
+            || now.saturating_sub(last_write) >= WRITE_PERIOD;
+        let batch = if is_write_due {
+            owner.scheduler.borrow_mut().take_rows(JOBS_PER_WRITE)
+        } else {
+            None
+        };
         let is_beat_due = last_beat.is_none_or(|at| now.saturating_sub(at) >= HEARTBEAT);
         if batch.is_none() && !is_beat_due {
-            tokio::time::sleep(WRITE_PERIOD).await;
+            tokio::time::sleep(FIRST_WRITE_PERIOD).await;
             continue;
         }
+        last_write = now;
         if let Some(batch) = batch.as_ref().filter(|batch| batch.rows.is_empty() && !is_beat_due) {
             // Only ends of jobs that are over: nothing has to be stored for them.
             owner.scheduler.borrow_mut().on_written(batch);
@@ -352,7 +367,7 @@
         if is_written && is_beat_due {
             last_beat = Some(now);
         }
-        tokio::time::sleep(if is_written { WRITE_PERIOD } else { WRITE_PAUSE }).await;
+        tokio::time::sleep(if is_written { FIRST_WRITE_PERIOD } else { WRITE_PAUSE }).await;
     }
 }
 
--- a/src/ops/jobs/watch.rs
+++ b/src/ops/jobs/watch.rs
@@ -16,6 +16,15 @@
 /// an owner.
 const LOOK_PERIOD: Duration = Duration::from_millis(500);
 
+/// VMs with a smaller processor share leave shards to the others, unless those don't claim them.
+const SMALL_CPU_SHARE: f64 = 0.2;
+
+/// Time between two looks of a small VM: there are many of them, and each look costs.
+const SMALL_LOOK_PERIOD: Duration = Duration::from_millis(2_000);
+
+/// Extra wait of a small VM before it claims: longer than that of a larger one with one shard.
+const SMALL_STAGGER: Duration = Duration::from_millis(1_000);
+
 /// Pause after a failed call to the store.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -27,8 +36,9 @@
 
 /// Finds out how jobs and workers are divided, or decides it if no process has.
 pub async fn learn_map<P: RowStore + WorkerPort>(node: &Node<P>) {
+    let mut listed = Listed { workers: 0, since: node.clock.boot() };
     loop {
-        if let Some(map) = try_learn_map(node).await {
+        if let Some(map) = try_learn_map(node, &mut listed).await {
             node.set_map(map);
             return;
         }
@@ -36,7 +46,19 @@
     }
 }
 
-async fn try_learn_map<P: RowStore + WorkerPort>(node: &Node<P>) -> Option<ShardMap> {
+/// Number of workers in the VM list, and since when.
+struct Listed {
+    workers: usize,
+    since: Duration,
+}
+
+/// The number of shards is decided once the VM list has not grown for this long: two heartbeats of a worker.
+const LIST_SETTLED: Duration = Duration::from_millis(2_500);
+
+async fn try_learn_map<P: RowStore + WorkerPort>(
+    node: &Node<P>,
+    listed: &mut Listed,
+) -> Option<ShardMap> {
     let listing = node.port.read(layout::LAYOUT, "", "", "").await;
     node.note_store(listing.as_ref().err());
     let row = listing.ok()?.rows.into_iter().find(|row| row.id.key == layout::SHARDS);
@@ -48,7 +70,11 @@
         return None;
     }
     let workers = node.port.list().await.ok()?;
-    if workers.is_empty() {
+    let now = node.clock.boot();
+    if workers.len() > listed.workers {
+        *listed = Listed { workers: workers.len(), since: now };
+    }
+    if workers.is_empty() || now.saturating_sub(listed.since) < LIST_SETTLED {
         return None;
     }
     let map = ShardMap::for_workers(workers.len());
@@ -67,7 +93,10 @@
 
 /// Watches a shard until the planned stop, and schedules it while this process owns it.
 pub async fn run<P: RowStore + WorkerPort + 'static>(node: Rc<Node<P>>, shard: ShardId) {
-    let stagger = STAGGER.mul_f64(share(&node.cfg.vm, shard));
+    let is_small = node.cfg.cpu_share < SMALL_CPU_SHARE;
+    let small_stagger = if is_small { SMALL_STAGGER } else { Duration::ZERO };
+    let stagger = STAGGER.mul_f64(share(&node.cfg.vm, shard)) + small_stagger;
+    let look_period = if is_small { SMALL_LOOK_PERIOD } else { LOOK_PERIOD };
     let mut ownership = Ownership::new(&node.cfg.vm, stagger);
     // All processes start together; the first claims spread by the stagger as well.
     tokio::time::sleep(stagger).await;
@@ -79,7 +108,7 @@
                 node.set_owned(node.owned() - 1);
                 ownership.reset();
             }
-            Ok(None) => tokio::time::sleep(LOOK_PERIOD).await,
+            Ok(None) => tokio::time::sleep(look_period).await,
             Err(()) => {
                 ownership.reset();
                 tokio::time::sleep(FAILURE_PAUSE).await;
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -34,8 +34,9 @@
     pub shards: u32,
 }
 
-/// Workers that one owner is meant to carry. An owner on a quarter of a core answers for about 300 task starts a second.
-pub const WORKERS_PER_SHARD: usize = 80;
+/// Workers that one owner is meant to carry. Few large shards keep the load of the shards alike, because jobs are divided
+/// by their identity and not by their size; docs/CAPACITY.md has the processor share of an owner.
+pub const WORKERS_PER_SHARD: usize = 250;
 
 impl ShardMap {
     /// The division for a number of workers.
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -165,6 +165,9 @@
     pub spec: Rc<JobSpec>,
 }
 
+/// Time between two looks at all workers and jobs: short against the periods that they check.
+const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(20);
+
 /// Runs of an epoch are numbered from its own range, so they are higher than those of all earlier epochs even if the
 /// workers that had them are gone.
 const RUNS_PER_EPOCH: u64 = 10_000;
@@ -194,8 +197,8 @@
     is_placement_due: bool,
     /// Local time of the last placement pass.
     placed: Duration,
-    /// Local time of the last tick.
-    ticked: Duration,
+    /// Local time of the last look at all workers and jobs.
+    kept_house: Duration,
     /// Wall time of the last tick, for occurrences and objectives.
     unix_ms: u64,
 }
@@ -227,7 +230,7 @@
             is_fenced: false,
             is_placement_due: true,
             placed: Duration::ZERO,
-            ticked: Duration::ZERO,
+            kept_house: Duration::ZERO,
             unix_ms: 0,
         }
     }
@@ -313,6 +316,7 @@
     fn insert_job(&mut self, job: AcceptedJob, progress: Progress, is_begun: bool) {
         let id = job.id;
         let is_first = progress.next_occurrence == 0;
+        self.rows.new_jobs += usize::from(!is_begun);
         self.jobs.insert(
             id,
             Job {
@@ -423,8 +427,17 @@
     /// certainly the owner.
     pub fn tick(&mut self, now: Duration, unix_ms: u64, confirmed: Duration) {
         self.unix_ms = unix_ms;
-        let elapsed = now.saturating_sub(self.ticked);
-        self.ticked = now;
+        let elapsed = now.saturating_sub(self.kept_house);
+        if elapsed >= HOUSEKEEPING_PERIOD {
+            self.kept_house = now;
+            self.keep_house(now, confirmed, elapsed);
+        }
+        self.place(now);
+        self.request_holds(now);
+    }
+
+    /// What needs a look at all workers or jobs.
+    fn keep_house(&mut self, now: Duration, confirmed: Duration, elapsed: Duration) {
         for worker in self.workers.values_mut() {
             interference::age_shares(worker, elapsed);
         }
@@ -432,8 +445,6 @@
         self.resolve_lapsed(now, confirmed);
         self.resolve_suspects(now);
         self.repeat_stops(now);
-        self.place(now);
-        self.request_holds(now);
     }
 
     fn begin_scheduled_occurrences(&mut self) {
--- a/src/shard/scheduler/rows.rs
+++ b/src/shard/scheduler/rows.rs
@@ -32,6 +32,8 @@
 #[derive(Debug, Default)]
 pub(super) struct PendingRows {
     dirty: BTreeSet<JobId>,
+    /// Jobs that have no row yet.
+    pub(super) new_jobs: usize,
     /// Batches handed out so far.
     batches: u64,
     /// The batch that is being written, and its final jobs.
@@ -67,6 +69,12 @@
 }
 
 impl Scheduler {
+    /// True if a job waits for its first row.
+    #[must_use]
+    pub fn has_new_jobs(&self) -> bool {
+        self.rows.new_jobs > 0
+    }
+
     /// The next rows to write, at most `most` jobs; none if nothing is to be written or a batch is in flight.
     pub fn take_rows(&mut self, most: usize) -> Option<RowBatch> {
         if self.rows.in_flight.is_some() {
@@ -110,6 +118,7 @@
             let Some(job) = self.jobs.get_mut(id) else { continue };
             if !job.is_begun {
                 job.is_begun = true;
+                self.rows.new_jobs -= 1;
                 self.push_ready(*id);
             }
         }
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -25,6 +25,8 @@
 pub struct FakeRun {
     pub number: u32,
     pub ends_at: Duration,
+    /// A stop takes a while, in which the run still occupies the worker.
+    pub stops_at: Option<Duration>,
     pub resources: Resources,
 }
 
@@ -51,6 +53,9 @@
     pub tail_ms: u64,
 }
 
+/// How long a stop takes.
+const STOP_TIME: Duration = Duration::from_millis(300);
+
 /// What a worker's clock reads at the test's time 0.
 const CLOCK_ORIGIN_MS: u64 = 1_000_000;
 
@@ -165,14 +170,18 @@
             let over: Vec<TaskKey> = worker
                 .runs
                 .iter()
-                .filter(|(_, run)| has_lapsed || run.ends_at <= now)
+                .filter(|(_, run)| {
+                    has_lapsed || run.ends_at <= now || run.stops_at.is_some_and(|at| at <= now)
+                })
                 .map(|(task, _)| *task)
                 .collect();
             for task in over {
-                let cause = match (has_lapsed, fails_all) {
-                    (true, _) => EndCause::Lapsed,
-                    (false, true) => EndCause::Failed,
-                    (false, false) => EndCause::Done,
+                let is_stopped = worker.runs[&task].stops_at.is_some_and(|at| at <= now);
+                let cause = match (has_lapsed, is_stopped, fails_all) {
+                    (true, ..) => EndCause::Lapsed,
+                    (false, true, _) => EndCause::Stopped,
+                    (false, false, true) => EndCause::Failed,
+                    (false, false, false) => EndCause::Done,
                 };
                 worker.end(task, cause);
                 if cause == EndCause::Done {
@@ -215,8 +224,8 @@
             OrderKind::Stop { task, run } => {
                 let over = worker.over.entry(*task).or_default();
                 *over = (*over).max(*run);
-                if worker.runs.get(task).is_some_and(|held| held.number == *run) {
-                    worker.end(*task, EndCause::Stopped);
+                if let Some(held) = worker.runs.get_mut(task).filter(|held| held.number == *run) {
+                    held.stops_at.get_or_insert(now + STOP_TIME);
                 }
                 Some(Answer::Done)
             }
@@ -241,7 +250,7 @@
         if !taken.fits(&worker.listing.capacity) {
             self.breaches.push(format!("{id} is over its capacity with {task}"));
         }
-        worker.runs.insert(task, FakeRun { number, ends_at: now + length, resources });
+        worker.runs.insert(task, FakeRun { number, ends_at: now + length, stops_at: None, resources });
         self.starts.push((task, number, id));
     }
 }
