Spread accepted jobs over partitions, and answer callers within their time

Ruled out: more shards (they fragment the workers), batches of acceptances in the front (with one transaction in flight for each process the partition is still the bound).

--- a/src/ops/jobs/accept.rs
+++ b/src/ops/jobs/accept.rs
@@ -57,8 +57,8 @@
             StoredJob { queue: queue.to_owned(), accepted_unix_ms: self.clock.unix_ms(), spec };
         let row = layout::job_row(shard, id);
         let commit = Commit {
-            partition: layout::partition(shard),
-            expected: vec![(row.clone(), 0), (layout::progress_row(shard, id), 0)],
+            partition: layout::job_partition(shard, id),
+            expected: vec![(row.clone(), 0)],
             writes: vec![(row, serde_json::to_vec(&stored).unwrap_or_default())],
             removes: Vec::new(),
         };
@@ -81,7 +81,7 @@
     async fn submit_row(&self, commit: &Commit, until: Duration) -> Submission {
         let mut is_uncertain = false;
         loop {
-            let outcome = self.port.commit(commit).await;
+            let outcome = self.until(until, self.port.commit(commit)).await;
             self.note_store(outcome.as_ref().err());
             match outcome {
                 // A conflict means that an earlier write of the same job was applied.
@@ -104,28 +104,32 @@
     /// The state of a job.
     pub async fn job_state(&self, id: JobId, until: Duration) -> Lookup<JobState> {
         let Some(shard) = self.shard_of(id) else { return Lookup::Unavailable };
-        match self.read_row(shard, &layout::progress(shard), id, until).await {
-            Lookup::Found(row) => match Progress::decode_state(&row) {
-                Ok(state) => return Lookup::Found(state),
-                Err(e) => {
-                    event::MALFORMED.emit(format_args!("row=progress job={id} cause={e}"));
-                    return Lookup::Unavailable;
-                }
-            },
+        match self.progress_state(shard, id, until).await {
             Lookup::Absent => {}
-            Lookup::Unavailable => return Lookup::Unavailable,
+            found => return found,
         }
-        match self.read_row(shard, &layout::jobs(shard), id, until).await {
+        let partition = layout::job_partition(shard, id);
+        match self.read_key(&partition, &layout::jobs(shard), &id.to_string(), until).await {
+            // The owner may have written the first progress row since.
+            Lookup::Found(row) if row == layout::ENDED => self.progress_state(shard, id, until).await,
             Lookup::Found(_) => Lookup::Found(JobState::Queued),
+            Lookup::Absent => Lookup::Absent,
             Lookup::Unavailable => Lookup::Unavailable,
-            // The owner may have written the progress row and removed the job's row between the two reads.
-            Lookup::Absent => match self.read_row(shard, &layout::progress(shard), id, until).await {
-                Lookup::Found(row) => {
-                    Progress::decode_state(&row).map_or(Lookup::Unavailable, Lookup::Found)
+        }
+    }
+
+    async fn progress_state(&self, shard: ShardId, id: JobId, until: Duration) -> Lookup<JobState> {
+        let partition = layout::partition(shard);
+        match self.read_key(&partition, &layout::progress(shard), &id.to_string(), until).await {
+            Lookup::Found(row) => match Progress::decode_state(&row) {
+                Ok(state) => Lookup::Found(state),
+                Err(e) => {
+                    event::MALFORMED.emit(format_args!("row=progress job={id} cause={e}"));
+                    Lookup::Unavailable
                 }
-                Lookup::Absent => Lookup::Absent,
-                Lookup::Unavailable => Lookup::Unavailable,
             },
+            Lookup::Absent => Lookup::Absent,
+            Lookup::Unavailable => Lookup::Unavailable,
         }
     }
 
@@ -140,13 +144,13 @@
         }
         let row = layout::cancel_row(shard, id);
         let commit = Commit {
-            partition: layout::partition(shard),
+            partition: layout::job_partition(shard, id),
             expected: vec![(row.clone(), 0)],
             writes: vec![(row, b"{}".to_vec())],
             removes: Vec::new(),
         };
         loop {
-            let outcome = self.port.commit(&commit).await;
+            let outcome = self.until(until, self.port.commit(&commit)).await;
             self.note_store(outcome.as_ref().err());
             if outcome.is_ok() {
                 event::JOB_CANCEL.emit(format_args!("job={id} outcome=stored"));
@@ -182,19 +186,26 @@
         Lookup::Found(pending)
     }
 
-    fn shard_of(&self, id: JobId) -> Option<ShardId> {
-        self.map().map(|map| map.of_job(id))
+    /// Waits for a call of the store, but not longer than the caller does.
+    async fn until<T>(
+        &self,
+        until: Duration,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let left = until.saturating_sub(self.clock.boot());
+        let late = || StoreError::NoAnswer { cause: format!("nothing within {left:?}") };
+        tokio::time::timeout(left, call).await.unwrap_or_else(|_| Err(late()))
     }
 
-    async fn read_row(&self, shard: ShardId, table: &str, id: JobId, until: Duration) -> Lookup<Vec<u8>> {
-        self.read_key(&layout::partition(shard), table, &id.to_string(), until).await
+    fn shard_of(&self, id: JobId) -> Option<ShardId> {
+        self.map().map(|map| map.of_job(id))
     }
 
     async fn read_key(&self, partition: &str, table: &str, key: &str, until: Duration) -> Lookup<Vec<u8>> {
         // The smallest key after `key`.
         let to = format!("{key}\u{1}");
         loop {
-            let outcome = self.port.read(table, partition, key, &to).await;
+            let outcome = self.until(until, self.port.read(table, partition, key, &to)).await;
             self.note_store(outcome.as_ref().err());
             if let Ok(listing) = outcome {
                 let row = listing.rows.into_iter().find(|row| row.id.key == key);
--- a/src/ops/jobs/layout.rs
+++ b/src/ops/jobs/layout.rs
@@ -23,7 +23,23 @@
 /// What follows the job in the key of a cancellation.
 const CANCEL: &str = ".cancel";
 
-/// Partition of a shard.
+/// Partitions of a shard's accepted jobs. A partition applies one transaction at a time; with a store that is a hundred
+/// times slower than usual, each takes more than half a second, and this many carry two dozen jobs a second.
+pub const JOB_PARTITIONS: u64 = 16;
+
+/// Partition of an accepted job.
+#[must_use]
+pub fn job_partition(shard: ShardId, id: JobId) -> String {
+    // The shard depends on the identity's hash modulo the number of shards; other bits spread the job.
+    format!("j{}.{}", shard.0, (id.0 >> 17) % JOB_PARTITIONS)
+}
+
+/// All partitions of a shard's accepted jobs.
+pub fn job_partitions(shard: ShardId) -> impl Iterator<Item = String> {
+    (0..JOB_PARTITIONS).map(move |part| format!("j{}.{part}", shard.0))
+}
+
+/// Partition of a shard's owner and progress.
 #[must_use]
 pub fn partition(shard: ShardId) -> String {
     format!("s{}", shard.0)
@@ -59,6 +75,9 @@
     RowKey::new(progress(shard), id.to_string())
 }
 
+/// Content of a job's row once the job has ended: the row only keeps the job from being accepted again.
+pub const ENDED: &[u8] = b"null";
+
 /// What a row of the table of jobs is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobsKey {
--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -1,7 +1,7 @@
 //! Schedules a shard that this process owns, until it loses or releases it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,9 +34,15 @@
 /// Pause after a write that was refused or not answered.
 const WRITE_PAUSE: Duration = Duration::from_millis(120);
 
-/// Jobs in one write: each needs a condition, a write, and at its end two removals, of the 100 entries that the store
-/// takes; the owner row and the heartbeat take two.
-const JOBS_PER_WRITE: usize = 24;
+/// Jobs in one write: each needs a condition and a write of the 100 entries that the store takes; the owner row and the
+/// heartbeat take two.
+const JOBS_PER_WRITE: usize = 48;
+
+/// Time between two rounds that drop the descriptions of ended jobs: a successor reads what is left.
+const SHRINK_PERIOD: Duration = Duration::from_millis(4_000);
+
+/// Jobs in one write that drops descriptions: a write and a removal each.
+const JOBS_PER_SHRINK: usize = 48;
 
 /// Time between two readings of the VM list. A leaving worker must get no task within two seconds.
 const LIST_PERIOD: Duration = Duration::from_millis(500);
@@ -75,6 +81,8 @@
     permission: Cell<Permission>,
     /// Versions of the progress rows; a job that is not there has no row.
     versions: RefCell<BTreeMap<JobId, u64>>,
+    /// Jobs that have ended, and whose descriptions are still stored.
+    ended_jobs: RefCell<BTreeSet<JobId>>,
     /// Wakes the scheduler's round.
     wake: Notify,
     /// Another process owns the shard, or a planned stop has begun.
@@ -91,6 +99,7 @@
         tokio::task::spawn_local(follow_workers(Rc::clone(&owner))),
         tokio::task::spawn_local(write_rows(Rc::clone(&owner))),
         tokio::task::spawn_local(schedule(Rc::clone(&owner))),
+        tokio::task::spawn_local(shrink_jobs(Rc::clone(&owner))),
     ];
     let mut stop = owner.node.stop_receiver();
     tokio::select! {
@@ -112,7 +121,7 @@
     let partition = layout::partition(shard);
     let heartbeat = read_all(&node, layout::OWNERS, &partition).await?;
     // Before the progress rows: a job whose row is removed between the two reads shows as ended.
-    let jobs = read_all(&node, &layout::jobs(shard), &partition).await?;
+    let jobs = read_jobs(&node, shard).await?;
     let progress = read_all(&node, &layout::progress(shard), &partition).await?;
     let workers = predecessor_workers(&heartbeat);
     let now = node.clock.boot();
@@ -133,6 +142,7 @@
         claimed,
         scheduler: RefCell::new(scheduler),
         versions: RefCell::new(versions),
+        ended_jobs: RefCell::default(),
         wake: Notify::new(),
         has_ended: Cell::new(false),
         ended: Notify::new(),
@@ -153,6 +163,20 @@
     None
 }
 
+/// Reads all partitions of accepted jobs. Changes are followed from the oldest of the answers on.
+async fn read_jobs<P: RowStore>(node: &Node<P>, shard: ShardId) -> Option<Listing> {
+    let table = layout::jobs(shard);
+    let parts: Vec<String> = layout::job_partitions(shard).collect();
+    let reads = parts.iter().map(|part| read_all(node, &table, part));
+    let mut all = Listing { rows: Vec::new(), version: u64::MAX };
+    for listing in futures::future::join_all(reads).await {
+        let listing = listing?;
+        all.version = all.version.min(listing.version);
+        all.rows.extend(listing.rows);
+    }
+    Some(all)
+}
+
 fn predecessor_workers(owners: &Listing) -> Vec<WorkerId> {
     let row = owners.rows.iter().find(|row| row.id.key == layout::HEARTBEAT);
     let Some(value) = row.and_then(|row| row.value.as_deref()) else { return Vec::new() };
@@ -177,6 +201,7 @@
     for row in rows {
         let Some(value) = row.value.as_deref() else { continue };
         match layout::parse_jobs_key(&row.id.key) {
+            Some(JobsKey::Job(_)) if value == layout::ENDED => {}
             Some(JobsKey::Job(id)) => take_job(scheduler, id, value, progress.get(&id)),
             Some(JobsKey::Cancel(id)) => cancelled.push(id),
             None => event::MALFORMED.emit(format_args!("row=job key={:?}", row.id.key)),
@@ -217,8 +242,7 @@
             }
             Err(StoreError::HistoryGone) => {
                 event::HISTORY_GONE.emit(format_args!("table={table} after={after}"));
-                let partition = layout::partition(shard);
-                let Some(listing) = read_all(&owner.node, &table, &partition).await else { return };
+                let Some(listing) = read_jobs(&owner.node, shard).await else { return };
                 after = listing.version;
                 let now = owner.node.clock.boot();
                 take_jobs(&mut owner.scheduler.borrow_mut(), now, &listing.rows, &BTreeMap::new());
@@ -389,10 +413,9 @@
             if let Some(batch) = batch {
                 let mut versions = owner.versions.borrow_mut();
                 for (id, row) in &batch.rows {
+                    versions.insert(*id, version);
                     if row.has_ended {
-                        versions.remove(id);
-                    } else {
-                        versions.insert(*id, version);
+                        owner.ended_jobs.borrow_mut().insert(*id);
                     }
                 }
                 owner.scheduler.borrow_mut().on_written(&batch);
@@ -421,10 +444,6 @@
         let key = layout::progress_row(shard, *id);
         commit.expected.push((key.clone(), versions.get(id).copied().unwrap_or(0)));
         commit.writes.push((key, row.progress.clone()));
-        if row.has_ended {
-            commit.removes.push(layout::job_row(shard, *id));
-            commit.removes.push(layout::cancel_row(shard, *id));
-        }
     }
     if let Some(beat) = beat {
         let scheduler = owner.scheduler.borrow();
@@ -436,6 +455,36 @@
     commit
 }
 
+/// Drops the descriptions of jobs that have ended. It needs no condition: the end is stored, and nothing undoes it.
+async fn shrink_jobs<P: RowStore>(owner: Rc<Owner<P>>) {
+    let shard = owner.claimed.shard;
+    loop {
+        tokio::time::sleep(SHRINK_PERIOD).await;
+        let mut by_partition: BTreeMap<String, Vec<JobId>> = BTreeMap::new();
+        for id in owner.ended_jobs.borrow().iter() {
+            by_partition.entry(layout::job_partition(shard, *id)).or_default().push(*id);
+        }
+        for (partition, ids) in by_partition {
+            for ids in ids.chunks(JOBS_PER_SHRINK) {
+                let commit = Commit {
+                    partition: partition.clone(),
+                    writes: ids.iter().map(|id| (layout::job_row(shard, *id), layout::ENDED.to_vec())).collect(),
+                    removes: ids.iter().map(|id| layout::cancel_row(shard, *id)).collect(),
+                    ..Commit::default()
+                };
+                let outcome = owner.node.port.commit(&commit).await;
+                owner.node.note_store(outcome.as_ref().err());
+                if outcome.is_ok() {
+                    let mut ended = owner.ended_jobs.borrow_mut();
+                    for id in ids {
+                        ended.remove(id);
+                    }
+                }
+            }
+        }
+    }
+}
+
 /// Either the shard has another owner, or an earlier write whose answer was lost took effect.
 fn on_conflict<P>(owner: &Owner<P>, batch: Option<&RowBatch>, rows: &[Row]) {
     let version_of = |key: &str, table: &str| {
