Serve metrics as text, and test the adapter, the HTTP layer and the log ring

Ruled out: statsd (nothing listens for it on the platform), a second metrics library (cadence stays the interface).

--- a/src/bin/plantainlever/commands/node.rs
+++ b/src/bin/plantainlever/commands/node.rs
@@ -13,6 +13,7 @@
 #[derive(Debug)]
 pub struct Node {
     settings: Option<PathBuf>,
+    metrics_port: Option<u16>,
     level: log::LevelFilter,
 }
 
@@ -27,7 +28,11 @@
         .argument::<log::LevelFilter>("LEVEL")
         .fallback(log::LevelFilter::Info)
         .display_fallback();
-    construct!(Node { settings, level })
+    let metrics_port = long("metrics")
+        .help("Port on which metrics are served as text; by default they are not")
+        .argument::<u16>("PORT")
+        .optional();
+    construct!(Node { settings, metrics_port, level })
         .to_options()
         .descr("Run an entry process on the platform until SIGTERM or SIGINT, then stop gracefully")
         .footer("Example: plantainlever node --settings node.json")
@@ -38,7 +43,7 @@
     pub fn exec(self) -> eyre::Result<()> {
         let log = lines::start(self.level).wrap_err("logging cannot be started")?;
         let path = self.settings.unwrap_or_else(settings::path);
-        let ended = process::run(&path, Arc::new(SystemClock));
+        let ended = process::run(&path, self.metrics_port, Arc::new(SystemClock));
         log.close();
         Ok(ended?)
     }
--- a/src/ops/jobs/accept.rs
+++ b/src/ops/jobs/accept.rs
@@ -64,16 +64,27 @@
         };
         let began = self.clock.boot();
         let submission = self.submit_row(&commit, until).await;
-        let waited = (self.clock.boot().saturating_sub(began)).as_millis();
+        let waited = self.clock.boot().saturating_sub(began);
+        self.metrics.time("job.submit", waited);
+        let waited = waited.as_millis();
         match submission {
-            Submission::Accepted => event::JOB_ACCEPTED.emit(format_args!(
-                "job={id} queue={queue} shard={} tasks={tasks} waited_ms={waited}",
-                shard.0
-            )),
-            Submission::Refused { .. } => event::JOB_REFUSED
-                .emit(format_args!("job={id} queue={queue} cause=store waited_ms={waited}")),
-            Submission::Unknown => event::JOB_UNCERTAIN
-                .emit(format_args!("job={id} queue={queue} waited_ms={waited}")),
+            Submission::Accepted => {
+                self.metrics.count("job.accepted", 1);
+                event::JOB_ACCEPTED.emit(format_args!(
+                    "job={id} queue={queue} shard={} tasks={tasks} config={} waited_ms={waited}",
+                    shard.0,
+                    self.catalogue().version
+                ));
+            }
+            Submission::Refused { .. } => {
+                self.metrics.count("job.refused", 1);
+                event::JOB_REFUSED
+                    .emit(format_args!("job={id} queue={queue} cause=store waited_ms={waited}"));
+            }
+            Submission::Unknown => {
+                self.metrics.count("job.uncertain", 1);
+                event::JOB_UNCERTAIN.emit(format_args!("job={id} queue={queue} waited_ms={waited}"));
+            }
         }
         submission
     }
--- a/src/ops/jobs/node.rs
+++ b/src/ops/jobs/node.rs
@@ -10,6 +10,7 @@
 use crate::clock::Clock;
 use crate::shard::ShardMap;
 use crate::shard::scheduler::Timing;
+use crate::telemetry::Metrics;
 use crate::telemetry::event::shard as event;
 
 use super::catalogue::JobCatalogue;
@@ -40,6 +41,8 @@
     pub started_unix_ms: u64,
     /// Store and workers.
     pub port: P,
+    /// Metrics.
+    pub metrics: Metrics,
     catalogue: RefCell<Rc<JobCatalogue>>,
     catalogue_changed: Notify,
     map: watch::Sender<Option<ShardMap>>,
@@ -51,13 +54,14 @@
 impl<P> Node<P> {
     /// A process that knows nothing yet.
     #[must_use]
-    pub fn new(cfg: NodeSettings, clock: Arc<dyn Clock>, port: P) -> Self {
+    pub fn new(cfg: NodeSettings, clock: Arc<dyn Clock>, port: P, metrics: Metrics) -> Self {
         let started_unix_ms = clock.unix_ms();
         Self {
             cfg,
             clock,
             started_unix_ms,
             port,
+            metrics,
             catalogue: RefCell::default(),
             catalogue_changed: Notify::new(),
             map: watch::Sender::new(None),
@@ -138,6 +142,10 @@
 
     /// Notes whether a call to the store succeeded; logs changes.
     pub fn note_store(&self, failure: Option<&crate::port::StoreError>) {
+        match failure {
+            Some(_) => self.metrics.count("store.failed", 1),
+            None => {}
+        }
         match failure {
             Some(e) if !self.is_store_lost.get() => {
                 self.is_store_lost.set(true);
--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -339,6 +339,10 @@
         OrderKind::Start { task, run, .. } => {
             let outcome = permitted(is_permitted, StartOutcome::NotSent, port.start(epoch, &order)).await;
             let now = owner.node.clock.boot();
+            owner.node.metrics.time("order.start", now.saturating_sub(sent));
+            if outcome != StartOutcome::Started {
+                owner.node.metrics.count("order.start.failed", 1);
+            }
             owner.scheduler.borrow_mut().on_start(now, &order.worker, task, *run, outcome);
         }
         OrderKind::Stop { task, run } => {
@@ -388,6 +392,9 @@
         let heartbeat = is_beat_due.then_some(beat);
         let is_written = write(&owner, batch, heartbeat, now).await;
         owner.wake.notify_one();
+        if is_beat_due {
+            report_load(&owner);
+        }
         if is_written && is_beat_due {
             last_beat = Some(now);
         }
@@ -395,6 +402,16 @@
     }
 }
 
+fn report_load<P>(owner: &Owner<P>) {
+    let load = owner.scheduler.borrow().load();
+    let metrics = &owner.node.metrics;
+    metrics.gauge("shard.jobs", load.jobs as u64);
+    metrics.gauge("shard.waiting_steps", load.waiting_steps as u64);
+    metrics.gauge("shard.runs", load.runs as u64);
+    metrics.gauge("shard.workers", load.workers as u64);
+    metrics.gauge("shard.suspects", load.suspects as u64);
+}
+
 /// Writes a batch; false if it was not written.
 async fn write<P: RowStore>(
     owner: &Owner<P>,
@@ -405,6 +422,8 @@
     let commit = transaction(owner, batch.as_ref(), beat);
     let outcome = owner.node.port.commit(&commit).await;
     owner.node.note_store(outcome.as_ref().err());
+    let waited = owner.node.clock.boot().saturating_sub(sent);
+    owner.node.metrics.time("store.write", waited);
     match outcome {
         Ok(Committed::Applied { version }) => {
             let mut permission = owner.permission.get();
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,6 +1,7 @@
 //! Logs, metrics and traces.
 
 pub mod event;
+pub mod exposition;
 pub mod lines;
 pub mod logging;
 pub mod metrics;
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -29,7 +29,7 @@
 /// A run that is not to run there was found and is stopped.
 pub const RUN_UNWANTED: Event = Event::new(615, Level::Info, "run-unwanted");
 /// A worker gets no task for a while.
-pub const WORKER_QUARANTINED: Event = Event::new(620, Level::Warn, "worker-quarantined");
+pub const WORKER_QUARANTINED: Event = Event::new(620, Level::Warn, "worker-left-out");
 /// A worker does not answer renewals.
 pub const WORKER_SILENT: Event = Event::new(621, Level::Warn, "worker-silent");
 /// A silent worker answers again.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 
+use super::exposition::Exposition;
 use cadence::{Counted, Gauged, MetricSink, NopMetricSink, StatsdClient, Timed, UdpMetricSink};
 
 /// Prefix of all metrics.
@@ -33,6 +34,12 @@
         Ok(Self::with_sink(sink))
     }
 
+    /// Keeps metrics in the process, to be served as text.
+    #[must_use]
+    pub fn to_exposition(exposition: Exposition) -> Self {
+        Self::with_sink(exposition)
+    }
+
     fn with_sink(
         sink: impl MetricSink + Send + Sync + std::panic::RefUnwindSafe + 'static,
     ) -> Self {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,7 +2,9 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap is a failed test")]
 
+mod adapter;
 mod cli;
+mod net;
 mod peer;
 mod platform;
 mod policy;
--- /dev/null
+++ b/tests/testsuite/net.rs
@@ -0,0 +1,230 @@
+//! HTTP on the event loop: what a slow, broken or silent peer can do.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use hyper::StatusCode;
+use plantainlever::net::client::{Call, CallError, Client};
+use plantainlever::net::server::{Received, Reply, ServerLimits, serve};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+const LIMITS: ServerLimits = ServerLimits {
+    header_bytes: 8_192,
+    header_time: Duration::from_millis(300),
+    body_bytes: 1_000,
+    body_time: Duration::from_millis(300),
+    connections: 3,
+};
+
+/// Bound of every wait in these tests.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Runs a server in a thread of its own and gives its address to `test`.
+fn with_server(test: impl FnOnce(SocketAddr)) {
+    let (tx, rx) = std::sync::mpsc::channel();
+    let (close, closing) = watch::channel(false);
+    let server = std::thread::spawn(move || {
+        local(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            tx.send(listener.local_addr().unwrap()).unwrap();
+            let mut stop = closing.clone();
+            tokio::select! {
+                () = serve(listener, LIMITS, closing, echo) => {}
+                _ = stop.wait_for(|is_closing| *is_closing) => {}
+            }
+        });
+    });
+    test(rx.recv_timeout(PATIENCE).unwrap());
+    close.send_replace(true);
+    server.join().unwrap();
+}
+
+fn local<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, future)
+}
+
+async fn echo(req: Received) -> Reply {
+    Reply::json(StatusCode::OK, req.body.to_vec())
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+/// Everything that the server sends until it closes the connection.
+fn rest(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    // A reset also ends the connection.
+    let _ = stream.read_to_end(&mut text);
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+/// Guards against a caller that holds a connection by a header that never ends.
+#[test]
+fn a_header_that_comes_byte_by_byte_ends_the_connection() {
+    with_server(|address| {
+        let mut stream = connect(address);
+        let began = Instant::now();
+        let header = b"GET / HTTP/1.1\r\nhost: a\r\nx-slow: ";
+        for byte in header.iter().chain(std::iter::repeat(&b'a')) {
+            if stream.write_all(&[*byte]).is_err() || began.elapsed() > PATIENCE {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        assert!(began.elapsed() < PATIENCE, "the connection is still open");
+    });
+}
+
+/// Guards against a malformed request that gets no answer, or takes the process down.
+#[test]
+fn a_malformed_request_is_refused() {
+    with_server(|address| {
+        let mut stream = connect(address);
+        stream.write_all(b"what is this\r\n\r\n").unwrap();
+        assert!(rest(&mut stream).starts_with("HTTP/1.1 400"));
+    });
+}
+
+/// Guards against a body that fills the memory.
+#[test]
+fn a_body_over_the_limit_is_refused() {
+    with_server(|address| {
+        let mut stream = connect(address);
+        let head = "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 1001\r\n\r\n";
+        stream.write_all(head.as_bytes()).unwrap();
+        stream.write_all(&[b'a'; 1001]).unwrap();
+        assert!(rest(&mut stream).starts_with("HTTP/1.1 413"));
+    });
+}
+
+/// Guards against a header that fills the memory.
+#[test]
+fn a_header_over_the_limit_is_refused() {
+    with_server(|address| {
+        let mut stream = connect(address);
+        let long = "a".repeat(3 * LIMITS.header_bytes);
+        // The server may close before all is written.
+        let _ = stream.write_all(format!("GET / HTTP/1.1\r\nhost: a\r\nx-long: {long}\r\n\r\n").as_bytes());
+        let answer = rest(&mut stream);
+        assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 431"), "{answer}");
+    });
+}
+
+/// Guards against a body that never comes and holds a request.
+#[test]
+fn a_body_that_does_not_come_is_given_up() {
+    with_server(|address| {
+        let mut stream = connect(address);
+        let head = "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 10\r\n\r\n";
+        stream.write_all(head.as_bytes()).unwrap();
+        assert!(rest(&mut stream).starts_with("HTTP/1.1 408"));
+    });
+}
+
+/// Guards against connections without a bound.
+#[test]
+fn connections_over_the_limit_are_closed() {
+    with_server(|address| {
+        let mut open: Vec<TcpStream> = (0..LIMITS.connections).map(|_| connect(address)).collect();
+        for stream in &mut open {
+            stream.write_all(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok").unwrap();
+            let mut buf = [0; 12];
+            stream.read_exact(&mut buf).unwrap();
+            assert_eq!(&buf, b"HTTP/1.1 200");
+        }
+        assert_eq!(rest(&mut connect(address)), "");
+    });
+}
+
+/// Guards against a call that was sent and is then taken for one without effect.
+#[test]
+fn a_call_without_an_answer_may_have_had_an_effect() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buf = [0; 64];
+        let read = stream.read(&mut buf).unwrap();
+        drop(stream);
+        read
+    });
+    let call = Call::post("/", b"{}".to_vec());
+    let outcome = local(async { Client::new(2).call(address, &call, PATIENCE).await });
+    assert!(server.join().unwrap() > 0);
+    assert!(matches!(outcome, Err(CallError::NoAnswer { .. })), "{outcome:?}");
+}
+
+/// Guards against a needless unknown outcome: where nothing listens, nothing was sent.
+#[test]
+fn a_call_to_a_closed_port_was_not_sent() {
+    let address = {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.local_addr().unwrap()
+    };
+    let outcome = local(async { Client::new(2).call(address, &Call::get("/"), PATIENCE).await });
+    assert!(matches!(outcome, Err(CallError::NotSent { .. })), "{outcome:?}");
+}
+
+/// Guards against a request that is sent twice: the peer closes each connection after one answer, and the next call finds
+/// a closed connection in the pool.
+#[test]
+fn a_closed_idle_connection_is_replaced_and_nothing_is_sent_twice() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let mut bodies = Vec::new();
+        for _ in 0..3 {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut buf = Vec::new();
+            while !buf.ends_with(b"!") {
+                let mut part = [0; 256];
+                let read = stream.read(&mut part).unwrap();
+                buf.extend_from_slice(&part[..read]);
+            }
+            bodies.push(buf[buf.len() - 2]);
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").unwrap();
+        }
+        bodies
+    });
+    local(async {
+        let client = Client::new(2);
+        for name in ["1!", "2!", "3!"] {
+            let call = Call::post("/", name.as_bytes().to_vec());
+            let answer = client.call(address, &call, PATIENCE).await.unwrap();
+            assert_eq!(answer.status, StatusCode::OK);
+            // The event loop has to notice that the peer has closed.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    assert_eq!(server.join().unwrap(), b"123");
+}
+
+/// Guards against a silent connection that holds a duty: the call ends, and the next one uses a new connection.
+#[test]
+fn a_silent_connection_is_given_up_and_not_used_again() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let (silent, _) = listener.accept().unwrap();
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buf = [0; 512];
+        let _ = stream.read(&mut buf).unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").unwrap();
+        drop(silent);
+    });
+    local(async {
+        let client = Client::new(1);
+        let short = Duration::from_millis(200);
+        let first = client.call(address, &Call::get("/"), short).await;
+        assert!(matches!(first, Err(CallError::NoAnswer { .. })), "{first:?}");
+        let second = client.call(address, &Call::get("/"), PATIENCE).await;
+        assert_eq!(second.unwrap().status, StatusCode::OK);
+    });
+    server.join().unwrap();
+}
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -45,8 +45,10 @@
     pub over: BTreeMap<TaskKey, u32>,
     /// It answers nothing, and orders do not arrive.
     pub is_cut: bool,
-    /// Starts arrive, but their answers are lost.
-    pub loses_answers: bool,
+    /// Starts get no answer and are carried out this much later, if they still may be.
+    pub start_delay: Option<Duration>,
+    /// Starts on their way: when they arrive, their epoch and the order.
+    pub late: Vec<(Duration, u64, Order)>,
     /// Every run fails.
     pub fails_all: bool,
     /// Tail of serving tasks, in ms, that the next reports show.
@@ -140,7 +142,8 @@
             next_end: 1,
             over: BTreeMap::new(),
             is_cut: false,
-            loses_answers: false,
+            start_delay: None,
+            late: Vec::new(),
             fails_all: false,
             tail_ms: 0,
         };
@@ -163,6 +166,13 @@
     /// Ends the runs whose time or lease is over.
     pub fn advance(&mut self, now: Duration) {
         self.now = now;
+        let mut arrived = Vec::new();
+        for worker in self.workers.values_mut() {
+            arrived.extend(worker.late.extract_if(.., |(at, ..)| *at <= now));
+        }
+        for (_, epoch, order) in arrived {
+            self.carry_out_now(epoch, &order);
+        }
         let clock_ms = self.clock_ms();
         for worker in self.workers.values_mut() {
             let has_lapsed = clock_ms >= worker.expiry_ms;
@@ -193,12 +203,22 @@
 
     /// Carries out an order. None if its answer is lost.
     pub fn carry_out(&mut self, epoch: u64, order: &Order) -> Option<Answer> {
-        let clock_ms = self.clock_ms();
         let now = self.now;
         let worker = self.workers.get_mut(&order.worker)?;
         if worker.is_cut {
             return None;
         }
+        if let (OrderKind::Start { .. }, Some(delay)) = (&order.kind, worker.start_delay) {
+            worker.late.push((now + delay, epoch, order.clone()));
+            return None;
+        }
+        self.carry_out_now(epoch, order)
+    }
+
+    fn carry_out_now(&mut self, epoch: u64, order: &Order) -> Option<Answer> {
+        let clock_ms = self.clock_ms();
+        let now = self.now;
+        let worker = self.workers.get_mut(&order.worker)?;
         if epoch < worker.epoch {
             return Some(Answer::Fenced);
         }
@@ -217,9 +237,8 @@
                     return Some(Answer::Refused(StartRefusal::Old));
                 }
                 worker.expiry_ms = worker.expiry_ms.max(*expiry_ms);
-                let loses_answers = worker.loses_answers;
                 self.start(order.worker.clone(), *task, *run, now);
-                (!loses_answers).then_some(Answer::Done)
+                Some(Answer::Done)
             }
             OrderKind::Stop { task, run } => {
                 let over = worker.over.entry(*task).or_default();
--- a/tests/testsuite/shard/takeover.rs
+++ b/tests/testsuite/shard/takeover.rs
@@ -24,18 +24,21 @@
     assert!(waited < LEASE + Duration::from_secs(1), "{waited:?}");
 }
 
-/// Guards against a second start while the first, whose answer was lost, may still be carried out.
+/// Guards against a second start while the first, which got no answer, may still be carried out seconds later.
 #[test]
 fn a_start_without_an_answer_is_settled_before_the_task_goes_elsewhere() {
-    let mut rig = Rig::new(Fleet::new(3, 4_000));
-    for index in 0..3 {
-        rig.fleet.get(index).loses_answers = true;
+    for delay_ms in [0, 60, 300, 1_500, 4_000] {
+        let mut rig = Rig::new(Fleet::new(3, 4_000));
+        rig.run(Duration::from_millis(200));
+        for index in 0..2 {
+            rig.fleet.get(index).start_delay = Some(Duration::from_millis(delay_ms));
+        }
+        let id = rig.submit(7, spec(vec![step(9, 1_000)]));
+        rig.fleet.durations.insert(id, Duration::from_secs(2));
+        rig.run(Duration::from_secs(30));
+        rig.assert_no_breach();
+        assert!(rig.store.ended.contains(&id), "delay {delay_ms} ms");
     }
-    let id = rig.submit(7, spec(vec![step(9, 1_000)]));
-    rig.fleet.durations.insert(id, Duration::from_millis(700));
-    rig.run(Duration::from_secs(6));
-    rig.assert_no_breach();
-    assert!(rig.store.ended.contains(&id));
 }
 
 /// Guards against a worker over its capacity. Seen on `trouble-1` of hprs-ops: a successor counted runs of a job that it
--- a/tests/testsuite/telemetry.rs
+++ b/tests/testsuite/telemetry.rs
@@ -301,3 +301,62 @@
     };
     log.iter().filter(of_trace).map(parse).collect()
 }
+
+/// Writes nothing until told to.
+struct Stuck(std::sync::mpsc::Receiver<()>, std::sync::Arc<std::sync::Mutex<Vec<u8>>>);
+
+impl std::io::Write for Stuck {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        // A closed channel lets all later writes through.
+        let _ = self.0.recv();
+        self.1.lock().unwrap().extend_from_slice(buf);
+        Ok(buf.len())
+    }
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a process that waits for whoever reads its log, and against lines that are lost without a word.
+#[test]
+fn a_log_that_nobody_reads_holds_nothing_up() {
+    use std::io::Write;
+    let (release, held) = std::sync::mpsc::channel();
+    let out = std::sync::Arc::default();
+    let stuck = Stuck(held, std::sync::Arc::clone(&out));
+    let (mut ring, log) = plantainlever::telemetry::lines::ring(stuck);
+    let began = std::time::Instant::now();
+    for line in 0..20_000 {
+        ring.write_all(format!("line {line}\n").as_bytes()).unwrap();
+    }
+    assert!(began.elapsed() < std::time::Duration::from_secs(10));
+    drop(release);
+    log.close();
+    let text = String::from_utf8(out.lock().unwrap().clone()).unwrap();
+    assert!(text.starts_with("line 0\n") && text.contains(" log lines were dropped"));
+    assert!(text.lines().count() < 20_000);
+}
+
+/// Guards against counters or latencies that are served under another value than was recorded.
+#[test]
+fn metrics_are_served_as_text() {
+    use plantainlever::telemetry::exposition::Exposition;
+    let exposition = Exposition::default();
+    let metrics = plantainlever::telemetry::Metrics::to_exposition(exposition.clone());
+    metrics.count("job.accepted", 2);
+    metrics.count("job.accepted", 1);
+    metrics.gauge("shard.jobs", 7);
+    for ms in [10, 20, 30] {
+        metrics.time("job.submit", std::time::Duration::from_millis(ms));
+    }
+    let text = exposition.render();
+    for line in [
+        "plantainlever_job_accepted 3",
+        "plantainlever_shard_jobs 7",
+        "plantainlever_job_submit_ms{quantile=\"0.5\"} 20",
+        "plantainlever_job_submit_ms_sum 60",
+        "plantainlever_job_submit_ms_count 3",
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line} is not in {text}");
+    }
+}
