--- a/src/job/spec.rs
+++ b/src/job/spec.rs
@@ -215,8 +215,10 @@
     pub fn chain_from(&self, step: usize) -> Duration {
         let mut chains = vec![Duration::ZERO; self.steps.len()];
         for (index, spec) in self.steps.iter().enumerate().rev() {
-            let next = |later: &usize| self.steps[*later].after.iter().any(|a| usize::from(*a) == index);
-            let longest = (index + 1..self.steps.len()).filter(next).map(|later| chains[later]).max();
+            let next =
+                |later: &usize| self.steps[*later].after.iter().any(|a| usize::from(*a) == index);
+            let longest =
+                (index + 1..self.steps.len()).filter(next).map(|later| chains[later]).max();
             chains[index] = spec.estimate() + longest.unwrap_or_default();
         }
         chains.get(step).copied().unwrap_or_default()
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -237,7 +237,8 @@
 
 async fn read(answer: Response<Incoming>) -> Result<Answer, CallError> {
     let (head, body) = answer.into_parts();
-    let cut = |e: Box<dyn std::error::Error + Send + Sync>| CallError::NoAnswer { cause: e.to_string() };
+    let cut =
+        |e: Box<dyn std::error::Error + Send + Sync>| CallError::NoAnswer { cause: e.to_string() };
     let body = Limited::new(body, MAX_BODY_BYTES).collect().await.map_err(cut)?.to_bytes();
     Ok(Answer { status: head.status, headers: head.headers, body })
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -82,8 +82,12 @@
 pub type StopReceiver = watch::Receiver<bool>;
 
 /// Accepts connections until the listener fails. Once `stop` is true, each connection closes after its current answer.
-pub async fn serve<H, F>(listener: TcpListener, limits: ServerLimits, stop: StopReceiver, handler: H)
-where
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    stop: StopReceiver,
+    handler: H,
+) where
     H: Fn(Received) -> F + Clone + 'static,
     F: Future<Output = Reply> + 'static,
 {
@@ -163,7 +167,8 @@
     let reply = match tokio::time::timeout(limits.body_time, read).await {
         Ok(Ok(body)) => {
             let body = body.to_bytes();
-            handler(Received { method: head.method, uri: head.uri, headers: head.headers, body }).await
+            handler(Received { method: head.method, uri: head.uri, headers: head.headers, body })
+                .await
         }
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
             refusal(StatusCode::PAYLOAD_TOO_LARGE, "the body is larger than the limit")
@@ -185,7 +190,10 @@
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
     if let Some(after) = reply.retry_after {
-        headers.insert(RETRY_AFTER, hyper::header::HeaderValue::from(after.as_millis().div_ceil(1000) as u64));
+        headers.insert(
+            RETRY_AFTER,
+            hyper::header::HeaderValue::from(after.as_millis().div_ceil(1000) as u64),
+        );
     }
     response
 }
--- a/src/ops/jobs/accept.rs
+++ b/src/ops/jobs/accept.rs
@@ -48,7 +48,13 @@
 
 impl<P: RowStore> Node<P> {
     /// Accepts a job. `until` is the local time at which the caller stops waiting.
-    pub async fn submit(&self, id: JobId, queue: &str, spec: JobSpec, until: Duration) -> Submission {
+    pub async fn submit(
+        &self,
+        id: JobId,
+        queue: &str,
+        spec: JobSpec,
+        until: Duration,
+    ) -> Submission {
         let Some(shard) = self.shard_of(id) else {
             return Submission::Refused { retry_after: REFUSED_RETRY_AFTER };
         };
@@ -83,7 +89,8 @@
             }
             Submission::Unknown => {
                 self.metrics.count("job.uncertain", 1);
-                event::JOB_UNCERTAIN.emit(format_args!("job={id} queue={queue} waited_ms={waited}"));
+                event::JOB_UNCERTAIN
+                    .emit(format_args!("job={id} queue={queue} waited_ms={waited}"));
             }
         }
         submission
@@ -122,7 +129,9 @@
         let partition = layout::job_partition(shard, id);
         match self.read_key(&partition, &layout::jobs(shard), &id.to_string(), until).await {
             // The owner may have written the first progress row since.
-            Lookup::Found(row) if row == layout::ENDED => self.progress_state(shard, id, until).await,
+            Lookup::Found(row) if row == layout::ENDED => {
+                self.progress_state(shard, id, until).await
+            }
             Lookup::Found(_) => Lookup::Found(JobState::Queued),
             Lookup::Absent => Lookup::Absent,
             Lookup::Unavailable => Lookup::Unavailable,
@@ -186,7 +195,8 @@
                 Lookup::Found(row) => match serde_json::from_slice::<HeartbeatRow>(&row) {
                     Ok(heartbeat) => pending += heartbeat.pending.get(queue).copied().unwrap_or(0),
                     Err(e) => {
-                        event::MALFORMED.emit(format_args!("row=heartbeat shard={} cause={e}", shard.0));
+                        event::MALFORMED
+                            .emit(format_args!("row=heartbeat shard={} cause={e}", shard.0));
                         return Lookup::Unavailable;
                     }
                 },
@@ -212,7 +222,13 @@
         self.map().map(|map| map.of_job(id))
     }
 
-    async fn read_key(&self, partition: &str, table: &str, key: &str, until: Duration) -> Lookup<Vec<u8>> {
+    async fn read_key(
+        &self,
+        partition: &str,
+        table: &str,
+        key: &str,
+        until: Duration,
+    ) -> Lookup<Vec<u8>> {
         // The smallest key after `key`.
         let to = format!("{key}\u{1}");
         loop {
--- a/src/ops/jobs/node.rs
+++ b/src/ops/jobs/node.rs
@@ -26,6 +26,8 @@
     pub cpu_share: f64,
     /// Periods that the platform sets.
     pub timing: Timing,
+    /// How long the state of an ended job is kept.
+    pub keep_ended: Duration,
     /// Longest time for a caller's call if it names none.
     pub call_timeout: Duration,
 }
@@ -142,9 +144,8 @@
 
     /// Notes whether a call to the store succeeded; logs changes.
     pub fn note_store(&self, failure: Option<&crate::port::StoreError>) {
-        match failure {
-            Some(_) => self.metrics.count("store.failed", 1),
-            None => {}
+        if failure.is_some() {
+            self.metrics.count("store.failed", 1);
         }
         match failure {
             Some(e) if !self.is_store_lost.get() => {
--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -1,18 +1,20 @@
 //! Schedules a shard that this process owns, until it loses or releases it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::Notify;
 
-use crate::job::JobId;
+use crate::job::{JobId, JobState, Progress};
 use crate::port::{Commit, Committed, Listing, Row, RowKey, RowStore, StoreError, WorkerPort};
 use crate::shard::lapse;
 use crate::shard::ownership::{HEARTBEAT, Permission};
-use crate::shard::scheduler::{HoldFailure, Order, OrderKind, OrderOutcome, RowBatch, StartOutcome};
+use crate::shard::scheduler::{
+    HoldFailure, Order, OrderKind, OrderOutcome, RowBatch, StartOutcome,
+};
 use crate::shard::{OwnerRow, Scheduler, ShardId, WorkerId};
 use crate::telemetry::event::shard as event;
 
@@ -41,6 +43,9 @@
 /// Time between two rounds that drop the descriptions of ended jobs: a successor reads what is left.
 const SHRINK_PERIOD: Duration = Duration::from_millis(4_000);
 
+/// Time between two rounds that remove the rows of jobs that ended long ago.
+const EXPIRY_PERIOD: Duration = Duration::from_secs(5);
+
 /// Jobs in one write that drops descriptions: a write and a removal each.
 const JOBS_PER_SHRINK: usize = 48;
 
@@ -83,6 +88,8 @@
     versions: RefCell<BTreeMap<JobId, u64>>,
     /// Jobs that have ended, and whose descriptions are still stored.
     ended_jobs: RefCell<BTreeSet<JobId>>,
+    /// Jobs that have ended, and when this owner learned it, oldest first.
+    expiring: RefCell<VecDeque<(Duration, JobId)>>,
     /// Wakes the scheduler's round.
     wake: Notify,
     /// Another process owns the shard, or a planned stop has begun.
@@ -100,6 +107,7 @@
         tokio::task::spawn_local(write_rows(Rc::clone(&owner))),
         tokio::task::spawn_local(schedule(Rc::clone(&owner))),
         tokio::task::spawn_local(shrink_jobs(Rc::clone(&owner))),
+        tokio::task::spawn_local(expire_jobs(Rc::clone(&owner))),
     ];
     let mut stop = owner.node.stop_receiver();
     tokio::select! {
@@ -116,7 +124,10 @@
 }
 
 /// Reads what the predecessor has stored.
-async fn load<P: RowStore + WorkerPort>(node: Rc<Node<P>>, claimed: Claimed) -> Option<(Owner<P>, u64)> {
+async fn load<P: RowStore + WorkerPort>(
+    node: Rc<Node<P>>,
+    claimed: Claimed,
+) -> Option<(Owner<P>, u64)> {
     let shard = claimed.shard;
     let partition = layout::partition(shard);
     let heartbeat = read_all(&node, layout::OWNERS, &partition).await?;
@@ -130,10 +141,15 @@
     apply_catalogue(&node, &mut scheduler);
     let mut versions = BTreeMap::new();
     let mut rows = BTreeMap::new();
+    let mut expiring = VecDeque::new();
     for row in progress.rows {
         let Ok(id) = row.id.key.parse::<JobId>() else { continue };
         versions.insert(id, row.version);
-        rows.insert(id, row.value.unwrap_or_default());
+        let value = row.value.unwrap_or_default();
+        if Progress::decode_state(&value).is_ok_and(JobState::is_final) {
+            expiring.push_back((now, id));
+        }
+        rows.insert(id, value);
     }
     take_jobs(&mut scheduler, now, &jobs.rows, &rows);
     let owner = Owner {
@@ -143,6 +159,7 @@
         scheduler: RefCell::new(scheduler),
         versions: RefCell::new(versions),
         ended_jobs: RefCell::default(),
+        expiring: RefCell::new(expiring),
         wake: Notify::new(),
         has_ended: Cell::new(false),
         ended: Notify::new(),
@@ -196,7 +213,12 @@
 }
 
 /// Gives accepted jobs and cancellations to the scheduler; `progress` has the rows of a predecessor.
-fn take_jobs(scheduler: &mut Scheduler, now: Duration, rows: &[Row], progress: &BTreeMap<JobId, Vec<u8>>) {
+fn take_jobs(
+    scheduler: &mut Scheduler,
+    now: Duration,
+    rows: &[Row],
+    progress: &BTreeMap<JobId, Vec<u8>>,
+) {
     let mut cancelled = Vec::new();
     for row in rows {
         let Some(value) = row.value.as_deref() else { continue };
@@ -235,7 +257,12 @@
                 after = listing.version.max(after);
                 if !listing.rows.is_empty() {
                     let now = owner.node.clock.boot();
-                    take_jobs(&mut owner.scheduler.borrow_mut(), now, &listing.rows, &BTreeMap::new());
+                    take_jobs(
+                        &mut owner.scheduler.borrow_mut(),
+                        now,
+                        &listing.rows,
+                        &BTreeMap::new(),
+                    );
                     owner.wake.notify_one();
                     tokio::time::sleep(CHANGES_PAUSE).await;
                 }
@@ -263,7 +290,8 @@
         owner.node.note_store(listing.as_ref().err());
         if let (Ok(listing), Some(map)) = (listing, owner.node.map()) {
             let shard = owner.claimed.shard;
-            let own = listing.into_iter().filter(|w| map.of_worker(w.id.as_str()) == shard).collect();
+            let own =
+                listing.into_iter().filter(|w| map.of_worker(w.id.as_str()) == shard).collect();
             owner.scheduler.borrow_mut().on_listing(owner.node.clock.boot(), own);
             owner.wake.notify_one();
         }
@@ -329,7 +357,8 @@
     let port = &owner.node.port;
     match &order.kind {
         OrderKind::Hold { .. } => {
-            let outcome = permitted(is_permitted, Err(HoldFailure::NoAnswer), port.hold(epoch, &order)).await;
+            let outcome =
+                permitted(is_permitted, Err(HoldFailure::NoAnswer), port.hold(epoch, &order)).await;
             if outcome.is_err() {
                 port.forget(order.address);
             }
@@ -337,7 +366,8 @@
             owner.scheduler.borrow_mut().on_hold(now, &order.worker, sent, outcome);
         }
         OrderKind::Start { task, run, .. } => {
-            let outcome = permitted(is_permitted, StartOutcome::NotSent, port.start(epoch, &order)).await;
+            let outcome =
+                permitted(is_permitted, StartOutcome::NotSent, port.start(epoch, &order)).await;
             let now = owner.node.clock.boot();
             owner.node.metrics.time("order.start", now.saturating_sub(sent));
             if outcome != StartOutcome::Started {
@@ -346,12 +376,14 @@
             owner.scheduler.borrow_mut().on_start(now, &order.worker, task, *run, outcome);
         }
         OrderKind::Stop { task, run } => {
-            let outcome = permitted(is_permitted, OrderOutcome::Unknown, port.adjust(epoch, &order)).await;
+            let outcome =
+                permitted(is_permitted, OrderOutcome::Unknown, port.adjust(epoch, &order)).await;
             let now = owner.node.clock.boot();
             owner.scheduler.borrow_mut().on_stop(now, &order.worker, task, *run, outcome);
         }
         OrderKind::Pace { task, run, .. } => {
-            let outcome = permitted(is_permitted, OrderOutcome::Unknown, port.adjust(epoch, &order)).await;
+            let outcome =
+                permitted(is_permitted, OrderOutcome::Unknown, port.adjust(epoch, &order)).await;
             owner.scheduler.borrow_mut().on_pace(&order.worker, task, *run, outcome);
         }
     }
@@ -435,6 +467,7 @@
                     versions.insert(*id, version);
                     if row.has_ended {
                         owner.ended_jobs.borrow_mut().insert(*id);
+                        owner.expiring.borrow_mut().push_back((sent, *id));
                     }
                 }
                 owner.scheduler.borrow_mut().on_written(&batch);
@@ -474,6 +507,56 @@
     commit
 }
 
+/// Removes the rows of jobs whose state nobody may ask for any more.
+async fn expire_jobs<P: RowStore>(owner: Rc<Owner<P>>) {
+    loop {
+        tokio::time::sleep(EXPIRY_PERIOD).await;
+        let now = owner.node.clock.boot();
+        let due: Vec<JobId> = owner
+            .expiring
+            .borrow()
+            .iter()
+            .take_while(|(since, _)| now.saturating_sub(*since) >= owner.node.cfg.keep_ended)
+            .take(JOBS_PER_SHRINK)
+            .map(|(_, id)| *id)
+            .collect();
+        if !due.is_empty() && remove_rows(&owner, &due).await {
+            owner.expiring.borrow_mut().drain(..due.len());
+            let mut versions = owner.versions.borrow_mut();
+            for id in &due {
+                versions.remove(id);
+            }
+        }
+    }
+}
+
+/// Removes the progress of ended jobs, and then the rows that kept them from being accepted again.
+async fn remove_rows<P: RowStore>(owner: &Owner<P>, ids: &[JobId]) -> bool {
+    let shard = owner.claimed.shard;
+    let owner_row = RowKey::new(layout::OWNERS, layout::OWNER);
+    let mut commits = vec![Commit {
+        partition: layout::partition(shard),
+        expected: vec![(owner_row, owner.claimed.version)],
+        removes: ids.iter().map(|id| layout::progress_row(shard, *id)).collect(),
+        ..Commit::default()
+    }];
+    for id in ids {
+        commits.push(Commit {
+            partition: layout::job_partition(shard, *id),
+            removes: vec![layout::job_row(shard, *id), layout::cancel_row(shard, *id)],
+            ..Commit::default()
+        });
+    }
+    for commit in &commits {
+        let outcome = owner.node.port.commit(commit).await;
+        owner.node.note_store(outcome.as_ref().err());
+        if !matches!(outcome, Ok(Committed::Applied { .. })) {
+            return false;
+        }
+    }
+    true
+}
+
 /// Drops the descriptions of jobs that have ended. It needs no condition: the end is stored, and nothing undoes it.
 async fn shrink_jobs<P: RowStore>(owner: Rc<Owner<P>>) {
     let shard = owner.claimed.shard;
@@ -487,7 +570,10 @@
             for ids in ids.chunks(JOBS_PER_SHRINK) {
                 let commit = Commit {
                     partition: partition.clone(),
-                    writes: ids.iter().map(|id| (layout::job_row(shard, *id), layout::ENDED.to_vec())).collect(),
+                    writes: ids
+                        .iter()
+                        .map(|id| (layout::job_row(shard, *id), layout::ENDED.to_vec()))
+                        .collect(),
                     removes: ids.iter().map(|id| layout::cancel_row(shard, *id)).collect(),
                     ..Commit::default()
                 };
@@ -507,7 +593,9 @@
 /// Either the shard has another owner, or an earlier write whose answer was lost took effect.
 fn on_conflict<P>(owner: &Owner<P>, batch: Option<&RowBatch>, rows: &[Row]) {
     let version_of = |key: &str, table: &str| {
-        rows.iter().find(|row| row.id.key == key && row.id.table == table).map_or(0, |row| row.version)
+        rows.iter()
+            .find(|row| row.id.key == key && row.id.table == table)
+            .map_or(0, |row| row.version)
     };
     if version_of(layout::OWNER, layout::OWNERS) != owner.claimed.version {
         return lose(owner, "claimed-by-another");
--- a/src/port.rs
+++ b/src/port.rs
@@ -131,7 +131,11 @@
     fn list(&self) -> impl Future<Output = Result<Vec<WorkerListing>, StoreError>>;
 
     /// Sends [`crate::shard::scheduler::OrderKind::Hold`] with an epoch.
-    fn hold(&self, epoch: u64, order: &Order) -> impl Future<Output = Result<HoldReport, HoldFailure>>;
+    fn hold(
+        &self,
+        epoch: u64,
+        order: &Order,
+    ) -> impl Future<Output = Result<HoldReport, HoldFailure>>;
 
     /// Sends [`crate::shard::scheduler::OrderKind::Start`] with an epoch.
     fn start(&self, epoch: u64, order: &Order) -> impl Future<Output = StartOutcome>;
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -17,7 +17,7 @@
 pub mod scheduler;
 pub mod worker;
 
-pub use ownership::{Ownership, OwnerRow};
+pub use ownership::{OwnerRow, Ownership};
 pub use queue::QueuePolicy;
 pub use report::{EndCause, EndReport, HoldReport, RunReport, WorkerListing};
 pub use scheduler::{Order, Scheduler, Timing};
@@ -55,7 +55,9 @@
     /// The shard that uses a worker.
     #[must_use]
     pub fn of_worker(self, worker: &str) -> ShardId {
-        let hash = worker.bytes().fold(FNV_OFFSET, |hash, b| (hash ^ u64::from(b)).wrapping_mul(FNV_PRIME));
+        let hash = worker
+            .bytes()
+            .fold(FNV_OFFSET, |hash, b| (hash ^ u64::from(b)).wrapping_mul(FNV_PRIME));
         ShardId((mix(hash) % u64::from(self.shards)) as u32)
     }
 }
--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -152,8 +152,9 @@
         filling: impl IntoIterator<Item = &'a Run>,
         capacity: f64,
     ) -> f64 {
-        let pressed =
-            filling.into_iter().map(|run| self.pair(serving, run.image.as_deref()) * run.load as f64);
+        let pressed = filling
+            .into_iter()
+            .map(|run| self.pair(serving, run.image.as_deref()) * run.load as f64);
         1.0 + pressed.sum::<f64>() / capacity
     }
 
@@ -199,7 +200,10 @@
     pub fn learn(&mut self, worker: &mut Worker) {
         let shares = worker.shares.clone();
         for serving in worker.runs.values_mut() {
-            if serving.tail_target_ms.is_none() || serving.phase != Phase::Active || serving.load == 0 {
+            if serving.tail_target_ms.is_none()
+                || serving.phase != Phase::Active
+                || serving.load == 0
+            {
                 continue;
             }
             self.note_floor(serving);
@@ -221,7 +225,8 @@
     fn correct(&mut self, serving: &Rc<str>, before: &Felt, after: &Felt) {
         let images: std::collections::BTreeSet<&Rc<str>> =
             before.shares.keys().chain(after.shares.keys()).collect();
-        let share_of = |felt: &Felt, image: &Rc<str>| felt.shares.get(image).copied().unwrap_or(0.0);
+        let share_of =
+            |felt: &Felt, image: &Rc<str>| felt.shares.get(image).copied().unwrap_or(0.0);
         let changes: Vec<(Rc<str>, f64)> = images
             .into_iter()
             .map(|image| (Rc::clone(image), share_of(after, image) - share_of(before, image)))
@@ -237,20 +242,27 @@
         {
             return;
         }
-        let effect = after.utilization.clamp(0.05, 0.95).ln() - before.utilization.clamp(0.05, 0.95).ln();
+        let effect =
+            after.utilization.clamp(0.05, 0.95).ln() - before.utilization.clamp(0.05, 0.95).ln();
         let pairs = self.pairs.entry(Rc::clone(serving)).or_default();
         pairs.entry(Rc::clone(image)).or_insert_with(Observed::new).add(*change, effect);
     }
 
     /// Judges a worker after a report and returns the changes of pace to order.
-    pub fn judge(&self, worker: &mut Worker, now: Duration, pace_delay: Duration) -> Vec<PaceChange> {
+    pub fn judge(
+        &self,
+        worker: &mut Worker,
+        now: Duration,
+        pace_delay: Duration,
+    ) -> Vec<PaceChange> {
         let worst = worst_tail_percent(worker);
         if worst.is_some_and(|tail| tail >= 100) {
             worker.over_target_since.get_or_insert(now);
         } else {
             worker.over_target_since = None;
         }
-        let is_halted = worker.over_target_since.is_some_and(|at| now.saturating_sub(at) >= HALT_AFTER);
+        let is_halted =
+            worker.over_target_since.is_some_and(|at| now.saturating_sub(at) >= HALT_AFTER);
         if !is_halted && now.saturating_sub(worker.judged) < REPORT_WINDOW + pace_delay {
             return Vec::new();
         }
@@ -290,7 +302,8 @@
             .collect();
         let mut factors = vec![1.0; serving.len()];
         let press = |run: &Run| -> f64 {
-            let pressure = |task: &&Run| self.pair(task, run.image.as_deref()) * run.leftover_cpu as f64;
+            let pressure =
+                |task: &&Run| self.pair(task, run.image.as_deref()) * run.leftover_cpu as f64;
             serving.iter().map(pressure).sum()
         };
         filling.sort_by(|a, b| press(a.1).total_cmp(&press(b.1)));
@@ -332,7 +345,9 @@
         *share *= kept;
         *share > FORGOTTEN_SHARE
     });
-    for filling in worker.runs.values().filter(|run| run.leftover_cpu > 0 && run.phase == Phase::Active) {
+    for filling in
+        worker.runs.values().filter(|run| run.leftover_cpu > 0 && run.phase == Phase::Active)
+    {
         if let Some(image) = &filling.image {
             *worker.shares.entry(Rc::clone(image)).or_default() +=
                 (1.0 - kept) * expected_cpu(filling) / capacity;
--- a/src/shard/ownership.rs
+++ b/src/shard/ownership.rs
@@ -86,7 +86,13 @@
 
     /// Takes a reading of the owner row and the version of the heartbeat row. `asked` is when the read was sent and
     /// `now` when its answer arrived.
-    pub fn on_read(&mut self, row: Option<&OwnerRow>, heartbeat: u64, asked: Duration, now: Duration) -> Claim {
+    pub fn on_read(
+        &mut self,
+        row: Option<&OwnerRow>,
+        heartbeat: u64,
+        asked: Duration,
+        now: Duration,
+    ) -> Claim {
         let since = match self.heartbeat {
             Some((version, since)) if version == heartbeat => since,
             _ => {
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -92,7 +92,10 @@
             let start_by = rank.start_by_unix_ms.unwrap_or(0);
             (rank.priority, is_late, if is_late { u64::MAX - start_by } else { start_by })
         });
-        steps.into_iter().map(|((_, step), tasks)| (*step, tasks.iter().copied().collect())).collect()
+        steps
+            .into_iter()
+            .map(|((_, step), tasks)| (*step, tasks.iter().copied().collect()))
+            .collect()
     }
 
     /// Number of waiting steps.
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -303,7 +303,11 @@
     /// # Errors
     ///
     /// If the row does not belong to the job.
-    pub fn on_begun_job(&mut self, job: AcceptedJob, row: &[u8]) -> Result<(), crate::job::progress::ProgressError> {
+    pub fn on_begun_job(
+        &mut self,
+        job: AcceptedJob,
+        row: &[u8],
+    ) -> Result<(), crate::job::progress::ProgressError> {
         let progress = Progress::decode(&job.spec, row)?;
         if progress.state.is_final() {
             self.rows.note_ended(job.id);
@@ -373,7 +377,13 @@
     }
 
     /// Orders the stop of a run. An abandoned run is not started again.
-    fn stop_run(&mut self, now: Duration, worker_id: &WorkerId, task: &TaskKey, is_abandoned: bool) {
+    fn stop_run(
+        &mut self,
+        now: Duration,
+        worker_id: &WorkerId,
+        task: &TaskKey,
+        is_abandoned: bool,
+    ) {
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let Some(run) = worker.runs.get_mut(task) else { return };
         run.is_abandoned |= is_abandoned;
--- a/src/shard/scheduler/ends.rs
+++ b/src/shard/scheduler/ends.rs
@@ -43,15 +43,13 @@
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         match end.cause {
             EndCause::Done => worker.health.on_done(),
-            EndCause::Failed => {
-                if worker.health.on_failed(end.task.step.job, now) {
-                    let until = worker.health.quarantined_until.saturating_sub(now);
-                    event::WORKER_QUARANTINED.emit(format_args!(
-                        "worker={worker_id} cause=failed-runs task={} for_ms={}",
-                        end.task,
-                        until.as_millis()
-                    ));
-                }
+            EndCause::Failed if worker.health.on_failed(end.task.step.job, now) => {
+                let until = worker.health.quarantined_until.saturating_sub(now);
+                event::WORKER_QUARANTINED.emit(format_args!(
+                    "worker={worker_id} cause=failed-runs task={} for_ms={}",
+                    end.task,
+                    until.as_millis()
+                ));
             }
             _ => {}
         }
@@ -124,7 +122,8 @@
             "job={id} task={task} worker={worker_id} failures={failures} attempts={attempts}"
         ));
         if failures >= attempts as usize && !step.is_long_running {
-            event::JOB_ENDED.emit(format_args!("job={id} state=failed task={task} failures={failures}"));
+            event::JOB_ENDED
+                .emit(format_args!("job={id} state=failed task={task} failures={failures}"));
             self.end_job(now, id, JobState::Failed);
         } else {
             self.push_again(task);
--- a/src/shard/scheduler/holds.rs
+++ b/src/shard/scheduler/holds.rs
@@ -171,7 +171,13 @@
         }
     }
 
-    fn take_active(&mut self, now: Duration, worker_id: &WorkerId, sent: Duration, report: &HoldReport) {
+    fn take_active(
+        &mut self,
+        now: Duration,
+        worker_id: &WorkerId,
+        sent: Duration,
+        report: &HoldReport,
+    ) {
         let mut listed = BTreeSet::new();
         for run in &report.active {
             listed.insert((run.task, run.run));
@@ -224,8 +230,10 @@
         if listed.checkpoint.is_empty() {
             return;
         }
-        let progress = self.jobs.get_mut(&task.step.job).and_then(|job| job.progress.task_mut(&task));
-        if let Some(progress) = progress.filter(|progress| progress.checkpoint != listed.checkpoint) {
+        let progress =
+            self.jobs.get_mut(&task.step.job).and_then(|job| job.progress.task_mut(&task));
+        if let Some(progress) = progress.filter(|progress| progress.checkpoint != listed.checkpoint)
+        {
             progress.checkpoint.clone_from(&listed.checkpoint);
         }
     }
@@ -262,9 +270,11 @@
         self.live.entry(task).or_default().push(worker_id.clone());
         self.waiting.remove(&task);
         if is_wanted {
-            event::RUN_ADOPTED.emit(format_args!("task={task} run={} worker={worker_id}", listed.run));
+            event::RUN_ADOPTED
+                .emit(format_args!("task={task} run={} worker={worker_id}", listed.run));
         } else {
-            event::RUN_UNWANTED.emit(format_args!("task={task} run={} worker={worker_id}", listed.run));
+            event::RUN_UNWANTED
+                .emit(format_args!("task={task} run={} worker={worker_id}", listed.run));
             self.stop_run(now, worker_id, &task, true);
         }
     }
@@ -272,7 +282,8 @@
     /// A start whose answer was lost and that a later list doesn't have may still arrive, so it is stopped first.
     fn settle_unknown_starts(&mut self, now: Duration, worker_id: &WorkerId, sent: Duration) {
         let Some(worker) = self.workers.get(worker_id) else { return };
-        let is_lost = |run: &Run| run.phase == Phase::Unsettled && run.stop_sent.is_none() && run.seen < sent;
+        let is_lost =
+            |run: &Run| run.phase == Phase::Unsettled && run.stop_sent.is_none() && run.seen < sent;
         let lost: Vec<TaskKey> =
             worker.runs.iter().filter(|(_, run)| is_lost(run)).map(|(task, _)| *task).collect();
         for task in lost {
@@ -315,14 +326,21 @@
         self.pressures.learn(worker);
         for change in self.pressures.judge(worker, now, pace_delay) {
             let Some(run) = worker.runs.get(&change.task) else { continue };
-            let kind = OrderKind::Pace { task: change.task, run: run.number, percent: change.percent };
+            let kind =
+                OrderKind::Pace { task: change.task, run: run.number, percent: change.percent };
             let address = worker.listing.address;
             self.orders.push(Order { worker: worker_id.clone(), address, kind });
         }
     }
 
     /// Takes the outcome of a change of pace.
-    pub fn on_pace(&mut self, worker_id: &WorkerId, task: &TaskKey, run: u32, outcome: OrderOutcome) {
+    pub fn on_pace(
+        &mut self,
+        worker_id: &WorkerId,
+        task: &TaskKey,
+        run: u32,
+        outcome: OrderOutcome,
+    ) {
         match outcome {
             OrderOutcome::Done => {}
             OrderOutcome::Fenced => self.on_fenced(worker_id),
@@ -369,7 +387,8 @@
         let mut gone = Vec::new();
         for (id, worker) in &self.workers {
             let is_silent = worker.missed > 0 || worker.answered.is_none();
-            let has_lapsed = worker.clock.is_none_or(|clock| owned_until >= clock.lapsed_at(worker.granted_ms));
+            let has_lapsed =
+                worker.clock.is_none_or(|clock| owned_until >= clock.lapsed_at(worker.granted_ms));
             if !is_silent || !has_lapsed {
                 continue;
             }
@@ -398,7 +417,13 @@
         };
         let mut due = Vec::new();
         for (id, worker) in &self.workers {
-            due.extend(worker.runs.iter().filter(|(_, run)| is_due(run)).map(|(task, _)| (id.clone(), *task)));
+            due.extend(
+                worker
+                    .runs
+                    .iter()
+                    .filter(|(_, run)| is_due(run))
+                    .map(|(task, _)| (id.clone(), *task)),
+            );
         }
         for (worker_id, task) in due {
             self.stop_run(now, &worker_id, &task, false);
@@ -406,7 +431,14 @@
     }
 
     /// Takes the outcome of a stop.
-    pub fn on_stop(&mut self, now: Duration, worker_id: &WorkerId, task: &TaskKey, run: u32, outcome: OrderOutcome) {
+    pub fn on_stop(
+        &mut self,
+        now: Duration,
+        worker_id: &WorkerId,
+        task: &TaskKey,
+        run: u32,
+        outcome: OrderOutcome,
+    ) {
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         if let Some(held) = worker.runs.get_mut(task).filter(|held| held.number == run) {
             held.is_stop_in_flight = false;
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -40,7 +40,8 @@
     fn missed(&mut self, queue: &str, step: &StepSpec) {
         *self.misses.entry(queue.to_owned()).or_default() += 1;
         // Other wishes make a step harder to place than its size tells.
-        let is_plain = step.required_label.is_none() && step.max_per_worker.is_none() && !step.is_gang;
+        let is_plain =
+            step.required_label.is_none() && step.max_per_worker.is_none() && !step.is_gang;
         if is_plain {
             let image = step.image.clone();
             self.failed.push((queue.to_owned(), image, step.uses_leftover_cpu, step.resources));
@@ -120,7 +121,8 @@
             return false;
         }
         let is_coupled = step.is_tightly_coupled;
-        let last_run = tasks.iter().map(|index| self.last_run(&TaskKey { step: *key, index: *index })).max();
+        let last_run =
+            tasks.iter().map(|index| self.last_run(&TaskKey { step: *key, index: *index })).max();
         let run = self.next_run(last_run.unwrap_or(0));
         let racks: Vec<Option<String>> = if is_coupled { self.racks() } else { vec![None] };
         for rack in racks {
@@ -155,7 +157,8 @@
                 *room.entry(rack.to_owned()).or_insert(0) += worker.room().cpu_millis;
             }
         }
-        let mut racks: Vec<(u64, String)> = room.into_iter().map(|(rack, room)| (room, rack)).collect();
+        let mut racks: Vec<(u64, String)> =
+            room.into_iter().map(|(rack, room)| (room, rack)).collect();
         racks.sort_by(|a, b| b.cmp(a));
         racks.into_iter().map(|(_, rack)| Some(rack)).chain([None]).collect()
     }
@@ -228,15 +231,21 @@
         let expiry_ms = clock.expiry_ms(now, lease);
         worker.granted_ms = worker.granted_ms.max(expiry_ms);
         let checkpoint = self.checkpoint(job, task);
-        let kind =
-            OrderKind::Start { task: *task, run, spec: Rc::clone(&job.spec), expiry_ms, checkpoint };
+        let kind = OrderKind::Start {
+            task: *task,
+            run,
+            spec: Rc::clone(&job.spec),
+            expiry_ms,
+            checkpoint,
+        };
         let address = self.workers[worker_id].listing.address;
         self.orders.push(Order { worker: worker_id.clone(), address, kind });
     }
 
     /// Checkpoint from which a task resumes; all members of a gang resume from the same one.
     fn checkpoint(&self, job: &super::Job, task: &TaskKey) -> String {
-        let own = job.progress.task(task).map(|progress| progress.checkpoint.clone()).unwrap_or_default();
+        let own =
+            job.progress.task(task).map(|progress| progress.checkpoint.clone()).unwrap_or_default();
         if !job.spec.steps[usize::from(task.step.step)].is_gang {
             return own;
         }
@@ -249,9 +258,18 @@
     }
 
     /// Takes the outcome of a start.
-    pub fn on_start(&mut self, now: Duration, worker_id: &WorkerId, task: &TaskKey, run: u32, outcome: StartOutcome) {
+    pub fn on_start(
+        &mut self,
+        now: Duration,
+        worker_id: &WorkerId,
+        task: &TaskKey,
+        run: u32,
+        outcome: StartOutcome,
+    ) {
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        let Some(held) = worker.runs.get_mut(task).filter(|held| held.number == run) else { return };
+        let Some(held) = worker.runs.get_mut(task).filter(|held| held.number == run) else {
+            return;
+        };
         match outcome {
             StartOutcome::Started => {
                 worker.health.unanswered = 0;
@@ -276,11 +294,14 @@
                 self.on_not_started(worker_id, task);
             }
             StartOutcome::Refused(refusal) => {
-                event::START_REFUSED
-                    .emit(format_args!("task={task} run={run} worker={worker_id} cause={refusal:?}"));
+                event::START_REFUSED.emit(format_args!(
+                    "task={task} run={run} worker={worker_id} cause={refusal:?}"
+                ));
                 match refusal {
                     StartRefusal::Fenced => self.on_fenced(worker_id),
-                    StartRefusal::Unhealthy | StartRefusal::Invalid => worker.health.quarantine(now),
+                    StartRefusal::Unhealthy | StartRefusal::Invalid => {
+                        worker.health.quarantine(now)
+                    }
                     StartRefusal::Old | StartRefusal::Late | StartRefusal::Room => {
                         worker.next_hold = worker.next_hold.min(now);
                     }
--- a/src/shard/scheduler/rows.rs
+++ b/src/shard/scheduler/rows.rs
@@ -52,7 +52,8 @@
 
     /// Notes an end of a worker that the next batch contains.
     pub(super) fn note_end(&mut self, worker: &WorkerId, number: u64) {
-        let newest = self.ends.entry(self.batches + 1).or_default().entry(worker.clone()).or_default();
+        let newest =
+            self.ends.entry(self.batches + 1).or_default().entry(worker.clone()).or_default();
         *newest = number.max(*newest);
     }
 
--- a/src/telemetry/lines.rs
+++ b/src/telemetry/lines.rs
@@ -52,7 +52,10 @@
 /// # Errors
 ///
 /// [`LoggingError::AlreadyStarted`].
-pub fn start_with(level: LevelFilter, out: impl Write + Send + 'static) -> Result<LineLog, LoggingError> {
+pub fn start_with(
+    level: LevelFilter,
+    out: impl Write + Send + 'static,
+) -> Result<LineLog, LoggingError> {
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_time_level(LevelFilter::Error)
--- a/tests/testsuite/adapter.rs
+++ b/tests/testsuite/adapter.rs
@@ -9,15 +9,19 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
+use plantainlever::adapter::Platform;
 use plantainlever::adapter::operator::OperatorRows;
 use plantainlever::adapter::settings::{self, SettingsError};
 use plantainlever::adapter::wire::Job;
-use plantainlever::adapter::Platform;
 use plantainlever::job::{JobSpec, Resources};
-use plantainlever::port::{Commit, Committed, Listing, Row, RowKey, RowStore, StoreError, WorkerPort};
+use plantainlever::port::{
+    Commit, Committed, Listing, Row, RowKey, RowStore, StoreError, WorkerPort,
+};
 use plantainlever::shard::WorkerId;
 use plantainlever::shard::report::{EndCause, RunReport};
-use plantainlever::shard::scheduler::{HoldFailure, Order, OrderKind, OrderOutcome, StartOutcome, StartRefusal};
+use plantainlever::shard::scheduler::{
+    HoldFailure, Order, OrderKind, OrderOutcome, StartOutcome, StartRefusal,
+};
 
 const SETTINGS: &str = r#"{"node-name":"edge-1","zone":"north","listen":{"front":"127.0.0.1:1","readiness":"127.0.0.1:2"},
 "limits":{"cpu-share":0.25,"max-fds":4100},"bounds":{"grace-s":6,"hold-max-ms":6000,"stop-ms":400,"pace-ms":100},
@@ -35,7 +39,10 @@
             let (mut stream, _) = listener.accept().unwrap();
             let request = read_request(&mut stream);
             tx.send(request).unwrap();
-            let head = format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\nconnection: close\r\n\r\n", body.len());
+            let head = format!(
+                "HTTP/1.1 {status} X\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
+                body.len()
+            );
             stream.write_all(head.as_bytes()).unwrap();
             stream.write_all(body.as_bytes()).unwrap();
         }
@@ -100,17 +107,26 @@
         (200, r#"{"clock-ms":482113}"#),
         (200, r#"{"clock-ms":482113}"#),
         (200, r#"{"clock-ms":482113}"#),
-        (200, r#"{"clock-ms":482113,"born":77,"active":[["5c0e7a21d94b36f8.0.1.17",2,"0bb8",41,350]],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]}"#),
+        (
+            200,
+            r#"{"clock-ms":482113,"born":77,"active":[["5c0e7a21d94b36f8.0.1.17",2,"0bb8",41,350]],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]}"#,
+        ),
     ]);
     let task = "5c0e7a21d94b36f8.0.1.17".parse().unwrap();
     let spec = Rc::new(JobSpec::from(job()));
     let platform = Platform::new(address);
-    let start = order(address, OrderKind::Start {
-        task, run: 2, spec, expiry_ms: 486_000, checkpoint: "0bb8".to_owned(),
-    });
-    let hold = order(address, OrderKind::Hold {
-        expiry_ms: Some(486_000), acked_end: 57, wait: Duration::from_millis(1_000),
-    });
+    let start = order(
+        address,
+        OrderKind::Start { task, run: 2, spec, expiry_ms: 486_000, checkpoint: "0bb8".to_owned() },
+    );
+    let hold = order(
+        address,
+        OrderKind::Hold {
+            expiry_ms: Some(486_000),
+            acked_end: 57,
+            wait: Duration::from_millis(1_000),
+        },
+    );
     run(async {
         assert_eq!(platform.start(7, &start).await, StartOutcome::Started);
         let stop = order(address, OrderKind::Stop { task, run: 2 });
@@ -119,7 +135,8 @@
         assert_eq!(platform.adjust(7, &pace).await, OrderOutcome::Done);
         let report = platform.hold(7, &hold).await.unwrap();
         assert_eq!((report.clock_ms, report.born_unix_ms), (482_113, Some(77)));
-        let active = RunReport { task, run: 2, checkpoint: "0bb8".to_owned(), percent: 41, load: 350 };
+        let active =
+            RunReport { task, run: 2, checkpoint: "0bb8".to_owned(), percent: 41, load: 350 };
         assert_eq!(report.active, [active]);
         assert_eq!((report.ended[0].number, report.ended[0].cause), (58, EndCause::Done));
     });
@@ -150,7 +167,11 @@
         let (address, _requests) = answers(&[(status, body)]);
         let task = "5c0e7a21d94b36f8.0.1.17".parse().unwrap();
         let kind = OrderKind::Start {
-            task, run: 1, spec: Rc::new(JobSpec::from(job())), expiry_ms: 1, checkpoint: String::new(),
+            task,
+            run: 1,
+            spec: Rc::new(JobSpec::from(job())),
+            expiry_ms: 1,
+            checkpoint: String::new(),
         };
         let outcome = run(async { Platform::new(address).start(1, &order(address, kind)).await });
         assert_eq!(outcome, expected, "{status} {body}");
@@ -196,7 +217,10 @@
     let workers = run(async { Platform::new(address).list().await.unwrap() });
     assert_eq!(requests.recv().unwrap(), "GET /rows-get?table=servers&part=&limit=500 - ");
     assert_eq!(workers.len(), 1);
-    assert_eq!((workers[0].id.as_str(), workers[0].is_draining, workers[0].rack()), ("i-5", true, Some("r1-3")));
+    assert_eq!(
+        (workers[0].id.as_str(), workers[0].is_draining, workers[0].rack()),
+        ("i-5", true, Some("r1-3"))
+    );
     assert_eq!(workers[0].born_unix_ms, Some(9));
 }
 
@@ -204,16 +228,21 @@
 #[test]
 fn a_long_list_is_read_page_by_page() {
     let page = |key: &str, more: bool| {
-        format!(r#"{{"rows":[{{"table":"t","part":"p","key":"{key}","value":"","ver":5}}],"has-more":{more},"ver":9,"now-ms":1}}"#)
+        format!(
+            r#"{{"rows":[{{"table":"t","part":"p","key":"{key}","value":"","ver":5}}],"has-more":{more},"ver":9,"now-ms":1}}"#
+        )
     };
     let (address, requests) = answers(&[(200, &page("a", true)), (200, &page("b", false))]);
     let listing = run(async { Platform::new(address).read("t", "p", "", "").await.unwrap() });
     let keys: Vec<&str> = listing.rows.iter().map(|row| row.id.key.as_str()).collect();
     assert_eq!((keys, listing.version), (vec!["a", "b"], 9));
-    assert_eq!(requests.iter().take(2).collect::<Vec<_>>(), [
-        "GET /rows-get?table=t&part=p&limit=500 - ",
-        "GET /rows-get?table=t&part=p&from=a%01&limit=500 - ",
-    ]);
+    assert_eq!(
+        requests.iter().take(2).collect::<Vec<_>>(),
+        [
+            "GET /rows-get?table=t&part=p&limit=500 - ",
+            "GET /rows-get?table=t&part=p&from=a%01&limit=500 - ",
+        ]
+    );
 }
 
 /// Guards against a transaction whose condition is lost, and against an unknown outcome that is taken for a refusal.
@@ -227,13 +256,19 @@
         removes: vec![RowKey::new("t", "old")],
     };
     let conflict = r#"{"rows":[{"table":"t","part":"p","key":"k","value":"eA==","ver":7}],"ver":9,"now-ms":1}"#;
-    let (address, requests) =
-        answers(&[(200, r#"{"ver":412,"now-ms":51230}"#), (412, conflict), (503, ""), (429, ""), (500, "")]);
+    let (address, requests) = answers(&[
+        (200, r#"{"ver":412,"now-ms":51230}"#),
+        (412, conflict),
+        (503, ""),
+        (429, ""),
+        (500, ""),
+    ]);
     let platform = Platform::new(address);
     let outcomes = RefCell::new(Vec::new());
     run(async {
         for _ in 0..5 {
-            outcomes.borrow_mut().push(platform.commit(&commit).await);
+            let outcome = platform.commit(&commit).await;
+            outcomes.borrow_mut().push(outcome);
         }
     });
     let outcomes = outcomes.into_inner();
@@ -296,7 +331,8 @@
 /// Guards against a start with settings that are not there or not understood.
 #[test]
 fn settings_are_read_and_faults_name_file_and_field() {
-    let folder = std::env::temp_dir().join(format!("plantainlever-settings-{}", std::process::id()));
+    let folder =
+        std::env::temp_dir().join(format!("plantainlever-settings-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let file = folder.join("node.json");
     std::fs::write(&file, SETTINGS).unwrap();
@@ -313,7 +349,15 @@
 /// Guards against the platform's words outside of the adapter.
 #[test]
 fn only_the_adapter_knows_the_platform() {
-    let words = ["/run-start", "/rows-tx", "rows-feed", "ack-cursor", "fencing-token", "PLANTAINLEVER_NODE_FILE =", "op/config"];
+    let words = [
+        "/run-start",
+        "/rows-tx",
+        "rows-feed",
+        "ack-cursor",
+        "fencing-token",
+        "PLANTAINLEVER_NODE_FILE =",
+        "op/config",
+    ];
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
     let mut found = Vec::new();
     visit(&root, &mut |path, text| {
--- /dev/null
+++ b/tests/testsuite/jobs/flow.rs
@@ -0,0 +1,196 @@
+//! Jobs from their acceptance to their end.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use plantainlever::clock::{Clock, SystemClock};
+use plantainlever::job::{JobId, JobSpec, JobState};
+use plantainlever::ops::jobs::Node;
+use plantainlever::ops::jobs::accept::{Lookup, Submission};
+
+use super::port::{Port, World, start};
+use crate::shard::rig::{Breach, Fleet, QUEUE, spec, step};
+
+/// Bound of every wait in these tests.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+fn until() -> Duration {
+    SystemClock.boot() + Duration::from_secs(3)
+}
+
+fn job(tasks: u32) -> JobSpec {
+    Rc::unwrap_or_clone(spec(vec![step(tasks, 1_000)]))
+}
+
+async fn wait_for(what: &str, mut is_met: impl AsyncFnMut() -> bool) {
+    let began = SystemClock.boot();
+    while !is_met().await {
+        assert!(SystemClock.boot() - began < PATIENCE, "waited in vain for: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn wait_for_state(node: &Node<Port>, id: JobId, state: JobState) {
+    wait_for("a state", async || node.job_state(id, until()).await == Lookup::Found(state)).await;
+}
+
+fn assert_no_breach(world: &World) {
+    assert_eq!(world.fleet.borrow().breaches, Vec::<Breach>::new());
+}
+
+/// Guards against a job that is accepted by one process and not found by another, and against one that runs twice because
+/// its acceptance was sent twice.
+#[test]
+fn a_job_accepted_by_any_process_runs_once_and_is_known_to_all() {
+    run(async {
+        let world = World::new(Fleet::new(3, 4_000));
+        let (a, b) = (start(&world, "a"), start(&world, "b"));
+        let id = JobId(7);
+        assert_eq!(b.job_state(id, until()).await, Lookup::Absent);
+        assert_eq!(a.submit(id, QUEUE, job(4), until()).await, Submission::Accepted);
+        assert_eq!(b.submit(id, QUEUE, job(4), until()).await, Submission::Accepted);
+        wait_for_state(&b, id, JobState::Completed).await;
+        // A copy that arrives after the end.
+        assert_eq!(b.submit(id, QUEUE, job(4), until()).await, Submission::Accepted);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(world.fleet.borrow().starts.len(), 4);
+        assert_no_breach(&world);
+    });
+}
+
+/// Guards against a refusal that isn't true: if the answer of the store is lost, the job may be stored.
+#[test]
+fn a_lost_answer_is_settled_and_a_refusal_is_true() {
+    run(async {
+        let world = World::new(Fleet::new(1, 4_000));
+        let node = start(&world, "a");
+        world.lose_answers.set(2);
+        assert_eq!(node.submit(JobId(1), QUEUE, job(1), until()).await, Submission::Accepted);
+        world.is_store_down.set(true);
+        let refused = node.submit(JobId(2), QUEUE, job(1), until()).await;
+        assert!(matches!(refused, Submission::Refused { .. }));
+        node.port.is_cut.set(true);
+        let soon = SystemClock.boot() + Duration::from_millis(200);
+        assert_eq!(node.submit(JobId(3), QUEUE, job(1), soon).await, Submission::Unknown);
+        node.port.is_cut.set(false);
+        world.is_store_down.set(false);
+        wait_for_state(&node, JobId(1), JobState::Completed).await;
+        assert_eq!(node.job_state(JobId(2), until()).await, Lookup::Absent);
+    });
+}
+
+/// Guards against work that is lost or doubled when the owner is cut off and another process takes the shard.
+#[test]
+fn a_shard_changes_its_owner_without_a_lost_or_doubled_task() {
+    run(async {
+        let world = World::new(Fleet::new(3, 4_000));
+        let nodes = [start(&world, "a"), start(&world, "b")];
+        wait_for("an owner", async || nodes.iter().any(|node| node.owned() == 1)).await;
+        for id in 0..6 {
+            world
+                .fleet
+                .borrow_mut()
+                .durations
+                .insert(JobId(id), Duration::from_millis(400 + 300 * id));
+            assert_eq!(
+                nodes[0].submit(JobId(id), QUEUE, job(3), until()).await,
+                Submission::Accepted
+            );
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let (owner, other) = if nodes[0].owned() == 1 { (0, 1) } else { (1, 0) };
+        nodes[owner].port.is_cut.set(true);
+        wait_for("a successor", async || nodes[other].owned() == 1).await;
+        nodes[owner].port.is_cut.set(false);
+        for id in 0..6 {
+            wait_for_state(&nodes[other], JobId(id), JobState::Completed).await;
+        }
+        wait_for("one owner", async || nodes[owner].owned() == 0).await;
+        assert_no_breach(&world);
+    });
+}
+
+/// Guards against a planned stop that leaves the shard without an owner for seconds.
+#[test]
+fn a_planned_stop_hands_the_shard_over() {
+    run(async {
+        let world = World::new(Fleet::new(2, 4_000));
+        let nodes = [start(&world, "a"), start(&world, "b")];
+        wait_for("an owner", async || nodes.iter().any(|node| node.owned() == 1)).await;
+        let (owner, other) = if nodes[0].owned() == 1 { (0, 1) } else { (1, 0) };
+        let began = SystemClock.boot();
+        nodes[owner].begin_stop();
+        wait_for("a successor", async || nodes[other].owned() == 1).await;
+        // Without the release it takes the silence of the owner, two seconds and more.
+        assert!(SystemClock.boot() - began < Duration::from_millis(1_900));
+        assert!(!nodes[owner].is_ready());
+    });
+}
+
+/// Guards against a cancellation that is forgotten, or that makes a job appear that never was.
+#[test]
+fn a_cancellation_reaches_the_owner() {
+    run(async {
+        let world = World::new(Fleet::new(1, 4_000));
+        let node = start(&world, "a");
+        let id = JobId(7);
+        world.fleet.borrow_mut().durations.insert(id, Duration::from_secs(60));
+        assert_eq!(node.cancel(id, until()).await, Lookup::Absent);
+        assert_eq!(node.submit(id, QUEUE, job(2), until()).await, Submission::Accepted);
+        wait_for_state(&node, id, JobState::Running).await;
+        assert_eq!(node.cancel(id, until()).await, Lookup::Found(()));
+        wait_for_state(&node, id, JobState::Cancelled).await;
+        wait_for("an idle worker", async || {
+            world.fleet.borrow().workers.values().all(|worker| worker.runs.is_empty())
+        })
+        .await;
+    });
+}
+
+/// Guards against jobs that are accepted while the history is dropped and are then never read.
+#[test]
+fn jobs_are_found_after_the_history_was_dropped() {
+    run(async {
+        let world = World::new(Fleet::new(1, 4_000));
+        let node = start(&world, "a");
+        wait_for("an owner", async || node.owned() == 1).await;
+        for id in 0..5 {
+            assert_eq!(node.submit(JobId(id), QUEUE, job(1), until()).await, Submission::Accepted);
+            world.history_from.set(world.version() + 1);
+        }
+        for id in 0..5 {
+            wait_for_state(&node, JobId(id), JobState::Completed).await;
+        }
+    });
+}
+
+/// Guards against rows of ended jobs that fill the store, and a count of waiting jobs that is not served.
+#[test]
+fn rows_of_ended_jobs_expire_and_waiting_jobs_are_counted() {
+    run(async {
+        let world = World::new(Fleet::new(1, 1_000));
+        let node = start(&world, "a");
+        for id in 0..3 {
+            let length = Duration::from_millis(if id == 0 { 2_500 } else { 10 });
+            world.fleet.borrow_mut().durations.insert(JobId(id), length);
+            assert_eq!(node.submit(JobId(id), QUEUE, job(1), until()).await, Submission::Accepted);
+        }
+        wait_for("two waiting jobs", async || {
+            node.pending(QUEUE, until()).await == Lookup::Found(2)
+        })
+        .await;
+        for id in 0..3 {
+            wait_for_state(&node, JobId(id), JobState::Completed).await;
+        }
+        wait_for("empty tables", async || {
+            world.count("progress-0") == 0 && world.count("jobs-0") == 0
+        })
+        .await;
+        assert_eq!(node.job_state(JobId(0), until()).await, Lookup::Absent);
+    });
+}
--- /dev/null
+++ b/tests/testsuite/jobs/port.rs
@@ -0,0 +1,255 @@
+//! A store and workers in memory, with the platform's faults.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use plantainlever::clock::{Clock, SystemClock};
+use plantainlever::ops::jobs::{JobCatalogue, Node, NodeSettings, watch};
+use plantainlever::port::{
+    Commit, Committed, Listing, Row, RowKey, RowStore, StoreError, WorkerPort,
+};
+use plantainlever::shard::report::{HoldReport, WorkerListing};
+use plantainlever::shard::scheduler::{HoldFailure, Order, OrderOutcome, StartOutcome};
+use plantainlever::shard::{ShardId, ShardMap};
+use plantainlever::telemetry::Metrics;
+
+use crate::shard::rig::{Answer, Fleet, QUEUE, policy, timing};
+
+/// Time of one answer of the store.
+const STORE_ANSWER: Duration = Duration::from_millis(2);
+/// Time of one answer of a worker.
+const WORKER_ANSWER: Duration = Duration::from_millis(1);
+
+/// Version and content of a row.
+type Versioned = (u64, Option<Vec<u8>>);
+
+/// What all processes share.
+#[derive(Debug)]
+pub struct World {
+    /// Rows by partition, table and key; a removed row keeps its version.
+    rows: RefCell<BTreeMap<(String, RowKey), Versioned>>,
+    version: Cell<u64>,
+    /// Changes before this version are forgotten.
+    pub history_from: Cell<u64>,
+    pub fleet: RefCell<Fleet>,
+    /// Transactions that are applied but not answered.
+    pub lose_answers: Cell<u32>,
+    pub is_store_down: Cell<bool>,
+    began: Duration,
+}
+
+impl World {
+    pub fn new(fleet: Fleet) -> Rc<Self> {
+        Rc::new(Self {
+            rows: RefCell::default(),
+            version: Cell::new(0),
+            history_from: Cell::new(0),
+            fleet: RefCell::new(fleet),
+            lose_answers: Cell::new(0),
+            is_store_down: Cell::new(false),
+            began: SystemClock.boot(),
+        })
+    }
+
+    fn now(&self) -> Duration {
+        SystemClock.boot() - self.began
+    }
+
+    /// Lets time pass on the workers.
+    fn advance(&self) {
+        let now = self.now();
+        self.fleet.borrow_mut().advance(now);
+    }
+
+    pub fn version(&self) -> u64 {
+        self.version.get()
+    }
+
+    /// Rows of a table that exist.
+    pub fn count(&self, table: &str) -> usize {
+        let rows = self.rows.borrow();
+        rows.iter().filter(|((_, key), (_, value))| key.table == table && value.is_some()).count()
+    }
+
+    fn apply(&self, commit: &Commit) -> Committed {
+        let mut rows = self.rows.borrow_mut();
+        let id = |key: &RowKey| (commit.partition.clone(), key.clone());
+        let version_of = |rows: &BTreeMap<_, Versioned>, key: &RowKey| {
+            rows.get(&id(key))
+                .filter(|(_, value)| value.is_some())
+                .map_or(0, |(version, _)| *version)
+        };
+        if commit.expected.iter().any(|(key, version)| version_of(&rows, key) != *version) {
+            let current = commit.expected.iter().filter_map(|(key, _)| {
+                let (version, value) = rows.get(&id(key))?;
+                Some(Row { id: key.clone(), value: Some(value.clone()?), version: *version })
+            });
+            return Committed::Conflict { rows: current.collect() };
+        }
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        for (key, value) in &commit.writes {
+            rows.insert(id(key), (version, Some(value.clone())));
+        }
+        for key in &commit.removes {
+            rows.insert(id(key), (version, None));
+        }
+        Committed::Applied { version }
+    }
+}
+
+/// The port of one process.
+#[derive(Debug)]
+pub struct Port {
+    pub world: Rc<World>,
+    /// The process reaches nothing.
+    pub is_cut: Cell<bool>,
+}
+
+impl Port {
+    async fn reach_store(&self) -> Result<(), StoreError> {
+        tokio::time::sleep(STORE_ANSWER).await;
+        if self.is_cut.get() {
+            return Err(StoreError::NoAnswer { cause: "cut".to_owned() });
+        }
+        if self.world.is_store_down.get() {
+            return Err(StoreError::Refused { cause: "down".to_owned() });
+        }
+        Ok(())
+    }
+
+    async fn reach_worker(&self, epoch: u64, order: &Order) -> Option<Answer> {
+        tokio::time::sleep(WORKER_ANSWER).await;
+        if self.is_cut.get() {
+            return None;
+        }
+        self.world.advance();
+        self.world.fleet.borrow_mut().carry_out(epoch, order)
+    }
+}
+
+impl RowStore for Port {
+    async fn read(
+        &self,
+        table: &str,
+        partition: &str,
+        from: &str,
+        to: &str,
+    ) -> Result<Listing, StoreError> {
+        self.reach_store().await?;
+        let rows = self.world.rows.borrow();
+        let rows = rows.iter().filter(|((part, key), (_, value))| {
+            part == partition
+                && key.table == table
+                && key.key.as_str() >= from
+                && (to.is_empty() || key.key.as_str() < to)
+                && value.is_some()
+        });
+        let rows = rows.map(|((_, key), (version, value))| Row {
+            id: key.clone(),
+            value: value.clone(),
+            version: *version,
+        });
+        Ok(Listing { rows: rows.collect(), version: self.world.version() })
+    }
+
+    async fn commit(&self, commit: &Commit) -> Result<Committed, StoreError> {
+        self.reach_store().await?;
+        let outcome = self.world.apply(commit);
+        let lost = self.world.lose_answers.get();
+        if lost > 0 {
+            self.world.lose_answers.set(lost - 1);
+            return Err(StoreError::NoAnswer { cause: "lost".to_owned() });
+        }
+        Ok(outcome)
+    }
+
+    async fn changes(
+        &self,
+        table: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Listing, StoreError> {
+        let until = self.world.now() + wait;
+        loop {
+            self.reach_store().await?;
+            if after < self.world.history_from.get() {
+                return Err(StoreError::HistoryGone);
+            }
+            let rows = self.world.rows.borrow();
+            let mut changed: Vec<Row> = rows
+                .iter()
+                .filter(|((_, key), (version, _))| key.table == table && *version > after)
+                .map(|((_, key), (version, value))| Row {
+                    id: key.clone(),
+                    value: value.clone(),
+                    version: *version,
+                })
+                .collect();
+            drop(rows);
+            changed.sort_by_key(|row| row.version);
+            if !changed.is_empty() || self.world.now() >= until {
+                return Ok(Listing { rows: changed, version: self.world.version() });
+            }
+        }
+    }
+}
+
+impl WorkerPort for Port {
+    async fn list(&self) -> Result<Vec<WorkerListing>, StoreError> {
+        self.reach_store().await?;
+        Ok(self.world.fleet.borrow().listed())
+    }
+
+    async fn hold(&self, epoch: u64, order: &Order) -> Result<HoldReport, HoldFailure> {
+        match self.reach_worker(epoch, order).await {
+            Some(Answer::Held(report)) => Ok(report),
+            Some(Answer::Fenced) => Err(HoldFailure::Fenced),
+            _ => Err(HoldFailure::NoAnswer),
+        }
+    }
+
+    async fn start(&self, epoch: u64, order: &Order) -> StartOutcome {
+        match self.reach_worker(epoch, order).await {
+            Some(Answer::Done) => StartOutcome::Started,
+            Some(Answer::Refused(refusal)) => StartOutcome::Refused(refusal),
+            _ => StartOutcome::Unknown,
+        }
+    }
+
+    async fn adjust(&self, epoch: u64, order: &Order) -> OrderOutcome {
+        match self.reach_worker(epoch, order).await {
+            Some(Answer::Done) => OrderOutcome::Done,
+            Some(Answer::Fenced) => OrderOutcome::Fenced,
+            _ => OrderOutcome::Unknown,
+        }
+    }
+
+    fn forget(&self, _address: SocketAddr) {}
+}
+
+/// A process that watches shard 0.
+pub fn start(world: &Rc<World>, vm: &str) -> Rc<Node<Port>> {
+    let port = Port { world: Rc::clone(world), is_cut: Cell::new(false) };
+    let cfg = NodeSettings {
+        vm: vm.to_owned(),
+        domain: "domain-0".to_owned(),
+        cpu_share: 0.25,
+        timing: timing(),
+        keep_ended: Duration::from_secs(1),
+        call_timeout: Duration::from_secs(3),
+    };
+    let node = Rc::new(Node::new(cfg, Arc::new(SystemClock), port, Metrics::disabled()));
+    node.set_map(ShardMap { shards: 1 });
+    node.replace_catalogue(JobCatalogue {
+        version: 1,
+        queues: BTreeMap::from([(QUEUE.to_owned(), policy())]),
+        ..JobCatalogue::default()
+    });
+    tokio::task::spawn_local(watch::run(Rc::clone(&node), ShardId(0)));
+    node
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod adapter;
 mod cli;
+mod jobs;
 mod net;
 mod peer;
 mod platform;
--- a/tests/testsuite/net.rs
+++ b/tests/testsuite/net.rs
@@ -96,7 +96,8 @@
 fn a_body_over_the_limit_is_refused() {
     with_server(|address| {
         let mut stream = connect(address);
-        let head = "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 1001\r\n\r\n";
+        let head =
+            "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 1001\r\n\r\n";
         stream.write_all(head.as_bytes()).unwrap();
         stream.write_all(&[b'a'; 1001]).unwrap();
         assert!(rest(&mut stream).starts_with("HTTP/1.1 413"));
@@ -110,7 +111,8 @@
         let mut stream = connect(address);
         let long = "a".repeat(3 * LIMITS.header_bytes);
         // The server may close before all is written.
-        let _ = stream.write_all(format!("GET / HTTP/1.1\r\nhost: a\r\nx-long: {long}\r\n\r\n").as_bytes());
+        let _ = stream
+            .write_all(format!("GET / HTTP/1.1\r\nhost: a\r\nx-long: {long}\r\n\r\n").as_bytes());
         let answer = rest(&mut stream);
         assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 431"), "{answer}");
     });
--- a/tests/testsuite/shard.rs
+++ b/tests/testsuite/shard.rs
@@ -7,5 +7,5 @@
 mod ownership;
 mod placing;
 mod progress;
-mod rig;
+pub mod rig;
 mod takeover;
--- a/tests/testsuite/shard/interference.rs
+++ b/tests/testsuite/shard/interference.rs
@@ -88,7 +88,8 @@
     let pressures = learned();
     let quiet = worker(0.2, 0, 0);
     let busy = worker(0.7, 0, 0);
-    let cost = |worker: &Worker, image| pressures.cost_with(&pressures.strain(worker), Some(image), 4_000);
+    let cost =
+        |worker: &Worker, image| pressures.cost_with(&pressures.strain(worker), Some(image), 4_000);
     assert!(cost(&quiet, "heavy") < 0.2);
     assert!(cost(&busy, "heavy") > 1.0);
     assert!(cost(&busy, "light") < 0.3);
--- a/tests/testsuite/shard/ownership.rs
+++ b/tests/testsuite/shard/ownership.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use plantainlever::shard::ownership::{Claim, ClaimReason, Ownership, Permission, SILENCE, UNCONFIRMED_LIMIT};
+use plantainlever::shard::ownership::{
+    Claim, ClaimReason, Ownership, Permission, SILENCE, UNCONFIRMED_LIMIT,
+};
 use plantainlever::shard::{OwnerRow, ShardMap};
 
 const STAGGER: Duration = Duration::from_millis(100);
@@ -44,7 +46,10 @@
 fn a_released_shard_and_one_of_an_earlier_life_are_claimed_at_once() {
     let mut ownership = Ownership::new("b", STAGGER);
     assert_eq!(ownership.on_read(None, 0, at(0), at(1)), Claim::Now(ClaimReason::New));
-    assert_eq!(ownership.on_read(Some(&row("")), 1, at(0), at(1)), Claim::Now(ClaimReason::Released));
+    assert_eq!(
+        ownership.on_read(Some(&row("")), 1, at(0), at(1)),
+        Claim::Now(ClaimReason::Released)
+    );
     assert_eq!(
         ownership.on_read(Some(&row("b")), 1, at(0), at(1)),
         Claim::Now(ClaimReason::OwnPredecessor)
--- a/tests/testsuite/shard/progress.rs
+++ b/tests/testsuite/shard/progress.rs
@@ -22,7 +22,8 @@
             for index in 0..spec.steps[usize::from(step)].count as u16 {
                 let key = task(step, index);
                 let held = progress.task_mut(&key).unwrap();
-                held.failed_runs = (0..u.int_in_range(0..=4)?).map(|run| run * 10_000 + 1).collect();
+                held.failed_runs =
+                    (0..u.int_in_range(0..=4)?).map(|run| run * 10_000 + 1).collect();
                 if u.arbitrary()? {
                     held.checkpoint = format!("checkpoint {index}");
                 }
@@ -62,7 +63,8 @@
 /// Guards against a description that the scheduler can't carry out.
 #[test]
 fn impossible_descriptions_are_refused_with_the_step() {
-    let check = |steps: Vec<StepSpec>| JobSpec { payload: String::new(), steps, schedule: None }.check();
+    let check =
+        |steps: Vec<StepSpec>| JobSpec { payload: String::new(), steps, schedule: None }.check();
     assert_eq!(check(Vec::new()), Err(SpecError::StepCount { found: 0 }));
     assert_eq!(check(vec![step(0, 1)]), Err(SpecError::TaskCount { step: 0, found: 0 }));
     let mut late = step(1, 1);
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -269,7 +269,9 @@
         if !taken.fits(&worker.listing.capacity) {
             self.breaches.push(format!("{id} is over its capacity with {task}"));
         }
-        worker.runs.insert(task, FakeRun { number, ends_at: now + length, stops_at: None, resources });
+        worker
+            .runs
+            .insert(task, FakeRun { number, ends_at: now + length, stops_at: None, resources });
         self.starts.push((task, number, id));
     }
 }
@@ -288,8 +290,13 @@
         let Some(run) = self.runs.remove(&task) else { return };
         let over = self.over.entry(task).or_default();
         *over = (*over).max(run.number);
-        let end =
-            EndReport { number: self.next_end, task, run: run.number, cause, checkpoint: String::new() };
+        let end = EndReport {
+            number: self.next_end,
+            task,
+            run: run.number,
+            cause,
+            checkpoint: String::new(),
+        };
         self.next_end += 1;
         self.ended.push(end);
     }
@@ -355,7 +362,8 @@
     /// Replaces the owner, as a process does that claims the shard.
     pub fn take_over(&mut self, lapsed: Duration) {
         let epoch = self.owner.epoch() + 1;
-        let known: Vec<WorkerId> = self.owner.worker_ids().iter().map(|id| WorkerId::new(id)).collect();
+        let known: Vec<WorkerId> =
+            self.owner.worker_ids().iter().map(|id| WorkerId::new(id)).collect();
         self.owner = Scheduler::new(epoch, timing(), &known, lapsed);
         self.owner.on_queues(BTreeMap::from([(QUEUE.to_owned(), policy())]));
         for (id, spec) in &self.store.jobs {
@@ -411,11 +419,11 @@
                 self.owner.on_start(now, &order.worker, task, *run, outcome);
             }
             OrderKind::Stop { task, run } => {
-                let outcome = outcome(answer);
+                let outcome = outcome(answer.as_ref());
                 self.owner.on_stop(now, &order.worker, task, *run, outcome);
             }
             OrderKind::Pace { task, run, .. } => {
-                self.owner.on_pace(&order.worker, task, *run, outcome(answer));
+                self.owner.on_pace(&order.worker, task, *run, outcome(answer.as_ref()));
             }
         }
     }
@@ -445,7 +453,7 @@
     }
 }
 
-fn outcome(answer: Option<Answer>) -> OrderOutcome {
+fn outcome(answer: Option<&Answer>) -> OrderOutcome {
     match answer {
         Some(Answer::Fenced) => OrderOutcome::Fenced,
         Some(_) => OrderOutcome::Done,
