Give a new owner time for its first heartbeat, and spread shards over VMs

Ruled out: a store that was slow (the claims came within 20 ms of each other). Change: silence is counted anew for each epoch; claims of one process take turns; small VMs wait a second before any claim.

--- a/src/ops/jobs/node.rs
+++ b/src/ops/jobs/node.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Mutex, MutexGuard, watch};
 
 use crate::clock::Clock;
 use crate::shard::ShardMap;
@@ -46,11 +46,11 @@
     /// Metrics.
     pub metrics: Metrics,
     catalogue: RefCell<Rc<JobCatalogue>>,
-    catalogue_changed: Notify,
     map: watch::Sender<Option<ShardMap>>,
     stop: watch::Sender<bool>,
     is_store_lost: Cell<bool>,
     owned: Cell<u32>,
+    claiming: Mutex<()>,
 }
 
 impl<P> Node<P> {
@@ -65,11 +65,11 @@
             port,
             metrics,
             catalogue: RefCell::default(),
-            catalogue_changed: Notify::new(),
             map: watch::Sender::new(None),
             stop: watch::Sender::new(false),
             is_store_lost: Cell::new(false),
             owned: Cell::new(0),
+            claiming: Mutex::new(()),
         }
     }
 
@@ -94,7 +94,6 @@
             catalogue.domains_out
         ));
         *self.catalogue.borrow_mut() = Rc::new(catalogue);
-        self.catalogue_changed.notify_waiters();
     }
 
     /// How jobs and workers are divided, once that is known.
@@ -131,6 +130,11 @@
         self.stop.subscribe()
     }
 
+    /// Waits until no other claim of this process is under way.
+    pub async fn claim_turn(&self) -> MutexGuard<'_, ()> {
+        self.claiming.lock().await
+    }
+
     /// Number of shards that this process owns.
     #[must_use]
     pub fn owned(&self) -> u32 {
--- a/src/ops/jobs/watch.rs
+++ b/src/ops/jobs/watch.rs
@@ -94,8 +94,7 @@
 /// Watches a shard until the planned stop, and schedules it while this process owns it.
 pub async fn run<P: RowStore + WorkerPort + 'static>(node: Rc<Node<P>>, shard: ShardId) {
     let is_small = node.cfg.cpu_share < SMALL_CPU_SHARE;
-    let small_stagger = if is_small { SMALL_STAGGER } else { Duration::ZERO };
-    let stagger = STAGGER.mul_f64(share(&node.cfg.vm, shard)) + small_stagger;
+    let stagger = STAGGER.mul_f64(share(&node.cfg.vm, shard));
     let look_period = if is_small { SMALL_LOOK_PERIOD } else { LOOK_PERIOD };
     let mut ownership = Ownership::new(&node.cfg.vm, stagger);
     // All processes start together; the first claims spread by the stagger as well.
@@ -103,7 +102,6 @@
     while !node.is_stopping() {
         match look(&node, shard, &mut ownership).await {
             Ok(Some(claimed)) => {
-                node.set_owned(node.owned() + 1);
                 owner::run(Rc::clone(&node), claimed).await;
                 node.set_owned(node.owned() - 1);
                 ownership.reset();
@@ -150,8 +148,12 @@
         Claim::Now(reason) => reason,
         Claim::No => return Ok(None),
     };
+    // One claim at a time: the next one has to see that this process owns a shard now.
+    let _turn = node.claim_turn().await;
     if reason != ClaimReason::OwnPredecessor {
-        tokio::time::sleep(OWNED_STAGGER * node.owned()).await;
+        let is_small = node.cfg.cpu_share < SMALL_CPU_SHARE;
+        let small_stagger = if is_small { SMALL_STAGGER } else { Duration::ZERO };
+        tokio::time::sleep(OWNED_STAGGER * node.owned() + small_stagger).await;
     }
     let version = row.map_or(0, |row| row.version);
     let predecessor = owner.as_ref();
@@ -185,6 +187,7 @@
                 predecessor.map_or("none", |row| row.vm.as_str())
             ));
             let predecessor_silent = reason.predecessor_silent_at(sent);
+            node.set_owned(node.owned() + 1);
             Ok(Some(Claimed { shard, epoch, version, sent, predecessor_silent }))
         }
         // Somebody else was faster, or an earlier claim of this process whose answer was lost took effect: the next look
--- a/src/shard/ownership.rs
+++ b/src/shard/ownership.rs
@@ -35,8 +35,9 @@
 #[derive(Clone, Debug)]
 pub struct Ownership {
     vm: String,
-    /// Version of the heartbeat row and the local time at which it was first seen.
-    heartbeat: Option<(u64, Duration)>,
+    /// Epoch of the owner, version of the heartbeat row, and the local time at which they were first seen. A new owner
+    /// needs a moment for its first heartbeat.
+    heartbeat: Option<(u64, u64, Duration)>,
     /// Extra wait of this process, so that not all processes claim at the same moment.
     stagger: Duration,
 }
@@ -93,10 +94,13 @@
         asked: Duration,
         now: Duration,
     ) -> Claim {
+        let epoch = row.map_or(0, |row| row.epoch);
         let since = match self.heartbeat {
-            Some((version, since)) if version == heartbeat => since,
+            Some((held_epoch, version, since)) if (held_epoch, version) == (epoch, heartbeat) => {
+                since
+            }
             _ => {
-                self.heartbeat = Some((heartbeat, now));
+                self.heartbeat = Some((epoch, heartbeat, now));
                 now
             }
         };
--- a/tests/testsuite/shard/ownership.rs
+++ b/tests/testsuite/shard/ownership.rs
@@ -32,6 +32,18 @@
     assert_eq!(claim, Claim::Now(ClaimReason::Silent { since }));
 }
 
+/// Guards against a second claim before the new owner has written its first heartbeat. Seen on `scale-2` of
+/// hprs-ops-grown: a third process claimed the shard 0.6 s after the second.
+#[test]
+fn a_new_owner_has_time_for_its_first_heartbeat() {
+    let mut ownership = Ownership::new("b", STAGGER);
+    assert_eq!(ownership.on_read(Some(&row("a")), 1, at(0), at(1)), Claim::No);
+    let mut successor = row("c");
+    successor.epoch += 1;
+    let later = SILENCE + STAGGER + at(500);
+    assert_eq!(ownership.on_read(Some(&successor), 1, later, later), Claim::No);
+}
+
 /// Guards against a claim by a process that could not read the store for a while: the owner may have been cut off with it.
 #[test]
 fn time_without_the_store_does_not_count_as_silence() {
