--- a/src/ops/jobs/layout.rs
+++ b/src/ops/jobs/layout.rs
@@ -127,6 +127,12 @@
     pub beat: u64,
     /// Jobs of which no task has started, by queue.
     pub pending: BTreeMap<String, u64>,
-    /// Workers that may run something of the shard.
+    /// Workers on which the owner may have granted leases.
     pub workers: Vec<String>,
+    /// Workers of earlier owners that the owner has not reached, so that it has granted nothing there.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<String>,
+    /// Time after which no lease is left on them.
+    #[serde(default)]
+    pub suspects_lapse_in_ms: u64,
 }
--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -134,10 +134,13 @@
     // Before the progress rows: a job whose row is removed between the two reads shows as ended.
     let jobs = read_jobs(&node, shard).await?;
     let progress = read_all(&node, &layout::progress(shard), &partition).await?;
-    let workers = predecessor_workers(&heartbeat);
+    let predecessor = predecessor_heartbeat(&heartbeat);
     let now = node.clock.boot();
     let lapsed = claimed.predecessor_silent + lapse::longest(node.cfg.timing.lease);
-    let mut scheduler = Scheduler::new(claimed.epoch, node.cfg.timing, &workers, lapsed);
+    let mut scheduler =
+        Scheduler::new(claimed.epoch, node.cfg.timing, &ids(&predecessor.workers), lapsed);
+    let suspects_lapsed = now + Duration::from_millis(predecessor.suspects_lapse_in_ms);
+    scheduler.add_suspects(&ids(&predecessor.suspects), suspects_lapsed);
     apply_catalogue(&node, &mut scheduler);
     let mut versions = BTreeMap::new();
     let mut rows = BTreeMap::new();
@@ -194,16 +197,19 @@
     Some(all)
 }
 
-fn predecessor_workers(owners: &Listing) -> Vec<WorkerId> {
+fn ids(names: &[String]) -> Vec<WorkerId> {
+    names.iter().map(|id| WorkerId::new(id)).collect()
+}
+
+fn predecessor_heartbeat(owners: &Listing) -> HeartbeatRow {
     let row = owners.rows.iter().find(|row| row.id.key == layout::HEARTBEAT);
-    let Some(value) = row.and_then(|row| row.value.as_deref()) else { return Vec::new() };
-    match serde_json::from_slice::<HeartbeatRow>(value) {
-        Ok(heartbeat) => heartbeat.workers.iter().map(|id| WorkerId::new(id)).collect(),
-        Err(e) => {
-            event::MALFORMED.emit(format_args!("row=heartbeat cause={e}"));
-            Vec::new()
-        }
-    }
+    let Some(value) = row.and_then(|row| row.value.as_deref()) else {
+        return HeartbeatRow::default();
+    };
+    serde_json::from_slice(value).unwrap_or_else(|e| {
+        event::MALFORMED.emit(format_args!("row=heartbeat cause={e}"));
+        HeartbeatRow::default()
+    })
 }
 
 fn apply_catalogue<P>(node: &Node<P>, scheduler: &mut Scheduler) {
@@ -499,8 +505,14 @@
     }
     if let Some(beat) = beat {
         let scheduler = owner.scheduler.borrow();
-        let heartbeat =
-            HeartbeatRow { beat, pending: scheduler.pending(), workers: scheduler.worker_ids() };
+        let (suspects, lapse_in) = scheduler.suspects(owner.node.clock.boot());
+        let heartbeat = HeartbeatRow {
+            beat,
+            pending: scheduler.pending(),
+            workers: scheduler.worker_ids(),
+            suspects,
+            suspects_lapse_in_ms: u64::try_from(lapse_in.as_millis()).unwrap_or(u64::MAX),
+        };
         let key = RowKey::new(layout::OWNERS, layout::HEARTBEAT);
         commit.writes.push((key, serde_json::to_vec(&heartbeat).unwrap_or_default()));
     }
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -184,8 +184,8 @@
     waiting: WaitingTasks,
     queues: BTreeMap<String, QueuePolicy>,
     domains_out: BTreeSet<String>,
-    /// Workers of the predecessor that have not answered this epoch.
-    suspects: BTreeSet<WorkerId>,
+    /// Workers of predecessors that have not answered this epoch, and when the last lease there has lapsed.
+    suspects: BTreeMap<WorkerId, Duration>,
     /// When the predecessor's leases have lapsed everywhere.
     predecessor_lapsed: Duration,
     pressures: Pressures,
@@ -222,7 +222,10 @@
             waiting: WaitingTasks::default(),
             queues: BTreeMap::new(),
             domains_out: BTreeSet::new(),
-            suspects: predecessor_workers.iter().cloned().collect(),
+            suspects: predecessor_workers
+                .iter()
+                .map(|id| (id.clone(), predecessor_lapsed))
+                .collect(),
             predecessor_lapsed,
             pressures: Pressures::default(),
             rows: rows::PendingRows::default(),
@@ -414,11 +417,26 @@
         pending
     }
 
+    /// Adds workers of earlier owners that the predecessor could not reach either. It granted nothing there, so their
+    /// leases end at `lapsed`, whoever owns the shard.
+    pub fn add_suspects(&mut self, workers: &[WorkerId], lapsed: Duration) {
+        for id in workers {
+            self.suspects.entry(id.clone()).or_insert(lapsed);
+        }
+    }
+
+    /// Workers of earlier owners that have not answered, with the longest time until the leases there have lapsed.
+    #[must_use]
+    pub fn suspects(&self, now: Duration) -> (Vec<String>, Duration) {
+        let ids = self.suspects.keys().map(|id| id.as_str().to_owned()).collect();
+        let lapsed = self.suspects.values().max().copied().unwrap_or_default();
+        (ids, lapsed.saturating_sub(now))
+    }
+
     /// Workers of the shard that are in the VM list or may still run something.
     #[must_use]
     pub fn worker_ids(&self) -> Vec<String> {
-        let ids: BTreeSet<&WorkerId> = self.workers.keys().chain(&self.suspects).collect();
-        ids.into_iter().map(|id| id.as_str().to_owned()).collect()
+        self.workers.keys().map(|id| id.as_str().to_owned()).collect()
     }
 
     /// Load of the shard, for metrics and the log.
@@ -532,9 +550,7 @@
         if self.suspects.is_empty() && self.rows.is_takeover_done {
             return;
         }
-        if now >= self.predecessor_lapsed {
-            self.suspects.clear();
-        }
+        self.suspects.retain(|_, lapsed| now < *lapsed);
         if !self.suspects.is_empty() {
             return;
         }
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -364,7 +364,10 @@
         let epoch = self.owner.epoch() + 1;
         let known: Vec<WorkerId> =
             self.owner.worker_ids().iter().map(|id| WorkerId::new(id)).collect();
+        let (suspects, lapse_in) = self.owner.suspects(self.fleet.now);
+        let suspects: Vec<WorkerId> = suspects.iter().map(|id| WorkerId::new(id)).collect();
         self.owner = Scheduler::new(epoch, timing(), &known, lapsed);
+        self.owner.add_suspects(&suspects, self.fleet.now + lapse_in);
         self.owner.on_queues(BTreeMap::from([(QUEUE.to_owned(), policy())]));
         for (id, spec) in &self.store.jobs {
             let job = accepted(*id, Rc::clone(spec));
--- a/tests/testsuite/shard/takeover.rs
+++ b/tests/testsuite/shard/takeover.rs
@@ -71,10 +71,13 @@
     rig.fleet.get(1).is_cut = true;
     let lapsed = rig.fleet.now + LEASE + Duration::from_millis(400);
     rig.take_over(lapsed);
-    assert!(rig.owner.worker_ids().contains(&"w1".to_owned()));
-    rig.take_over(lapsed);
+    assert!(rig.owner.suspects(rig.fleet.now).0.contains(&"w1".to_owned()));
+    let later = rig.fleet.now + LEASE * 4;
+    rig.take_over(later);
     rig.run(Duration::from_secs(10));
     rig.assert_no_breach();
+    // The wait is not begun anew with each owner.
+    assert!(rig.starts_of(id).len() >= 12);
 }
 
 /// Guards against an idle fleet at a change of owner: runs on workers that answer go on, and the tasks of jobs that were
