Serve the front by hyper, with bounds on headers and an outcome on every answer

Ruled out: a reader of our own over httparse (more code of ours for what a library does). Change: the front uses net::server, an event loop in one thread that passes whole requests to the front's threads; a stream adds the outcome to answers that the library writes; bodies over the limit are read and discarded up to 16 MiB, so that the caller sees the answer.

--- a/src/net.rs
+++ b/src/net.rs
@@ -5,3 +5,4 @@
 
 pub mod client;
 pub mod server;
+pub mod stamp;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -7,16 +7,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use super::stamp::{Stamp, Stamped};
+use crate::telemetry::event::request as event;
+
 /// Bounds of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -30,9 +33,36 @@
     pub body_time: Duration,
     /// Connections that are open at the same time; more are closed at once.
     pub connections: usize,
+    /// Header for answers that the library writes itself.
+    pub stamp: Option<Stamp>,
+}
+
+/// Why a body could not be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyError {
+    /// It is longer than the limit.
+    TooLarge,
+    /// It did not arrive in time.
+    TooSlow,
+    /// The connection ended or the body is malformed.
+    Broken,
+}
+
+impl BodyError {
+    /// An answer that says what is wrong.
+    #[must_use]
+    pub fn reply(self) -> Reply {
+        let (status, message) = match self {
+            Self::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is larger than the limit"),
+            Self::TooSlow => (StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time"),
+            Self::Broken => (StatusCode::BAD_REQUEST, "the body ended early"),
+        };
+        let body = serde_json::json!({ "error": message });
+        Reply::json(status, body.to_string().into_bytes())
+    }
 }
 
-/// A request that was read whole.
+/// A request whose header was read, and its body as far as possible.
 #[derive(Debug)]
 pub struct Received {
     /// Method.
@@ -41,8 +71,8 @@
     pub uri: Uri,
     /// Headers.
     pub headers: HeaderMap,
-    /// Body.
-    pub body: Bytes,
+    /// Body, if it arrived whole.
+    pub body: Result<Bytes, BodyError>,
 }
 
 impl Received {
@@ -62,26 +92,29 @@
     pub body: Vec<u8>,
     /// When the caller may come back, rounded up to seconds.
     pub retry_after: Option<Duration>,
+    /// Further headers; one that can't be written is left out.
+    pub headers: Vec<(String, String)>,
 }
 
 impl Reply {
     /// An answer with a JSON body.
     #[must_use]
     pub fn json(status: StatusCode, body: Vec<u8>) -> Self {
-        Self { status, body, retry_after: None }
+        Self { status, body, retry_after: None, headers: Vec::new() }
     }
 
     /// An answer that asks the caller to come back later.
     #[must_use]
     pub fn later(status: StatusCode, after: Duration, body: Vec<u8>) -> Self {
-        Self { status, body, retry_after: Some(after) }
+        Self { status, body, retry_after: Some(after), headers: Vec::new() }
     }
 }
 
 /// Whether a server still keeps connections open between requests.
 pub type StopReceiver = watch::Receiver<bool>;
 
-/// Accepts connections until the listener fails. Once `stop` is true, each connection closes after its current answer.
+/// Accepts connections until `stop` is true. Then each connection closes after its current answer, and the call returns
+/// once all are closed or [`LINGER`] has passed.
 pub async fn serve<H, F>(
     listener: TcpListener,
     limits: ServerLimits,
@@ -92,11 +125,16 @@
     F: Future<Output = Reply> + 'static,
 {
     let open = Rc::new(Cell::new(0_usize));
+    let mut stopped = stop.clone();
     loop {
-        let (stream, peer) = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|is_stopping| *is_stopping) => break,
+        };
+        let (stream, peer) = match accepted {
             Ok(accepted) => accepted,
             Err(e) => {
-                log::warn!("a connection could not be accepted: {e}");
+                event::ACCEPT_FAILED.emit(format_args!("cause={e}"));
                 // Out of descriptors: the next try has to wait for a connection to close.
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
@@ -112,17 +150,28 @@
         open.set(open.get() + 1);
         let (open, handler, stop) = (Rc::clone(&open), handler.clone(), stop.clone());
         tokio::task::spawn_local(async move {
-            serve_connection(TokioIo::new(stream), peer, limits, stop, handler).await;
+            let io = TokioIo::new(Stamped::new(stream, limits.stamp));
+            serve_connection(io, peer, limits, stop, handler).await;
             open.set(open.get() - 1);
         });
     }
+    drop(listener);
+    let mut left = LINGER;
+    while open.get() > 0 && !left.is_zero() {
+        tokio::time::sleep(LINGER_STEP).await;
+        left = left.saturating_sub(LINGER_STEP);
+    }
 }
 
+/// Longest time for answers in flight after a stop, and the time between two looks.
+const LINGER: Duration = Duration::from_secs(1);
+const LINGER_STEP: Duration = Duration::from_millis(10);
+
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 async fn serve_connection<H, F>(
-    io: TokioIo<tokio::net::TcpStream>,
+    io: TokioIo<Stamped<tokio::net::TcpStream>>,
     peer: SocketAddr,
     limits: ServerLimits,
     mut stop: StopReceiver,
@@ -135,6 +184,7 @@
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_time)
+        .title_case_headers(true)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(io, service);
     tokio::pin!(connection);
@@ -163,37 +213,59 @@
     F: Future<Output = Reply>,
 {
     let (head, body) = req.into_parts();
-    let read = Limited::new(body, limits.body_bytes).collect();
-    let reply = match tokio::time::timeout(limits.body_time, read).await {
-        Ok(Ok(body)) => {
-            let body = body.to_bytes();
-            handler(Received { method: head.method, uri: head.uri, headers: head.headers, body })
-                .await
-        }
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            refusal(StatusCode::PAYLOAD_TOO_LARGE, "the body is larger than the limit")
-        }
-        Ok(Err(_)) => refusal(StatusCode::BAD_REQUEST, "the body ended early"),
-        Err(_) => refusal(StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time"),
-    };
-    Ok(response(reply))
+    let body = read(&head.headers, body, limits).await;
+    let received = Received { method: head.method, uri: head.uri, headers: head.headers, body };
+    Ok(response(handler(received).await))
+}
+
+async fn read(
+    headers: &HeaderMap,
+    body: Incoming,
+    limits: ServerLimits,
+) -> Result<Bytes, BodyError> {
+    let announced = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
+    if announced.is_some_and(|length: u64| length > (limits.body_bytes + MAX_DISCARD_BYTES) as u64)
+    {
+        return Err(BodyError::TooLarge);
+    }
+    let whole = collect(body, limits.body_bytes);
+    tokio::time::timeout(limits.body_time, whole).await.unwrap_or(Err(BodyError::TooSlow))
 }
 
-fn refusal(status: StatusCode, message: &str) -> Reply {
-    let body = serde_json::json!({ "error": message });
-    Reply::json(status, body.to_string().into_bytes())
+/// Bytes beyond the limit that are read and discarded: a caller that is still writing when the connection closes may not
+/// see the answer.
+const MAX_DISCARD_BYTES: usize = 16 << 20;
+
+async fn collect(mut body: Incoming, most: usize) -> Result<Bytes, BodyError> {
+    let mut buf = BytesMut::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Broken)?;
+        let Ok(data) = frame.into_data() else { continue };
+        length += data.len();
+        if length > most + MAX_DISCARD_BYTES {
+            return Err(BodyError::TooLarge);
+        }
+        if length <= most {
+            buf.extend_from_slice(&data);
+        }
+    }
+    if length > most { Err(BodyError::TooLarge) } else { Ok(buf.freeze()) }
 }
 
 fn response(reply: Reply) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(reply.body)));
     *response.status_mut() = reply.status;
     let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    for (name, value) in &reply.headers {
+        let name = HeaderName::try_from(name.as_str());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::try_from(value.as_str())) {
+            headers.insert(name, value);
+        }
+    }
     if let Some(after) = reply.retry_after {
-        headers.insert(
-            RETRY_AFTER,
-            hyper::header::HeaderValue::from(after.as_millis().div_ceil(1000) as u64),
-        );
+        headers.insert(RETRY_AFTER, HeaderValue::from(after.as_millis().div_ceil(1000) as u64));
     }
     response
 }
--- /dev/null
+++ b/src/net/stamp.rs
@@ -0,0 +1,105 @@
+//! Adds a header to answers that the HTTP library writes itself.
+//!
+//! `hyper` answers a malformed request line or header on its own, without a way to add to that answer. Callers rely on a
+//! header that every answer carries, so this stream adds it to a head that has none.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Header that every answer has.
+#[derive(Clone, Copy, Debug)]
+pub struct Stamp {
+    /// Name, as it is written.
+    pub name: &'static str,
+    /// Value for answers that the library writes.
+    pub value: &'static str,
+}
+
+/// Start of an answer, and end of its head.
+const STATUS_LINE: &[u8] = b"HTTP/1.1 ";
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// A stream that adds the header.
+#[derive(Debug)]
+pub struct Stamped<S> {
+    inner: S,
+    stamp: Option<Stamp>,
+    /// A changed head that is not written yet.
+    pending: Vec<u8>,
+}
+
+impl<S> Stamped<S> {
+    /// Wraps a stream; without a stamp nothing is changed.
+    pub fn new(inner: S, stamp: Option<Stamp>) -> Self {
+        Self { inner, stamp, pending: Vec::new() }
+    }
+}
+
+impl<S: AsyncWrite + Unpin> Stamped<S> {
+    fn poll_pending(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while !self.pending.is_empty() {
+            let written = ready!(Pin::new(&mut self.inner).poll_write(cx, &self.pending))?;
+            if written == 0 {
+                return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
+            }
+            self.pending.drain(..written);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// The bytes with the header in the head of an answer that lacks it.
+fn stamped(buf: &[u8], stamp: Stamp) -> Option<Vec<u8>> {
+    if !buf.starts_with(STATUS_LINE) {
+        return None;
+    }
+    let end = buf.windows(HEAD_END.len()).position(|window| window == HEAD_END)?;
+    let has_header = String::from_utf8_lossy(&buf[..end]).lines().any(|line| {
+        line.split(':').next().is_some_and(|name| name.eq_ignore_ascii_case(stamp.name))
+    });
+    if has_header {
+        return None;
+    }
+    let header = format!("\r\n{}: {}", stamp.name, stamp.value);
+    Some([&buf[..end], header.as_bytes(), &buf[end..]].concat())
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Stamped<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Stamped<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_pending(cx))?;
+        match self.stamp.and_then(|stamp| stamped(buf, stamp)) {
+            Some(changed) => {
+                self.pending = changed;
+                Poll::Ready(Ok(buf.len()))
+            }
+            None => Pin::new(&mut self.inner).poll_write(cx, buf),
+        }
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_pending(cx))?;
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_pending(cx))?;
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- a/src/ops/front.rs
+++ b/src/ops/front.rs
@@ -3,7 +3,7 @@
 //! One thread takes requests from the HTTP server and puts them into a bounded ring; `limits.front_threads` threads
 //! answer them. A request that finds the ring full is refused as `not-run`.
 //!
-//! What bounds a caller, and what `tiny_http` leaves unbounded, is described in [`server`].
+//! What bounds a caller is described in [`server`].
 
 mod answer;
 mod routes;
@@ -75,7 +75,11 @@
         keys: Keys,
         api: ApiRoutes,
     ) -> Result<Self, FrontError> {
-        let server = Arc::new(HttpServer::start(cx.cfg.listen, cx.cfg.timing.read_timeout())?);
+        let server = Arc::new(HttpServer::start(
+            cx.cfg.listen,
+            cx.cfg.timing.read_timeout(),
+            cx.cfg.limits.max_body_bytes,
+        )?);
         let count = cx.cfg.limits.front_threads;
         let (tx, rx) = mpsc::sync_channel::<Waiting>(count * RING_PER_THREAD);
         let rx = Arc::new(Mutex::new(rx));
@@ -130,8 +134,8 @@
 fn serve(ring: &Mutex<Receiver<Waiting>>, routes: &routes::Routes) {
     loop {
         let next = ring.lock().unwrap_or_else(PoisonError::into_inner).recv();
-        let Ok((mut req, _in_flight)) = next else { return };
-        let answer = routes.answer(&mut req);
+        let Ok((req, _in_flight)) = next else { return };
+        let answer = routes.answer(&req);
         req.respond(&answer);
     }
 }
--- a/src/ops/front/routes.rs
+++ b/src/ops/front/routes.rs
@@ -60,9 +60,9 @@
         Self { cx, dispatcher, keys, api, ready: AtomicBool::new(false) }
     }
 
-    pub(super) fn answer(&self, req: &mut IncomingRequest) -> FrontAnswer {
+    pub(super) fn answer(&self, req: &IncomingRequest) -> FrontAnswer {
         let headers = req.headers();
-        let body = match req.read_body(self.cx.cfg.limits.max_body_bytes) {
+        let body = match req.body() {
             Ok(body) => body,
             Err(error) => return FrontAnswer::error(&self.body_error(error), Outcome::NotRun),
         };
--- a/src/request.rs
+++ b/src/request.rs
@@ -20,12 +20,20 @@
     Unknown,
 }
 
-impl fmt::Display for Outcome {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl Outcome {
+    /// The name on the wire.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
             Self::Completed => "completed",
             Self::NotRun => "not-run",
             Self::Unknown => "unknown",
-        })
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
     }
 }
--- a/src/telemetry/event/request.rs
+++ b/src/telemetry/event/request.rs
@@ -9,14 +9,12 @@
 
 /// A request was refused because too many wait for a front thread.
 pub const FRONT_FULL: Event = Event::new(301, Level::Warn, "front-full");
-/// The HTTP server no longer accepts connections.
+/// A connection could not be accepted; the next one is tried.
 pub const ACCEPT_FAILED: Event = Event::new(302, Level::Error, "accept-failed");
-/// A request announced so long a body that its connection was left open unread.
-pub const BODY_ABANDONED: Event = Event::new(303, Level::Warn, "body-abandoned");
+// 303 was a body that was left unread by the former HTTP server; the number is not used again.
 
 /// The row of an idempotency key was not updated.
 pub const KEY_ROW_SKIPPED: Event = Event::new(304, Level::Warn, "key-row-skipped");
 
 /// All events of this module.
-pub const ALL: &[Event] =
-    &[LATE_ANSWER, FRONT_FULL, ACCEPT_FAILED, BODY_ABANDONED, KEY_ROW_SKIPPED];
+pub const ALL: &[Event] = &[LATE_ANSWER, FRONT_FULL, ACCEPT_FAILED, KEY_ROW_SKIPPED];
