--- a/src/shard/scheduler/holds.rs
+++ b/src/shard/scheduler/holds.rs
@@ -27,9 +27,13 @@
 /// Longest wait of an idle worker; it only shows that the worker lives.
 const IDLE_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Pause after a renewal without an answer.
+/// Pause after a renewal without an answer, doubled with each further one up to [`LONGEST_MISSED_PAUSE`]: each try opens
+/// a connection.
 const MISSED_PAUSE: Duration = Duration::from_millis(250);
 
+/// Longest pause after renewals without an answer; a worker that returns is found within it.
+const LONGEST_MISSED_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Pause between two stops of one run.
 const STOP_PAUSE: Duration = Duration::from_millis(300);
 
@@ -114,7 +118,8 @@
 
     fn on_hold_failure(&mut self, now: Duration, worker_id: &WorkerId, failure: HoldFailure) {
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        worker.next_hold = now + MISSED_PAUSE;
+        let doublings = worker.missed.min(MISSED_DOUBLINGS);
+        worker.next_hold = now + (MISSED_PAUSE * 2_u32.pow(doublings)).min(LONGEST_MISSED_PAUSE);
         match failure {
             HoldFailure::Fenced => self.on_fenced(worker_id),
             HoldFailure::OtherLife => self.on_new_life(worker_id, now),
@@ -454,6 +459,9 @@
     }
 }
 
+/// Doublings after which the pause is longer than the longest.
+const MISSED_DOUBLINGS: u32 = 3;
+
 /// Renewals without an answer in a row that are worth a log line.
 const MISSED_REPORTED: u32 = 2;
 
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -72,6 +72,8 @@
     /// Every start that was carried out.
     pub starts: Vec<(TaskKey, u32, WorkerId)>,
     pub done: BTreeSet<TaskKey>,
+    /// Orders that were sent, by worker.
+    pub asked: BTreeMap<WorkerId, u32>,
     pub breaches: Vec<Breach>,
     /// Duration of a run by job; 100 ms if absent.
     pub durations: BTreeMap<JobId, Duration>,
@@ -204,6 +206,7 @@
     /// Carries out an order. None if its answer is lost.
     pub fn carry_out(&mut self, epoch: u64, order: &Order) -> Option<Answer> {
         let now = self.now;
+        *self.asked.entry(order.worker.clone()).or_default() += 1;
         let worker = self.workers.get_mut(&order.worker)?;
         if worker.is_cut {
             return None;
--- a/tests/testsuite/shard/takeover.rs
+++ b/tests/testsuite/shard/takeover.rs
@@ -123,3 +123,22 @@
     rig.assert_no_breach();
     assert_eq!(rig.starts_of(id).len(), 4);
 }
+
+/// Load: workers that are cut off for seconds. Guards against tries without end, each of which opens a connection, and
+/// against a worker that returns and is not used.
+#[test]
+fn a_silent_worker_is_asked_less_and_less_and_found_when_it_returns() {
+    let mut rig = Rig::new(Fleet::new(2, 4_000));
+    rig.run(Duration::from_secs(1));
+    rig.fleet.get(0).is_cut = true;
+    let before = rig.fleet.asked.clone();
+    rig.run(Duration::from_secs(10));
+    let asked = rig.fleet.asked.get(&worker_id(0)).copied().unwrap_or(0)
+        - before.get(&worker_id(0)).copied().unwrap_or(0);
+    assert!(asked <= 10, "{asked}");
+    rig.fleet.get(0).is_cut = false;
+    rig.run(Duration::from_millis(1_700));
+    let id = rig.submit(7, spec(vec![step(8, 1_000)]));
+    rig.run(Duration::from_millis(200));
+    assert_eq!(rig.starts_of(id).len(), 8);
+}
