Split the owner's duties into files, and drop what nothing uses

Cause: read as a newcomer: owner.rs and scheduler.rs were over 600 lines with several jobs each, the format of log lines stood twice, and some fields and functions had no user. Change: owner/{load,rows,ended}.rs, scheduler/order.rs, one format; unused items are gone. Result: no change of behaviour; tests of jobs, shard, adapter and telemetry pass.

--- a/src/ops/jobs/node.rs
+++ b/src/ops/jobs/node.rs
@@ -20,8 +20,6 @@
 pub struct NodeSettings {
     /// Name of the VM.
     pub vm: String,
-    /// Failure domain of the VM.
-    pub domain: String,
     /// Share of a core that the VM has.
     pub cpu_share: f64,
     /// Periods that the platform sets.
--- /dev/null
+++ b/src/ops/jobs/owner/ended.rs
@@ -0,0 +1,103 @@
+//! Drops what the store keeps of jobs that have ended: their descriptions soon, their rows once nobody may ask for them.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::job::JobId;
+use crate::ops::jobs::layout;
+use crate::port::{Commit, Committed, RowKey, RowStore};
+
+use super::Owner;
+
+/// Time between two rounds that drop the descriptions of ended jobs: a successor reads what is left.
+const SHRINK_PERIOD: Duration = Duration::from_millis(4_000);
+
+/// Time between two rounds that remove the rows of jobs that ended long ago.
+const EXPIRY_PERIOD: Duration = Duration::from_secs(5);
+
+/// Jobs in one write that drops descriptions: a write and a removal each.
+const JOBS_PER_SHRINK: usize = 48;
+
+/// Removes the rows of jobs whose state nobody may ask for any more.
+pub(super) async fn expire_jobs<P: RowStore>(owner: Rc<Owner<P>>) {
+    loop {
+        tokio::time::sleep(EXPIRY_PERIOD).await;
+        let now = owner.node.clock.boot();
+        let due: Vec<JobId> = owner
+            .expiring
+            .borrow()
+            .iter()
+            .take_while(|(since, _)| now.saturating_sub(*since) >= owner.node.cfg.keep_ended)
+            .take(JOBS_PER_SHRINK)
+            .map(|(_, id)| *id)
+            .collect();
+        if !due.is_empty() && remove_rows(&owner, &due).await {
+            owner.expiring.borrow_mut().drain(..due.len());
+            let mut versions = owner.versions.borrow_mut();
+            for id in &due {
+                versions.remove(id);
+            }
+        }
+    }
+}
+
+/// Removes the progress of ended jobs, and then the rows that kept them from being accepted again.
+async fn remove_rows<P: RowStore>(owner: &Owner<P>, ids: &[JobId]) -> bool {
+    let shard = owner.claimed.shard;
+    let owner_row = RowKey::new(layout::OWNERS, layout::OWNER);
+    let mut commits = vec![Commit {
+        partition: layout::partition(shard),
+        expected: vec![(owner_row, owner.claimed.version)],
+        removes: ids.iter().map(|id| layout::progress_row(shard, *id)).collect(),
+        ..Commit::default()
+    }];
+    for id in ids {
+        commits.push(Commit {
+            partition: layout::job_partition(shard, *id),
+            removes: vec![layout::job_row(shard, *id), layout::cancel_row(shard, *id)],
+            ..Commit::default()
+        });
+    }
+    for commit in &commits {
+        let outcome = owner.node.port.commit(commit).await;
+        owner.node.note_store(outcome.as_ref().err());
+        if !matches!(outcome, Ok(Committed::Applied { .. })) {
+            return false;
+        }
+    }
+    true
+}
+
+/// Drops the descriptions of jobs that have ended. It needs no condition: the end is stored, and nothing undoes it.
+pub(super) async fn shrink_jobs<P: RowStore>(owner: Rc<Owner<P>>) {
+    let shard = owner.claimed.shard;
+    loop {
+        tokio::time::sleep(SHRINK_PERIOD).await;
+        let mut by_partition: BTreeMap<String, Vec<JobId>> = BTreeMap::new();
+        for id in owner.ended_jobs.borrow().iter() {
+            by_partition.entry(layout::job_partition(shard, *id)).or_default().push(*id);
+        }
+        for (partition, ids) in by_partition {
+            for ids in ids.chunks(JOBS_PER_SHRINK) {
+                let commit = Commit {
+                    partition: partition.clone(),
+                    writes: ids
+                        .iter()
+                        .map(|id| (layout::job_row(shard, *id), layout::ENDED.to_vec()))
+                        .collect(),
+                    removes: ids.iter().map(|id| layout::cancel_row(shard, *id)).collect(),
+                    ..Commit::default()
+                };
+                let outcome = owner.node.port.commit(&commit).await;
+                owner.node.note_store(outcome.as_ref().err());
+                if outcome.is_ok() {
+                    let mut ended = owner.ended_jobs.borrow_mut();
+                    for id in ids {
+                        ended.remove(id);
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/jobs/owner/load.rs
@@ -0,0 +1,148 @@
+//! What a new owner reads of its predecessor.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use crate::job::{JobId, JobState, Progress};
+use crate::ops::jobs::layout::{self, HeartbeatRow, JobsKey, StoredJob};
+use crate::ops::jobs::node::Node;
+use crate::port::{Listing, Row, RowStore, WorkerPort};
+use crate::shard::lapse;
+use crate::shard::ownership::Permission;
+use crate::shard::{Scheduler, ShardId, WorkerId};
+use crate::telemetry::event::shard as event;
+
+use super::{Claimed, Owner, READ_PAUSE};
+
+/// Reads what the predecessor has stored.
+pub(super) async fn load<P: RowStore + WorkerPort>(
+    node: Rc<Node<P>>,
+    claimed: Claimed,
+) -> Option<(Owner<P>, u64)> {
+    let shard = claimed.shard;
+    let partition = layout::partition(shard);
+    let heartbeat = read_all(&node, layout::OWNERS, &partition).await?;
+    // Before the progress rows: a job whose row is removed between the two reads shows as ended.
+    let jobs = read_jobs(&node, shard).await?;
+    let progress = read_all(&node, &layout::progress(shard), &partition).await?;
+    let predecessor = predecessor_heartbeat(&heartbeat);
+    let now = node.clock.boot();
+    let lapsed = claimed.predecessor_silent + lapse::longest(node.cfg.timing.lease);
+    let mut scheduler =
+        Scheduler::new(claimed.epoch, node.cfg.timing, &ids(&predecessor.workers), lapsed);
+    let suspects_lapsed = now + Duration::from_millis(predecessor.suspects_lapse_in_ms);
+    scheduler.add_suspects(&ids(&predecessor.suspects), suspects_lapsed);
+    apply_catalogue(&node, &mut scheduler);
+    let mut versions = BTreeMap::new();
+    let mut rows = BTreeMap::new();
+    let mut expiring = VecDeque::new();
+    for row in progress.rows {
+        let Ok(id) = row.id.key.parse::<JobId>() else { continue };
+        versions.insert(id, row.version);
+        let value = row.value.unwrap_or_default();
+        if Progress::decode_state(&value).is_ok_and(JobState::is_final) {
+            expiring.push_back((now, id));
+        }
+        rows.insert(id, value);
+    }
+    take_jobs(&mut scheduler, now, &jobs.rows, &rows);
+    let owner = Owner {
+        node,
+        permission: Cell::new(Permission::new(claimed.sent)),
+        claimed,
+        scheduler: RefCell::new(scheduler),
+        versions: RefCell::new(versions),
+        ended_jobs: RefCell::default(),
+        expiring: RefCell::new(expiring),
+        wake: Notify::new(),
+        has_ended: Cell::new(false),
+        ended: Notify::new(),
+    };
+    Some((owner, jobs.version))
+}
+
+/// Reads a table, again and again until it works or a planned stop begins.
+async fn read_all<P: RowStore>(node: &Node<P>, table: &str, partition: &str) -> Option<Listing> {
+    while !node.is_stopping() {
+        let listing = node.port.read(table, partition, "", "").await;
+        node.note_store(listing.as_ref().err());
+        if let Ok(listing) = listing {
+            return Some(listing);
+        }
+        tokio::time::sleep(READ_PAUSE).await;
+    }
+    None
+}
+
+/// Reads all partitions of accepted jobs. Changes are followed from the oldest of the answers on.
+pub(super) async fn read_jobs<P: RowStore>(node: &Node<P>, shard: ShardId) -> Option<Listing> {
+    let table = layout::jobs(shard);
+    let parts: Vec<String> = layout::job_partitions(shard).collect();
+    let reads = parts.iter().map(|part| read_all(node, &table, part));
+    let mut all = Listing { rows: Vec::new(), version: u64::MAX };
+    for listing in futures::future::join_all(reads).await {
+        let listing = listing?;
+        all.version = all.version.min(listing.version);
+        all.rows.extend(listing.rows);
+    }
+    Some(all)
+}
+
+fn ids(names: &[String]) -> Vec<WorkerId> {
+    names.iter().map(|id| WorkerId::new(id)).collect()
+}
+
+fn predecessor_heartbeat(owners: &Listing) -> HeartbeatRow {
+    let row = owners.rows.iter().find(|row| row.id.key == layout::HEARTBEAT);
+    let Some(value) = row.and_then(|row| row.value.as_deref()) else {
+        return HeartbeatRow::default();
+    };
+    serde_json::from_slice(value).unwrap_or_else(|e| {
+        event::MALFORMED.emit(format_args!("row=heartbeat cause={e}"));
+        HeartbeatRow::default()
+    })
+}
+
+pub(super) fn apply_catalogue<P>(node: &Node<P>, scheduler: &mut Scheduler) {
+    let catalogue = node.catalogue();
+    scheduler.on_queues(catalogue.queues.clone());
+    scheduler.on_domains_out(catalogue.domains_out.clone());
+}
+
+/// Gives accepted jobs and cancellations to the scheduler; `progress` has the rows of a predecessor.
+pub(super) fn take_jobs(
+    scheduler: &mut Scheduler,
+    now: Duration,
+    rows: &[Row],
+    progress: &BTreeMap<JobId, Vec<u8>>,
+) {
+    let mut cancelled = Vec::new();
+    for row in rows {
+        let Some(value) = row.value.as_deref() else { continue };
+        match layout::parse_jobs_key(&row.id.key) {
+            Some(JobsKey::Job(_)) if value == layout::ENDED => {}
+            Some(JobsKey::Job(id)) => take_job(scheduler, id, value, progress.get(&id)),
+            Some(JobsKey::Cancel(id)) => cancelled.push(id),
+            None => event::MALFORMED.emit(format_args!("row=job key={:?}", row.id.key)),
+        }
+    }
+    for id in cancelled {
+        scheduler.on_cancel(now, id);
+    }
+}
+
+fn take_job(scheduler: &mut Scheduler, id: JobId, value: &[u8], progress: Option<&Vec<u8>>) {
+    let stored: StoredJob = match serde_json::from_slice(value) {
+        Ok(stored) => stored,
+        Err(e) => return event::MALFORMED.emit(format_args!("row=job job={id} cause={e}")),
+    };
+    let job = stored.into_accepted(id);
+    let Some(row) = progress else { return scheduler.on_job(job) };
+    if let Err(e) = scheduler.on_begun_job(job, row) {
+        event::MALFORMED.emit(format_args!("row=progress job={id} cause={e}"));
+    }
+}
--- /dev/null
+++ b/src/ops/jobs/owner/rows.rs
@@ -0,0 +1,165 @@
+//! Writes progress rows and heartbeats.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::ops::jobs::layout::{self, HeartbeatRow};
+use crate::port::{Commit, Committed, Row, RowKey, RowStore, WorkerPort};
+use crate::shard::ownership::HEARTBEAT;
+use crate::shard::scheduler::RowBatch;
+use crate::telemetry::event::shard as event;
+
+use super::{Owner, lose};
+
+/// Time between two writes of rows, so that ends that come close together share a write.
+const WRITE_PERIOD: Duration = Duration::from_millis(60);
+
+/// The same while a job waits for its first row, without which none of its tasks may start.
+const FIRST_WRITE_PERIOD: Duration = Duration::from_millis(12);
+
+/// Pause after a write that was refused or not answered.
+const WRITE_PAUSE: Duration = Duration::from_millis(120);
+
+/// Jobs in one write: each needs a condition and a write of the 100 entries that the store takes; the owner row and the
+/// heartbeat take two.
+const JOBS_PER_WRITE: usize = 48;
+
+/// Writes progress rows and heartbeats, one transaction at a time.
+pub(super) async fn write_rows<P: RowStore + WorkerPort>(owner: Rc<Owner<P>>) {
+    let mut beat = 0;
+    let mut last_beat: Option<Duration> = None;
+    let mut last_write = Duration::ZERO;
+    loop {
+        let now = owner.node.clock.boot();
+        let is_write_due = owner.scheduler.borrow().has_new_jobs()
+            || now.saturating_sub(last_write) >= WRITE_PERIOD;
+        let batch = if is_write_due {
+            owner.scheduler.borrow_mut().take_rows(JOBS_PER_WRITE)
+        } else {
+            None
+        };
+        let is_beat_due = last_beat.is_none_or(|at| now.saturating_sub(at) >= HEARTBEAT);
+        if batch.is_none() && !is_beat_due {
+            tokio::time::sleep(FIRST_WRITE_PERIOD).await;
+            continue;
+        }
+        last_write = now;
+        if let Some(batch) = batch.as_ref().filter(|batch| batch.rows.is_empty() && !is_beat_due) {
+            // Only ends of jobs that are over: nothing has to be stored for them.
+            owner.scheduler.borrow_mut().on_written(batch);
+            owner.wake.notify_one();
+            continue;
+        }
+        beat += u64::from(is_beat_due);
+        let heartbeat = is_beat_due.then_some(beat);
+        let is_written = write(&owner, batch, heartbeat, now).await;
+        owner.wake.notify_one();
+        if is_beat_due {
+            report_load(&owner);
+        }
+        if is_written && is_beat_due {
+            last_beat = Some(now);
+        }
+        tokio::time::sleep(if is_written { FIRST_WRITE_PERIOD } else { WRITE_PAUSE }).await;
+    }
+}
+
+fn report_load<P>(owner: &Owner<P>) {
+    let load = owner.scheduler.borrow().load();
+    let metrics = &owner.node.metrics;
+    metrics.gauge("shard.jobs", load.jobs as u64);
+    metrics.gauge("shard.waiting_steps", load.waiting_steps as u64);
+    metrics.gauge("shard.runs", load.runs as u64);
+    metrics.gauge("shard.workers", load.workers as u64);
+    metrics.gauge("shard.suspects", load.suspects as u64);
+}
+
+/// Writes a batch; false if it was not written.
+async fn write<P: RowStore>(
+    owner: &Owner<P>,
+    batch: Option<RowBatch>,
+    beat: Option<u64>,
+    sent: Duration,
+) -> bool {
+    let commit = transaction(owner, batch.as_ref(), beat);
+    let outcome = owner.node.port.commit(&commit).await;
+    owner.node.note_store(outcome.as_ref().err());
+    let waited = owner.node.clock.boot().saturating_sub(sent);
+    owner.node.metrics.time("store.write", waited);
+    match outcome {
+        Ok(Committed::Applied { version }) => {
+            let mut permission = owner.permission.get();
+            permission.confirm(sent);
+            owner.permission.set(permission);
+            if let Some(batch) = batch {
+                let mut versions = owner.versions.borrow_mut();
+                for (id, row) in &batch.rows {
+                    versions.insert(*id, version);
+                    if row.has_ended {
+                        owner.ended_jobs.borrow_mut().insert(*id);
+                        owner.expiring.borrow_mut().push_back((sent, *id));
+                    }
+                }
+                owner.scheduler.borrow_mut().on_written(&batch);
+            }
+            return true;
+        }
+        Ok(Committed::Conflict { rows }) => on_conflict(owner, batch.as_ref(), &rows),
+        Err(_) => {}
+    }
+    if let Some(batch) = batch {
+        owner.scheduler.borrow_mut().on_write_failed(&batch);
+    }
+    false
+}
+
+fn transaction<P>(owner: &Owner<P>, batch: Option<&RowBatch>, beat: Option<u64>) -> Commit {
+    let shard = owner.claimed.shard;
+    let owner_row = RowKey::new(layout::OWNERS, layout::OWNER);
+    let mut commit = Commit {
+        partition: layout::partition(shard),
+        expected: vec![(owner_row, owner.claimed.version)],
+        ..Commit::default()
+    };
+    let versions = owner.versions.borrow();
+    for (id, row) in batch.iter().flat_map(|batch| &batch.rows) {
+        let key = layout::progress_row(shard, *id);
+        commit.expected.push((key.clone(), versions.get(id).copied().unwrap_or(0)));
+        commit.writes.push((key, row.progress.clone()));
+    }
+    if let Some(beat) = beat {
+        let scheduler = owner.scheduler.borrow();
+        let (suspects, lapse_in) = scheduler.suspects(owner.node.clock.boot());
+        let heartbeat = HeartbeatRow {
+            beat,
+            pending: scheduler.pending(),
+            workers: scheduler.worker_ids(),
+            suspects,
+            suspects_lapse_in_ms: u64::try_from(lapse_in.as_millis()).unwrap_or(u64::MAX),
+        };
+        let key = RowKey::new(layout::OWNERS, layout::HEARTBEAT);
+        commit.writes.push((key, serde_json::to_vec(&heartbeat).unwrap_or_default()));
+    }
+    commit
+}
+
+/// Either the shard has another owner, or an earlier write whose answer was lost took effect.
+fn on_conflict<P>(owner: &Owner<P>, batch: Option<&RowBatch>, rows: &[Row]) {
+    let version_of = |key: &str, table: &str| {
+        rows.iter()
+            .find(|row| row.id.key == key && row.id.table == table)
+            .map_or(0, |row| row.version)
+    };
+    if version_of(layout::OWNER, layout::OWNERS) != owner.claimed.version {
+        return lose(owner, "claimed-by-another");
+    }
+    let table = layout::progress(owner.claimed.shard);
+    let mut versions = owner.versions.borrow_mut();
+    for id in batch.iter().flat_map(|batch| batch.rows.keys()) {
+        let version = version_of(&id.to_string(), &table);
+        if versions.get(id).copied().unwrap_or(0) != version {
+            event::ROW_CONFLICT.emit(format_args!("job={id} version={version}"));
+            versions.insert(*id, version);
+        }
+    }
+}
--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -276,7 +276,6 @@
                 run.paced = now;
             }
         }
-        worker.sum_leftover();
         changes
     }
 
--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -10,7 +10,7 @@
 
 use crate::job::{Resources, StepKey, StepSpec};
 
-use super::worker::{Phase, Run, Worker, WorkerId};
+use super::worker::{Run, Worker, WorkerId};
 
 /// Without an answer for this long a worker gets no task: two renewals and their answer.
 pub const ANSWER_AGE_LIMIT: Duration = Duration::from_millis(2_600);
@@ -141,9 +141,3 @@
     }
     penalty
 }
-
-/// True if a run occupies a worker without doubt.
-#[must_use]
-pub fn is_running(phase: Phase) -> bool {
-    matches!(phase, Phase::Starting | Phase::Active)
-}
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -70,15 +70,6 @@
         }
     }
 
-    /// True if the task waits.
-    #[must_use]
-    pub fn contains(&self, task: &TaskKey) -> bool {
-        self.ranks
-            .get(&task.step)
-            .and_then(|rank| self.steps.get(&(*rank, task.step)))
-            .is_some_and(|tasks| tasks.contains(&task.index))
-    }
-
     /// Waiting steps in the order in which they get workers, with their tasks.
     ///
     /// Load: more work than fits, for seconds. A job that has missed its objective is worth a fraction, so among the steps
--- a/src/shard/report.rs
+++ b/src/shard/report.rs
@@ -1,7 +1,5 @@
 //! What the platform and the workers say, decoded.
 
-use std::time::Duration;
-
 use crate::job::{Resources, TaskKey};
 
 use super::worker::WorkerId;
@@ -26,8 +24,6 @@
     pub capacity: Resources,
     /// It leaves and must get no new task.
     pub is_draining: bool,
-    /// While it drains: the shortest time that it still runs.
-    pub leaves_in: Option<Duration>,
 }
 
 impl WorkerListing {
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -9,11 +9,11 @@
 
 mod ends;
 mod holds;
+mod order;
 mod placing;
 mod rows;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,6 +26,7 @@
 use super::worker::{Phase, Worker, WorkerId};
 
 pub use holds::HoldFailure;
+pub use order::{Order, OrderKind, OrderOutcome, StartOutcome, StartRefusal};
 pub use rows::RowBatch;
 
 /// Periods that the platform sets.
@@ -34,107 +35,10 @@
     /// Lease of what runs on a worker. A successor must reach the workers before it lapses; a worker that is lost keeps
     /// its tasks from going elsewhere until it has.
     pub lease: Duration,
-    /// Longest time that a stop takes.
-    pub stop: Duration,
     /// Time until a change of pace takes effect.
     pub pace_delay: Duration,
 }
 
-/// Something to be sent to a worker.
-#[derive(Clone, Debug)]
-pub struct Order {
-    /// Worker.
-    pub worker: WorkerId,
-    /// Where it takes orders.
-    pub address: SocketAddr,
-    /// What to send.
-    pub kind: OrderKind,
-}
-
-/// Kinds of orders.
-#[derive(Clone, Debug)]
-pub enum OrderKind {
-    /// Renews the lease of all runs, acknowledges ends and asks for the lists.
-    Hold {
-        /// New expiry on the worker's clock; none while its clock is not known.
-        expiry_ms: Option<u64>,
-        /// Ends up to this number are stored.
-        acked_end: u64,
-        /// How long the worker may wait for an end before it answers.
-        wait: Duration,
-    },
-    /// Starts a run.
-    Start {
-        /// Task.
-        task: TaskKey,
-        /// Number of the run.
-        run: u32,
-        /// Job of the task, for its payload.
-        spec: Rc<JobSpec>,
-        /// Lease expiry on the worker's clock.
-        expiry_ms: u64,
-        /// Checkpoint to resume from; empty for none.
-        checkpoint: String,
-    },
-    /// Stops a run.
-    Stop {
-        /// Task.
-        task: TaskKey,
-        /// Number of the run.
-        run: u32,
-    },
-    /// Changes the share at which a run works.
-    Pace {
-        /// Task.
-        task: TaskKey,
-        /// Number of the run.
-        run: u32,
-        /// Share in percent.
-        percent: u8,
-    },
-}
-
-/// What became of a start.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum StartOutcome {
-    /// The worker has the run.
-    Started,
-    /// The worker refused it and does not have it.
-    Refused(StartRefusal),
-    /// It was not sent.
-    NotSent,
-    /// It may be carried out now or later.
-    Unknown,
-}
-
-/// Why a worker refused a start.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum StartRefusal {
-    /// A higher epoch was seen: the shard has another owner.
-    Fenced,
-    /// The run is not newer than one that was stopped or ended there.
-    Old,
-    /// The lease had expired.
-    Late,
-    /// No room.
-    Room,
-    /// The worker is not healthy, or is another life.
-    Unhealthy,
-    /// The worker does not accept the message.
-    Invalid,
-}
-
-/// What became of a stop or a change of pace.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OrderOutcome {
-    /// Answered: it is in effect.
-    Done,
-    /// A higher epoch was seen: the shard has another owner.
-    Fenced,
-    /// No answer, or not sent.
-    Unknown,
-}
-
 /// A job of the shard that may still run.
 #[derive(Debug)]
 pub(crate) struct Job {
--- a/src/shard/scheduler/holds.rs
+++ b/src/shard/scheduler/holds.rs
@@ -355,7 +355,6 @@
                 if let Some(held) = worker.runs.get_mut(task).filter(|held| held.number == run) {
                     held.pace = 100 - held.pace.min(99);
                 }
-                worker.sum_leftover();
             }
         }
     }
@@ -487,7 +486,6 @@
         leftover_cpu: 0,
         tail_target_ms: None,
         image: None,
-        since: now,
         seen: now,
         percent: 0,
         advanced: now,
--- a/src/shard/scheduler/rows.rs
+++ b/src/shard/scheduler/rows.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::job::{JobId, JobState};
+use crate::job::JobId;
 use crate::shard::worker::WorkerId;
 
 use super::Scheduler;
@@ -142,10 +142,4 @@
             self.rows.note_end(&worker, number);
         }
     }
-
-    /// State of a job that has not ended, or whose end is being written.
-    #[must_use]
-    pub fn state_of(&self, id: JobId) -> Option<JobState> {
-        self.jobs.get(&id).map(|job| job.progress.state)
-    }
 }
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -62,8 +62,6 @@
     pub tail_target_ms: Option<u64>,
     /// What it runs; tasks of one image interfere alike.
     pub image: Option<Rc<str>>,
-    /// When its start was sent, or when it was first seen.
-    pub since: Duration,
     /// When the worker answered the start or first listed the run.
     pub seen: Duration,
     /// Progress in percent, as last reported.
@@ -161,8 +159,6 @@
     pub runs: BTreeMap<TaskKey, Run>,
     /// Sum over `runs`.
     pub committed: Resources,
-    /// Sum of `leftover_cpu` over `runs`, at their pace.
-    pub leftover_cpu: u64,
     /// Share of the worker that filling tasks of each image have used of late, as an average that forgets within
     /// [`super::interference::REPORT_WINDOW`]: what a report shows is about as old.
     pub shares: BTreeMap<Rc<str>, f64>,
@@ -199,7 +195,6 @@
             is_known: false,
             runs: BTreeMap::new(),
             committed: Resources::default(),
-            leftover_cpu: 0,
             shares: BTreeMap::new(),
             seen_end: 0,
             acked_end: 0,
@@ -218,23 +213,15 @@
         self.remove_run(&task);
         self.committed = self.committed.plus(&run.committed);
         self.runs.insert(task, run);
-        self.sum_leftover();
     }
 
     /// Removes a run and frees what it occupied.
     pub fn remove_run(&mut self, task: &TaskKey) -> Option<Run> {
         let run = self.runs.remove(task)?;
         self.committed = self.committed.minus(&run.committed);
-        self.sum_leftover();
         Some(run)
     }
 
-    /// Recomputes the processors asked for beyond the committed ones.
-    pub fn sum_leftover(&mut self) {
-        self.leftover_cpu =
-            self.runs.values().map(|run| run.leftover_cpu * u64::from(run.pace) / 100).sum();
-    }
-
     /// What is neither committed nor possibly occupied.
     #[must_use]
     pub fn room(&self) -> Resources {
--- a/src/telemetry/lines.rs
+++ b/src/telemetry/lines.rs
@@ -11,9 +11,9 @@
 use std::time::Duration;
 
 use log::LevelFilter;
-use simplelog::{ConfigBuilder, LevelPadding, WriteLogger};
+use simplelog::WriteLogger;
 
-use super::logging::LoggingError;
+use super::logging::{self, LoggingError};
 
 /// Lines that wait for the writer. At 150 bytes a line the ring holds 300 KB at most.
 const RING_LINES: usize = 2_048;
@@ -56,17 +56,8 @@
     level: LevelFilter,
     out: impl Write + Send + 'static,
 ) -> Result<LineLog, LoggingError> {
-    let config = ConfigBuilder::new()
-        .set_time_format_rfc3339()
-        .set_time_level(LevelFilter::Error)
-        .set_level_padding(LevelPadding::Right)
-        .set_target_level(LevelFilter::Off)
-        .set_location_level(LevelFilter::Off)
-        .set_thread_level(LevelFilter::Off)
-        .add_filter_allow_str("plantainlever")
-        .build();
     let (ring, log) = ring(out);
-    WriteLogger::init(level, config, ring).map_err(|_| LoggingError::AlreadyStarted)?;
+    WriteLogger::init(level, logging::format(), ring).map_err(|_| LoggingError::AlreadyStarted)?;
     Ok(log)
 }
 
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 
 use log::LevelFilter;
-use simplelog::{ConfigBuilder, LevelPadding, WriteLogger};
+use simplelog::{Config, ConfigBuilder, LevelPadding, WriteLogger};
 use thiserror::Error;
 
 use crate::config::LogSettings;
@@ -32,7 +32,12 @@
 pub fn start(cfg: &LogSettings) -> Result<(), LoggingError> {
     let unknown = |_: log::ParseLevelError| LoggingError::UnknownLevel { found: cfg.level.clone() };
     let level: LevelFilter = cfg.level.parse().map_err(unknown)?;
-    let config = ConfigBuilder::new()
+    WriteLogger::init(level, format(), std::io::stderr()).map_err(|_| LoggingError::AlreadyStarted)
+}
+
+/// Format of all lines: UTC time, level, and the event's text.
+pub(super) fn format() -> Config {
+    ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_time_level(LevelFilter::Error)
         .set_level_padding(LevelPadding::Right)
@@ -41,8 +46,7 @@
         .set_thread_level(LevelFilter::Off)
         // The libraries' own lines have no event numbers.
         .add_filter_allow_str("plantainlever")
-        .build();
-    WriteLogger::init(level, config, std::io::stderr()).map_err(|_| LoggingError::AlreadyStarted)
+        .build()
 }
 
 /// A value of a log line, quoted if it contains a space or a quote.
--- a/tests/testsuite/jobs/port.rs
+++ b/tests/testsuite/jobs/port.rs
@@ -237,7 +237,6 @@
     let port = Port { world: Rc::clone(world), is_cut: Cell::new(false) };
     let cfg = NodeSettings {
         vm: vm.to_owned(),
-        domain: "domain-0".to_owned(),
         cpu_share: 0.25,
         timing: timing(),
         keep_ended: Duration::from_secs(1),
--- a/tests/testsuite/shard/interference.rs
+++ b/tests/testsuite/shard/interference.rs
@@ -26,7 +26,6 @@
         leftover_cpu: 0,
         tail_target_ms: None,
         image: Some(Rc::from(image)),
-        since: Duration::ZERO,
         seen: Duration::ZERO,
         percent: 50,
         advanced: Duration::ZERO,
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -95,7 +95,6 @@
         labels: vec!["a".to_owned(), format!("rack-{}", index % 2)],
         capacity: Resources { cpu_millis, memory_mib: 64_000, accelerators: 0 },
         is_draining: false,
-        leaves_in: None,
     }
 }
 
@@ -472,9 +471,5 @@
 }
 
 pub fn timing() -> scheduler::Timing {
-    scheduler::Timing {
-        lease: LEASE,
-        stop: Duration::from_millis(400),
-        pace_delay: Duration::from_millis(100),
-    }
+    scheduler::Timing { lease: LEASE, pace_delay: Duration::from_millis(100) }
 }
