--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -217,6 +217,7 @@
 
     fn note_floor(&mut self, serving: &Run) {
         let Some(image) = &serving.image else { return };
+        make_room(&mut self.floors, image);
         let floor = self.floors.entry(Rc::clone(image)).or_insert(f64::INFINITY);
         *floor = floor.min(serving.load as f64);
     }
@@ -244,7 +245,9 @@
         }
         let effect =
             after.utilization.clamp(0.05, 0.95).ln() - before.utilization.clamp(0.05, 0.95).ln();
+        make_room(&mut self.pairs, serving);
         let pairs = self.pairs.entry(Rc::clone(serving)).or_default();
+        make_room(pairs, image);
         pairs.entry(Rc::clone(image)).or_insert_with(Observed::new).add(*change, effect);
     }
 
@@ -362,6 +365,16 @@
     1.0 / (1.0 + ((limit - utilization) / SPREAD).exp())
 }
 
+/// Images that are remembered; an older one is learned again within seconds.
+const MAX_IMAGES: usize = 256;
+
+/// Forgets an image if another one is to be added to as many as are remembered.
+fn make_room<T>(by_image: &mut BTreeMap<Rc<str>, T>, image: &Rc<str>) {
+    if by_image.len() >= MAX_IMAGES && !by_image.contains_key(image) {
+        by_image.pop_first();
+    }
+}
+
 /// Processors that a filling task uses at its pace if it gets them.
 fn expected_cpu(filling: &Run) -> f64 {
     filling.leftover_cpu as f64 * f64::from(filling.pace) / 100.0
--- a/src/shard/scheduler/holds.rs
+++ b/src/shard/scheduler/holds.rs
@@ -122,7 +122,7 @@
         worker.next_hold = now + (MISSED_PAUSE * 2_u32.pow(doublings)).min(LONGEST_MISSED_PAUSE);
         match failure {
             HoldFailure::Fenced => self.on_fenced(worker_id),
-            HoldFailure::OtherLife => self.on_new_life(worker_id, now),
+            HoldFailure::OtherLife => self.on_replaced(worker_id, now),
             HoldFailure::NoAnswer => {
                 worker.missed += 1;
                 if worker.missed == MISSED_REPORTED {
@@ -165,6 +165,25 @@
         }
     }
 
+    /// Another life answers at the address: this one is over, and nothing that is sent to it is ever carried out.
+    fn on_replaced(&mut self, worker_id: &WorkerId, now: Duration) {
+        let is_noted = self
+            .workers
+            .get(worker_id)
+            .is_none_or(|worker| worker.answered.is_none() && worker.runs.is_empty());
+        if !is_noted {
+            self.on_new_life(worker_id, now);
+        }
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        worker.answered = None;
+        worker.next_hold = now + LONGEST_MISSED_PAUSE;
+        self.suspects.remove(worker_id);
+        let left: Vec<TaskKey> = worker.runs.keys().copied().collect();
+        for task in left {
+            self.drop_run(worker_id, &task);
+        }
+    }
+
     fn take_ends(&mut self, now: Duration, worker_id: &WorkerId, report: &HoldReport) {
         for end in &report.ended {
             let Some(worker) = self.workers.get_mut(worker_id) else { return };
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -51,6 +51,8 @@
     pub late: Vec<(Duration, u64, Order)>,
     /// Every run fails.
     pub fails_all: bool,
+    /// Another life answers at the address.
+    pub is_replaced: bool,
     /// Tail of serving tasks, in ms, that the next reports show.
     pub tail_ms: u64,
 }
@@ -146,6 +148,7 @@
             start_delay: None,
             late: Vec::new(),
             fails_all: false,
+            is_replaced: false,
             tail_ms: 0,
         };
         self.workers.insert(listing.id, worker);
@@ -210,6 +213,9 @@
         if worker.is_cut {
             return None;
         }
+        if worker.is_replaced {
+            return Some(Answer::OtherLife);
+        }
         if let (OrderKind::Start { .. }, Some(delay)) = (&order.kind, worker.start_delay) {
             worker.late.push((now + delay, epoch, order.clone()));
             return None;
@@ -284,6 +290,7 @@
     Held(HoldReport),
     Done,
     Fenced,
+    OtherLife,
     Refused(StartRefusal),
 }
 
@@ -409,6 +416,7 @@
             OrderKind::Hold { .. } => {
                 let outcome = match answer {
                     Some(Answer::Held(report)) => Ok(report),
+                    Some(Answer::OtherLife) => Err(HoldFailure::OtherLife),
                     Some(_) => Err(HoldFailure::Fenced),
                     None => Err(HoldFailure::NoAnswer),
                 };
@@ -418,6 +426,7 @@
                 let outcome = match answer {
                     Some(Answer::Refused(refusal)) => StartOutcome::Refused(refusal),
                     Some(Answer::Fenced) => StartOutcome::Refused(StartRefusal::Fenced),
+                    Some(Answer::OtherLife) => StartOutcome::Refused(StartRefusal::Unhealthy),
                     Some(_) => StartOutcome::Started,
                     None => StartOutcome::Unknown,
                 };
--- a/tests/testsuite/shard/takeover.rs
+++ b/tests/testsuite/shard/takeover.rs
@@ -142,3 +142,26 @@
     rig.run(Duration::from_millis(200));
     assert_eq!(rig.starts_of(id).len(), 8);
 }
+
+/// Guards against a worker that is asked without a pause, and tasks that wait, once another life answers at its address.
+/// Seen on `scale-2` of hmaro-ranks-grown: 87 workers came back under new identities, and each was asked anew at once.
+#[test]
+fn a_replaced_worker_is_given_up_at_once() {
+    let mut rig = Rig::new(Fleet::new(2, 4_000));
+    let id = rig.submit(7, spec(vec![step(4, 1_000)]));
+    rig.fleet.durations.insert(id, Duration::from_secs(60));
+    rig.run(Duration::from_secs(1));
+    let used = rig.starts_of(id)[0].2.clone();
+    let replaced = rig.fleet.workers.get_mut(&used).unwrap();
+    replaced.is_replaced = true;
+    replaced.runs.clear();
+    let before = rig.fleet.asked[&used];
+    rig.run(Duration::from_secs(3));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 8);
+    assert!(rig.fleet.asked[&used] - before <= 5, "{}", rig.fleet.asked[&used] - before);
+    // The list drops it, and it is forgotten.
+    rig.fleet.workers.get_mut(&used).unwrap().is_cut = true;
+    rig.run(Duration::from_secs(7));
+    assert!(!rig.owner.worker_ids().contains(&used.as_str().to_owned()));
+}
