Schedule up to 600 workers in one shard, and score workers once for a step

One shard was too slow because each task looked at all workers. Ruled out: room that is too scattered (48 cores were free on one worker of the other shard). Change: workers are scored once for a step and kept in a heap; a pass looks up each worker once; a job's tasks run together in the failure domain with the most room, so that a domain that is cut off holds up only its own jobs; up to 600 workers are one shard. A worker counts as unlisted by the lists that were read, not while the list can't be read. New event P0646 shard-load.

--- a/src/ops/jobs/owner/rows.rs
+++ b/src/ops/jobs/owner/rows.rs
@@ -67,13 +67,28 @@
 }
 
 fn report_load<P>(owner: &Owner<P>) {
-    let load = owner.scheduler.borrow().load();
+    let load = owner.scheduler.borrow().load(owner.node.clock.boot());
     let metrics = &owner.node.metrics;
     metrics.gauge("shard.jobs", load.jobs as u64);
     metrics.gauge("shard.waiting_steps", load.waiting_steps as u64);
     metrics.gauge("shard.runs", load.runs as u64);
     metrics.gauge("shard.workers", load.workers as u64);
     metrics.gauge("shard.suspects", load.suspects as u64);
+    metrics.gauge("shard.usable_workers", load.usable_workers as u64);
+    metrics.gauge("shard.free_cpu_millis", load.free_cpu_millis);
+    event::SHARD_LOAD.emit(format_args!(
+        "shard={} jobs={} runs={} waiting={:?} workers={} usable={} free_cpu={} most_free_cpu={} leftover_cpu={} suspects={}",
+        owner.claimed.shard.0,
+        load.jobs,
+        load.runs,
+        load.waiting_tasks,
+        load.workers,
+        load.usable_workers,
+        load.free_cpu_millis,
+        load.most_free_cpu_millis,
+        load.leftover_cpu_millis,
+        load.suspects
+    ));
 }
 
 /// Writes a batch; false if it was not written.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -37,7 +37,7 @@
 /// Workers that one owner is meant to carry. Jobs are divided by their identity and not by their size, and lasting tasks
 /// hold most of the capacity, so one of two shards can be full while the other has room. A fleet is therefore divided only
 /// when one process can't carry it; docs/CAPACITY.md has the processor share of an owner.
-pub const WORKERS_PER_SHARD: usize = 400;
+pub const WORKERS_PER_SHARD: usize = 600;
 
 impl ShardMap {
     /// The division for a number of workers.
--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -10,7 +10,7 @@
 
 use crate::job::{Resources, StepKey, StepSpec};
 
-use super::worker::{Run, Worker, WorkerId};
+use super::worker::{Run, Worker};
 
 /// Without an answer for this long a worker gets no task: two renewals and their answer.
 pub const ANSWER_AGE_LIMIT: Duration = Duration::from_millis(2_600);
@@ -38,8 +38,8 @@
     pub step: &'a StepSpec,
     /// Its identity.
     pub key: &'a StepKey,
-    /// Workers on which the task failed.
-    pub avoid: &'a [WorkerId],
+    /// Failure domain in which the job's tasks run together.
+    pub home: Option<&'a str>,
 }
 
 /// True if a worker may get new tasks.
@@ -51,7 +51,7 @@
         && worker.missed == 0
         && !is_domain_out
         && !worker.listing.is_draining
-        && now.saturating_sub(worker.listed) < LISTING_AGE_LIMIT
+        && worker.unlisted_for(now) < LISTING_AGE_LIMIT
         && worker.health.unanswered < UNANSWERED_LIMIT
         && !worker.health.is_quarantined(now)
 }
@@ -73,10 +73,15 @@
     worker.listing.capacity.cpu_millis as i64 - used as i64
 }
 
-/// Score of a worker for a task, higher is better; none if the task can't go there. `cost` is asked for a task that uses
-/// leftover processors, see [`super::interference::Pressures::cost_with`].
+/// Score of a worker for a task, higher is better; none if the task can't go there. `leftover` ([`leftover_cpu`]) and `cost`
+/// ([`super::interference::Pressures::cost_with`]) are asked for a task that uses leftover processors.
 #[must_use]
-pub fn score(worker: &Worker, wish: &Wish<'_>, cost: impl FnOnce() -> f64) -> Option<i64> {
+pub fn score(
+    worker: &Worker,
+    wish: &Wish<'_>,
+    leftover: impl FnOnce() -> i64,
+    cost: impl FnOnce() -> f64,
+) -> Option<i64> {
     let step = wish.step;
     let room = worker.room();
     if worker.listing.service != wish.service || !step.committed().fits(&room) {
@@ -89,7 +94,7 @@
         return None;
     }
     let base = if step.uses_leftover_cpu {
-        score_filling(worker, step, cost)?
+        score_filling(worker, step, leftover(), cost)?
     } else {
         score_committed(worker, step, &room)
     };
@@ -114,10 +119,14 @@
 }
 
 /// Score for a task that uses leftover processors: low cost for serving neighbours first, then many processors left.
-fn score_filling(worker: &Worker, step: &StepSpec, cost: impl FnOnce() -> f64) -> Option<i64> {
+fn score_filling(
+    worker: &Worker,
+    step: &StepSpec,
+    leftover: i64,
+    cost: impl FnOnce() -> f64,
+) -> Option<i64> {
     const COST_WEIGHT: f64 = 60_000.0;
     let cpu_millis = step.resources.cpu_millis;
-    let leftover = leftover_cpu(worker);
     if leftover < (cpu_millis * LEFTOVER_NEEDED_PERCENT / 100) as i64 {
         return None;
     }
@@ -128,16 +137,20 @@
     (cost <= 1.0).then(|| leftover - (cost * COST_WEIGHT) as i64)
 }
 
-/// Keeps a task away from where it failed and from racks other than its data's.
+/// Keeps a task near its data and in its job's failure domain. Away from home is as bad as a cost of 0.4, and worse than
+/// any difference of room.
 fn penalty(worker: &Worker, wish: &Wish<'_>) -> i64 {
-    const FAILED_HERE: i64 = 1_000_000;
     const FAR_DATA: i64 = 200_000;
+    const NOT_AT_HOME: i64 = 24_000;
+    const NOT_AT_HOME_COMMITTED: i64 = 100_000;
     let mut penalty = 0;
-    if wish.avoid.contains(&worker.listing.id) {
-        penalty += FAILED_HERE;
-    }
     if wish.step.data_rack.is_some() && wish.step.data_rack.as_deref() != worker.listing.rack() {
         penalty += FAR_DATA;
     }
+    let is_elsewhere = wish.home.is_some_and(|home| home != worker.listing.domain);
+    if is_elsewhere && !wish.step.is_long_running {
+        let is_filling = wish.step.uses_leftover_cpu;
+        penalty += if is_filling { NOT_AT_HOME } else { NOT_AT_HOME_COMMITTED };
+    }
     penalty
 }
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -89,6 +89,16 @@
             .collect()
     }
 
+    /// Number of waiting tasks by priority.
+    #[must_use]
+    pub fn tasks_by_priority(&self) -> BTreeMap<u32, usize> {
+        let mut tasks = BTreeMap::new();
+        for ((rank, _), waiting) in &self.steps {
+            *tasks.entry(rank.priority).or_default() += waiting.len();
+        }
+        tasks
+    }
+
     /// Number of waiting steps.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::telemetry::event::shard as event;
 
 use super::interference::{self, Pressures};
+use super::pick;
 use super::queue::{QueuePolicy, Rank, WaitingTasks};
 use super::report::WorkerListing;
 use super::worker::{Phase, Worker, WorkerId};
@@ -50,6 +51,8 @@
     accepted_unix_ms: u64,
     spec: Rc<JobSpec>,
     progress: Progress,
+    /// Failure domain in which its tasks run together.
+    home: Option<String>,
     /// Workers on which a task failed.
     avoid: BTreeMap<TaskKey, Vec<WorkerId>>,
 }
@@ -167,12 +170,18 @@
 
     /// Replaces the VM list. Workers that it no longer has are kept until their leases have lapsed.
     pub fn on_listing(&mut self, now: Duration, listing: Vec<WorkerListing>) {
+        let listed: BTreeSet<WorkerId> = listing.iter().map(|entry| entry.id.clone()).collect();
+        for (id, worker) in &mut self.workers {
+            if !listed.contains(id) {
+                worker.unlisted_since.get_or_insert(now);
+            }
+        }
         for entry in listing {
             let Some(worker) = self.workers.get_mut(&entry.id) else {
                 self.workers.insert(entry.id.clone(), Worker::new(entry, now));
                 continue;
             };
-            worker.listed = now;
+            worker.unlisted_since = None;
             let is_new_life = entry.born_unix_ms.is_some()
                 && worker.born_unix_ms.is_some()
                 && entry.born_unix_ms > worker.born_unix_ms;
@@ -225,6 +234,7 @@
                 accepted_unix_ms: job.accepted_unix_ms,
                 spec: job.spec,
                 progress,
+                home: None,
                 avoid: BTreeMap::new(),
             },
         );
@@ -320,8 +330,17 @@
 
     /// Load of the shard, for metrics and the log.
     #[must_use]
-    pub fn load(&self) -> Load {
+    pub fn load(&self, now: Duration) -> Load {
+        let is_usable = |worker: &&Worker| {
+            pick::is_usable(worker, now, self.domains_out.contains(&worker.listing.domain))
+        };
+        let usable: Vec<&Worker> = self.workers.values().filter(is_usable).collect();
         Load {
+            usable_workers: usable.len(),
+            free_cpu_millis: usable.iter().map(|worker| worker.room().cpu_millis).sum(),
+            most_free_cpu_millis: usable.iter().map(|w| w.room().cpu_millis).max().unwrap_or(0),
+            leftover_cpu_millis: usable.iter().map(|worker| pick::leftover_cpu(worker)).sum(),
+            waiting_tasks: self.waiting.tasks_by_priority(),
             jobs: self.jobs.len(),
             waiting_steps: self.waiting.len(),
             runs: self.live.len(),
@@ -430,8 +449,18 @@
 }
 
 /// Figures of a shard.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Load {
+    /// Workers that may get tasks.
+    pub usable_workers: usize,
+    /// Uncommitted processors on them, in thousandths of a core.
+    pub free_cpu_millis: u64,
+    /// The most uncommitted processors on one of them.
+    pub most_free_cpu_millis: u64,
+    /// Processors on them that are not used, by estimate, in thousandths of a core.
+    pub leftover_cpu_millis: i64,
+    /// Waiting tasks by priority of their queue.
+    pub waiting_tasks: BTreeMap<u32, usize>,
     /// Jobs that have not ended.
     pub jobs: usize,
     /// Steps with waiting tasks.
--- a/src/shard/scheduler/holds.rs
+++ b/src/shard/scheduler/holds.rs
@@ -74,7 +74,9 @@
             let clock = worker.clock.filter(|_| may_grant);
             let expiry_ms = clock.map(|clock| clock.expiry_ms(now, self.timing.lease));
             worker.granted_ms = worker.granted_ms.max(expiry_ms.unwrap_or(0));
-            let wait = if worker.is_known { wait(worker) } else { Duration::ZERO };
+            // A worker that did not answer is asked for a sign of life only.
+            let may_wait = worker.is_known && worker.missed == 0;
+            let wait = if may_wait { wait(worker) } else { Duration::ZERO };
             let kind = OrderKind::Hold { expiry_ms, acked_end: worker.acked_end, wait };
             self.orders.push(Order { worker: id.clone(), address: worker.listing.address, kind });
         }
@@ -129,6 +131,7 @@
             HoldFailure::OtherLife => self.on_replaced(worker_id, now),
             HoldFailure::NoAnswer => {
                 worker.missed += 1;
+                let is_first = worker.missed == 1;
                 if worker.missed == MISSED_REPORTED {
                     event::WORKER_SILENT.emit(format_args!(
                         "worker={worker_id} missed={} runs={}",
@@ -136,10 +139,45 @@
                         worker.runs.len()
                     ));
                 }
+                if is_first {
+                    self.copy_speculative(worker_id);
+                }
             }
         }
     }
 
+    /// Queues copies of the tasks of a silent worker that may run twice.
+    ///
+    /// Load: workers are lost or cut off for longer than a short task may take. Other tasks wait for the end of the lease.
+    fn copy_speculative(&mut self, worker_id: &WorkerId) {
+        let Some(worker) = self.workers.get(worker_id) else { return };
+        let tasks: Vec<TaskKey> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| !run.is_abandoned && run.phase != Phase::Reserved)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in tasks {
+            self.copy_task(&task);
+        }
+    }
+
+    /// Queues a second run of a task that may run twice and has one run.
+    pub(super) fn copy_task(&mut self, task: &TaskKey) {
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let step = &job.spec.steps[usize::from(task.step.step)];
+        let is_open = job.progress.task(task).is_some_and(|progress| !progress.is_done);
+        let is_single = self.live.get(task).is_some_and(|workers| workers.len() == 1);
+        if !step.is_speculative || job.progress.state.is_final() || !is_open || !is_single {
+            return;
+        }
+        let queue = self.queues.get(&job.queue);
+        let rank = super::rank(job, queue, task.step.occurrence, usize::from(task.step.step));
+        event::TASK_COPIED.emit(format_args!("task={task}"));
+        self.waiting.push(rank, *task);
+        self.is_placement_due = true;
+    }
+
     pub(super) fn on_fenced(&mut self, worker_id: &WorkerId) {
         if !self.is_fenced {
             event::FENCED.emit(format_args!("worker={worker_id} epoch={}", self.epoch));
@@ -426,7 +464,7 @@
                 continue;
             }
             lapsed.extend(worker.runs.keys().map(|task| (id.clone(), *task)));
-            let is_unlisted = now.saturating_sub(worker.listed) >= FORGET_AFTER;
+            let is_unlisted = worker.unlisted_for(now) >= FORGET_AFTER;
             if is_unlisted && !worker.is_hold_in_flight {
                 gone.push(id.clone());
             }
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -5,14 +5,14 @@
 //! is left, which bounds its time when everything is full. A step that asks for no less than one that found no worker in the
 //! same pass is not tried at all.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::rc::Rc;
 use std::time::Duration;
 
 use crate::job::{JobState, Resources, StepKey, StepSpec, TaskKey};
 use crate::shard::interference::Strain;
 use crate::shard::pick::{self, Wish};
-use crate::shard::worker::{Phase, WorkerId};
+use crate::shard::worker::{Phase, Worker, WorkerId};
 use crate::telemetry::event::shard as event;
 
 use super::holds::{describe, new_run};
@@ -26,11 +26,19 @@
 /// Shortest time between two passes: tasks that become ready together share one.
 const PASS_PERIOD: Duration = Duration::from_millis(10);
 
-/// What one pass has found out.
+/// What one pass has found out. Vectors have an entry for each worker, in the order of the scheduler's map, which a pass
+/// does not change.
 #[derive(Debug, Default)]
 struct Pass {
-    /// Strain of the workers that were asked about; removed when a start changes it.
-    strains: BTreeMap<WorkerId, Strain>,
+    ids: Vec<WorkerId>,
+    /// Whether a worker may get tasks.
+    usable: Vec<bool>,
+    /// Processors that a worker's tasks leave, by estimate; none until asked for, and after a start there.
+    leftovers: Vec<Option<i64>>,
+    /// Strain of a worker; none until asked for, and after a start there.
+    strains: Vec<Option<Strain>>,
+    /// Room by failure domain: uncommitted processors, and those left by estimate, in thousandths of a core.
+    domains: BTreeMap<String, (u64, i64)>,
     /// Steps without a worker, as (queue, image, whether leftover processors are used, what a task asks for).
     failed: Vec<(String, Option<String>, bool, Resources)>,
     /// Steps without a worker by queue.
@@ -38,6 +46,12 @@
 }
 
 impl Pass {
+    /// Forgets what a start has changed.
+    fn started(&mut self, worker: usize) {
+        self.leftovers[worker] = None;
+        self.strains[worker] = None;
+    }
+
     fn missed(&mut self, queue: &str, step: &StepSpec) {
         *self.misses.entry(queue.to_owned()).or_default() += 1;
         // Other wishes make a step harder to place than its size tells.
@@ -73,7 +87,7 @@
         self.is_placement_due = false;
         self.placed = now;
         let steps = self.waiting.ordered(self.unix_ms);
-        let mut pass = Pass::default();
+        let mut pass = self.begin_pass(now);
         for (key, tasks) in steps {
             let Some(job) = self.jobs.get(&key.job) else {
                 self.waiting.remove_step(&key);
@@ -91,7 +105,33 @@
         }
     }
 
+    fn begin_pass(&self, now: Duration) -> Pass {
+        let mut pass = Pass::default();
+        for (id, worker) in &self.workers {
+            let domain = &worker.listing.domain;
+            let is_usable = pick::is_usable(worker, now, self.domains_out.contains(domain))
+                && !self.inherited.published.contains(id);
+            pass.ids.push(id.clone());
+            pass.usable.push(is_usable);
+            let leftover = is_usable.then(|| pick::leftover_cpu(worker));
+            pass.leftovers.push(leftover);
+            pass.strains.push(None);
+            if let Some(leftover) = leftover {
+                let room = match pass.domains.get_mut(domain) {
+                    Some(room) => room,
+                    None => pass.domains.entry(domain.clone()).or_default(),
+                };
+                room.0 += worker.room().cpu_millis;
+                room.1 += leftover.max(0);
+            }
+        }
+        pass
+    }
+
     /// Places the waiting tasks of a step; false if one found no worker.
+    ///
+    /// Load: steps of up to some dozen like tasks on some hundred workers. The workers are scored once for the step; a start
+    /// changes only the score of its worker.
     fn place_step(
         &mut self,
         now: Duration,
@@ -103,20 +143,133 @@
         if step.is_gang {
             return self.place_gang(now, pass, key, tasks);
         }
+        self.choose_home(pass, key, step);
+        let mut best: BinaryHeap<(i64, usize)> = self.scores(pass, key, step, None).into();
         for index in tasks {
             let task = TaskKey { step: *key, index: *index };
-            let Some(worker) = self.pick(now, pass, &task, None) else { return false };
+            let Some((worker, position)) = self.pop_best(pass, &mut best, &task) else {
+                return false;
+            };
             let run = self.next_run(self.last_run(&task));
             self.reserve(now, &worker, &task, run);
-            pass.strains.remove(&worker);
+            pass.started(position);
+            let again = self.score_of(pass, key, step, &worker, position);
+            best.extend(again.map(|score| (score, position)));
         }
         true
     }
 
+    /// The best worker for a task, which is taken out of `best`. Workers on which the task has failed come last.
+    fn pop_best(
+        &self,
+        pass: &Pass,
+        best: &mut BinaryHeap<(i64, usize)>,
+        task: &TaskKey,
+    ) -> Option<(WorkerId, usize)> {
+        let avoid = self.jobs.get(&task.step.job).and_then(|job| job.avoid.get(task));
+        let mut passed_over = Vec::new();
+        let mut found = None;
+        while let Some((score, position)) = best.pop() {
+            let id = &pass.ids[position];
+            let is_free = !self.workers.get(id)?.runs.contains_key(task);
+            if is_free && !avoid.is_some_and(|avoid| avoid.contains(id)) {
+                found = Some((id.clone(), position));
+                break;
+            }
+            passed_over.push((score, position, is_free));
+        }
+        if found.is_none()
+            && let Some(index) = passed_over.iter().position(|(.., is_free)| *is_free)
+        {
+            let (_, position, _) = passed_over.remove(index);
+            found = Some((pass.ids[position].clone(), position));
+        }
+        best.extend(passed_over.into_iter().map(|(score, position, _)| (score, position)));
+        found
+    }
+
+    /// Scores of all workers that can take a task of a step, on one rack or on any.
+    fn scores(
+        &self,
+        pass: &mut Pass,
+        key: &StepKey,
+        step: &StepSpec,
+        rack: Option<&str>,
+    ) -> Vec<(i64, usize)> {
+        let Some(job) = self.jobs.get(&key.job) else { return Vec::new() };
+        let Some(policy) = self.queues.get(&job.queue) else { return Vec::new() };
+        let wish =
+            Wish { service: &policy.service, step, key, home: job.home.as_deref() };
+        let mut scores = Vec::new();
+        for (position, worker) in self.workers.values().enumerate() {
+            if pass.usable[position] && (rack.is_none() || worker.listing.rack() == rack) {
+                let score = self.score(pass, &wish, worker, position);
+                scores.extend(score.map(|score| (score, position)));
+            }
+        }
+        scores
+    }
+
+    fn score_of(
+        &self,
+        pass: &mut Pass,
+        key: &StepKey,
+        step: &StepSpec,
+        worker: &WorkerId,
+        position: usize,
+    ) -> Option<i64> {
+        let job = self.jobs.get(&key.job)?;
+        let policy = self.queues.get(&job.queue)?;
+        let wish =
+            Wish { service: &policy.service, step, key, home: job.home.as_deref() };
+        self.score(pass, &wish, self.workers.get(worker)?, position)
+    }
+
+    fn score(
+        &self,
+        pass: &mut Pass,
+        wish: &Wish<'_>,
+        worker: &Worker,
+        position: usize,
+    ) -> Option<i64> {
+        let leftover = &mut pass.leftovers[position];
+        let strain = &mut pass.strains[position];
+        let step = wish.step;
+        let cost = || {
+            let strain = strain.get_or_insert_with(|| self.pressures.strain(worker));
+            self.pressures.cost_with(strain, step.image.as_deref(), step.resources.cpu_millis)
+        };
+        let leftover = || *leftover.get_or_insert_with(|| pick::leftover_cpu(worker));
+        pick::score(worker, wish, leftover, cost)
+    }
+
+    /// Chooses the failure domain in which a job's tasks run together, if it has none that is in use: the one with the most
+    /// room.
+    ///
+    /// Load: a failure domain is cut off for seconds, and what runs there can't be seen. A job that is spread over all domains
+    /// waits for each of them; one that is together in a domain waits only for that one. Tasks of a service stay apart.
+    fn choose_home(&mut self, pass: &mut Pass, key: &StepKey, step: &StepSpec) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let is_in_use = job.home.as_ref().is_some_and(|home| pass.domains.contains_key(home));
+        if is_in_use || step.is_long_running {
+            return;
+        }
+        let room = |(cpu, leftover): &(u64, i64)| {
+            if step.uses_leftover_cpu { *leftover } else { *cpu as i64 }
+        };
+        let emptiest = pass.domains.iter_mut().max_by_key(|(_, domain)| room(domain));
+        let Some((domain, left)) = emptiest else { return };
+        job.home = Some(domain.clone());
+        // What the job will take; jobs of one pass spread.
+        let cpu = step.resources.cpu_millis * u64::from(step.count);
+        left.0 = left.0.saturating_sub(if step.uses_leftover_cpu { 0 } else { cpu });
+        left.1 -= cpu as i64;
+    }
+
     /// Starts all members of a gang, or none.
     fn place_gang(&mut self, now: Duration, pass: &mut Pass, key: &StepKey, tasks: &[u16]) -> bool {
         let Some(job) = self.jobs.get(&key.job) else { return false };
-        let step = &job.spec.steps[usize::from(key.step)];
+        let step = job.spec.steps[usize::from(key.step)].clone();
         // Members that still run must end first: a new run needs all of them.
         if tasks.len() != step.count as usize {
             return false;
@@ -128,19 +281,23 @@
         let racks: Vec<Option<String>> = if is_coupled { self.racks() } else { vec![None] };
         for rack in racks {
             let mut placed = Vec::new();
+            let mut best: BinaryHeap<(i64, usize)> =
+                self.scores(pass, key, &step, rack.as_deref()).into();
             for index in tasks {
                 let task = TaskKey { step: *key, index: *index };
-                let Some(worker) = self.pick(now, pass, &task, rack.as_deref()) else { break };
+                let Some((worker, position)) = self.pop_best(pass, &mut best, &task) else { break };
                 self.reserve(now, &worker, &task, run);
-                pass.strains.remove(&worker);
-                placed.push((worker, task));
+                pass.started(position);
+                let again = self.score_of(pass, key, &step, &worker, position);
+                best.extend(again.map(|score| (score, position)));
+                placed.push((worker, task, position));
             }
             if placed.len() == tasks.len() {
                 return true;
             }
-            for (worker, task) in placed {
+            for (worker, task, position) in placed {
                 self.remove_run(&worker, &task);
-                pass.strains.remove(&worker);
+                pass.started(position);
                 self.push_again(&task);
             }
         }
@@ -166,43 +323,6 @@
         progress.map_or(0, |progress| progress.last_run)
     }
 
-    /// The best worker for a task.
-    fn pick(
-        &self,
-        now: Duration,
-        pass: &mut Pass,
-        task: &TaskKey,
-        rack: Option<&str>,
-    ) -> Option<WorkerId> {
-        let job = self.jobs.get(&task.step.job)?;
-        let policy = self.queues.get(&job.queue)?;
-        let avoid = job.avoid.get(task).map_or(&[][..], Vec::as_slice);
-        let step = &job.spec.steps[usize::from(task.step.step)];
-        let wish = Wish { service: &policy.service, step, key: &task.step, avoid };
-        let mut best: Option<(i64, &WorkerId)> = None;
-        for (id, worker) in &self.workers {
-            let is_out = self.domains_out.contains(&worker.listing.domain);
-            let is_named = self.inherited.published.contains(id);
-            if !pick::is_usable(worker, now, is_out) || is_named || worker.runs.contains_key(task) {
-                continue;
-            }
-            if rack.is_some() && worker.listing.rack() != rack {
-                continue;
-            }
-            let cost = || {
-                let strain = pass.strains.entry(id.clone());
-                let strain = strain.or_insert_with(|| self.pressures.strain(worker));
-                let cpu_millis = step.resources.cpu_millis;
-                self.pressures.cost_with(strain, step.image.as_deref(), cpu_millis)
-            };
-            let Some(score) = pick::score(worker, &wish, cost) else { continue };
-            if best.is_none_or(|(highest, _)| score > highest) {
-                best = Some((score, id));
-            }
-        }
-        best.map(|(_, id)| id.clone())
-    }
-
     /// Commits the worker's room to a run. The run starts once the job's row names the worker.
     fn reserve(&mut self, now: Duration, worker_id: &WorkerId, task: &TaskKey, number: u32) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
@@ -327,6 +447,7 @@
                 worker.health.unanswered += 1;
                 worker.next_hold = worker.next_hold.min(now);
                 event::START_UNKNOWN.emit(format_args!("task={task} run={run} worker={worker_id}"));
+                self.copy_task(task);
             }
             StartOutcome::NotSent => {
                 worker.health.unanswered += 1;
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -159,8 +159,8 @@
 pub struct Worker {
     /// As the VM list has it.
     pub listing: WorkerListing,
-    /// Local time at which the list last had it.
-    pub listed: Duration,
+    /// Since when the lists that were read lack it. Nothing is known while the list can't be read.
+    pub unlisted_since: Option<Duration>,
     /// Begin of the life that the worker reported itself.
     pub born_unix_ms: Option<u64>,
     /// Newest reading of its clock.
@@ -202,7 +202,7 @@
     pub fn new(listing: WorkerListing, now: Duration) -> Self {
         Self {
             listing,
-            listed: now,
+            unlisted_since: None,
             born_unix_ms: None,
             clock: None,
             granted_ms: 0,
@@ -236,6 +236,12 @@
         Some(run)
     }
 
+    /// How long the lists that were read have lacked it.
+    #[must_use]
+    pub fn unlisted_for(&self, now: Duration) -> Duration {
+        self.unlisted_since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
     /// What is neither committed nor possibly occupied.
     #[must_use]
     pub fn room(&self) -> Resources {
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -28,6 +28,8 @@
 pub const RUN_ADOPTED: Event = Event::new(614, Level::Debug, "run-adopted");
 /// A run that is not to run there was found and is stopped.
 pub const RUN_UNWANTED: Event = Event::new(615, Level::Info, "run-unwanted");
+/// A task that may run twice gets a second run, because its worker is silent.
+pub const TASK_COPIED: Event = Event::new(616, Level::Info, "task-copied");
 /// A worker gets no task for a while.
 pub const WORKER_QUARANTINED: Event = Event::new(620, Level::Warn, "worker-left-out");
 /// A worker does not answer renewals.
@@ -48,6 +50,8 @@
 pub const TAKEOVER_DONE: Event = Event::new(641, Level::Info, "takeover-done");
 /// A worker with tasks of a predecessor did not answer until its leases had lapsed.
 pub const INHERITED_LAPSED: Event = Event::new(645, Level::Warn, "inherited-lapsed");
+/// Load of a shard, with each heartbeat of its owner.
+pub const SHARD_LOAD: Event = Event::new(646, Level::Info, "shard-load");
 /// A worker has seen a higher epoch: the shard has another owner.
 pub const FENCED: Event = Event::new(642, Level::Warn, "fenced");
 /// This process no longer schedules a shard.
@@ -81,6 +85,7 @@
     RUN_GONE,
     RUN_ADOPTED,
     RUN_UNWANTED,
+    TASK_COPIED,
     WORKER_QUARANTINED,
     WORKER_SILENT,
     WORKER_ANSWERS,
@@ -91,6 +96,7 @@
     SHARD_CLAIMED,
     TAKEOVER_DONE,
     INHERITED_LAPSED,
+    SHARD_LOAD,
     FENCED,
     SHARD_LOST,
     SHARD_RELEASED,
