--- a/src/ops/jobs/owner/rows.rs
+++ b/src/ops/jobs/owner/rows.rs
@@ -77,7 +77,7 @@
     metrics.gauge("shard.usable_workers", load.usable_workers as u64);
     metrics.gauge("shard.free_cpu_millis", load.free_cpu_millis);
     event::SHARD_LOAD.emit(format_args!(
-        "shard={} jobs={} runs={} waiting={:?} workers={} usable={} free_cpu={} most_free_cpu={} leftover_cpu={} suspects={}",
+        "shard={} jobs={} runs={} waiting={:?} workers={} usable={} free_cpu={} most_free_cpu={} leftover_cpu={} filling_tasks={} filling_asked={} filling_paced={} filling_used={} suspects={}",
         owner.claimed.shard.0,
         load.jobs,
         load.runs,
@@ -87,6 +87,10 @@
         load.free_cpu_millis,
         load.most_free_cpu_millis,
         load.leftover_cpu_millis,
+        load.filling.tasks,
+        load.filling.asked,
+        load.filling.paced,
+        load.filling.used,
         load.suspects
     ));
 }
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::job::{StepKey, TaskKey};
+use crate::job::{JobId, StepKey, TaskKey};
 
 /// What operators set for a queue of jobs.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,9 +19,12 @@
     pub target_latency_ms: u64,
 }
 
-/// A step this much behind its latest start counts as late; estimates are rough.
+/// A step of a begun job that is this much behind its latest start counts as late; estimates are rough.
 const LATE_AFTER_MS: u64 = 1_000;
 
+/// A job that has taken this many times its objective earns its caller nothing any more.
+const WORTHLESS_AFTER: u64 = 3;
+
 /// Position of a step: by priority, long-running steps first, then by the time by which it should have started.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Rank {
@@ -30,11 +33,31 @@
     /// Latest start of the step that still meets the job's objective, in milliseconds since the Unix epoch. None for a
     /// long-running step, which is always due.
     pub start_by_unix_ms: Option<u64>,
+    /// The job's objective in milliseconds.
+    pub objective_ms: u64,
+    /// A task of the job has started before.
+    pub is_begun: bool,
+}
+
+/// What the end of a job is worth to its caller if the step starts now.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Prospect {
+    OnTime,
+    Late,
+    Worthless,
 }
 
 impl Rank {
-    fn is_late(&self, unix_ms: u64) -> bool {
-        self.start_by_unix_ms.is_some_and(|start_by| start_by + LATE_AFTER_MS < unix_ms)
+    fn prospect(&self, unix_ms: u64) -> Prospect {
+        let Some(start_by) = self.start_by_unix_ms else { return Prospect::OnTime };
+        let slack = if self.is_begun { LATE_AFTER_MS } else { 0 };
+        if unix_ms <= start_by + slack {
+            Prospect::OnTime
+        } else if unix_ms <= start_by + (WORTHLESS_AFTER - 1) * self.objective_ms {
+            Prospect::Late
+        } else {
+            Prospect::Worthless
+        }
     }
 }
 
@@ -53,6 +76,20 @@
         self.steps.entry((rank, task.step)).or_default().insert(task.index);
     }
 
+    /// Notes that a task of the job has started: what waits of it goes before jobs that have not begun.
+    pub fn begin(&mut self, job: JobId) {
+        let first = StepKey { job, occurrence: 0, step: 0 };
+        let last = StepKey { job, occurrence: u32::MAX, step: u16::MAX };
+        for (step, rank) in self.ranks.range_mut(first..=last) {
+            if rank.is_begun {
+                continue;
+            }
+            let tasks = self.steps.remove(&(*rank, *step));
+            rank.is_begun = true;
+            self.steps.extend(tasks.map(|tasks| ((*rank, *step), tasks)));
+        }
+    }
+
     /// Removes a task.
     pub fn remove(&mut self, task: &TaskKey) {
         let Some(rank) = self.ranks.get(&task.step).copied() else { return };
@@ -73,15 +110,17 @@
     /// Waiting steps in the order in which they get workers, with their tasks.
     ///
     /// Load: more work than fits, for seconds. A job that has missed its objective is worth a fraction, so among the steps
-    /// of one priority those that can still meet theirs come first, by latest start, and the late ones follow, the least
-    /// late first.
+    /// of one priority those that can still meet theirs come first. Of these, begun jobs go before others: what they have
+    /// used is lost if they become late. Late jobs follow, the least late first, and then those that are worth nothing.
     #[must_use]
     pub fn ordered(&self, unix_ms: u64) -> Vec<(StepKey, Vec<u16>)> {
         let mut steps: Vec<_> = self.steps.iter().collect();
         steps.sort_by_key(|((rank, _), _)| {
-            let is_late = rank.is_late(unix_ms);
+            let prospect = rank.prospect(unix_ms);
+            let is_on_time = prospect == Prospect::OnTime;
             let start_by = rank.start_by_unix_ms.unwrap_or(0);
-            (rank.priority, is_late, if is_late { u64::MAX - start_by } else { start_by })
+            let order = if is_on_time { start_by } else { u64::MAX - start_by };
+            (rank.priority, prospect, is_on_time && !rank.is_begun && start_by > 0, order)
         });
         steps
             .into_iter()
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -340,6 +340,7 @@
             free_cpu_millis: usable.iter().map(|worker| worker.room().cpu_millis).sum(),
             most_free_cpu_millis: usable.iter().map(|w| w.room().cpu_millis).max().unwrap_or(0),
             leftover_cpu_millis: usable.iter().map(|worker| pick::leftover_cpu(worker)).sum(),
+            filling: Filling::of(&self.workers),
             waiting_tasks: self.waiting.tasks_by_priority(),
             jobs: self.jobs.len(),
             waiting_steps: self.waiting.len(),
@@ -459,6 +460,8 @@
     pub most_free_cpu_millis: u64,
     /// Processors on them that are not used, by estimate, in thousandths of a core.
     pub leftover_cpu_millis: i64,
+    /// Tasks that use leftover processors.
+    pub filling: Filling,
     /// Waiting tasks by priority of their queue.
     pub waiting_tasks: BTreeMap<u32, usize>,
     /// Jobs that have not ended.
@@ -473,6 +476,33 @@
     pub suspects: usize,
 }
 
+/// Figures of the tasks that use leftover processors, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Filling {
+    /// Tasks that are at work.
+    pub tasks: usize,
+    /// What they ask for.
+    pub asked: u64,
+    /// What they ask for at their pace.
+    pub paced: u64,
+    /// What they use, as last reported.
+    pub used: u64,
+}
+
+impl Filling {
+    fn of(workers: &BTreeMap<WorkerId, Worker>) -> Self {
+        let mut sum = Self::default();
+        let runs = workers.values().flat_map(|worker| worker.runs.values());
+        for run in runs.filter(|run| run.leftover_cpu > 0 && run.phase == Phase::Active) {
+            sum.tasks += 1;
+            sum.asked += run.leftover_cpu;
+            sum.paced += run.leftover_cpu * u64::from(run.pace) / 100;
+            sum.used += run.load;
+        }
+        sum
+    }
+}
+
 /// Rank of a step: it should start so early that the rest of its chain still meets the objective.
 fn rank(job: &Job, policy: Option<&QueuePolicy>, occurrence: u32, step: usize) -> Rank {
     let due = job.spec.schedule.map_or(job.accepted_unix_ms, |s| s.due_unix_ms(occurrence));
@@ -483,5 +513,7 @@
     let left_ms = job.spec.chain_from(step).as_millis() as u64;
     let is_long_running = job.spec.steps[step].is_long_running;
     let start_by = (due + objective_ms as u64).saturating_sub(left_ms);
-    Rank { priority, start_by_unix_ms: (!is_long_running).then_some(start_by) }
+    let is_begun = job.progress.state != JobState::Queued;
+    let start_by_unix_ms = (!is_long_running).then_some(start_by);
+    Rank { priority, start_by_unix_ms, objective_ms: objective_ms as u64, is_begun }
 }
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -488,6 +488,7 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         if job.progress.state == JobState::Queued {
             job.progress.state = JobState::Running;
+            self.waiting.begin(task.step.job);
             self.rows.mark(task.step.job);
             event::JOB_STARTED.emit(format_args!("job={} task={task}", task.step.job));
         }
