Predict by learned step times, and keep the predecessor's lease for adopted runs

Change: an adopted run counts as lapsed only once no lease of a predecessor can be left; each queue learns what its steps usually take and what they take without neighbours; jobs with less than a tenth of their objective to spare begin after the others.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -15,6 +15,7 @@
 pub mod queue;
 pub mod report;
 pub mod scheduler;
+pub mod times;
 pub mod worker;
 
 pub use ownership::{OwnerRow, Ownership};
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -22,6 +22,10 @@
 /// A step of a begun job that is this much behind its latest start counts as late; estimates are rough.
 const LATE_AFTER_MS: u64 = 1_000;
 
+/// Part of its objective, in percent, that a job must have left beyond its estimate when it begins. With less, it is
+/// likely to end late, since tasks run longer beside others than alone and some fail.
+const AT_RISK_PERCENT: u64 = 10;
+
 /// A job that has taken this many times its objective earns its caller nothing any more.
 const WORTHLESS_AFTER: u64 = 3;
 
@@ -43,6 +47,7 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Prospect {
     OnTime,
+    AtRisk,
     Late,
     Worthless,
 }
@@ -50,9 +55,12 @@
 impl Rank {
     fn prospect(&self, unix_ms: u64) -> Prospect {
         let Some(start_by) = self.start_by_unix_ms else { return Prospect::OnTime };
-        let slack = if self.is_begun { LATE_AFTER_MS } else { 0 };
-        if unix_ms <= start_by + slack {
+        let at_risk_ms = self.objective_ms * AT_RISK_PERCENT / 100;
+        if self.is_begun && unix_ms <= start_by + LATE_AFTER_MS || unix_ms + at_risk_ms <= start_by
+        {
             Prospect::OnTime
+        } else if unix_ms <= start_by {
+            Prospect::AtRisk
         } else if unix_ms <= start_by + (WORTHLESS_AFTER - 1) * self.objective_ms {
             Prospect::Late
         } else {
@@ -110,8 +118,10 @@
     /// Waiting steps in the order in which they get workers, with their tasks.
     ///
     /// Load: more work than fits, for seconds. A job that has missed its objective is worth a fraction, so among the steps
-    /// of one priority those that can still meet theirs come first. Of these, begun jobs go before others: what they have
-    /// used is lost if they become late. Late jobs follow, the least late first, and then those that are worth nothing.
+    /// of one priority those that can still meet theirs come first, by latest start. Of these, begun jobs go before others:
+    /// what they have used is lost if they become late. A job that has not begun and has little time left would become late
+    /// and make the next one late as well, so it goes behind those with more. Late jobs follow, the least late first, and
+    /// then those that are worth nothing.
     #[must_use]
     pub fn ordered(&self, unix_ms: u64) -> Vec<(StepKey, Vec<u16>)> {
         let mut steps: Vec<_> = self.steps.iter().collect();
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -19,13 +19,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::job::{JobId, JobSpec, JobState, Progress, TaskKey};
+use crate::job::{JobId, JobSpec, JobState, Progress, StepKey, TaskKey};
 use crate::telemetry::event::shard as event;
 
 use super::interference::{self, Pressures};
 use super::pick;
 use super::queue::{QueuePolicy, Rank, WaitingTasks};
 use super::report::WorkerListing;
+use super::times::StepTimes;
 use super::worker::{Phase, Worker, WorkerId};
 
 pub use holds::HoldFailure;
@@ -53,6 +54,8 @@
     progress: Progress,
     /// Failure domain in which its tasks run together.
     home: Option<String>,
+    /// When the first task of each step started that has not ended.
+    step_began: BTreeMap<StepKey, Duration>,
     /// Workers on which a task failed.
     avoid: BTreeMap<TaskKey, Vec<WorkerId>>,
 }
@@ -88,6 +91,8 @@
     live: BTreeMap<TaskKey, Vec<WorkerId>>,
     waiting: WaitingTasks,
     queues: BTreeMap<String, QueuePolicy>,
+    /// Step times by queue.
+    times: BTreeMap<String, StepTimes>,
     domains_out: BTreeSet<String>,
     inherited: inherited::Inherited,
     pressures: Pressures,
@@ -123,6 +128,7 @@
             live: BTreeMap::new(),
             waiting: WaitingTasks::default(),
             queues: BTreeMap::new(),
+            times: BTreeMap::new(),
             domains_out: BTreeSet::new(),
             inherited: inherited::Inherited::new(claimed, predecessor_lapsed),
             pressures: Pressures::default(),
@@ -155,6 +161,7 @@
 
     /// Replaces what operators set for the queues.
     pub fn on_queues(&mut self, queues: BTreeMap<String, QueuePolicy>) {
+        self.times.retain(|queue, _| queues.contains_key(queue));
         self.queues = queues;
         self.is_placement_due = true;
     }
@@ -235,6 +242,7 @@
                 spec: job.spec,
                 progress,
                 home: None,
+                step_began: BTreeMap::new(),
                 avoid: BTreeMap::new(),
             },
         );
@@ -408,13 +416,14 @@
             return;
         }
         let policy = self.queues.get(&job.queue);
+        let times = self.times.get(&job.queue).copied().unwrap_or_default();
         for (number, occurrence) in &job.progress.occurrences {
             for (index, step) in job.spec.steps.iter().enumerate() {
                 if !step.after.iter().all(|after| occurrence.is_step_done(*after)) {
                     continue;
                 }
                 let key = crate::job::StepKey { job: id, occurrence: *number, step: index as u16 };
-                let rank = rank(job, policy, *number, index);
+                let rank = rank(job, policy, times, *number, index);
                 for (task, progress) in occurrence.steps[index].iter().enumerate() {
                     let task = TaskKey { step: key, index: task as u16 };
                     let may_run = self.live.contains_key(&task) || self.inherited.has(&task);
@@ -438,11 +447,16 @@
             return;
         }
         let step = usize::from(task.step.step);
-        let rank = rank(job, self.queues.get(&job.queue), task.step.occurrence, step);
+        let rank = self.rank(job, task.step.occurrence, step);
         self.waiting.push(rank, *task);
         self.is_placement_due = true;
     }
 
+    fn rank(&self, job: &Job, occurrence: u32, step: usize) -> Rank {
+        let times = self.times.get(&job.queue).copied().unwrap_or_default();
+        rank(job, self.queues.get(&job.queue), times, occurrence, step)
+    }
+
     fn next_run(&self, last_run: u32) -> u32 {
         let first = (self.epoch.saturating_sub(1) * RUNS_PER_EPOCH + 1).min(u64::from(u32::MAX));
         last_run.saturating_add(1).max(first as u32)
@@ -504,13 +518,19 @@
 }
 
 /// Rank of a step: it should start so early that the rest of its chain still meets the objective.
-fn rank(job: &Job, policy: Option<&QueuePolicy>, occurrence: u32, step: usize) -> Rank {
+fn rank(
+    job: &Job,
+    policy: Option<&QueuePolicy>,
+    times: StepTimes,
+    occurrence: u32,
+    step: usize,
+) -> Rank {
     let due = job.spec.schedule.map_or(job.accepted_unix_ms, |s| s.due_unix_ms(occurrence));
-    let chain_ms = job.spec.chain().as_millis() as f64;
+    let chain_ms = times.sound_ms(job.spec.chain().as_millis() as f64);
     let (priority, objective_ms) = policy.map_or((u32::MAX, chain_ms), |policy| {
         (policy.priority, policy.stretch * chain_ms + policy.target_latency_ms as f64)
     });
-    let left_ms = job.spec.chain_from(step).as_millis() as u64;
+    let left_ms = times.usual_ms(job.spec.chain_from(step).as_millis() as f64) as u64;
     let is_long_running = job.spec.steps[step].is_long_running;
     let start_by = (due + objective_ms as u64).saturating_sub(left_ms);
     let is_begun = job.progress.state != JobState::Queued;
--- a/src/shard/scheduler/ends.rs
+++ b/src/shard/scheduler/ends.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::job::{JobId, JobState, TaskKey};
+use crate::job::{JobId, JobState, StepKey, TaskKey};
 use crate::shard::report::{EndCause, EndReport};
 use crate::shard::worker::{Run, WorkerId};
 use crate::telemetry::event::shard as event;
@@ -83,11 +83,20 @@
         self.rows.mark(id);
         self.stop_copies(now, task);
         if is_step_done {
+            self.note_step_time(now, &task.step);
             self.push_ready(id);
             self.check_job_end(now, id);
         }
     }
 
+    fn note_step_time(&mut self, now: Duration, key: &StepKey) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(began) = job.step_began.remove(key) else { return };
+        let estimate_ms = job.spec.steps[usize::from(key.step)].estimate().as_millis() as f64;
+        let took_ms = now.saturating_sub(began).as_millis() as f64;
+        self.times.entry(job.queue.clone()).or_default().observe(took_ms, estimate_ms);
+    }
+
     /// Stops other runs of a task that has succeeded.
     fn stop_copies(&mut self, now: Duration, task: &TaskKey) {
         for worker in self.live.get(task).cloned().unwrap_or_default() {
@@ -143,7 +152,12 @@
             }
         }
         if job.progress.is_done(&job.spec) {
-            event::JOB_ENDED.emit(format_args!("job={id} state=completed"));
+            let took_ms = self.unix_ms.saturating_sub(job.accepted_unix_ms);
+            let objective_ms =
+                self.jobs.get(&id).map_or(0, |job| self.rank(job, 0, 0).objective_ms);
+            event::JOB_ENDED.emit(format_args!(
+                "job={id} state=completed took_ms={took_ms} objective_ms={objective_ms}"
+            ));
             self.end_job(now, id, JobState::Completed);
         }
     }
--- a/src/shard/scheduler/holds.rs
+++ b/src/shard/scheduler/holds.rs
@@ -171,8 +171,7 @@
         if !step.is_speculative || job.progress.state.is_final() || !is_open || !is_single {
             return;
         }
-        let queue = self.queues.get(&job.queue);
-        let rank = super::rank(job, queue, task.step.occurrence, usize::from(task.step.step));
+        let rank = self.rank(job, task.step.occurrence, usize::from(task.step.step));
         event::TASK_COPIED.emit(format_args!("task={task}"));
         self.waiting.push(rank, *task);
         self.is_placement_due = true;
@@ -311,6 +310,7 @@
         let task = listed.task;
         let is_live = self.live.contains_key(&task);
         let mut run = new_run(listed.run, Phase::Active, now);
+        run.is_adopted = true;
         let mut is_wanted = false;
         let mut is_described = false;
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
@@ -463,9 +463,13 @@
             if !is_silent || !has_lapsed {
                 continue;
             }
-            lapsed.extend(worker.runs.keys().map(|task| (id.clone(), *task)));
+            // This owner may have granted nothing yet to runs that it took over.
+            let is_over = |run: &Run| !run.is_adopted || now >= self.inherited.predecessor_lapsed;
+            let over = worker.runs.iter().filter(|(_, run)| is_over(run));
+            lapsed.extend(over.map(|(task, _)| (id.clone(), *task)));
             let is_unlisted = worker.unlisted_for(now) >= FORGET_AFTER;
-            if is_unlisted && !worker.is_hold_in_flight {
+            let is_empty = worker.runs.values().all(is_over);
+            if is_unlisted && is_empty && !worker.is_hold_in_flight {
                 gone.push(id.clone());
             }
         }
@@ -564,6 +568,7 @@
         stop_sent: None,
         stop_answered: None,
         is_abandoned: false,
+        is_adopted: false,
     }
 }
 
--- a/src/shard/scheduler/inherited.rs
+++ b/src/shard/scheduler/inherited.rs
@@ -23,7 +23,7 @@
 pub(super) struct Inherited {
     claimed: Duration,
     /// When the predecessor's leases have lapsed everywhere.
-    predecessor_lapsed: Duration,
+    pub(super) predecessor_lapsed: Duration,
     workers: BTreeMap<WorkerId, Recorded>,
     /// Worker of each task in `workers`.
     tasks: BTreeMap<TaskKey, WorkerId>,
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -198,8 +198,7 @@
     ) -> Vec<(i64, usize)> {
         let Some(job) = self.jobs.get(&key.job) else { return Vec::new() };
         let Some(policy) = self.queues.get(&job.queue) else { return Vec::new() };
-        let wish =
-            Wish { service: &policy.service, step, key, home: job.home.as_deref() };
+        let wish = Wish { service: &policy.service, step, key, home: job.home.as_deref() };
         let mut scores = Vec::new();
         for (position, worker) in self.workers.values().enumerate() {
             if pass.usable[position] && (rack.is_none() || worker.listing.rack() == rack) {
@@ -220,8 +219,7 @@
     ) -> Option<i64> {
         let job = self.jobs.get(&key.job)?;
         let policy = self.queues.get(&job.queue)?;
-        let wish =
-            Wish { service: &policy.service, step, key, home: job.home.as_deref() };
+        let wish = Wish { service: &policy.service, step, key, home: job.home.as_deref() };
         self.score(pass, &wish, self.workers.get(worker)?, position)
     }
 
@@ -437,7 +435,7 @@
                 }
                 held.seen = now;
                 held.advanced = now;
-                self.note_started(task);
+                self.note_started(now, task);
             }
             StartOutcome::Unknown => {
                 if held.phase == Phase::Starting {
@@ -484,8 +482,9 @@
     }
 
     /// A job is shown as running once its first task has started.
-    fn note_started(&mut self, task: &TaskKey) {
+    fn note_started(&mut self, now: Duration, task: &TaskKey) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        job.step_began.entry(task.step).or_insert(now);
         if job.progress.state == JobState::Queued {
             job.progress.state = JobState::Running;
             self.waiting.begin(task.step.job);
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -98,6 +98,8 @@
     pub stop_answered: Option<Duration>,
     /// Nobody waits for the run's end; it is not to be started again.
     pub is_abandoned: bool,
+    /// A predecessor has started it, so its lease may be one of the predecessor's.
+    pub is_adopted: bool,
 }
 
 /// How a worker treats what it starts, learned from ends.
--- a/tests/testsuite/shard/interference.rs
+++ b/tests/testsuite/shard/interference.rs
@@ -37,6 +37,7 @@
         stop_sent: None,
         stop_answered: None,
         is_abandoned: false,
+        is_adopted: false,
     }
 }
 
--- a/tests/testsuite/shard/takeover.rs
+++ b/tests/testsuite/shard/takeover.rs
@@ -151,6 +151,34 @@
     rig.assert_no_breach();
 }
 
+/// Guards against a second run: a worker answered the new owner once, which had granted it nothing yet, and was silent
+/// again, while its runs still had the predecessor's lease. Seen on `trouble-1` of hmaro-ranks-grown (TWICE).
+#[test]
+fn a_run_taken_over_keeps_the_lease_of_the_predecessor() {
+    let mut rig = Rig::new(Fleet::new(2, 4_000));
+    let id = rig.submit(7, spec(vec![step(1, 4_000)]));
+    rig.fleet.durations.insert(id, Duration::from_secs(60));
+    rig.run(Duration::from_secs(1));
+    let used = rig.starts_of(id)[0].2.clone();
+    rig.fleet.workers.get_mut(&used).unwrap().is_cut = true;
+    let lapsed = rig.fleet.now + Duration::from_secs(12);
+    rig.take_over(lapsed);
+    rig.run(Duration::from_secs(2));
+    // The heartbeat that names the worker stays.
+    rig.store.is_down = true;
+    rig.fleet.workers.get_mut(&used).unwrap().is_cut = false;
+    while rig.owner.suspects(rig.fleet.now).0 == ["w0"]
+        || rig.owner.suspects(rig.fleet.now).0 == ["w1"]
+    {
+        rig.round();
+    }
+    rig.fleet.workers.get_mut(&used).unwrap().is_cut = true;
+    rig.store.is_down = false;
+    rig.run(Duration::from_secs(14));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 2);
+}
+
 /// Guards against an owner that goes on after a successor has reached a worker.
 #[test]
 fn an_owner_with_an_old_epoch_learns_it_from_any_worker() {
