--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,4 +14,5 @@
 mod schedule;
 mod settings;
 mod shard;
+mod soak;
 mod telemetry;
