--- a/src/ops/jobs.rs
+++ b/src/ops/jobs.rs
@@ -7,7 +7,7 @@
 //! | --- | --- | --- | --- | --- |
 //! | `layout` | none | `shards` | number of shards | the first process, once |
 //! | `owners` | `sK` | `owner` | holder and epoch of shard K | who claims it, under the row's version |
-//! | `owners` | `sK` | `heartbeat` | waiting jobs by queue, workers | the owner, under the owner row's version |
+//! | `owners` | `sK` | `heartbeat` | waiting jobs by queue, workers not reached | the owner, under the owner row's version |
 //! | `progress-K` | `sK` | job | [`crate::job::Progress`] | the owner, under the versions of this and the owner row |
 //! | `jobs-K` | `jK.P` | job | the job as accepted; `null` once it has ended | any process if it does not exist, later the owner |
 //! | `jobs-K` | `jK.P` | job, `.cancel` | empty | any process |
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -8,10 +8,12 @@
 //! run is, or may be, and finds every end that is not in a row on the workers. It waits for a worker that does not answer
 //! only with the tasks that are recorded there.
 
+mod copies;
 mod ends;
 mod holds;
 mod inherited;
 mod order;
+mod pacing;
 mod placing;
 mod rows;
 
--- /dev/null
+++ b/src/shard/scheduler/copies.rs
@@ -0,0 +1,40 @@
+//! Second runs of tasks that their callers allow to run twice.
+
+use crate::job::TaskKey;
+use crate::shard::worker::{Phase, WorkerId};
+use crate::telemetry::event::shard as event;
+
+use super::Scheduler;
+
+impl Scheduler {
+    /// Queues copies of the tasks of a silent worker that may run twice.
+    ///
+    /// Load: workers are lost or cut off for longer than a short task may take. Other tasks wait for the end of the lease.
+    pub(super) fn copy_speculative(&mut self, worker_id: &WorkerId) {
+        let Some(worker) = self.workers.get(worker_id) else { return };
+        let tasks: Vec<TaskKey> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| !run.is_abandoned && run.phase != Phase::Reserved)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in tasks {
+            self.copy_task(&task);
+        }
+    }
+
+    /// Queues a second run of a task that may run twice and has one run.
+    pub(super) fn copy_task(&mut self, task: &TaskKey) {
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let step = &job.spec.steps[usize::from(task.step.step)];
+        let is_open = job.progress.task(task).is_some_and(|progress| !progress.is_done);
+        let is_single = self.live.get(task).is_some_and(|workers| workers.len() == 1);
+        if !step.is_speculative || job.progress.state.is_final() || !is_open || !is_single {
+            return;
+        }
+        let rank = self.rank(job, task.step.occurrence, usize::from(task.step.step));
+        event::TASK_COPIED.emit(format_args!("task={task}"));
+        self.waiting.push(rank, *task);
+        self.is_placement_due = true;
+    }
+}
--- /dev/null
+++ b/src/shard/scheduler/pacing.rs
@@ -0,0 +1,92 @@
+//! Filling tasks beside serving ones: their pace, and moves of those that are slowed for long.
+
+use std::time::Duration;
+
+use crate::job::TaskKey;
+use crate::shard::worker::{Phase, WorkerId};
+use crate::telemetry::event::shard as event;
+
+use super::{Order, OrderKind, OrderOutcome, Scheduler};
+
+/// Pace, in percent, up to which a task holds up its step.
+const SLOWED_PACE: u8 = 30;
+
+/// Time at such a pace after which a task moves: about what a stop and a new start take.
+const SLOWED_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// A task that is further than this, in percent, ends sooner where it is.
+const MOST_DONE: u8 = 80;
+
+/// The same for a task without checkpoints, which starts from the beginning.
+const MOST_LOST: u8 = 20;
+
+impl Scheduler {
+    /// Slows or speeds up a worker's filling tasks after a report, and moves those that have been slowed for long.
+    pub(super) fn judge_pace(&mut self, now: Duration, worker_id: &WorkerId) {
+        let pace_delay = self.timing.pace_delay;
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        self.pressures.learn(worker);
+        for change in self.pressures.judge(worker, now, pace_delay) {
+            let Some(run) = worker.runs.get(&change.task) else { continue };
+            let kind =
+                OrderKind::Pace { task: change.task, run: run.number, percent: change.percent };
+            let address = worker.listing.address;
+            self.orders.push(Order { worker: worker_id.clone(), address, kind });
+        }
+        self.move_slowed(now, worker_id);
+    }
+
+    /// Moves tasks that have been slowed for long, if there is room for them elsewhere.
+    ///
+    /// Load: steps of some dozen filling tasks beside serving tasks whose own load swings. A step ends with its slowest task,
+    /// so one task that is slowed for seconds makes its job late while other workers could run it at full speed.
+    fn move_slowed(&mut self, now: Duration, worker_id: &WorkerId) {
+        let has_room = self.waiting.is_empty();
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let mut moved = Vec::new();
+        for (task, run) in &mut worker.runs {
+            if run.leftover_cpu == 0 || run.phase != Phase::Active || run.pace > SLOWED_PACE {
+                run.slowed_since = None;
+                continue;
+            }
+            let since = *run.slowed_since.get_or_insert(now);
+            let step = self
+                .jobs
+                .get(&task.step.job)
+                .map(|job| &job.spec.steps[usize::from(task.step.step)]);
+            let most_percent =
+                if step.is_some_and(|step| step.checkpoints) { MOST_DONE } else { MOST_LOST };
+            if has_room && now.saturating_sub(since) >= SLOWED_LIMIT && run.percent < most_percent {
+                moved.push(*task);
+            }
+        }
+        for task in moved {
+            if let Some(job) = self.jobs.get_mut(&task.step.job) {
+                job.avoid.entry(task).or_default().push(worker_id.clone());
+            }
+            event::TASK_MOVED.emit(format_args!("task={task} worker={worker_id} cause=slowed"));
+            self.stop_run(now, worker_id, &task, false);
+        }
+    }
+
+    /// Takes the outcome of a change of pace.
+    pub fn on_pace(
+        &mut self,
+        worker_id: &WorkerId,
+        task: &TaskKey,
+        run: u32,
+        outcome: OrderOutcome,
+    ) {
+        match outcome {
+            OrderOutcome::Done => {}
+            OrderOutcome::Fenced => self.on_fenced(worker_id),
+            OrderOutcome::Unknown => {
+                let Some(worker) = self.workers.get_mut(worker_id) else { return };
+                // Any other value makes the next judgement order it again.
+                if let Some(held) = worker.runs.get_mut(task).filter(|held| held.number == run) {
+                    held.pace = 100 - held.pace.min(99);
+                }
+            }
+        }
+    }
+}
