Time by the clock, type the last text error, and wait on conditions in tests

Cause: a review: `Instant::now` in the stand-ins, the dispatcher, the rounds of recorders, the scheduler's ticks and the target client stands still in a suspension and can't be set by a test; `DevConfig::documents` returned a text as its error; four tests had polls of their own with a bare sleep; three commands that list repeated their options and output. Ruled out: client/apply.rs:217, which is a map of texts by path and returns ClientError; it has a name now. Three sleeps that remain are no waits: two are arrivals at a rate, one is a slow peer; they go through the clock. Left: `Instant::now` in peer/node.rs, since tarpc's deadline is an Instant, and as a fallback that is never reached in group_commit.

--- a/crates/plantainlever-test-support/src/checker/attempts.rs
+++ b/crates/plantainlever-test-support/src/checker/attempts.rs
@@ -1,7 +1,7 @@
 //! Rules about attempts on workers.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::Duration;
 
 use plantainlever::local::history::Entry;
 use plantainlever::platform::table::{CommitResult, Transaction};
@@ -11,7 +11,7 @@
 use super::rows::{domain_change, task_put};
 use super::{Broken, CheckLimits};
 
-pub(super) fn check(history: &[(Instant, Entry)], limits: &CheckLimits) -> Vec<Broken> {
+pub(super) fn check(history: &[(Duration, Entry)], limits: &CheckLimits) -> Vec<Broken> {
     let mut replay = Replay::new(*limits);
     for (at, entry) in history {
         match entry {
@@ -38,7 +38,7 @@
     /// Tasks that may run in two places.
     shared: BTreeSet<String>,
     ended: BTreeSet<String>,
-    out_since: BTreeMap<String, Instant>,
+    out_since: BTreeMap<String, Duration>,
 }
 
 impl Replay {
@@ -54,7 +54,7 @@
         }
     }
 
-    fn start(&mut self, at: Instant, worker: &str, domain: &str, attempt: &AttemptRef) {
+    fn start(&mut self, at: Duration, worker: &str, domain: &str, attempt: &AttemptRef) {
         let task = attempt.task.to_string();
         if !self.started.insert(attempt.clone()) {
             self.broken.push(Broken::StartedTwice {
@@ -76,7 +76,7 @@
             });
         }
         if let Some(since) = self.out_since.get(domain) {
-            let after = at.saturating_duration_since(*since);
+            let after = at.saturating_sub(*since);
             if after > self.limits.out_bound {
                 self.broken.push(Broken::StartAfterOut { task, domain: domain.to_owned(), after });
             }
@@ -105,7 +105,7 @@
         self.running.remove(&(worker.to_owned(), attempt.clone()));
     }
 
-    fn write(&mut self, at: Instant, transaction: &Transaction) {
+    fn write(&mut self, at: Duration, transaction: &Transaction) {
         for write in &transaction.writes {
             if let Some(task) = task_put(write) {
                 if !task.exclusive {
--- a/crates/plantainlever-test-support/src/checker/requests.rs
+++ b/crates/plantainlever-test-support/src/checker/requests.rs
@@ -1,14 +1,14 @@
 //! Rules about callers' requests on executors.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::Duration;
 
 use plantainlever::local::history::Entry;
 
 use super::{Broken, CheckLimits};
 use crate::caller::Record;
 
-pub(super) fn check(history: &[(Instant, Entry)], limits: &CheckLimits) -> Vec<Broken> {
+pub(super) fn check(history: &[(Duration, Entry)], limits: &CheckLimits) -> Vec<Broken> {
     let mut broken = Vec::new();
     let mut keys = BTreeSet::new();
     for (_, entry) in history {
@@ -31,7 +31,7 @@
     broken
 }
 
-pub(super) fn check_callers(history: &[(Instant, Entry)], records: &[Record]) -> Vec<Broken> {
+pub(super) fn check_callers(history: &[(Duration, Entry)], records: &[Record]) -> Vec<Broken> {
     let mut ran: BTreeMap<&str, &str> = BTreeMap::new();
     for (_, entry) in history {
         if let Entry::RequestStarted { target, key: Some(key), .. } = entry {
--- a/crates/plantainlever-test-support/src/checker/rows.rs
+++ b/crates/plantainlever-test-support/src/checker/rows.rs
@@ -1,7 +1,7 @@
 //! Rules about transactions, and what they say about tasks and domains.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::Duration;
 
 use plantainlever::domain::state;
 use plantainlever::local::history::Entry;
@@ -11,7 +11,7 @@
 
 use super::Broken;
 
-pub(super) fn check(history: &[(Instant, Entry)]) -> Vec<Broken> {
+pub(super) fn check(history: &[(Duration, Entry)]) -> Vec<Broken> {
     let mut broken = Vec::new();
     let mut last = 0;
     let mut attempts: BTreeMap<String, u32> = BTreeMap::new();
--- a/src/bin/plantainlever/cli.rs
+++ b/src/bin/plantainlever/cli.rs
@@ -1,9 +1,11 @@
 //! The commands and the options that several of them share.
 
 use bpaf::{OptionParser, Parser, construct, long, short};
+use serde::Serialize;
 
 use crate::commands::{catalogue, check, dev, domain, entry, node, status, task};
 use crate::shell::{Shell, Verbosity};
+use crate::table::Table;
 
 /// Where a process listens unless told otherwise.
 pub const DEFAULT_SERVER: &str = "127.0.0.1:7280";
@@ -92,6 +94,37 @@
     construct!(Remote { server, shell })
 }
 
+/// Options of commands that list.
+#[derive(Debug)]
+pub struct Listing {
+    json: bool,
+    /// Which process is asked.
+    pub remote: Remote,
+}
+
+/// `--json` and the options of [`Remote`].
+pub fn listing() -> impl Parser<Listing> {
+    let json = json();
+    let remote = remote();
+    construct!(Listing { json, remote })
+}
+
+impl Listing {
+    /// Prints what a process listed, as JSON or as a table. True if it was a table.
+    pub fn print<T: Serialize>(
+        &self,
+        list: &T,
+        table: impl FnOnce(&T) -> Table,
+    ) -> eyre::Result<bool> {
+        if self.json {
+            self.remote.shell.json(list)?;
+        } else {
+            self.remote.shell.table(&table(list))?;
+        }
+        Ok(!self.json)
+    }
+}
+
 fn is_server(server: &str) -> bool {
     let Some((host, port)) = server.rsplit_once(':') else { return false };
     !host.is_empty() && !host.contains('/') && port.parse::<u16>().is_ok_and(|port| port != 0)
--- a/src/bin/plantainlever/commands/catalogue/history.rs
+++ b/src/bin/plantainlever/commands/catalogue/history.rs
@@ -1,23 +1,21 @@
 //! `catalogue history`.
 
-use bpaf::{OptionParser, Parser, construct};
+use bpaf::{OptionParser, Parser};
 use plantainlever::telemetry::time;
 
-use crate::cli::{self, Remote};
+use crate::cli::{self, Listing};
 use crate::table::Table;
 
 /// Options of `catalogue history`.
 #[derive(Debug)]
 pub struct History {
-    json: bool,
-    remote: Remote,
+    listing: Listing,
 }
 
 /// The parser.
 pub fn options() -> OptionParser<History> {
-    let json = cli::json();
-    let remote = cli::remote();
-    construct!(History { json, remote })
+    cli::listing()
+        .map(|listing| History { listing })
         .to_options()
         .descr("List the newest changes of the catalogue")
         .footer("Example: plantainlever catalogue history")
@@ -26,20 +24,15 @@
 impl History {
     /// Runs the command.
     pub fn exec(self) -> eyre::Result<()> {
-        let changes = self.remote.client().history()?;
-        if self.json {
-            self.remote.shell.json(&changes)?;
-            return Ok(());
-        }
-        let mut table = Table::new(&["REVISION", "TIME (UTC)", "NAME"]);
-        for change in &changes {
-            table.row(vec![
-                change.revision.to_string(),
-                time::utc_text(change.at_ms),
-                change.name.clone(),
-            ]);
-        }
-        self.remote.shell.table(&table)?;
+        let changes = self.listing.remote.client().history()?;
+        self.listing.print(&changes, |changes| {
+            let mut table = Table::new(&["REVISION", "TIME (UTC)", "NAME"]);
+            for change in changes {
+                let at = time::utc_text(change.at_ms);
+                table.row(vec![change.revision.to_string(), at, change.name.clone()]);
+            }
+            table
+        })?;
         Ok(())
     }
 }
--- a/src/bin/plantainlever/commands/catalogue/list.rs
+++ b/src/bin/plantainlever/commands/catalogue/list.rs
@@ -1,24 +1,22 @@
 //! `catalogue list`.
 
-use bpaf::{OptionParser, Parser, construct};
+use bpaf::{OptionParser, Parser};
 use plantainlever::catalogue::{Class, Document};
-use plantainlever::ops::client::message::NamedDocument;
+use plantainlever::ops::client::message::{DocumentList, NamedDocument};
 
-use crate::cli::{self, Remote};
+use crate::cli::{self, Listing};
 use crate::table::Table;
 
 /// Options of `catalogue list`.
 #[derive(Debug)]
 pub struct List {
-    json: bool,
-    remote: Remote,
+    listing: Listing,
 }
 
 /// The parser.
 pub fn options() -> OptionParser<List> {
-    let json = cli::json();
-    let remote = cli::remote();
-    construct!(List { json, remote })
+    cli::listing()
+        .map(|listing| List { listing })
         .to_options()
         .descr("List the documents of the catalogue")
         .footer("Example: plantainlever catalogue list --json")
@@ -27,21 +25,22 @@
 impl List {
     /// Runs the command.
     pub fn exec(self) -> eyre::Result<()> {
-        let list = self.remote.client().documents()?;
-        if self.json {
-            self.remote.shell.json(&list)?;
-            return Ok(());
+        let list = self.listing.remote.client().documents()?;
+        if self.listing.print(&list, table)? {
+            self.listing.remote.shell.note(format_args!("at revision {}", list.revision));
         }
-        let mut table = Table::new(&["NAME", "KIND", "CLASS", "OWNER", "REVISION"]);
-        for named in &list.documents {
-            table.row(row(named));
-        }
-        self.remote.shell.table(&table)?;
-        self.remote.shell.note(format_args!("at revision {}", list.revision));
         Ok(())
     }
 }
 
+fn table(list: &DocumentList) -> Table {
+    let mut table = Table::new(&["NAME", "KIND", "CLASS", "OWNER", "REVISION"]);
+    for named in &list.documents {
+        table.row(row(named));
+    }
+    table
+}
+
 fn row(named: &NamedDocument) -> Vec<String> {
     let (kind, class, owner) = match &named.document {
         Document::Entry(entry) => ("entry", class_text(entry.class), entry.owner.as_str()),
--- a/src/local/history.rs
+++ b/src/local/history.rs
@@ -1,8 +1,9 @@
 //! What the stand-ins saw, in order, for the checker that the tests share and for the summary of `dev --once`.
 
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Instant;
+use std::time::Duration;
 
+use crate::clock::{Clock, SystemClock};
 use crate::platform::table::{CommitResult, Transaction};
 use crate::platform::worker::{AttemptRef, AttemptState};
 use crate::worker::Resources;
@@ -67,23 +68,42 @@
     },
 }
 
-/// The record. Cloning shares it.
-#[derive(Clone, Debug, Default)]
+/// The record. Cloning shares it. Times are the clock's boot time, which goes on in a suspension.
+#[derive(Clone, Debug)]
 pub struct History {
-    entries: Arc<Mutex<Vec<(Instant, Entry)>>>,
+    clock: Arc<dyn Clock>,
+    entries: Arc<Mutex<Vec<(Duration, Entry)>>>,
+}
+
+impl Default for History {
+    fn default() -> Self {
+        Self::new(Arc::new(SystemClock))
+    }
 }
 
 impl History {
+    /// An empty record.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self { clock, entries: Arc::default() }
+    }
+
+    /// The clock that entries are timed by.
+    #[must_use]
+    pub fn clock(&self) -> Arc<dyn Clock> {
+        Arc::clone(&self.clock)
+    }
+
     /// Adds an entry with the current time.
     pub fn record(&self, entry: Entry) {
         let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         // The time is taken under the lock, so that entries are in time order.
-        entries.push((Instant::now(), entry));
+        entries.push((self.clock.boot(), entry));
     }
 
     /// All entries so far.
     #[must_use]
-    pub fn snapshot(&self) -> Vec<(Instant, Entry)> {
+    pub fn snapshot(&self) -> Vec<(Duration, Entry)> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
--- a/src/local/worker.rs
+++ b/src/local/worker.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -18,6 +18,7 @@
 use self::state::{Change, Progress, WorkerState, decode_progress};
 use super::history::{Entry, History};
 use super::server::{JsonServer, ListenError, Reply, ServerRequest};
+use crate::clock::Clock;
 use crate::platform::PlatformError;
 use crate::platform::objects::Objects;
 use crate::platform::worker::{
@@ -60,14 +61,15 @@
     spec: WorkerSpec,
     state: WorkerState,
     faults: WorkerFaults,
-    /// The worker's clock started here, at `clock_start_ms`.
-    started_at: Instant,
+    clock: Arc<dyn Clock>,
+    /// The worker's clock started here, by the boot time, at `clock_start_ms`.
+    started_at: Duration,
     clock_start_ms: WorkerTimeMs,
 }
 
 impl Worker {
     fn now_ms(&self) -> WorkerTimeMs {
-        let passed = self.started_at.elapsed().as_millis();
+        let passed = self.clock.boot().saturating_sub(self.started_at).as_millis();
         self.clock_start_ms + u64::try_from(passed).unwrap_or(u64::MAX)
     }
 }
@@ -148,12 +150,14 @@
         checkpoints: Checkpoints,
         history: History,
     ) -> Result<Self, ListenError> {
+        let clock = history.clock();
         let workers = specs.into_iter().enumerate().map(|(index, spec)| {
             let index = u64::try_from(index).unwrap_or_default();
             let worker = Worker {
                 state: WorkerState::new(spec.capacity, 1),
                 faults: WorkerFaults::default(),
-                started_at: Instant::now(),
+                started_at: clock.boot(),
+                clock: Arc::clone(&clock),
                 // Clocks differ, so that a mixed-up clock shows in tests.
                 clock_start_ms: 1_000_000 + index * 10_000,
                 spec,
@@ -210,7 +214,7 @@
         }
         let incarnation = worker.state.inventory(&InventoryRequest::default(), 0, 0).incarnation;
         worker.state = WorkerState::new(worker.spec.capacity, incarnation + 1);
-        worker.started_at = Instant::now();
+        worker.started_at = worker.clock.boot();
         worker.clock_start_ms = 5;
     }
 
--- a/src/ops/client/apply.rs
+++ b/src/ops/client/apply.rs
@@ -213,8 +213,11 @@
     Ok(changes.map(change).collect())
 }
 
-/// The leaves of a document as JSON by path.
-fn flat(document: &Document) -> Result<BTreeMap<String, String>, ClientError> {
+/// Leaves of a document: path and value as JSON.
+type Leaves = BTreeMap<String, String>;
+
+/// The leaves of a document.
+fn flat(document: &Document) -> Result<Leaves, ClientError> {
     let value = serde_json::to_value(document)
         .map_err(|error| ClientError::Encoding { cause: error.to_string() })?;
     let mut leaves = BTreeMap::new();
@@ -222,7 +225,7 @@
     Ok(leaves)
 }
 
-fn flatten(value: &Value, path: &str, leaves: &mut BTreeMap<String, String>) {
+fn flatten(value: &Value, path: &str, leaves: &mut Leaves) {
     let Value::Object(fields) = value else {
         leaves.insert(path.to_owned(), value.to_string());
         return;
--- a/src/ops/dev.rs
+++ b/src/ops/dev.rs
@@ -41,8 +41,9 @@
     /// A document of the catalogue is not valid.
     #[error("the catalogue is not valid: {cause}")]
     Catalogue {
-        /// The rule that does not hold.
-        cause: String,
+        /// The document that is refused.
+        #[source]
+        cause: config::DocumentsError,
     },
 }
 
--- a/src/ops/dev/config.rs
+++ b/src/ops/dev/config.rs
@@ -5,13 +5,14 @@
 use std::path::Path;
 
 use serde::Deserialize;
+use thiserror::Error;
 
 use crate::catalogue::document::is_name;
 use crate::config::tree::{Node, Value};
 use crate::config::{
     Limits, LogSettings, PlatformSettings, Problem, ProblemKind, Settings, SettingsError, Timing,
 };
-use crate::ops::client::apply::{FileDocument, decode};
+use crate::ops::client::apply::{FileDocument, FileError, decode};
 use crate::worker::Resources;
 
 /// Most entry processes, workers or targets of one domain; they all share one machine.
@@ -130,14 +131,15 @@
     ///
     /// # Errors
     ///
-    /// The message of the first document that the catalogue would refuse.
-    pub fn documents(&self) -> Result<Vec<FileDocument>, String> {
-        let mut values: Vec<serde_json::Value> =
-            serde_saphyr::from_str(BUILT_IN).map_err(|error| error.to_string())?;
+    /// The first document that the catalogue would refuse.
+    pub fn documents(&self) -> Result<Vec<FileDocument>, DocumentsError> {
+        let mut values: Vec<serde_json::Value> = serde_saphyr::from_str(BUILT_IN)
+            .map_err(|error| DocumentsError::BuiltIn { cause: error.to_string() })?;
         values.extend(self.catalogue.iter().cloned());
         let mut documents: Vec<FileDocument> = Vec::new();
         for (index, value) in values.into_iter().enumerate() {
-            let document = decode("catalogue", index + 1, value).map_err(|error| chain(&error))?;
+            let document = decode("catalogue", index + 1, value)
+                .map_err(|source| DocumentsError::Refused { cause: chain(&source), source })?;
             // A document of the file replaces the built-in one.
             documents.retain(|other| other.name != document.name);
             documents.push(document);
@@ -183,6 +185,25 @@
     problems: Vec<Problem>,
 }
 
+/// Why the catalogue of a site can't be used.
+#[derive(Debug, Error)]
+pub enum DocumentsError {
+    /// The documents that the program brings can't be read.
+    #[error("{cause}")]
+    BuiltIn {
+        /// The codec's message.
+        cause: String,
+    },
+    /// The catalogue would refuse a document.
+    #[error("{cause}")]
+    Refused {
+        /// The rule, with what it was found in.
+        cause: String,
+        /// The refusal.
+        source: FileError,
+    },
+}
+
 impl Check<'_> {
     fn run(mut self, cfg: &DevConfig) -> Vec<Problem> {
         self.count("entries_per_domain", cfg.entries_per_domain);
@@ -197,7 +218,9 @@
         }
         match cfg.documents() {
             Ok(documents) => self.services(cfg, &documents),
-            Err(cause) => self.wrong("catalogue", &cause, "documents that the catalogue accepts"),
+            Err(error) => {
+                self.wrong("catalogue", &error.to_string(), "documents that the catalogue accepts")
+            }
         }
         self.entry_settings(cfg);
         self.problems
--- a/src/ops/dispatch.rs
+++ b/src/ops/dispatch.rs
@@ -364,9 +364,9 @@
             late: LATE_WAIT,
             connections: slot.connections,
         };
-        let started = Instant::now();
+        let started = self.cx.clock.boot();
         let result = self.targets.send(&slot.address, message, bounds);
-        let latency = started.elapsed();
+        let latency = self.cx.clock.boot().saturating_sub(started);
         let end = match &result {
             Ok(_) => Some(SlotEnd::Finished { latency }),
             Err(TargetError::Late { .. }) => {
--- a/src/ops/entry.rs
+++ b/src/ops/entry.rs
@@ -99,7 +99,8 @@
         let node = Arc::new(PeerNode::bind(cfg.peer_listen)?);
         let (cx, direct) = context(cfg, clock, metrics, &node)?;
         let heartbeats = Heartbeats::new(cx.clone());
-        let targets = Arc::new(HttpTargets::new(cx.cfg.limits.max_answer_bytes));
+        let targets =
+            Arc::new(HttpTargets::new(Arc::clone(&cx.clock), cx.cfg.limits.max_answer_bytes));
         let dispatcher = Dispatcher::start(cx.clone(), targets, Some(Arc::clone(&heartbeats)))?;
         let keys = Keys::start(cx.clone(), KeyLimits::default())?;
         let scheduler = Scheduler::start(&cx)?;
--- a/src/ops/keys/round.rs
+++ b/src/ops/keys/round.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::mpsc::{self, Receiver, SyncSender};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use super::KeyedRequest;
+use crate::clock::Clock;
 use crate::ops::Context;
 use crate::peer::{Member, PeerError, RecordKey, RecordKeyReply};
 use crate::platform::table::{CommitResult, Condition, ReadRequest, Table, Transaction, Write};
@@ -91,7 +92,7 @@
     ask_table: bool,
     wait: Duration,
 ) -> Round {
-    let deadline = Instant::now() + wait;
+    let deadline = cx.clock.boot() + wait;
     let directory = cx.directory.snapshot();
     let is_repeat = req.attempt != Some(1);
     let recorders = Recorders::choose(&directory, &cx.process, &req.key, is_repeat);
@@ -126,7 +127,7 @@
             Local::Known(holder) => round.withheld = Some((own.clone(), holder.clone())),
         }
     }
-    collect(round, &rx, open, deadline, ask_table)
+    collect(round, &rx, open, cx.clock.as_ref(), deadline, ask_table)
 }
 
 /// Tells the processes that recorded a claim that its request did not run. A process that misses it asks the holder
@@ -174,13 +175,14 @@
     mut round: Round,
     rx: &Receiver<Part>,
     open: usize,
-    deadline: Instant,
+    clock: &dyn Clock,
+    deadline: Duration,
     ask_table: bool,
 ) -> Round {
     // Records of other holders by holder, with the peers that reported each.
     let mut others: BTreeMap<String, (String, Vec<Member>)> = BTreeMap::new();
     for _ in 0..open {
-        let remaining = deadline.saturating_duration_since(Instant::now());
+        let remaining = deadline.saturating_sub(clock.boot());
         let Ok(part) = rx.recv_timeout(remaining) else { break };
         match part {
             Part::Row(row) => round.row = row,
--- a/src/ops/schedule/run.rs
+++ b/src/ops/schedule/run.rs
@@ -2,7 +2,6 @@
 
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Instant;
 
 use super::batch;
 use super::core::Core;
@@ -38,9 +37,9 @@
     }
 
     fn run_ticks(&self, core: &mut Option<Core>) {
-        let mut next_tick = Instant::now();
+        let mut next_tick = self.cx.clock.boot();
         while !self.cx.stop.is_stopped() {
-            let wait = next_tick.saturating_duration_since(Instant::now());
+            let wait = next_tick.saturating_sub(self.cx.clock.boot());
             match self.events.recv_timeout(wait) {
                 Ok(event) => {
                     self.take(core, event);
@@ -51,8 +50,8 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
-            if Instant::now() >= next_tick {
-                next_tick = Instant::now() + self.cx.cfg.timing.schedule_tick();
+            if self.cx.clock.boot() >= next_tick {
+                next_tick = self.cx.clock.boot() + self.cx.cfg.timing.schedule_tick();
                 self.tick(core.as_mut());
             }
             if let Some(core) = core {
@@ -83,7 +82,7 @@
     fn tick(&self, core: Option<&mut Core>) {
         let holding = self.holds.holding(&self.domain);
         if let (Some(core), Some(holding)) = (core, &holding) {
-            let started = Instant::now();
+            let started = self.cx.clock.boot();
             let copy = self.cx.catalogue.snapshot();
             let vms = self.cx.vm_listing.snapshot();
             let others: Vec<String> =
@@ -97,7 +96,7 @@
             };
             let changes = core.tick(&view);
             self.write(core, &changes);
-            let took = started.elapsed();
+            let took = self.cx.clock.boot().saturating_sub(started);
             let tick_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
             core.longest_tick_us = core.longest_tick_us.max(tick_us);
             let status = SchedulerStatus { tick_us, ..status(core, holding, &view) };
--- a/src/platform/target/http.rs
+++ b/src/platform/target/http.rs
@@ -5,8 +5,8 @@
 //! for reuse only after an answer that was whole and carried the right id, and is dropped in every other case.
 
 use std::collections::BTreeMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use ureq::http;
 use ureq::{Agent, Body, Error, Timeout};
@@ -15,6 +15,7 @@
     ExchangeBounds, REQUEST_ID, TargetAnswer, TargetClient, TargetError, TargetHealth,
     TargetRequest,
 };
+use crate::clock::Clock;
 use crate::request::{OUTCOME, Outcome};
 use crate::telemetry::trace::TRACEPARENT;
 
@@ -39,6 +40,7 @@
 /// Executors over HTTP/1.1.
 #[derive(Debug)]
 pub struct HttpTargets {
+    clock: Arc<dyn Clock>,
     max_answer_bytes: usize,
     connections: Mutex<BTreeMap<String, Connections>>,
 }
@@ -46,8 +48,8 @@
 impl HttpTargets {
     /// Creates a client that reads answers of at most `max_answer_bytes`.
     #[must_use]
-    pub fn new(max_answer_bytes: usize) -> Self {
-        Self { max_answer_bytes, connections: Mutex::default() }
+    pub fn new(clock: Arc<dyn Clock>, max_answer_bytes: usize) -> Self {
+        Self { clock, max_answer_bytes, connections: Mutex::default() }
     }
 
     /// Connections to an executor, idle ones included.
@@ -97,7 +99,8 @@
             let cause = "all connections of this process are in use".to_owned();
             return Err(TargetError::Withheld { address: address.to_owned(), cause });
         };
-        let result = exchange(&agent, address, req, bounds, self.max_answer_bytes);
+        let result =
+            exchange(self.clock.as_ref(), &agent, address, req, bounds, self.max_answer_bytes);
         let reusable = matches!(result, Ok(_) | Err(TargetError::Refused { .. }));
         self.check_in(address, reusable.then_some(agent));
         result
@@ -147,13 +150,14 @@
 }
 
 fn exchange(
+    clock: &dyn Clock,
     agent: &Agent,
     address: &str,
     req: &TargetRequest,
     bounds: ExchangeBounds,
     max_answer_bytes: usize,
 ) -> Result<TargetAnswer, TargetError> {
-    let started = Instant::now();
+    let started = clock.boot();
     let message = build(address, req).map_err(|error| TargetError::Withheld {
         address: address.to_owned(),
         cause: error.to_string(),
@@ -166,7 +170,7 @@
     let mut answer = agent.run(message).map_err(|error| failure(address, &error))?;
     let whole = read_whole(&req.method, &mut answer, max_answer_bytes)
         .map_err(|cause| no_answer(address, cause.to_string()))?;
-    if started.elapsed() > bounds.total {
+    if clock.boot().saturating_sub(started) > bounds.total {
         return Err(TargetError::Late { address: address.to_owned() });
     }
     let header = |name: &str| answer.headers().get(name).and_then(|value| value.to_str().ok());
--- a/tests/testsuite/peer.rs
+++ b/tests/testsuite/peer.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use plantainlever::clock::{Clock, SystemClock};
 use plantainlever::peer::{
     ForwardedAnswer, ForwardedRequest, HandOver, HandOverReply, Heartbeat, HeartbeatReply,
     HoldAnswer, HoldQuery, PeerError, PeerHandler, PeerNode, Peers, RecordKey, RecordKeyReply,
     Relay, RelayReply,
 };
+use plantainlever_test_support::wait;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 const REBIND_BOUND: Duration = Duration::from_secs(20);
@@ -49,7 +51,7 @@
     }
 
     fn forward(&self, msg: &ForwardedRequest) -> ForwardedAnswer {
-        std::thread::sleep(SLOW_FORWARD);
+        SystemClock.sleep(SLOW_FORWARD);
         ForwardedAnswer::Completed {
             request_id: msg.request_id.clone(),
             status: 200,
@@ -139,15 +141,10 @@
 /// Starts a node at an address that was just given up. The system may lend the port to an outgoing connection of another
 /// test for a moment.
 fn rebind(address: SocketAddr) -> PeerNode {
-    let started = Instant::now();
-    loop {
+    wait::until("the address is free", REBIND_BOUND, || {
         let handler: Arc<dyn PeerHandler> = Arc::new(SlowForwarder::default());
-        match PeerNode::start(address, handler) {
-            Ok(node) => return node,
-            Err(error) => assert!(started.elapsed() < REBIND_BOUND, "{error:?}"),
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    }
+        PeerNode::start(address, handler).map_err(|error| format!("{error:?}"))
+    })
 }
 
 /// Guards against a connection that stays cached after its peer has been replaced at the same address.
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -26,17 +26,14 @@
 use plantainlever_test_support::in_process::{
     InProcess, RelayPeers, TIMEOUT, context, loopback, settings,
 };
+use plantainlever_test_support::wait;
 use serde_json::{Value, json};
 
 /// Bound of all waits for a condition.
 const WAIT: Duration = Duration::from_secs(20);
 
 fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
-    let end = Instant::now() + WAIT;
-    while !condition() {
-        assert!(Instant::now() < end, "{what} did not happen within {WAIT:?}");
-        std::thread::sleep(Duration::from_millis(2));
-    }
+    wait::until_true(what, WAIT, &mut condition, || "not true");
 }
 
 fn write(operation: &str, writes: Vec<Write>) -> Transaction {
--- a/tests/testsuite/platform/commits.rs
+++ b/tests/testsuite/platform/commits.rs
@@ -265,7 +265,8 @@
     let submit_all = |submitter: u32| {
         for round in 0..ROUNDS {
             let at = begin + PERIOD * round + PERIOD * submitter / SUBMITTERS;
-            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            // Transactions arrive at a rate.
+            SystemClock.sleep(at.saturating_duration_since(Instant::now()));
             let id = format!("op{submitter}-{round}");
             commits.submit(&put(&id, &id, vec![absent(&id)]), Instant::now() + WAIT).unwrap();
         }
--- a/tests/testsuite/requests/answers.rs
+++ b/tests/testsuite/requests/answers.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use plantainlever::clock::SystemClock;
 use plantainlever::local::Entry;
 use plantainlever::local::target::TargetFault;
 use plantainlever::platform::target::{
@@ -194,7 +195,7 @@
         // The client has returned by the time that this is read.
         move || (on_same_connection, listener.accept().is_ok())
     });
-    let targets = HttpTargets::new(1 << 20);
+    let targets = HttpTargets::new(Arc::new(SystemClock), 1 << 20);
     let send = |id: &str, body: &[u8]| {
         let req = TargetRequest {
             request_id: id.to_owned(),
--- a/tests/testsuite/requests/rig.rs
+++ b/tests/testsuite/requests/rig.rs
@@ -34,17 +34,14 @@
 use plantainlever::platform::worker::WorkerClient;
 use plantainlever::request::key::KeyLimits;
 use plantainlever::telemetry::Metrics;
+use plantainlever_test_support::wait;
 
 /// Longest wait of a test for a condition.
 pub const BOUND: Duration = Duration::from_secs(20);
 
 /// Waits for a condition; fails the test if it does not come true.
 pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
-    let started = Instant::now();
-    while !condition() {
-        assert!(started.elapsed() < BOUND, "{what} did not come true within {BOUND:?}");
-        std::thread::sleep(Duration::from_millis(2));
-    }
+    wait::until_true(what, BOUND, &mut condition, || "not true");
 }
 
 /// A table in memory that can be down.
@@ -401,7 +398,8 @@
 
 impl EntryProcess {
     pub fn start(cx: Context) -> Self {
-        let targets = Arc::new(HttpTargets::new(cx.cfg.limits.max_answer_bytes));
+        let targets =
+            Arc::new(HttpTargets::new(Arc::clone(&cx.clock), cx.cfg.limits.max_answer_bytes));
         let dispatcher = Dispatcher::start(cx.clone(), targets, None).unwrap();
         let keys = Keys::start(cx.clone(), KeyLimits::default()).unwrap();
         let front =
--- a/tests/testsuite/requests/stops.rs
+++ b/tests/testsuite/requests/stops.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use plantainlever::clock::{Clock, SystemClock};
 use plantainlever::local::Entry;
 use plantainlever::local::target::TargetFault;
 use plantainlever::ops::drain::drain;
@@ -48,7 +49,7 @@
 }
 
 /// Starts of requests at a target after a moment, as time since the moment.
-fn starts_after(site: &Site, target: &str, moment: Instant) -> Vec<Duration> {
+fn starts_after(site: &Site, target: &str, moment: Duration) -> Vec<Duration> {
     let entries = site.history.snapshot();
     let starts = entries.into_iter().filter_map(|(at, entry)| match entry {
         Entry::RequestStarted { target: name, .. } if name == target => Some(at),
@@ -72,15 +73,17 @@
             let end = EndOfLoad(&done);
             let callers = scope.spawn(|| load(&entry, 6, &done, "?sleep_ms=2"));
             wait_for("work at the target", || {
-                !starts_after(&site, "t1", Instant::now() - LEAVING_BOUND).is_empty()
+                !starts_after(&site, "t1", SystemClock.boot() - LEAVING_BOUND).is_empty()
             });
             match signal {
                 "own report" => leaving.set_leaving(true),
                 "vm list" => site.list_as("t1", VmState::Leaving),
                 _ => leaving.set_fault(TargetFault::NoHealth),
             }
-            let moment = Instant::now();
-            wait_for("the time in which nothing may start", || moment.elapsed() > EXPECTED * 2);
+            let moment = SystemClock.boot();
+            wait_for("the time in which nothing may start", || {
+                SystemClock.boot() - moment > EXPECTED * 2
+            });
             drop(end);
             let seen = callers.join().unwrap();
             assert!(seen.iter().all(|seen| seen.outcome == "completed"), "{signal}");
--- a/tests/testsuite/schedule/measure.rs
+++ b/tests/testsuite/schedule/measure.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use plantainlever::clock::{Clock, SystemClock};
 use plantainlever::config::Timing;
 use plantainlever::local::history::Entry;
 use serde_json::json;
@@ -85,7 +86,8 @@
             ids.push(process.submit("small", &json!({"run_ms": 300})));
         }
         let next = Duration::from_millis(100) * (second + 1);
-        std::thread::sleep(next.saturating_sub(begun.elapsed()));
+        // Submissions arrive at a rate.
+        SystemClock.sleep(next.saturating_sub(begun.elapsed()));
     }
     for id in &ids {
         site.wait_state(id, "succeeded");
--- a/tests/testsuite/schedule/support.rs
+++ b/tests/testsuite/schedule/support.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, RwLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use plantainlever::catalogue::copy::{CatalogueCopy, SharedCatalogue};
 use plantainlever::clock::{Clock, SystemClock};
@@ -32,6 +32,7 @@
 use plantainlever::telemetry::Metrics;
 use plantainlever::worker::Resources;
 use plantainlever_test_support::checker::{CheckLimits, check};
+use plantainlever_test_support::wait;
 use serde_json::{Value, json};
 
 use super::gate::{Gate, GatedWorkers};
@@ -43,14 +44,7 @@
 
 /// Waits until `condition` gives a value.
 pub fn wait_for<T>(what: &str, mut condition: impl FnMut() -> Option<T>) -> T {
-    let until = Instant::now() + BOUND;
-    loop {
-        if let Some(value) = condition() {
-            return value;
-        }
-        assert!(Instant::now() < until, "timeout: {what}");
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    wait::until(what, BOUND, || condition().ok_or("no value"))
 }
 
 /// Peers that call each other's scheduler; a cut pair gets no answer.
--- a/tests/testsuite/shard/ends.rs
+++ b/tests/testsuite/shard/ends.rs
@@ -191,3 +191,28 @@
         assert_eq!(state(&rig, id), JobState::Completed, "{id}");
     }
 }
+
+/// Guards against a job that is shown as completed while one of its tasks has not succeeded.
+#[test]
+fn a_job_is_shown_as_completed_only_once_all_its_tasks_have_succeeded() {
+    let mut rig = Rig::new(Fleet::new(2, 4_000));
+    let mut second = step(3, 1_000);
+    second.after = vec![0];
+    let id = rig.submit(7, spec(vec![step(5, 1_000), second]));
+    let mut is_failed_once = false;
+    while rig.fleet.now < Duration::from_secs(5) {
+        rig.round();
+        let is_completed =
+            rig.store.rows.get(&id).is_some_and(|_| state(&rig, id) == JobState::Completed);
+        let done = rig.fleet.done.iter().filter(|task| task.step.job == id).count();
+        assert!(!is_completed || done == 8, "completed with {done} tasks");
+        let runs = rig.fleet.workers.values_mut().find(|worker| !worker.runs.is_empty());
+        if let Some(worker) = runs.filter(|_| !is_failed_once) {
+            let task = *worker.runs.keys().next().unwrap();
+            worker.end(task, EndCause::Failed);
+            is_failed_once = true;
+        }
+    }
+    assert!(is_failed_once);
+    assert_eq!(state(&rig, id), JobState::Completed);
+}
--- a/tests/testsuite/shard/placing.rs
+++ b/tests/testsuite/shard/placing.rs
@@ -201,3 +201,21 @@
     rig.run(Duration::from_millis(200));
     assert_eq!(rig.starts_of(id).len(), 2);
 }
+
+/// Guards against a start in another pool of workers, or on one without the label that the caller asks for.
+#[test]
+fn a_task_starts_only_in_its_pool_and_with_its_label() {
+    let mut rig = Rig::new(Fleet::new(6, 4_000));
+    for index in 0..2 {
+        rig.fleet.get(index).listing.service = "other".to_owned();
+    }
+    let mut labelled = step(2, 1_000);
+    labelled.required_label = Some("rack-1".to_owned());
+    let id = rig.submit(1, spec(vec![labelled]));
+    let plain = rig.submit(2, spec(vec![step(12, 1_000)]));
+    rig.run(Duration::from_secs(2));
+    let used = |id| -> BTreeSet<_> { rig.starts_of(id).into_iter().map(|(.., w)| w).collect() };
+    assert!(used(id).iter().all(|w| [worker_id(3), worker_id(5)].contains(w)), "{:?}", used(id));
+    assert!(used(plain).iter().all(|w| ![worker_id(0), worker_id(1)].contains(w)));
+    assert_eq!((rig.starts_of(id).len(), rig.starts_of(plain).len()), (2, 12));
+}
