Log the age of the operator config with each decision that it makes

A 404 (P0606) and a count of waiting jobs (P0607) now have the version that decided and its age. P0651 and P0652 tell when reads of the operators' rows begin to fail, with cause and waiting time, and when they succeed again. No decision changes.

--- a/src/ops/jobs.rs
+++ b/src/ops/jobs.rs
@@ -18,6 +18,7 @@
 //! transactions one at a time.
 
 pub mod accept;
+pub mod freshness;
 pub mod layout;
 pub mod node;
 pub mod operator_config;
--- a/src/ops/jobs/node.rs
+++ b/src/ops/jobs/node.rs
@@ -8,11 +8,13 @@
 use tokio::sync::{Mutex, MutexGuard, watch};
 
 use crate::clock::Clock;
+use crate::port::StoreError;
 use crate::shard::ShardMap;
 use crate::shard::scheduler::Timing;
 use crate::telemetry::Metrics;
 use crate::telemetry::event::shard as event;
 
+use super::freshness::Freshness;
 use super::operator_config::OperatorConfig;
 
 /// Settings of one process.
@@ -44,6 +46,8 @@
     /// Receives counters, gauges and timings.
     pub metrics: Metrics,
     operator_config: RefCell<Rc<OperatorConfig>>,
+    operator_config_freshness: Freshness,
+    is_operator_config_unconfirmed: Cell<bool>,
     map: watch::Sender<Option<ShardMap>>,
     stop: watch::Sender<bool>,
     is_store_unavailable: Cell<bool>,
@@ -63,6 +67,8 @@
             port,
             metrics,
             operator_config: RefCell::default(),
+            operator_config_freshness: Freshness::default(),
+            is_operator_config_unconfirmed: Cell::new(false),
             map: watch::Sender::new(None),
             stop: watch::Sender::new(false),
             is_store_unavailable: Cell::new(false),
@@ -84,9 +90,10 @@
             return;
         }
         event::QUEUES_CHANGED.emit(format_args!(
-            "version={} before={} routes={} queues={} domains_out={:?}",
+            "version={} before={} age_ms={} routes={} queues={} domains_out={:?}",
             operator_config.version,
             old.version,
+            self.operator_config_age_ms(),
             operator_config.routes.len(),
             operator_config.queues.len(),
             operator_config.domains_out
@@ -94,6 +101,34 @@
         *self.operator_config.borrow_mut() = Rc::new(operator_config);
     }
 
+    /// Records the outcome of a read of the operators' rows that was sent at `sent`, once its rows are applied. Logs
+    /// when such reads begin to fail and when they succeed again.
+    pub fn record_operator_config_read(&self, sent: Duration, failure: Option<&StoreError>) {
+        let age_ms = self.operator_config_age_ms();
+        match failure {
+            None => {
+                self.operator_config_freshness.confirm(sent);
+                if self.is_operator_config_unconfirmed.replace(false) {
+                    event::QUEUES_CONFIRMED.emit(format_args!("after_ms={age_ms}"));
+                }
+            }
+            Some(e) => {
+                if !self.is_operator_config_unconfirmed.replace(true) {
+                    let waited_ms = self.clock.boot().saturating_sub(sent).as_millis();
+                    event::QUEUES_UNCONFIRMED
+                        .emit(format_args!("age_ms={age_ms} waited_ms={waited_ms} cause={e}"));
+                }
+            }
+        }
+    }
+
+    /// Milliseconds since the operator config was last known to contain all changes; `never` before the first read.
+    #[must_use]
+    pub fn operator_config_age_ms(&self) -> String {
+        let age = self.operator_config_freshness.age(self.clock.boot());
+        age.map_or_else(|| "never".to_owned(), |age| age.as_millis().to_string())
+    }
+
     /// Division of jobs and workers into shards; `None` until it is known.
     #[must_use]
     pub fn map(&self) -> Option<ShardMap> {
@@ -145,7 +180,7 @@
     }
 
     /// Records the result of a call to the store, and logs when the store becomes unavailable or available again.
-    pub fn record_store_result(&self, failure: Option<&crate::port::StoreError>) {
+    pub fn record_store_result(&self, failure: Option<&StoreError>) {
         if failure.is_some() {
             self.metrics.count("store.failed", 1);
         }
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -16,6 +16,10 @@
 pub const JOB_ENDED: Event = Event::new(604, Level::Info, "job-ended");
 /// A caller requested the cancellation of a job.
 pub const JOB_CANCEL: Event = Event::new(605, Level::Info, "job-cancel");
+/// A caller's request was refused because no route matches it.
+pub const NO_ROUTE: Event = Event::new(606, Level::Info, "no-route");
+/// The waiting jobs of a queue were counted for a caller.
+pub const QUEUE_COUNTED: Event = Event::new(607, Level::Info, "queue-counted");
 /// A run of a task has failed.
 pub const TASK_FAILED: Event = Event::new(610, Level::Info, "task-failed");
 /// A start command got no answer and may still take effect.
@@ -63,6 +67,10 @@
 pub const SHARD_RELEASED: Event = Event::new(644, Level::Info, "shard-released");
 /// The queues and their limits have changed.
 pub const QUEUES_CHANGED: Event = Event::new(650, Level::Info, "queues-changed");
+/// A read of the operators' rows has failed, so the operator config may be out of date.
+pub const QUEUES_UNCONFIRMED: Event = Event::new(651, Level::Warn, "queues-unconfirmed");
+/// The operators' rows are read again.
+pub const QUEUES_CONFIRMED: Event = Event::new(652, Level::Info, "queues-confirmed");
 /// The store has become unavailable.
 pub const STORE_LOST: Event = Event::new(660, Level::Warn, "store-lost");
 /// The store is available again.
@@ -82,6 +90,8 @@
     JOB_STARTED,
     JOB_ENDED,
     JOB_CANCEL,
+    NO_ROUTE,
+    QUEUE_COUNTED,
     TASK_FAILED,
     START_UNKNOWN,
     START_REFUSED,
@@ -105,6 +115,8 @@
     SHARD_LOST,
     SHARD_RELEASED,
     QUEUES_CHANGED,
+    QUEUES_UNCONFIRMED,
+    QUEUES_CONFIRMED,
     STORE_LOST,
     STORE_REGAINED,
     MALFORMED,
