Add a failing test for a new route that is refused after connections went silent

The test runs a real process against the stand-in of the store. All open connections go silent, new ones work, and from 1.0 s later on a change must be in force after 2.0 s.

--- a/crates/plantainlever-test-support/src/link.rs
+++ b/crates/plantainlever-test-support/src/link.rs
@@ -37,6 +37,8 @@
     delay_ms: AtomicU64,
     bytes: AtomicU64,
     connections: AtomicU64,
+    /// Connections with a lower number deliver nothing more, and stay open.
+    first_open: AtomicU64,
     /// Both sockets of each open connection by connection number, so that a cut can shut them down.
     streams: Mutex<BTreeMap<u64, Vec<TcpStream>>>,
 }
@@ -59,6 +61,7 @@
             delay_ms: AtomicU64::new(0),
             bytes: AtomicU64::new(0),
             connections: AtomicU64::new(0),
+            first_open: AtomicU64::new(0),
             streams: Mutex::default(),
         });
         let accepting = Arc::clone(&shared);
@@ -84,6 +87,12 @@
         self.shared.silent[ANSWERS].store(answers, Ordering::SeqCst);
     }
 
+    /// Stops delivery on all open connections for good, without closing them. New connections work.
+    pub fn silence_open_connections(&self) {
+        let next = self.shared.connections.load(Ordering::SeqCst);
+        self.shared.first_open.store(next, Ordering::SeqCst);
+    }
+
     /// Delays each chunk of data in both directions.
     pub fn delay(&self, delay: Duration) {
         let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
@@ -168,13 +177,17 @@
         }
     }
 
-    /// Applies the delay and the silence of a direction. Returns false once the proxy stops.
-    fn wait_to_forward(&self, direction: usize) -> bool {
+    /// Applies the delay and the silence of a direction of a connection. Returns false once the proxy stops.
+    fn wait_to_forward(&self, direction: usize, number: u64) -> bool {
         let delay_ms = self.delay_ms.load(Ordering::SeqCst);
         if delay_ms > 0 {
             std::thread::sleep(Duration::from_millis(delay_ms));
         }
-        while self.silent[direction].load(Ordering::SeqCst) && !self.stop.load(Ordering::SeqCst) {
+        let is_silent = || {
+            self.silent[direction].load(Ordering::SeqCst)
+                || number < self.first_open.load(Ordering::SeqCst)
+        };
+        while is_silent() && !self.stop.load(Ordering::SeqCst) {
             std::thread::sleep(POLL_PERIOD);
         }
         !self.stop.load(Ordering::SeqCst)
@@ -194,7 +207,7 @@
             let mut buf = vec![0; BUFFER_BYTES];
             while let Ok(count) = from.read(&mut buf) {
                 if count == 0
-                    || !shared.wait_to_forward(direction)
+                    || !shared.wait_to_forward(direction, number)
                     || to.write_all(&buf[..count]).is_err()
                 {
                     break;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod cli;
 mod jobs;
 mod net;
+mod operator_config;
 mod peer;
 mod platform;
 mod policy;
