--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -2,7 +2,8 @@
 //!
 //! A caller must know whether a request can have had an effect, so an error tells whether the request was sent. A
 //! connection on which a call failed or timed out is closed and never reused, because an open connection can go silent
-//! without a reset.
+//! without a reset. All connections of a path can go silent together, and an idle one shows it only once it is used.
+//! [`OnSilence`] determines whether the idle ones are closed too.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -94,12 +95,31 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// What happens to the idle connections of an address after a call there got no answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum OnSilence {
+    /// They are kept. For peers that leave single calls unanswered.
+    KeepIdle,
+    /// Those are closed that have not been used successfully since the call began.
+    CloseIdle,
+}
+
+/// A connection without a call in progress.
+#[derive(Debug)]
+struct Idle {
+    sender: Sender,
+    /// Value of [`Pool::calls`] when the last answer on this connection was complete.
+    answered: u64,
+}
+
 /// Connections to one address.
 #[derive(Debug)]
 struct Pool {
     /// One permit per call in progress, which uses one connection.
     permits: Rc<Semaphore>,
-    idle: Vec<Sender>,
+    idle: Vec<Idle>,
+    /// Number of calls that have been given a connection. Orders the starts and ends of calls.
+    calls: u64,
 }
 
 /// Connection pools by address. Cloning shares the pools.
@@ -109,13 +129,14 @@
     /// Connections per address. Further calls wait for a free one, since a new connection costs more than a wait of a
     /// few milliseconds.
     max_connections: usize,
+    on_silence: OnSilence,
 }
 
 impl Client {
     /// Creates a client with at most `max_connections` to each address.
     #[must_use]
-    pub fn new(max_connections: usize) -> Self {
-        Self { pools: Rc::default(), max_connections }
+    pub fn new(max_connections: usize, on_silence: OnSilence) -> Self {
+        Self { pools: Rc::default(), max_connections, on_silence }
     }
 
     /// Sends a request and reads the whole answer. `timeout` applies separately to the wait for a free connection, to
@@ -139,6 +160,7 @@
             Some(sender) => sender,
             None => connect(address, timeout).await?,
         };
+        let exchange = Exchange::begin(self, address);
         let mut is_reconnected = false;
         let outcome = tokio::time::timeout(timeout, async {
             loop {
@@ -163,7 +185,7 @@
         let timeout_error =
             || CallError::NoAnswer { cause: format!("no response within {timeout:?}") };
         let answer = outcome.map_err(|_| timeout_error())??;
-        self.return_idle(address, sender);
+        exchange.end(sender);
         Ok(answer)
     }
 
@@ -180,6 +202,7 @@
         let pool = pools.entry(address).or_insert_with(|| Pool {
             permits: Rc::new(Semaphore::new(max_connections)),
             idle: Vec::new(),
+            calls: 0,
         });
         Rc::clone(&pool.permits)
     }
@@ -187,19 +210,54 @@
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&address)?;
-        while let Some(sender) = pool.idle.pop() {
+        while let Some(Idle { sender, .. }) = pool.idle.pop() {
             if sender.is_ready() {
                 return Some(sender);
             }
         }
         None
     }
+}
+
+/// A call that has a connection. If it is dropped before its end, the call got no answer, also because its caller has
+/// stopped waiting.
+#[derive(Debug)]
+struct Exchange<'a> {
+    client: &'a Client,
+    address: SocketAddr,
+    /// Value of [`Pool::calls`] when the call began.
+    number: u64,
+    is_answered: bool,
+}
 
-    fn return_idle(&self, address: SocketAddr, sender: Sender) {
-        if let Some(pool) = self.pools.borrow_mut().get_mut(&address)
+impl<'a> Exchange<'a> {
+    fn begin(client: &'a Client, address: SocketAddr) -> Self {
+        let mut number = 0;
+        if let Some(pool) = client.pools.borrow_mut().get_mut(&address) {
+            pool.calls += 1;
+            number = pool.calls;
+        }
+        Self { client, address, number, is_answered: false }
+    }
+
+    /// Returns the connection to the pool after a complete answer.
+    fn end(mut self, sender: Sender) {
+        self.is_answered = true;
+        if let Some(pool) = self.client.pools.borrow_mut().get_mut(&self.address)
             && !sender.is_closed()
         {
-            pool.idle.push(sender);
+            pool.idle.push(Idle { sender, answered: pool.calls });
+        }
+    }
+}
+
+impl Drop for Exchange<'_> {
+    fn drop(&mut self) {
+        if self.is_answered || self.client.on_silence == OnSilence::KeepIdle {
+            return;
+        }
+        if let Some(pool) = self.client.pools.borrow_mut().get_mut(&self.address) {
+            pool.idle.retain(|idle| idle.answered >= self.number);
         }
     }
 }
--- a/tests/testsuite/net.rs
+++ b/tests/testsuite/net.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
-use plantainlever::net::client::{Call, CallError, Client};
+use plantainlever::net::client::{Call, CallError, Client, OnSilence};
 use plantainlever::net::default_header::DefaultHeader;
 use plantainlever::net::server::{Received, Reply, ServerLimits, serve};
 use tokio::net::TcpListener;
@@ -169,7 +169,9 @@
         read
     });
     let call = Call::post("/", b"{}".to_vec());
-    let outcome = block_on(async { Client::new(2).call(address, &call, TEST_TIMEOUT).await });
+    let outcome = block_on(async {
+        Client::new(2, OnSilence::CloseIdle).call(address, &call, TEST_TIMEOUT).await
+    });
     assert!(server.join().unwrap() > 0);
     assert!(matches!(outcome, Err(CallError::NoAnswer { .. })), "{outcome:?}");
 }
@@ -181,8 +183,9 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         listener.local_addr().unwrap()
     };
-    let outcome =
-        block_on(async { Client::new(2).call(address, &Call::get("/"), TEST_TIMEOUT).await });
+    let outcome = block_on(async {
+        Client::new(2, OnSilence::CloseIdle).call(address, &Call::get("/"), TEST_TIMEOUT).await
+    });
     assert!(matches!(outcome, Err(CallError::NotSent { .. })), "{outcome:?}");
 }
 
@@ -208,7 +211,7 @@
         bodies
     });
     block_on(async {
-        let client = Client::new(2);
+        let client = Client::new(2, OnSilence::CloseIdle);
         for name in ["1!", "2!", "3!"] {
             let call = Call::post("/", name.as_bytes().to_vec());
             let answer = client.call(address, &call, TEST_TIMEOUT).await.unwrap();
@@ -234,7 +237,7 @@
         drop(silent);
     });
     block_on(async {
-        let client = Client::new(1);
+        let client = Client::new(1, OnSilence::CloseIdle);
         let short = Duration::from_millis(200);
         let first = client.call(address, &Call::get("/"), short).await;
         assert!(matches!(first, Err(CallError::NoAnswer { .. })), "{first:?}");
--- a/tests/testsuite/operator_config/silent_connections.rs
+++ b/tests/testsuite/operator_config/silent_connections.rs
@@ -1,74 +1,20 @@
-//! A real process whose open connections to the store go silent, while new ones work.
+//! Open connections to the store that go silent, while new ones work.
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::{Arc, Mutex, mpsc};
-use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use base64::Engine;
-use base64::prelude::BASE64_STANDARD;
+use plantainlever::adapter::PlatformAdapter;
+use plantainlever::port::{RowStore, StoreError};
 use plantainlever_test_support::link::Link;
 use plantainlever_test_support::soak::NodeProcess;
-use plantainlever_test_support::soak::serve::{self, SharedWorld, lock};
-use plantainlever_test_support::soak::world::World;
 use plantainlever_test_support::wait::{BOUND, until};
-use tokio::sync::watch;
 
-const HOST: &str = "config.example";
-
-/// Time after which an acknowledged configuration must be in force; the platform's `config-apply-ms`.
-const APPLY_TIME: Duration = Duration::from_millis(2_000);
-
-/// Time after a disruption from which that holds; the platform's `stable-window-ms`.
-const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
+use super::{APPLY_TIME, HOST, STABLE_WINDOW, Store, block_on};
 
 /// Requests sent at once, so that the process opens as many connections to the store.
 const PARALLEL_REQUESTS: usize = 12;
 
-/// Stand-in of the store, in a thread of its own.
-struct Store {
-    world: SharedWorld,
-    address: SocketAddr,
-    stop: watch::Sender<bool>,
-    thread: Option<JoinHandle<Result<(), std::io::Error>>>,
-}
-
-impl Store {
-    fn start() -> Self {
-        let world: SharedWorld = Arc::new(Mutex::new(World::default()));
-        lock(&world).put_row("layout", "shards", Some(BASE64_STANDARD.encode("1")));
-        let (stop, stopped) = watch::channel(false);
-        let (tx, rx) = mpsc::channel();
-        let served = Arc::clone(&world);
-        let thread = std::thread::spawn(move || serve::run(&served, 0, &tx, &stopped));
-        let address = rx.recv_timeout(BOUND).unwrap()[0];
-        Self { world, address, stop, thread: Some(thread) }
-    }
-
-    /// Stores a configuration with one route for each prefix.
-    fn publish(&self, version: u64, prefixes: &[String]) {
-        let routes: Vec<serde_json::Value> = prefixes
-            .iter()
-            .map(|prefix| {
-                serde_json::json!({ "name": prefix, "host": HOST, "path-prefix": prefix, "service": "pool" })
-            })
-            .collect();
-        let config = serde_json::json!({ "version": version, "routes": routes }).to_string();
-        lock(&self.world).put_row("op", "config", Some(BASE64_STANDARD.encode(config)));
-    }
-}
-
-impl Drop for Store {
-    fn drop(&mut self) {
-        self.stop.send_replace(true);
-        if let Some(thread) = self.thread.take() {
-            // A panic of the thread has been reported by the panic hook.
-            let _ = thread.join();
-        }
-    }
-}
-
 /// Asks for the number of waiting jobs of a route's queue, and returns the status.
 fn count_status(front: SocketAddr, prefix: &str) -> Option<u16> {
     let config = ureq::Agent::config_builder()
@@ -130,3 +76,21 @@
         );
     }
 }
+
+/// Guards against calls that fail one after the other, each on a connection that went silent with all others.
+#[test]
+fn after_one_call_without_an_answer_the_next_one_uses_a_new_connection() {
+    let store = Store::start();
+    let link = Link::to(store.address).unwrap();
+    let platform = PlatformAdapter::new(link.address());
+    let read = || platform.read("op", "", "", "");
+    block_on(async {
+        link.delay(Duration::from_millis(150));
+        let reads = futures::future::join_all((0..PARALLEL_REQUESTS).map(|_| read())).await;
+        assert!(reads.iter().all(Result::is_ok), "{reads:?}");
+        link.heal();
+        link.silence_open_connections();
+        assert!(matches!(read().await, Err(StoreError::NoAnswer { .. })));
+        assert_eq!(read().await.map(|list| list.rows), Ok(Vec::new()));
+    });
+}
