--- a/tests/testsuite/operator_config.rs
+++ b/tests/testsuite/operator_config.rs
@@ -1,6 +1,7 @@
 //! The operator config in force in a process, while its connections to the store fail.
 
 mod silent_connections;
+mod waits;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, mpsc};
