--- a/tests/testsuite/operator_config/waits.rs
+++ b/tests/testsuite/operator_config/waits.rs
@@ -1,6 +1,6 @@
 //! Reads of the store while other calls of the process wait for answers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use plantainlever::adapter::PlatformAdapter;
 use plantainlever::port::{Commit, RowKey, RowStore, StoreError};
@@ -43,3 +43,22 @@
         }
     });
 }
+
+/// Guards against a read that takes several times its time limit, once for each of its steps.
+#[test]
+fn the_time_limit_of_a_read_includes_the_wait_for_a_connection() {
+    let store = Store::start();
+    let platform = PlatformAdapter::new(store.address);
+    lock(&store.world).store = StoreMode::Silent;
+    block_on(async {
+        let read = async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            let began = Instant::now();
+            (platform.read("op", "", "", "").await, began.elapsed())
+        };
+        // As many calls as there are connections, so that the read gets one after 1.0 s.
+        let (_, (read, elapsed)) = tokio::join!(commits(&platform, 24), read);
+        assert!(read.is_err());
+        assert!(elapsed < Duration::from_millis(2_000), "{elapsed:?}");
+    });
+}
