Decide on requests by a current operator config only

The front decided by the configuration that it had, whatever its age, and no limit of the reads that keep it up to date bounds that age: a read on a silent connection alone took 3.2 s.

The process now knows until when its copy is confirmed, counted from the sending of the newest answered read, on the clock that counts a suspend. This holds whatever makes the copy old.

--- a/src/ops/jobs/node.rs
+++ b/src/ops/jobs/node.rs
@@ -30,8 +30,14 @@
     pub keep_ended: Duration,
     /// Time limit of a caller's request that names none.
     pub call_timeout: Duration,
+    /// Greatest age at which the operator config may decide on a request.
+    pub max_operator_config_age: Duration,
 }
 
+/// Longest time for which a request waits until the operator config is confirmed. A slow store takes several hundred
+/// milliseconds; callers to whom this takes too long are better served by another process.
+const MAX_CONFIRMATION_WAIT: Duration = Duration::from_millis(500);
+
 /// State of one process, shared by all async tasks on its event loop.
 #[derive(Debug)]
 pub struct Node<P> {
@@ -60,6 +66,7 @@
     #[must_use]
     pub fn new(cfg: NodeSettings, clock: Arc<dyn Clock>, port: P, metrics: Metrics) -> Self {
         let started_unix_ms = clock.unix_ms();
+        let operator_config_freshness = Freshness::new(cfg.max_operator_config_age);
         Self {
             cfg,
             clock,
@@ -67,7 +74,7 @@
             port,
             metrics,
             operator_config: RefCell::default(),
-            operator_config_freshness: Freshness::default(),
+            operator_config_freshness,
             is_operator_config_unconfirmed: Cell::new(false),
             map: watch::Sender::new(None),
             stop: watch::Sender::new(false),
@@ -77,12 +84,34 @@
         }
     }
 
-    /// The operator config in force; version 0 until one has been read.
+    /// The newest operator config that was read, whatever its age; version 0 until one has been read.
     #[must_use]
     pub fn operator_config(&self) -> Rc<OperatorConfig> {
         Rc::clone(&self.operator_config.borrow())
     }
 
+    /// Age and greatest usable age of the operator config.
+    #[must_use]
+    pub fn operator_config_freshness(&self) -> &Freshness {
+        &self.operator_config_freshness
+    }
+
+    /// The operator config for a decision. If it is too old, waits for the next read of the operators' rows, at most
+    /// until `deadline`; `None` if that does not confirm it.
+    pub async fn current_operator_config(&self, deadline: Duration) -> Option<Rc<OperatorConfig>> {
+        let freshness = &self.operator_config_freshness;
+        let now = self.clock.boot();
+        if freshness.require(now) {
+            return Some(self.operator_config());
+        }
+        freshness.next_outcome(MAX_CONFIRMATION_WAIT.min(deadline.saturating_sub(now))).await;
+        if freshness.is_current(self.clock.boot()) {
+            return Some(self.operator_config());
+        }
+        self.metrics.count("config.too_old", 1);
+        None
+    }
+
     /// Replaces the operator config, unless the new one has a lower version or is equal.
     pub fn replace_operator_config(&self, operator_config: OperatorConfig) {
         let old = self.operator_config();
@@ -113,6 +142,7 @@
                 }
             }
             Some(e) => {
+                self.operator_config_freshness.fail(sent);
                 if !self.is_operator_config_unconfirmed.replace(true) {
                     let waited_ms = self.clock.boot().saturating_sub(sent).as_millis();
                     event::QUEUES_UNCONFIRMED
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -20,6 +20,8 @@
 pub const NO_ROUTE: Event = Event::new(606, Level::Info, "no-route");
 /// The waiting jobs of a queue were counted for a caller.
 pub const QUEUE_COUNTED: Event = Event::new(607, Level::Info, "queue-counted");
+/// A caller's request was refused because the operator config was too old to decide on it.
+pub const CONFIG_TOO_OLD: Event = Event::new(608, Level::Info, "config-too-old");
 /// A run of a task has failed.
 pub const TASK_FAILED: Event = Event::new(610, Level::Info, "task-failed");
 /// A start command got no answer and may still take effect.
@@ -92,6 +94,7 @@
     JOB_CANCEL,
     NO_ROUTE,
     QUEUE_COUNTED,
+    CONFIG_TOO_OLD,
     TASK_FAILED,
     START_UNKNOWN,
     START_REFUSED,
--- a/tests/testsuite/jobs/port.rs
+++ b/tests/testsuite/jobs/port.rs
@@ -246,6 +246,7 @@
         timing: timing(),
         keep_ended: Duration::from_secs(1),
         call_timeout: Duration::from_secs(3),
+        max_operator_config_age: Duration::from_secs(2),
     };
     let node = Rc::new(Node::new(cfg, Arc::new(SystemClock), port, Metrics::disabled()));
     node.set_map(ShardMap { shards: 1 });
--- a/tests/testsuite/operator_config.rs
+++ b/tests/testsuite/operator_config.rs
@@ -1,5 +1,6 @@
 //! The operator config in force in a process, while its connections to the store fail.
 
+mod decisions;
 mod silent_connections;
 mod waits;
 
