Apply one time limit to all that precedes the sending of a request

A command to a worker could be sent up to twice its time limit after the decision: the limit applied to the wait for a connection and to opening one separately. A start that was decided by what was known of a draining worker then arrived later than the age of that knowledge suggests.

The wait for a connection and opening it, also when an idle one turns out to be closed, now share the limit. The exchange keeps its own, so that an error still tells whether the request was sent.

No test of its own: opening a loopback connection can't be made to hang.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -19,6 +19,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
 /// Time limit for opening a connection. Addresses are in the same region, but a lost SYN packet is sent again only
 /// after 1 s.
@@ -139,8 +140,8 @@
         Self { pools: Rc::default(), max_connections, on_silence }
     }
 
-    /// Sends a request and reads the whole answer. `timeout` applies separately to the wait for a free connection, to
-    /// opening a new one (at most `CONNECT_TIMEOUT`), and to the exchange, which includes a reconnection.
+    /// Sends a request and reads the whole answer. `timeout` applies to all that precedes the sending together (the wait
+    /// for a free connection, and opening a new one, at most `CONNECT_TIMEOUT`), and separately to the exchange.
     ///
     /// # Errors
     ///
@@ -151,6 +152,8 @@
         call: &Call,
         timeout: Duration,
     ) -> Result<Answer, CallError> {
+        let began = Instant::now();
+        let left = || timeout.saturating_sub(began.elapsed());
         let permits = self.permits(address);
         let permit = tokio::time::timeout(timeout, permits.acquire()).await;
         let Ok(Ok(_permit)) = permit else {
@@ -158,7 +161,7 @@
         };
         let mut sender = match self.take_idle(address) {
             Some(sender) => sender,
-            None => connect(address, timeout).await?,
+            None => connect(address, left()).await?,
         };
         let exchange = Exchange::begin(self, address);
         let mut is_reconnected = false;
@@ -174,7 +177,7 @@
                         match (is_unsent, is_reconnected) {
                             (false, _) => return Err(CallError::NoAnswer { cause }),
                             (true, true) => return Err(CallError::NotSent { cause }),
-                            (true, false) => sender = connect(address, timeout).await?,
+                            (true, false) => sender = connect(address, left()).await?,
                         }
                         is_reconnected = true;
                     }
