Repeat a read of the operators' rows that gets no answer

A read that has no answer 0.3 s after it may have one is now sent again without a wait over another connection, as is one whose copy is needed and too old; at most three are in progress. The first outcome counts, with the time at which that read was sent. So one lost answer or one round of silent connections no longer makes the copy too old.

--- a/src/ops/jobs/freshness.rs
+++ b/src/ops/jobs/freshness.rs
@@ -5,9 +5,22 @@
 //! Whoever decides by a copy therefore asks its [`Freshness`] first, and does not decide if the copy is too old.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+use crate::clock::Clock;
+use crate::port::StoreError;
+
+/// Time without an answer after which a read is repeated over another connection. Most answers take a few milliseconds.
+const REPEAT_DELAY: Duration = Duration::from_millis(300);
+
+/// Most reads of one copy at a time.
+const MAX_PARALLEL_READS: usize = 3;
 
 /// Until when a copy of rows is known to contain all changes, and how old it may be for a decision.
 #[derive(Debug)]
@@ -37,11 +50,11 @@
         }
     }
 
-    /// Longest wait of one read for changes. The copy ages by up to two waits and two answers between confirmations, so
-    /// half of the limit is left for the answers.
+    /// Returns how long a read that is sent at `now` may wait for changes; zero if the copy is too old. The copy ages by
+    /// up to two waits and two answers between confirmations, so half of the limit is left for the answers.
     #[must_use]
-    pub fn changes_wait(&self) -> Duration {
-        self.limit / 4
+    pub fn changes_wait(&self, now: Duration) -> Duration {
+        if self.is_current(now) { self.limit / 4 } else { Duration::ZERO }
     }
 
     /// Returns the time since the copy was last known to be complete; `None` before the first read.
@@ -66,16 +79,46 @@
         is_current
     }
 
-    /// Waits until the copy is required and too old. `now` returns the local time.
-    pub async fn needed(&self, now: impl Fn() -> Duration) {
+    /// Waits until the copy is required and too old.
+    async fn needed(&self, clock: &dyn Clock) {
         loop {
             self.needed.notified().await;
-            if !self.is_current(now()) {
+            if !self.is_current(clock.boot()) {
                 return;
             }
         }
     }
 
+    /// Sends a read that may wait up to `wait` for changes, and repeats it without a wait if it gets no answer in time
+    /// or a decision needs the copy: its connection may have gone silent, or its answer may be lost. Returns the first
+    /// outcome, with the local time at which that read was sent.
+    pub async fn read<T, F>(
+        &self,
+        clock: &dyn Clock,
+        mut wait: Duration,
+        read: impl Fn(Duration) -> F,
+    ) -> (Duration, Result<T, StoreError>)
+    where
+        F: Future<Output = Result<T, StoreError>>,
+    {
+        let send = |wait| {
+            let (sent, outcome) = (clock.boot(), read(wait));
+            async move { (sent, outcome.await) }
+        };
+        let mut reads = FuturesUnordered::from_iter([send(wait)]);
+        let mut repeat_at = Instant::now() + wait + REPEAT_DELAY;
+        loop {
+            tokio::select! {
+                Some(outcome) = reads.next() => return outcome,
+                () = tokio::time::sleep_until(repeat_at), if reads.len() < MAX_PARALLEL_READS => {}
+                () = self.needed(clock), if !wait.is_zero() => {}
+            }
+            wait = Duration::ZERO;
+            reads.push(send(wait));
+            repeat_at = Instant::now() + REPEAT_DELAY;
+        }
+    }
+
     /// Records that the answer to a read sent at `sent` has been applied.
     pub fn confirm(&self, sent: Duration) {
         self.confirmed.set(self.confirmed.get().max(Some(sent)));
--- a/tests/testsuite/jobs.rs
+++ b/tests/testsuite/jobs.rs
@@ -1,4 +1,5 @@
 //! Tests of job processes: several processes in one event loop, with an in-memory store and workers.
 
 mod flow;
+mod freshness;
 mod port;
--- a/tests/testsuite/jobs/flow.rs
+++ b/tests/testsuite/jobs/flow.rs
@@ -15,7 +15,7 @@
 /// Timeout of every wait in these tests.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
 
-fn run(test: impl Future<Output = ()>) {
+pub fn run(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
