Start tasks only by a current operator config

Operators could take a failure domain out of service and see tasks start there long after the store had acknowledged it. Its ownership lease does not help, since other calls confirm it.

The age is checked again when a start is sent. Runs, leases and stops go on. P0647 and P0648 tell when starts pause and go on, with the ages.

--- a/src/ops/jobs/freshness.rs
+++ b/src/ops/jobs/freshness.rs
@@ -63,6 +63,12 @@
         self.confirmed.get().map(|confirmed| now.saturating_sub(confirmed))
     }
 
+    /// As [`Freshness::age`], in milliseconds, for the log; `never` before the first read.
+    #[must_use]
+    pub fn age_ms(&self, now: Duration) -> String {
+        self.age(now).map_or_else(|| "never".to_owned(), |age| age.as_millis().to_string())
+    }
+
     /// Returns true if decisions may be based on the copy at `now`.
     #[must_use]
     pub fn is_current(&self, now: Duration) -> bool {
--- a/src/ops/jobs/node.rs
+++ b/src/ops/jobs/node.rs
@@ -30,7 +30,7 @@
     pub keep_ended: Duration,
     /// Time limit of a caller's request that names none.
     pub call_timeout: Duration,
-    /// Greatest age at which the operator config may decide on a request.
+    /// Greatest age at which the operator config may decide on a request or a start.
     pub max_operator_config_age: Duration,
 }
 
@@ -155,8 +155,7 @@
     /// Milliseconds since the operator config was last known to contain all changes; `never` before the first read.
     #[must_use]
     pub fn operator_config_age_ms(&self) -> String {
-        let age = self.operator_config_freshness.age(self.clock.boot());
-        age.map_or_else(|| "never".to_owned(), |age| age.as_millis().to_string())
+        self.operator_config_freshness.age_ms(self.clock.boot())
     }
 
     /// Division of jobs and workers into shards; `None` until it is known.
--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -85,6 +85,24 @@
     ownership_ended: Notify,
 }
 
+impl<P> ShardOwner<P> {
+    /// Returns true if tasks may start at `now`: the copies by which starts are decided are current. Asks for those
+    /// that are not.
+    fn may_start(&self, now: Duration) -> bool {
+        self.node.operator_config_freshness().require(now)
+    }
+
+    fn log_start_permission(&self, now: Duration, is_allowed: bool) {
+        let event = if is_allowed { &event::STARTS_ALLOWED } else { &event::STARTS_PAUSED };
+        event.emit(format_args!(
+            "shard={} epoch={} config_age_ms={}",
+            self.claimed.shard.0,
+            self.claimed.epoch,
+            self.node.operator_config_freshness().age_ms(now),
+        ));
+    }
+}
+
 /// Schedules the shard until another process owns it or the planned stop begins, and releases it in the latter case.
 pub async fn run<P: RowStore + WorkerPort + 'static>(node: Rc<Node<P>>, claimed: Claimed) {
     let Some((owner, after)) = load(node, claimed).await else { return };
@@ -163,6 +181,7 @@
 async fn run_scheduler<P: RowStore + WorkerPort + 'static>(owner: Rc<ShardOwner<P>>) {
     let mut operator_config = owner.node.operator_config();
     let mut was_lease_valid = true;
+    let mut was_start_allowed = false;
     loop {
         let now = owner.node.clock.boot();
         let is_lease_valid = owner.ownership_lease.get().is_valid(now);
@@ -175,7 +194,13 @@
             ));
         }
         if is_lease_valid {
+            let is_start_allowed = owner.may_start(now);
+            if is_start_allowed != was_start_allowed {
+                was_start_allowed = is_start_allowed;
+                owner.log_start_permission(now, is_start_allowed);
+            }
             let mut scheduler = owner.scheduler.borrow_mut();
+            scheduler.allow_starts(is_start_allowed);
             if !Rc::ptr_eq(&operator_config, &owner.node.operator_config()) {
                 operator_config = owner.node.operator_config();
                 apply_operator_config(&owner.node, &mut scheduler);
@@ -225,7 +250,7 @@
     let port = &owner.node.port;
     match &command.kind {
         CommandKind::Renew { .. } => {
-            let outcome = if_lease_valid(
+            let outcome = if_allowed(
                 is_lease_valid,
                 Err(RenewalFailure::NoAnswer),
                 port.renew(epoch, &command),
@@ -238,9 +263,9 @@
             owner.scheduler.borrow_mut().on_renewal(now, &command.worker, sent, outcome);
         }
         CommandKind::Start { task, run, .. } => {
+            let may_start = is_lease_valid && owner.may_start(sent);
             let outcome =
-                if_lease_valid(is_lease_valid, StartOutcome::NotSent, port.start(epoch, &command))
-                    .await;
+                if_allowed(may_start, StartOutcome::NotSent, port.start(epoch, &command)).await;
             let now = owner.node.clock.boot();
             owner.node.metrics.time("order.start", now.saturating_sub(sent));
             if outcome != StartOutcome::Started {
@@ -249,7 +274,7 @@
             owner.scheduler.borrow_mut().on_start(now, &command.worker, task, *run, outcome);
         }
         CommandKind::Stop { task, run } => {
-            let outcome = if_lease_valid(
+            let outcome = if_allowed(
                 is_lease_valid,
                 CommandOutcome::Unknown,
                 port.stop_or_throttle(epoch, &command),
@@ -259,7 +284,7 @@
             owner.scheduler.borrow_mut().on_stop(now, &command.worker, task, *run, outcome);
         }
         CommandKind::Throttle { task, run, .. } => {
-            let outcome = if_lease_valid(
+            let outcome = if_allowed(
                 is_lease_valid,
                 CommandOutcome::Unknown,
                 port.stop_or_throttle(epoch, &command),
@@ -271,8 +296,8 @@
     owner.wake.notify_one();
 }
 
-async fn if_lease_valid<T>(is_lease_valid: bool, otherwise: T, call: impl Future<Output = T>) -> T {
-    if is_lease_valid { call.await } else { otherwise }
+async fn if_allowed<T>(is_allowed: bool, otherwise: T, call: impl Future<Output = T>) -> T {
+    if is_allowed { call.await } else { otherwise }
 }
 
 /// Clears the name of the owner in the owner row, so that another process can claim the shard at once.
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -103,6 +103,8 @@
     commands: Vec<Command>,
     /// Set once a worker has refused a command because it had seen a higher epoch.
     is_fenced: bool,
+    /// Whether new tasks may start.
+    is_start_allowed: bool,
     /// Free resources or waiting tasks have changed since the last placement pass.
     is_placement_due: bool,
     /// Local time of the last placement pass.
@@ -138,6 +140,7 @@
             rows: rows::PendingRows::default(),
             commands: Vec::new(),
             is_fenced: false,
+            is_start_allowed: true,
             is_placement_due: true,
             last_placement: Duration::ZERO,
             last_housekeeping: Duration::ZERO,
@@ -162,6 +165,12 @@
         std::mem::take(&mut self.commands)
     }
 
+    /// Allows or forbids that tasks start. The caller forbids it while it can't confirm what it has told the scheduler of
+    /// queues, failure domains, workers and jobs. Runs continue.
+    pub fn allow_starts(&mut self, is_allowed: bool) {
+        self.is_start_allowed = is_allowed;
+    }
+
     /// Replaces the operators' settings of the queues.
     pub fn on_queues(&mut self, queues: BTreeMap<String, QueuePolicy>) {
         self.times.retain(|queue, _| queues.contains_key(queue));
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -90,7 +90,8 @@
     /// Runs a placement pass if one is due.
     pub(super) fn place(&mut self, now: Duration) {
         let is_paused = now.saturating_sub(self.last_placement) < MIN_PASS_INTERVAL;
-        if !self.is_placement_due || self.waiting.is_empty() || is_paused {
+        let is_due = self.is_placement_due && self.is_start_allowed;
+        if !is_due || self.waiting.is_empty() || is_paused {
             return;
         }
         self.is_placement_due = false;
@@ -395,7 +396,7 @@
             pick::is_usable(worker, now, is_out)
         });
         let job = self.jobs.get(&planned.task.step.job);
-        is_usable && job.is_some_and(|job| !job.progress.state.is_final())
+        self.is_start_allowed && is_usable && job.is_some_and(|job| !job.progress.state.is_final())
     }
 
     fn send_start(&mut self, now: Duration, worker_id: &WorkerId, task: &JobTaskId, run: u32) {
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -61,6 +61,10 @@
 pub const INHERITED_LAPSED: Event = Event::new(645, Level::Warn, "inherited-lapsed");
 /// The load of a shard, logged with each heartbeat of its owner.
 pub const SHARD_LOAD: Event = Event::new(646, Level::Info, "shard-load");
+/// No tasks start, because a copy by which starts are decided is too old.
+pub const STARTS_PAUSED: Event = Event::new(647, Level::Warn, "starts-paused");
+/// The copies by which starts are decided are current, so tasks start.
+pub const STARTS_ALLOWED: Event = Event::new(648, Level::Info, "starts-allowed");
 /// A worker has seen a higher epoch, so the shard has another owner.
 pub const FENCED: Event = Event::new(642, Level::Warn, "fenced");
 /// This process no longer schedules a shard.
@@ -114,6 +118,8 @@
     TAKEOVER_DONE,
     INHERITED_LAPSED,
     SHARD_LOAD,
+    STARTS_PAUSED,
+    STARTS_ALLOWED,
     FENCED,
     SHARD_LOST,
     SHARD_RELEASED,
--- a/tests/testsuite/jobs/flow.rs
+++ b/tests/testsuite/jobs/flow.rs
@@ -20,15 +20,15 @@
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
 
-fn until() -> Duration {
+pub fn until() -> Duration {
     SystemClock.boot() + Duration::from_secs(3)
 }
 
-fn job(tasks: u32) -> JobSpec {
+pub fn job(tasks: u32) -> JobSpec {
     Rc::unwrap_or_clone(spec(vec![step(tasks, 1_000)]))
 }
 
-async fn wait_for(what: &str, mut is_met: impl AsyncFnMut() -> bool) {
+pub async fn wait_for(what: &str, mut is_met: impl AsyncFnMut() -> bool) {
     let began = SystemClock.boot();
     while !is_met().await {
         assert!(SystemClock.boot() - began < WAIT_TIMEOUT, "timed out waiting for: {what}");
@@ -36,11 +36,11 @@
     }
 }
 
-async fn wait_for_state(node: &Node<Port>, id: JobId, state: JobState) {
+pub async fn wait_for_state(node: &Node<Port>, id: JobId, state: JobState) {
     wait_for("a state", async || node.job_state(id, until()).await == Lookup::Found(state)).await;
 }
 
-fn assert_no_breach(world: &World) {
+pub fn assert_no_breach(world: &World) {
     assert_eq!(world.fleet.borrow().breaches, Vec::<Breach>::new());
 }
 
--- a/tests/testsuite/jobs/freshness.rs
+++ b/tests/testsuite/jobs/freshness.rs
@@ -1,17 +1,56 @@
-//! Reads that keep copies of the store's rows current.
+//! Copies of the store's rows: reads that keep them current, and starts of tasks while they can't be read.
 
 use std::cell::Cell;
 use std::time::Duration;
 
 use plantainlever::clock::{Clock, ManualClock};
+use plantainlever::job::{JobId, JobState};
+use plantainlever::ops::jobs::accept::{Lookup, Submission};
 use plantainlever::ops::jobs::freshness::Freshness;
 use plantainlever::port::StoreError;
 
-use super::flow::run;
+use super::flow::{assert_no_breach, job, run, until, wait_for, wait_for_state};
+use super::port::{OPERATOR_ROWS, World, start_with_max_age};
+use crate::shard::rig::{Fleet, QUEUE};
 
 /// Age at which the processes of these tests may still use their copies.
 const MAX_AGE: Duration = Duration::from_millis(600);
 
+/// Duration of the first task, at whose end every copy that is silent from its start is too old.
+const FIRST_TASK: Duration = Duration::from_millis(1_500);
+
+/// Time in which the second task would start once the worker is free.
+const START_TIME: Duration = Duration::from_millis(500);
+
+/// Lets a task wait for the end of another one, and silences a table meanwhile. The task must not start before the table
+/// can be read again.
+fn assert_no_start_while_silent(table: &'static str) {
+    run(async {
+        let world = World::new(Fleet::new(1, 1_000));
+        let node = start_with_max_age(&world, "a", MAX_AGE);
+        let (first, second) = (JobId(1), JobId(2));
+        world.fleet.borrow_mut().durations.insert(first, FIRST_TASK);
+        assert_eq!(node.submit(first, QUEUE, job(1), until()).await, Submission::Accepted);
+        wait_for_state(&node, first, JobState::Running).await;
+        assert_eq!(node.submit(second, QUEUE, job(1), until()).await, Submission::Accepted);
+        wait_for("the second job", async || node.pending(QUEUE, until()).await == Lookup::Found(1))
+            .await;
+        node.port.silent_tables.borrow_mut().insert(table);
+        wait_for_state(&node, first, JobState::Completed).await;
+        tokio::time::sleep(START_TIME).await;
+        assert_eq!(world.fleet.borrow().starts.len(), 1, "started by an old copy");
+        node.port.silent_tables.borrow_mut().clear();
+        wait_for_state(&node, second, JobState::Completed).await;
+        assert_no_breach(&world);
+    });
+}
+
+/// Guards against starts in a failure domain that operators have taken out of service.
+#[test]
+fn no_task_starts_by_an_old_operator_config() {
+    assert_no_start_while_silent(OPERATOR_ROWS);
+}
+
 /// Wait of a read that would outlast the test.
 const LONG_WAIT: Duration = Duration::from_secs(600);
 
--- a/tests/testsuite/jobs/port.rs
+++ b/tests/testsuite/jobs/port.rs
@@ -1,7 +1,7 @@
 //! In-memory store and workers with the platform's faults.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -112,8 +112,16 @@
     pub world: Rc<World>,
     /// The process is cut off from the store and all workers.
     pub is_cut: Cell<bool>,
+    /// Tables whose reads get no answer; those in progress get one once the table is removed from here. The VM list
+    /// counts as a table.
+    pub silent_tables: RefCell<BTreeSet<&'static str>>,
 }
 
+/// Name of the VM list in [`Port::silent_tables`].
+pub const VM_LIST: &str = "vm-list";
+/// Name of the operators' rows in [`Port::silent_tables`].
+pub const OPERATOR_ROWS: &str = "operator-rows";
+
 impl Port {
     async fn reach_store(&self) -> Result<(), StoreError> {
         tokio::time::sleep(STORE_ANSWER).await;
@@ -126,6 +134,13 @@
         Ok(())
     }
 
+    async fn reach_table(&self, table: &str) -> Result<(), StoreError> {
+        while self.silent_tables.borrow().contains(table) {
+            tokio::time::sleep(STORE_ANSWER).await;
+        }
+        self.reach_store().await
+    }
+
     async fn reach_worker(&self, epoch: u64, command: &Command) -> Option<Answer> {
         tokio::time::sleep(WORKER_ANSWER).await;
         if self.is_cut.get() {
@@ -144,7 +159,7 @@
         from: &str,
         to: &str,
     ) -> Result<RowList, StoreError> {
-        self.reach_store().await?;
+        self.reach_table(table).await?;
         let rows = self.world.rows.borrow();
         let rows = rows.iter().filter(|((part, key), (_, value))| {
             part == partition
@@ -181,7 +196,7 @@
     ) -> Result<RowList, StoreError> {
         let until = self.world.now() + wait;
         loop {
-            self.reach_store().await?;
+            self.reach_table(table).await?;
             if after < self.world.history_from.get() {
                 return Err(StoreError::HistoryGone);
             }
@@ -206,7 +221,7 @@
 
 impl WorkerPort for Port {
     async fn list(&self) -> Result<Vec<WorkerListing>, StoreError> {
-        self.reach_store().await?;
+        self.reach_table(VM_LIST).await?;
         Ok(self.world.fleet.borrow().listed())
     }
 
@@ -237,16 +252,31 @@
     fn close_idle(&self, _address: SocketAddr) {}
 }
 
+/// Age at which a process may still use its copies of the store's rows.
+pub const MAX_AGE: Duration = Duration::from_secs(2);
+
+/// Time between two reads of the operators' rows.
+const OPERATOR_READ_PERIOD: Duration = Duration::from_millis(20);
+
 /// Starts a process that watches shard 0.
 pub fn start(world: &Rc<World>, vm: &str) -> Rc<Node<Port>> {
-    let port = Port { world: Rc::clone(world), is_cut: Cell::new(false) };
+    start_with_max_age(world, vm, MAX_AGE)
+}
+
+/// As [`start`], with the age at which the process may still use its copies.
+pub fn start_with_max_age(world: &Rc<World>, vm: &str, max_age: Duration) -> Rc<Node<Port>> {
+    let port = Port {
+        world: Rc::clone(world),
+        is_cut: Cell::new(false),
+        silent_tables: RefCell::default(),
+    };
     let cfg = NodeSettings {
         vm: vm.to_owned(),
         cpu_share: 0.25,
         timing: timing(),
         keep_ended: Duration::from_secs(1),
         call_timeout: Duration::from_secs(3),
-        max_operator_config_age: Duration::from_secs(2),
+        max_operator_config_age: max_age,
     };
     let node = Rc::new(Node::new(cfg, Arc::new(SystemClock), port, Metrics::disabled()));
     node.set_map(ShardMap { shards: 1 });
@@ -255,6 +285,17 @@
         queues: BTreeMap::from([(QUEUE.to_owned(), policy())]),
         ..OperatorConfig::default()
     });
+    tokio::task::spawn_local(confirm_operator_config(Rc::clone(&node)));
     tokio::task::spawn_local(watch::run(Rc::clone(&node), ShardId(0)));
     node
 }
+
+/// Reads the operators' rows, which do not change.
+async fn confirm_operator_config(node: Rc<Node<Port>>) {
+    loop {
+        let sent = SystemClock.boot();
+        let outcome = node.port.reach_table(OPERATOR_ROWS).await;
+        node.record_operator_config_read(sent, outcome.as_ref().err());
+        tokio::time::sleep(OPERATOR_READ_PERIOD).await;
+    }
+}
