Start tasks only by a current VM list

Tasks could start on a worker later than drain-ms after it had announced that it drains.

Nothing starts while the list is older than drain-ms less the time to send a start.

--- a/src/ops/jobs/node.rs
+++ b/src/ops/jobs/node.rs
@@ -32,6 +32,8 @@
     pub call_timeout: Duration,
     /// Greatest age at which the operator config may decide on a request or a start.
     pub max_operator_config_age: Duration,
+    /// Greatest age at which the VM list may decide on a start.
+    pub max_worker_list_age: Duration,
 }
 
 /// Longest time for which a request waits until the operator config is confirmed. A slow store takes several hundred
--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -19,6 +19,7 @@
 use crate::shard::{OwnerRow, ShardId, ShardScheduler};
 use crate::telemetry::event::shard as event;
 
+use super::freshness::Freshness;
 use super::layout;
 use super::node::Node;
 use load::{add_jobs, apply_operator_config, load, read_jobs};
@@ -65,6 +66,8 @@
     node: Rc<Node<P>>,
     claimed: Claimed,
     scheduler: RefCell<ShardScheduler>,
+    /// Age of the VM list that the scheduler has.
+    workers_freshness: Freshness,
     ownership_lease: Cell<OwnershipLease>,
     /// Versions of the progress rows by job; a job without an entry has no row.
     versions: RefCell<BTreeMap<JobId, u64>>,
@@ -89,16 +92,19 @@
     /// Returns true if tasks may start at `now`: the copies by which starts are decided are current. Asks for those
     /// that are not.
     fn may_start(&self, now: Duration) -> bool {
-        self.node.operator_config_freshness().require(now)
+        let copies = [self.node.operator_config_freshness(), &self.workers_freshness];
+        // Each copy that is too old has to be asked for.
+        copies.iter().filter(|copy| !copy.require(now)).count() == 0
     }
 
     fn log_start_permission(&self, now: Duration, is_allowed: bool) {
         let event = if is_allowed { &event::STARTS_ALLOWED } else { &event::STARTS_PAUSED };
         event.emit(format_args!(
-            "shard={} epoch={} config_age_ms={}",
+            "shard={} epoch={} config_age_ms={} workers_age_ms={}",
             self.claimed.shard.0,
             self.claimed.epoch,
             self.node.operator_config_freshness().age_ms(now),
+            self.workers_freshness.age_ms(now),
         ));
     }
 }
@@ -163,16 +169,21 @@
 
 /// Reads the VM list periodically and gives the shard's workers to the scheduler.
 async fn follow_workers<P: RowStore + WorkerPort>(owner: Rc<ShardOwner<P>>) {
+    let freshness = &owner.workers_freshness;
+    let shard = owner.claimed.shard;
     loop {
-        let listing = owner.node.port.list().await;
+        let list = |_| owner.node.port.list();
+        let (sent, listing) = freshness.read(&*owner.node.clock, Duration::ZERO, list).await;
         owner.node.record_store_result(listing.as_ref().err());
-        if let (Ok(listing), Some(map)) = (listing, owner.node.map()) {
-            let shard = owner.claimed.shard;
-            let own =
-                listing.into_iter().filter(|w| map.of_worker(w.id.as_str()) == shard).collect();
-            owner.scheduler.borrow_mut().on_listing(owner.node.clock.boot(), own);
-            owner.wake.notify_one();
-        }
+        let (Ok(listing), Some(map)) = (listing, owner.node.map()) else {
+            freshness.fail(sent);
+            tokio::time::sleep(STORE_RETRY_PAUSE).await;
+            continue;
+        };
+        let own = listing.into_iter().filter(|w| map.of_worker(w.id.as_str()) == shard).collect();
+        owner.scheduler.borrow_mut().on_listing(owner.node.clock.boot(), own);
+        freshness.confirm(sent);
+        owner.wake.notify_one();
         tokio::time::sleep(WORKER_LIST_PERIOD).await;
     }
 }
--- a/src/ops/jobs/owner/load.rs
+++ b/src/ops/jobs/owner/load.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 
 use crate::job::{JobId, JobState, Progress};
+use crate::ops::jobs::freshness::Freshness;
 use crate::ops::jobs::layout::{self, HeartbeatRow, JobsKey, StoredJob};
 use crate::ops::jobs::node::Node;
 use crate::port::{Row, RowList, RowStore, WorkerPort};
@@ -51,6 +52,7 @@
     let suspects_lapsed = now + Duration::from_millis(predecessor.suspects_lapse_in_ms);
     scheduler.on_unreached_by_predecessor(&ids(&predecessor.suspects), suspects_lapsed);
     let owner = ShardOwner {
+        workers_freshness: Freshness::new(node.cfg.max_worker_list_age),
         node,
         ownership_lease: Cell::new(OwnershipLease::new(claimed.sent)),
         claimed,
--- a/tests/testsuite/jobs/freshness.rs
+++ b/tests/testsuite/jobs/freshness.rs
@@ -10,7 +10,7 @@
 use plantainlever::port::StoreError;
 
 use super::flow::{assert_no_breach, job, run, until, wait_for, wait_for_state};
-use super::port::{OPERATOR_ROWS, World, start_with_max_age};
+use super::port::{OPERATOR_ROWS, VM_LIST, World, start_with_max_age};
 use crate::shard::rig::{Fleet, QUEUE};
 
 /// Age at which the processes of these tests may still use their copies.
@@ -51,6 +51,12 @@
     assert_no_start_while_silent(OPERATOR_ROWS);
 }
 
+/// Guards against starts on a worker that is draining.
+#[test]
+fn no_task_starts_by_an_old_vm_list() {
+    assert_no_start_while_silent(VM_LIST);
+}
+
 /// Wait of a read that would outlast the test.
 const LONG_WAIT: Duration = Duration::from_secs(600);
 
