Start tasks only by a current list of jobs

Tasks of a job could start later than cancel_ms after its cancellation had been acknowledged.

Nothing starts while the list is older than cancel_ms less the time to send a start. A read without an answer is repeated over another connection.

Result: jobs::freshness::no_task_starts_by_an_old_list_of_jobs fails before (2 starts instead of 1) and passes now.

--- a/src/ops/jobs/node.rs
+++ b/src/ops/jobs/node.rs
@@ -34,6 +34,8 @@
     pub max_operator_config_age: Duration,
     /// Greatest age at which the VM list may decide on a start.
     pub max_worker_list_age: Duration,
+    /// Greatest age at which the list of jobs and cancellations may decide on a start.
+    pub max_jobs_age: Duration,
 }
 
 /// Longest time for which a request waits until the operator config is confirmed. A slow store takes several hundred
--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -34,9 +34,6 @@
 /// Time between two reads of the VM list. A draining worker must stop receiving tasks within two seconds.
 const WORKER_LIST_PERIOD: Duration = Duration::from_millis(500);
 
-/// Longest wait of one request for changes. A connection that has gone silent is detected only when the wait ends.
-const MAX_CHANGES_WAIT: Duration = Duration::from_millis(1_000);
-
 /// Pause after an answer with changes, so that jobs that are accepted close together share the next answer.
 const CHANGES_PAUSE: Duration = Duration::from_millis(15);
 
@@ -68,6 +65,8 @@
     scheduler: RefCell<ShardScheduler>,
     /// Age of the VM list that the scheduler has.
     workers_freshness: Freshness,
+    /// Age of the jobs and cancellations that the scheduler has.
+    jobs_freshness: Freshness,
     ownership_lease: Cell<OwnershipLease>,
     /// Versions of the progress rows by job; a job without an entry has no row.
     versions: RefCell<BTreeMap<JobId, u64>>,
@@ -92,7 +91,8 @@
     /// Returns true if tasks may start at `now`: the copies by which starts are decided are current. Asks for those
     /// that are not.
     fn may_start(&self, now: Duration) -> bool {
-        let copies = [self.node.operator_config_freshness(), &self.workers_freshness];
+        let copies =
+            [self.node.operator_config_freshness(), &self.workers_freshness, &self.jobs_freshness];
         // Each copy that is too old has to be asked for.
         copies.iter().filter(|copy| !copy.require(now)).count() == 0
     }
@@ -100,11 +100,12 @@
     fn log_start_permission(&self, now: Duration, is_allowed: bool) {
         let event = if is_allowed { &event::STARTS_ALLOWED } else { &event::STARTS_PAUSED };
         event.emit(format_args!(
-            "shard={} epoch={} config_age_ms={} workers_age_ms={}",
+            "shard={} epoch={} config_age_ms={} workers_age_ms={} jobs_age_ms={}",
             self.claimed.shard.0,
             self.claimed.epoch,
             self.node.operator_config_freshness().age_ms(now),
             self.workers_freshness.age_ms(now),
+            self.jobs_freshness.age_ms(now),
         ));
     }
 }
@@ -139,27 +140,37 @@
 async fn follow_jobs<P: RowStore + WorkerPort>(owner: Rc<ShardOwner<P>>, mut after: u64) {
     let shard = owner.claimed.shard;
     let table = layout::jobs_table(shard);
+    let freshness = &owner.jobs_freshness;
     loop {
-        match owner.node.port.changes(&table, after, MAX_CHANGES_WAIT).await {
+        let wait = freshness.changes_wait(owner.node.clock.boot());
+        let changes = |wait| owner.node.port.changes(&table, after, wait);
+        let (sent, changes) = freshness.read(&*owner.node.clock, wait, changes).await;
+        match changes {
             Ok(list) => {
                 owner.node.record_store_result(None);
                 after = list.version.max(after);
                 if !list.rows.is_empty() {
                     let now = owner.node.clock.boot();
                     add_jobs(&mut owner.scheduler.borrow_mut(), now, &list.rows, &BTreeMap::new());
+                }
+                freshness.confirm(sent);
+                if !list.rows.is_empty() {
                     owner.wake.notify_one();
                     tokio::time::sleep(CHANGES_PAUSE).await;
                 }
             }
             Err(StoreError::HistoryGone) => {
                 event::HISTORY_GONE.emit(format_args!("table={table} after={after}"));
+                let sent = owner.node.clock.boot();
                 let Some(list) = read_jobs(&owner.node, shard).await else { return };
                 after = list.version;
                 let now = owner.node.clock.boot();
                 add_jobs(&mut owner.scheduler.borrow_mut(), now, &list.rows, &BTreeMap::new());
+                freshness.confirm(sent);
                 owner.wake.notify_one();
             }
             Err(e) => {
+                freshness.fail(sent);
                 owner.node.record_store_result(Some(&e));
                 tokio::time::sleep(STORE_RETRY_PAUSE).await;
             }
--- a/src/ops/jobs/owner/load.rs
+++ b/src/ops/jobs/owner/load.rs
@@ -29,6 +29,7 @@
     let partition = layout::shard_partition(shard);
     let owners = read_all(&node, layout::OWNERS_TABLE, &partition).await?;
     // Jobs are read before their progress, so that a job whose row is removed between the two reads shows as ended.
+    let jobs_sent = node.clock.boot();
     let jobs = read_jobs(&node, shard).await?;
     let progress = read_all(&node, &layout::progress_table(shard), &partition).await?;
     let predecessor = predecessor_heartbeat(&owners);
@@ -51,8 +52,11 @@
     add_jobs(&mut scheduler, now, &jobs.rows, &rows);
     let suspects_lapsed = now + Duration::from_millis(predecessor.suspects_lapse_in_ms);
     scheduler.on_unreached_by_predecessor(&ids(&predecessor.suspects), suspects_lapsed);
+    let jobs_freshness = Freshness::new(node.cfg.max_jobs_age);
+    jobs_freshness.confirm(jobs_sent);
     let owner = ShardOwner {
         workers_freshness: Freshness::new(node.cfg.max_worker_list_age),
+        jobs_freshness,
         node,
         ownership_lease: Cell::new(OwnershipLease::new(claimed.sent)),
         claimed,
--- a/tests/testsuite/jobs/freshness.rs
+++ b/tests/testsuite/jobs/freshness.rs
@@ -57,6 +57,12 @@
     assert_no_start_while_silent(VM_LIST);
 }
 
+/// Guards against starts of a job that its caller has cancelled.
+#[test]
+fn no_task_starts_by_an_old_list_of_jobs() {
+    assert_no_start_while_silent("jobs-0");
+}
+
 /// Wait of a read that would outlast the test.
 const LONG_WAIT: Duration = Duration::from_secs(600);
 
--- a/tests/testsuite/jobs/port.rs
+++ b/tests/testsuite/jobs/port.rs
@@ -278,6 +278,7 @@
         call_timeout: Duration::from_secs(3),
         max_operator_config_age: max_age,
         max_worker_list_age: max_age,
+        max_jobs_age: max_age,
     };
     let node = Rc::new(Node::new(cfg, Arc::new(SystemClock), port, Metrics::disabled()));
     node.set_map(ShardMap { shards: 1 });
--- a/tests/testsuite/operator_config/decisions.rs
+++ b/tests/testsuite/operator_config/decisions.rs
@@ -44,6 +44,7 @@
             call_timeout: Duration::from_secs(3),
             max_operator_config_age: APPLY_TIME,
             max_worker_list_age: APPLY_TIME,
+            max_jobs_age: APPLY_TIME,
         };
         let platform = PlatformAdapter::new(link.address());
         let time = Arc::clone(&clock) as Arc<dyn Clock>;
