Change routes during the soak and check who decides by an old one

A thread now adds and removes routes each 0.2 to 0.9 s while faults are injected, and asks random processes for them. A 404 for a route that was added, or a 200 for one that was removed, more than 2.0 s before the request was sent is a breach. No disruption excuses it: a process may refuse with 503 what it can't decide.

--- a/crates/plantainlever-test-support/src/soak.rs
+++ b/crates/plantainlever-test-support/src/soak.rs
@@ -4,12 +4,13 @@
 //! The seed determines the cluster size, the jobs and the faults: links that are cut, silenced in one or both
 //! directions, or delayed; processes that are killed, paused, stopped gracefully and restarted; a store that refuses
 //! requests, is silent or slow, loses answers, applies writes late or compacts its change history; workers that are
-//! lost, drain, fail every run or execute commands late. Faults overlap. The stand-ins check each start of a task, and
+//! lost, drain, fail every run or execute commands late. Faults overlap, and routes are added and removed meanwhile. The stand-ins check each start of a task, and
 //! the callers check the job states in the answers. After the last fault every accepted job must end.
 
 mod caller;
 mod faults;
 mod node;
+mod routes;
 pub mod serve;
 pub mod world;
 
@@ -33,7 +34,7 @@
 pub use caller::{Job, Outcome};
 pub use node::NodeProcess;
 
-/// Host and path prefix of the only route.
+/// Host of all routes, and path prefix of the one for jobs.
 const HOST: &str = "soak.example";
 const PREFIX: &str = "/jobs/";
 
@@ -95,8 +96,13 @@
     let callers = caller::start(&cluster, seed, &stop_callers);
     let mut faults = Vec::new();
     if wait_for_first_start(&cluster) {
+        let routes = routes::start(&cluster, seed, &stop_callers);
         faults = faults::inject(&mut cluster, &mut rng, fault_time);
         faults::end_all(&mut cluster)?;
+        stop_callers.store(true, Ordering::SeqCst);
+        if routes.join().is_err() {
+            lock(&world).breaches.push("the thread that changes routes has panicked".to_owned());
+        }
     } else {
         lock(&world).breaches.push(format!("no task started within {STARTUP_TIMEOUT:?}"));
     }
@@ -140,11 +146,8 @@
             world.workers.push(Worker::new(index, link.address().to_string(), 4_000));
         }
         publish_workers(&mut world);
-        let config = serde_json::json!({ "version": 1, "routes": [{ "name": "queue", "host": HOST,
-            "path-prefix": PREFIX, "service": "pool", "priority": 0, "attempts": 50,
-            "stretch": 2.0, "target-latency-ms": 1_000 }] });
-        world.put_row("op", "config", Some(BASE64_STANDARD.encode(config.to_string())));
     }
+    routes::publish(world, 1, &[]);
     let store_links =
         (0..node_count).map(|_| Link::to(addresses[0])).collect::<Result<Vec<_>, _>>()?;
     let nodes = store_links
--- a/crates/plantainlever-test-support/src/soak/caller.rs
+++ b/crates/plantainlever-test-support/src/soak/caller.rs
@@ -20,6 +20,9 @@
 /// Timeout of one request, and the deadline that a submission carries.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Deadline of a request for a number of waiting jobs.
+const COUNT_DEADLINE: Duration = Duration::from_millis(700);
+
 /// Maximum number of attempts to submit or cancel a job, each at a random process.
 const MAX_ATTEMPTS: usize = 5;
 
@@ -103,6 +106,16 @@
     }
 }
 
+/// Asks a process for the number of waiting jobs of a route's queue, and returns the status of the answer.
+#[must_use]
+pub fn count_status(front: SocketAddr, prefix: &str) -> Option<u16> {
+    let request = agent()
+        .get(format!("http://{front}{prefix}"))
+        .header("host", HOST)
+        .header("x-deadline-ms", COUNT_DEADLINE.as_millis().to_string());
+    request.call().ok().map(|answer| answer.status().as_u16())
+}
+
 /// Starts the caller threads. They submit jobs until `stop`, and return all of them.
 pub(super) fn start(
     cluster: &SoakCluster,
--- /dev/null
+++ b/crates/plantainlever-test-support/src/soak/routes.rs
@@ -0,0 +1,109 @@
+//! Changes the routes of the configuration during a soak, and checks that no process decides by an old one.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::serve::{SharedWorld, lock};
+use super::{HOST, PREFIX, SoakCluster, caller};
+
+/// Time after which an acknowledged change must be in force; the platform's `config-apply-ms`.
+const APPLY_TIME: Duration = Duration::from_millis(2_000);
+
+/// Time for which a route exists.
+const ROUTE_LIFETIME: Duration = Duration::from_millis(4_500);
+
+/// Time after its removal for which requests are sent to a route.
+const REMOVED_TIME: Duration = Duration::from_millis(4_500);
+
+/// Part of the salt of the random numbers, so that the faults and jobs of a seed do not depend on this module.
+const SEED_SALT: u64 = 0x0517_c0f1;
+
+/// A route that was added during the soak.
+#[derive(Debug)]
+struct AddedRoute {
+    prefix: String,
+    added: Instant,
+    removed: Option<Instant>,
+}
+
+/// Stores a configuration with the soak's own route and one for each prefix.
+pub(super) fn publish(world: &SharedWorld, version: u64, prefixes: &[&str]) {
+    let routes = std::iter::once(&PREFIX).chain(prefixes);
+    let routes: Vec<serde_json::Value> = routes
+        .map(|prefix| {
+            serde_json::json!({ "name": if *prefix == PREFIX { "queue" } else { *prefix },
+                "host": HOST, "path-prefix": prefix, "service": "pool", "priority": 0,
+                "attempts": 50, "stretch": 2.0, "target-latency-ms": 1_000 })
+        })
+        .collect();
+    let config = serde_json::json!({ "version": version, "routes": routes }).to_string();
+    lock(world).put_row("op", "config", Some(BASE64_STANDARD.encode(config)));
+}
+
+/// Starts the thread that changes and requests routes until `stop`.
+pub(super) fn start(cluster: &SoakCluster, seed: u64, stop: &Arc<AtomicBool>) -> JoinHandle<()> {
+    let fronts: Vec<SocketAddr> = cluster.nodes.iter().map(super::NodeProcess::front).collect();
+    let (world, stop) = (Arc::clone(&cluster.world), Arc::clone(stop));
+    let mut rng = StdRng::seed_from_u64(seed ^ SEED_SALT);
+    std::thread::spawn(move || {
+        let mut routes: Vec<AddedRoute> = Vec::new();
+        let mut version = 1;
+        let mut next_change = Instant::now();
+        while !stop.load(Ordering::SeqCst) {
+            if Instant::now() >= next_change {
+                version += 1;
+                change(&world, version, &mut routes);
+                next_change += Duration::from_millis(rng.random_range(200..900));
+            }
+            let front = fronts[rng.random_range(0..fronts.len())];
+            if !routes.is_empty() {
+                let route = &routes[rng.random_range(0..routes.len())];
+                if let Some(breach) = check(front, route) {
+                    lock(&world).breaches.push(breach);
+                }
+            }
+            std::thread::sleep(Duration::from_millis(30));
+        }
+    })
+}
+
+/// Adds a route, and removes those whose lifetime is over.
+fn change(world: &SharedWorld, version: u64, routes: &mut Vec<AddedRoute>) {
+    routes.retain(|route| route.removed.is_none_or(|at| at.elapsed() < REMOVED_TIME));
+    let is_over = |route: &AddedRoute| route.added.elapsed() >= ROUTE_LIFETIME;
+    let prefix = format!("/added-{version}/");
+    let mut prefixes: Vec<&str> = routes
+        .iter()
+        .filter(|route| route.removed.is_none() && !is_over(route))
+        .map(|route| route.prefix.as_str())
+        .collect();
+    prefixes.push(&prefix);
+    publish(world, version, &prefixes);
+    let now = Instant::now();
+    for route in routes.iter_mut().filter(|route| route.removed.is_none()) {
+        route.removed = is_over(route).then_some(now);
+    }
+    routes.push(AddedRoute { prefix, added: now, removed: None });
+}
+
+/// Requests a route. Returns a description of the answer if only an old configuration allows it.
+fn check(front: SocketAddr, route: &AddedRoute) -> Option<String> {
+    let since = route.removed.unwrap_or(route.added).elapsed();
+    let status = caller::count_status(front, &route.prefix)?;
+    let is_old = match route.removed {
+        None => status == 404,
+        Some(_) => status == 200,
+    };
+    let change = if route.removed.is_some() { "removed" } else { "added" };
+    (is_old && since > APPLY_TIME).then(|| {
+        format!("{front} answers {status} for {}, {change} {since:?} earlier", route.prefix)
+    })
+}
