Refuse no service as unknown by an old catalogue

Callers of an entry process got 404 for a service that operators had added, for as long as the process could not read the table: `call_service` looked the service up in the cache of the catalogue, whatever its age.

If the catalogue has no such entry and is older than `timing.freshness_ms`, the answer is now 503 `catalogue-unconfirmed` with the outcome not-run. Services that the cache has are served on, as before: a cut off domain serves what it can.

--- a/src/ops/front/routes.rs
+++ b/src/ops/front/routes.rs
@@ -122,7 +122,12 @@
     fn call_service(&self, call: ServiceCall<'_>) -> Result<FrontAnswer, ApiError> {
         let cache = self.cx.catalogue.snapshot();
         let Some(Document::Entry(entry)) = cache.document(call.service) else {
-            return Err(unknown_service(call.service));
+            let is_fresh = cache.is_fresh(self.cx.clock.now(), self.cx.cfg.timing.freshness());
+            return Err(if is_fresh {
+                unknown_service(call.service)
+            } else {
+                unconfirmed_catalogue(call.service)
+            });
         };
         let deadline =
             self.cx.clock.now() + self.parse_deadline(header(&call.headers, DEADLINE_MS_HEADER))?;
@@ -343,6 +348,16 @@
     )
 }
 
+/// The service may have been added since the catalogue was last read.
+fn unconfirmed_catalogue(service: &str) -> ApiError {
+    ApiError::new(
+        503,
+        "catalogue-unconfirmed",
+        format!("the catalogue has no entry {service:?}, but it could not be read lately"),
+        "send the request again",
+    )
+}
+
 fn unknown_service(service: &str) -> ApiError {
     ApiError::new(
         404,
--- a/tests/testsuite/requests/answers.rs
+++ b/tests/testsuite/requests/answers.rs
@@ -37,10 +37,11 @@
     let entry = site.entry("p1", "a");
     let long = vec![b'x'; entry.cx.cfg.limits.max_body_bytes + 1];
     let deadline = [("Plantainlever-Deadline-Ms", "soon")];
+    entry.confirm_catalogue();
     let cases = [
+        (entry.call("GET", "/v1/services/nothing/x", &[], b""), 404, "unknown-service"),
         (entry.call("GET", "/nowhere", &[], b""), 404, "unknown-route"),
         (entry.call("GET", "/v1/nothing", &[], b""), 404, "unknown-route"),
-        (entry.call("GET", "/v1/services/nothing/x", &[], b""), 404, "unknown-service"),
         (entry.call("POST", "/v1/services/echo/x", &[], &long), 413, "body-too-large"),
         (entry.call("POST", "/v1/services/echo/x", &deadline, b""), 400, "malformed-header"),
     ];
@@ -52,6 +53,21 @@
     entry.close();
 }
 
+/// Guards against a service that is refused as unknown because the process could not read that it was added.
+#[test]
+fn an_old_catalogue_does_not_refuse_a_service_as_unknown() {
+    let site = Site::default();
+    let entry = site.entry("p1", "a");
+    let (clock, limit) = (&entry.cx.clock, entry.cx.cfg.timing.freshness());
+    wait_for("an old catalogue", || !entry.cx.catalogue.snapshot().is_fresh(clock.now(), limit));
+    let seen = entry.call("GET", "/v1/services/added/x", &[], b"");
+    let body: serde_json::Value = serde_json::from_slice(&seen.body).unwrap();
+    let code = body["error"]["code"].as_str();
+    assert_eq!((seen.status, code), (503, Some("catalogue-unconfirmed")));
+    assert_eq!(seen.outcome, "not-run");
+    entry.close();
+}
+
 /// Guards against an outcome that the target's history contradicts: `not-run` for a request that ran, `completed` with
 /// a truncated answer or that of another request, or a second run of a request that must run once.
 #[test]
--- a/tests/testsuite/requests/rig.rs
+++ b/tests/testsuite/requests/rig.rs
@@ -407,6 +407,12 @@
         Self { cx, dispatcher, keys, front }
     }
 
+    /// Confirms that the catalogue is current, as a read of the table without changes does.
+    pub fn confirm_catalogue(&self) {
+        let unchanged = ReadResponse { revision: 1, rows: Vec::new() };
+        assert!(self.cx.catalogue.apply(1, &unchanged, Instant::now()));
+    }
+
     /// Waits until at least `count` slots are free.
     pub fn wait_for_slots(&self, count: u32) {
         wait_for("free slots", || self.dispatcher.free_slots() >= count);
