--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -21,6 +21,12 @@
     assert_no_breaches(3, Duration::from_secs(15));
 }
 
+/// Guards against a process that goes on by an old configuration while it can't read the store.
+#[test]
+fn soak_with_seed_1000_has_no_breaches() {
+    assert_no_breaches(1000, Duration::from_secs(20));
+}
+
 /// Short run with a seed that has never failed.
 #[test]
 fn short_soak_has_no_breaches() {
