Test that the age limits are read from the platform's settings

A field that is not found falls back to a default without a word, so the test compares all four. The condition for starts is written as one comparison; it decides as before.

--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -93,8 +93,8 @@
     fn may_start(&self, now: Duration) -> bool {
         let copies =
             [self.node.operator_config_freshness(), &self.workers_freshness, &self.jobs_freshness];
-        // Each copy that is too old has to be asked for.
-        copies.iter().filter(|copy| !copy.require(now)).count() == 0
+        // No short circuit, so that all copies that are too old are asked for.
+        copies.map(|copy| copy.require(now)) == [true; 3]
     }
 
     fn log_start_permission(&self, now: Duration, is_allowed: bool) {
--- a/tests/testsuite/adapter.rs
+++ b/tests/testsuite/adapter.rs
@@ -24,7 +24,7 @@
 };
 
 const SETTINGS: &str = r#"{"node-name":"edge-1","zone":"north","listen":{"front":"127.0.0.1:1","readiness":"127.0.0.1:2"},
-"limits":{"cpu-share":0.25,"max-fds":4100},"bounds":{"grace-s":6,"hold-max-ms":6000,"stop-ms":400,"pace-ms":100},
+"limits":{"cpu-share":0.25,"max-fds":4100},"bounds":{"grace-s":6,"hold-max-ms":6000,"stop-ms":400,"pace-ms":100,"config-apply-ms":3000,"evac-ms":6000,"drain-ms":3500,"cancel_ms":4000},
 "platform":{"address":"127.0.0.1:3"},"new-field":[1]}"#;
 
 /// Starts a server that sends these answers in order. Returns its address and the requests that it received, as
@@ -356,6 +356,9 @@
     std::fs::write(&file, SETTINGS).unwrap();
     let cfg = settings::load(&file).unwrap();
     assert_eq!((cfg.node_name.as_str(), cfg.limits.max_fds), ("edge-1", 4100));
+    let bounds = &cfg.bounds;
+    let ages = (bounds.config_apply_ms, bounds.evac_ms, bounds.drain_ms, bounds.cancel_ms);
+    assert_eq!(ages, (3_000, 6_000, 3_500, 4_000));
     std::fs::write(&file, SETTINGS.replace("\"max-fds\":4100", "\"max-fds\":\"many\"")).unwrap();
     let error = settings::load(&file).unwrap_err();
     assert!(error.to_string().contains("node.json:2"), "{error}");
