Decide on no submission of a task by an old catalogue

An entry process answered the submission of a task with 404 for an entry that operators had added, and accepted one for an entry that they had changed into one without tasks, for as long as it could not read the table but could write to it.

A submission is now decided by a catalogue younger than `timing.freshness_ms`, and answered with 503 `catalogue-unconfirmed` otherwise. It needs the table anyway, so a cut off domain loses nothing by that.

Result: platform::catalogue::an_old_catalogue_decides_on_no_submission fails before (202 for the changed entry) and passes now.

--- a/src/ops/api/tasks/submit.rs
+++ b/src/ops/api/tasks/submit.rs
@@ -74,8 +74,14 @@
     Ok(key)
 }
 
+/// Returns the entry as of a current catalogue. A submission needs the table in any case, so nothing is refused here that
+/// an older catalogue would let through for long.
 fn entry(cx: &Context, name: &str) -> Result<Entry, TaskError> {
-    match cx.catalogue.snapshot().document(name) {
+    let cache = cx.catalogue.snapshot();
+    if !cache.is_fresh(cx.clock.now(), cx.cfg.timing.freshness()) {
+        return Err(TaskError::CatalogueUnconfirmed { entry: name.to_owned() });
+    }
+    match cache.document(name) {
         Some(Document::Entry(entry)) if !entry.limits.per_task.is_zero() => Ok(entry.clone()),
         Some(_) => Err(TaskError::NotATaskEntry { entry: name.to_owned() }),
         None => Err(TaskError::UnknownEntry { entry: name.to_owned() }),
--- a/tests/testsuite/platform/catalogue.rs
+++ b/tests/testsuite/platform/catalogue.rs
@@ -2,7 +2,7 @@
 
 use arbtest::arbtest;
 use plantainlever::catalogue::CatalogueCache;
-use plantainlever::ops::api::{ApiRequest, catalogue, domains};
+use plantainlever::ops::api::{ApiRequest, catalogue, domains, tasks};
 use plantainlever::ops::{Context, sync};
 
 use super::*;
@@ -24,7 +24,11 @@
         headers: &headers,
         body: body.as_bytes(),
     };
-    let handle = if path.starts_with("domains") { domains::handle } else { catalogue::handle };
+    let handle = match req.segments[0] {
+        "domains" => domains::handle,
+        "tasks" => tasks::handle,
+        _ => catalogue::handle,
+    };
     let reply = handle(cx, &req);
     (reply.status, String::from_utf8(reply.body).expect("JSON is UTF-8"))
 }
@@ -224,3 +228,42 @@
         r#"{"changes":[{"name":"team","revision":1,"replaced":0,"unix_ms":0,"process":"p1"}]}"#;
     assert_eq!(call(&cx, "GET", "catalogue?history", None, ""), (200, history.to_owned()));
 }
+
+/// Guards against a task that is refused as unknown, or accepted, by a catalogue that operators have changed since.
+#[test]
+fn an_old_catalogue_decides_on_no_submission() {
+    let t = TestTable::new();
+    let (operator, process) = (t.context("p1"), t.context("p2"));
+    let entry = |limits: Value| {
+        json!({"kind": "entry", "owner": "team", "class": "latency-critical", "limits": limits})
+            .to_string()
+    };
+    let task_entry = entry(json!({"per_task": {"cpu_millis": 1, "memory_mb": 1}}));
+    let edit = |name: &str, revision: u64, body: &str| {
+        let path = format!("catalogue/{name}");
+        let (status, body) = call(&operator, "PUT", &path, Some(&revision.to_string()), body);
+        assert_eq!(status, 200, "{body}");
+        serde_json::from_str::<Value>(&body).unwrap()["revision"].as_u64().unwrap()
+    };
+    let submit = |name: &str| {
+        let body = json!({ "entry": name }).to_string();
+        let (status, body) = call(&process, "POST", "tasks", None, &body);
+        let body: Value = serde_json::from_str(&body).unwrap();
+        (status, body["error"]["code"].as_str().unwrap_or_default().to_owned())
+    };
+    edit("team", 0, &owner(1_000));
+    let revision = edit("changed", 0, &task_entry);
+    sync::refresh(&process).unwrap();
+    assert_eq!(submit("changed"), (202, String::new()));
+    assert_eq!(submit("added"), (404, "unknown-entry".to_owned()));
+    edit("changed", revision, &entry(json!({})));
+    edit("added", 0, &task_entry);
+    t.clock.advance(process.cfg.timing.freshness());
+    for name in ["changed", "added"] {
+        assert_eq!(submit(name), (503, "catalogue-unconfirmed".to_owned()), "{name}");
+    }
+    sync::refresh(&process).unwrap();
+    assert_eq!(submit("changed"), (422, "not-a-task-entry".to_owned()));
+    assert_eq!(submit("added"), (202, String::new()));
+    [operator, process].into_iter().for_each(|cx| cx.commits.close());
+}
