Show no document of the catalogue as missing by an old cache

The list shows the age of the cache, and a document its revision, but a 404 shows neither.

If the cache is older than `timing.freshness_ms`, a missing document is now answered with 503 `catalogue-unconfirmed`. Documents that the cache has are shown as before.

Result: platform::catalogue::an_old_catalogue_shows_no_document_as_unknown fails before (404) and passes now.

--- a/src/ops/api/catalogue.rs
+++ b/src/ops/api/catalogue.rs
@@ -143,11 +143,17 @@
 }
 
 fn get(cx: &Context, name: &str) -> Result<ApiResponse, ApiError> {
-    let (cache, _) = read_cache(cx)?;
+    let (cache, age) = read_cache(cx)?;
     match (cache.document(name), cache.document_revision(name)) {
         (Some(document), Some(revision)) => {
             Ok(ApiResponse::json(200, &DocumentView { name, revision, document }))
         }
+        _ if age >= cx.cfg.timing.freshness() => Err(ApiError::new(
+            503,
+            "catalogue-unconfirmed",
+            format!("the catalogue has no document {name:?}, but it could not be read lately"),
+            "send the request again",
+        )),
         _ => Err(ApiError::new(
             404,
             "unknown-document",
--- a/tests/testsuite/platform/catalogue.rs
+++ b/tests/testsuite/platform/catalogue.rs
@@ -267,3 +267,15 @@
     assert_eq!(submit("added"), (202, String::new()));
     [operator, process].into_iter().for_each(|cx| cx.commits.close());
 }
+
+/// Guards against a document that is shown as missing by a process that could not read that it was added.
+#[test]
+fn an_old_catalogue_shows_no_document_as_unknown() {
+    let t = TestTable::new();
+    let cx = t.context("p1");
+    sync::refresh(&cx).unwrap();
+    assert_eq!(call(&cx, "GET", "catalogue/added", None, "").0, 404);
+    t.clock.advance(cx.cfg.timing.freshness());
+    let (status, body) = call(&cx, "GET", "catalogue/added", None, "");
+    assert_eq!((status, body.contains("\"catalogue-unconfirmed\"")), (503, true), "{body}");
+}
