--- a/tests/testsuite/net.rs
+++ b/tests/testsuite/net.rs
@@ -8,7 +8,7 @@
 use plantainlever::net::client::{Call, CallError, Client, OnSilence};
 use plantainlever::net::default_header::DefaultHeader;
 use plantainlever::net::server::{Received, Reply, ServerLimits, serve};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 
 const LIMITS: ServerLimits = ServerLimits {
@@ -247,6 +247,33 @@
     server.join().unwrap();
 }
 
+/// Guards against a command that is sent later than its time limit after it was decided, because the wait for a free
+/// connection and opening one each take the whole limit.
+#[test]
+fn the_wait_for_a_connection_and_opening_it_share_the_time_limit() {
+    block_on(async {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(0).unwrap();
+        let address = listener.local_addr().unwrap();
+        // With a full backlog, attempts to connect get no answer.
+        let mut backlog = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
+            backlog.push(stream);
+        }
+        let client = Client::new(1, OnSilence::KeepIdle);
+        let (short, limit) = (Duration::from_millis(600), Duration::from_millis(1_000));
+        let call = Call::get("/");
+        let began = Instant::now();
+        let late = async { (client.call(address, &call, limit).await, began.elapsed()) };
+        let (first, (second, elapsed)) = tokio::join!(client.call(address, &call, short), late);
+        for outcome in [first, second] {
+            assert!(matches!(outcome, Err(CallError::NotSent { .. })), "{outcome:?}");
+        }
+        assert!(elapsed < limit + short / 2, "{elapsed:?}");
+    });
+}
+
 /// Guards against a planned stop that interrupts a request in flight. The answer has to be complete before the
 /// connection closes.
 #[test]
