Let open connections go silent in the soak and check that no config returns

Each 1 to 6 s, all open connections of a process to the store, or to a worker, now deliver nothing more. Their random numbers have a seed of their own, so the other faults of a seed stay the same. The thread that changes routes also remembers the newest version by which each process has decided: an answer by an older one is a breach at once.

The log shows that the start was sent 0.08 s before the cancellation was acknowledged, over a link that went silent for 4.3 s and then delivered it (P0611 for the run, P0604 of the job, then P0613; no start was decided later). The platform's rule has no time bound for orders that are carried out late. The check now counts from the decision, which the lease in the command tells, and its bound is the platform's 3.0 s instead of 4.0 s.

--- a/crates/plantainlever-test-support/src/soak.rs
+++ b/crates/plantainlever-test-support/src/soak.rs
@@ -2,10 +2,11 @@
 //! faults injected from outside the processes.
 //!
 //! The seed determines the cluster size, the jobs and the faults: links that are cut, silenced in one or both
-//! directions, or delayed; processes that are killed, paused, stopped gracefully and restarted; a store that refuses
-//! requests, is silent or slow, loses answers, applies writes late or compacts its change history; workers that are
-//! lost, drain, fail every run or execute commands late. Faults overlap, and routes are added and removed meanwhile. The stand-ins check each start of a task, and
-//! the callers check the job states in the answers. After the last fault every accepted job must end.
+//! directions, or delayed; open connections that go silent while new ones work; processes that are killed, paused,
+//! stopped gracefully and restarted; a store that refuses requests, is silent or slow, loses answers, applies writes
+//! late or compacts its change history; workers that are lost, drain, fail every run or execute commands late. Faults
+//! overlap, and routes are added and removed meanwhile. The stand-ins check each start of a task, and the callers check
+//! the job states in the answers. After the last fault every accepted job must end.
 
 mod caller;
 mod faults;
@@ -97,7 +98,7 @@
     let mut faults = Vec::new();
     if wait_for_first_start(&cluster) {
         let routes = routes::start(&cluster, seed, &stop_callers);
-        faults = faults::inject(&mut cluster, &mut rng, fault_time);
+        faults = faults::inject(&mut cluster, &mut rng, seed, fault_time);
         faults::end_all(&mut cluster)?;
         stop_callers.store(true, Ordering::SeqCst);
         if routes.join().is_err() {
--- a/crates/plantainlever-test-support/src/soak/faults.rs
+++ b/crates/plantainlever-test-support/src/soak/faults.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use rand::RngExt;
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 use super::serve::lock;
 use super::world::{StoreMode, WorkerMode};
@@ -12,6 +12,12 @@
 /// Upper bound of the time between the starts of two faults.
 const MAX_FAULT_INTERVAL_MS: u64 = 1_500;
 
+/// Shortest and longest time between two losses of all open connections of a link.
+const CONNECTION_LOSS_INTERVAL_MS: std::ops::Range<u64> = 1_000..6_000;
+
+/// Salt of the random numbers for these losses, so that the other faults of a seed do not depend on them.
+const CONNECTION_LOSS_SALT: u64 = 0x0517_51e7;
+
 /// Component that a fault affects and that is restored when the fault ends.
 enum FaultyComponent {
     Process(usize),
@@ -21,13 +27,16 @@
     Worker(usize),
 }
 
-/// Injects faults for `fault_time` and returns their descriptions.
+/// Injects faults for `fault_time`, besides the random ones of `rng` losses of open connections, and returns their descriptions.
 pub(super) fn inject(
     cluster: &mut SoakCluster,
     rng: &mut StdRng,
+    seed: u64,
     fault_time: Duration,
 ) -> Vec<String> {
     let start = Instant::now();
+    let mut loss_rng = StdRng::seed_from_u64(seed ^ CONNECTION_LOSS_SALT);
+    let mut next_loss = start;
     let mut active_faults: Vec<(Instant, FaultyComponent)> = Vec::new();
     let mut next = start;
     let mut descriptions = Vec::new();
@@ -36,6 +45,12 @@
         for (_, component) in active_faults.extract_if(.., |(at, _)| *at <= now) {
             restore(cluster, &component);
         }
+        if now >= next_loss {
+            let description = silence_open_connections(cluster, &mut loss_rng);
+            descriptions.push(format!("{:.1} s: {description}", start.elapsed().as_secs_f64()));
+            let interval_ms = loss_rng.random_range(CONNECTION_LOSS_INTERVAL_MS);
+            next_loss = now + Duration::from_millis(interval_ms);
+        }
         if now >= next {
             let duration = Duration::from_millis(rng.random_range(300..6_000));
             let (description, component) = start_random_fault(cluster, rng);
@@ -52,6 +67,18 @@
     descriptions
 }
 
+/// Silences the open connections of a random link for good; new ones work.
+fn silence_open_connections(cluster: &SoakCluster, rng: &mut StdRng) -> String {
+    let (links, link_end) = if rng.random_bool(0.8) {
+        (&cluster.store_links, "store of process")
+    } else {
+        (&cluster.worker_links, "worker")
+    };
+    let index = rng.random_range(0..links.len());
+    links[index].silence_open_connections();
+    format!("open connections to {link_end} {index} are silent")
+}
+
 fn start_random_fault(cluster: &mut SoakCluster, rng: &mut StdRng) -> (String, FaultyComponent) {
     match rng.random_range(0..10) {
         0..=2 => start_process_fault(cluster, rng),
--- a/crates/plantainlever-test-support/src/soak/routes.rs
+++ b/crates/plantainlever-test-support/src/soak/routes.rs
@@ -1,4 +1,5 @@
-//! Changes the routes of the configuration during a soak, and checks that no process decides by an old one.
+//! Changes the routes of the configuration during a soak, and checks that no process decides by an old one, or returns to
+//! an older one.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,12 +27,32 @@
 /// Part of the salt of the random numbers, so that the faults and jobs of a seed do not depend on this module.
 const SEED_SALT: u64 = 0x0517_c0f1;
 
+/// An acknowledged change of the configuration.
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    version: u64,
+    acknowledged: Instant,
+}
+
+impl Change {
+    fn elapsed(&self) -> Duration {
+        self.acknowledged.elapsed()
+    }
+}
+
 /// A route that was added during the soak.
 #[derive(Debug)]
 struct AddedRoute {
     prefix: String,
-    added: Instant,
-    removed: Option<Instant>,
+    added: Change,
+    removed: Option<Change>,
+}
+
+/// A process, and the newest version by which it is known to have decided.
+#[derive(Debug)]
+struct Decider {
+    front: SocketAddr,
+    version: u64,
 }
 
 /// Stores a configuration with the soak's own route and one for each prefix.
@@ -50,7 +71,8 @@
 
 /// Starts the thread that changes and requests routes until `stop`.
 pub(super) fn start(cluster: &SoakCluster, seed: u64, stop: &Arc<AtomicBool>) -> JoinHandle<()> {
-    let fronts: Vec<SocketAddr> = cluster.nodes.iter().map(super::NodeProcess::front).collect();
+    let fronts = cluster.nodes.iter().map(super::NodeProcess::front);
+    let mut deciders: Vec<Decider> = fronts.map(|front| Decider { front, version: 0 }).collect();
     let (world, stop) = (Arc::clone(&cluster.world), Arc::clone(stop));
     let mut rng = StdRng::seed_from_u64(seed ^ SEED_SALT);
     std::thread::spawn(move || {
@@ -63,10 +85,10 @@
                 change(&world, version, &mut routes);
                 next_change += Duration::from_millis(rng.random_range(200..900));
             }
-            let front = fronts[rng.random_range(0..fronts.len())];
+            let decider = rng.random_range(0..deciders.len());
             if !routes.is_empty() {
                 let route = &routes[rng.random_range(0..routes.len())];
-                if let Some(breach) = check(front, route) {
+                if let Some(breach) = check(&mut deciders[decider], route) {
                     lock(&world).breaches.push(breach);
                 }
             }
@@ -77,7 +99,9 @@
 
 /// Adds a route, and removes those whose lifetime is over.
 fn change(world: &SharedWorld, version: u64, routes: &mut Vec<AddedRoute>) {
-    routes.retain(|route| route.removed.is_none_or(|at| at.elapsed() < REMOVED_TIME));
+    let is_forgotten =
+        |route: &AddedRoute| route.removed.is_some_and(|it| it.elapsed() >= REMOVED_TIME);
+    routes.retain(|route| !is_forgotten(route));
     let is_over = |route: &AddedRoute| route.added.elapsed() >= ROUTE_LIFETIME;
     let prefix = format!("/added-{version}/");
     let mut prefixes: Vec<&str> = routes
@@ -87,23 +111,37 @@
         .collect();
     prefixes.push(&prefix);
     publish(world, version, &prefixes);
-    let now = Instant::now();
+    let change = Change { version, acknowledged: Instant::now() };
     for route in routes.iter_mut().filter(|route| route.removed.is_none()) {
-        route.removed = is_over(route).then_some(now);
+        route.removed = is_over(route).then_some(change);
     }
-    routes.push(AddedRoute { prefix, added: now, removed: None });
+    routes.push(AddedRoute { prefix, added: change, removed: None });
 }
 
-/// Requests a route. Returns a description of the answer if only an old configuration allows it.
-fn check(front: SocketAddr, route: &AddedRoute) -> Option<String> {
+/// Requests a route. Returns a description of the answer if it is one that only an old configuration allows, or one
+/// that is older than what the process has decided by before.
+fn check(decider: &mut Decider, route: &AddedRoute) -> Option<String> {
     let since = route.removed.unwrap_or(route.added).elapsed();
-    let status = caller::count_status(front, &route.prefix)?;
-    let is_old = match route.removed {
-        None => status == 404,
-        Some(_) => status == 200,
+    let status = caller::count_status(decider.front, &route.prefix)?;
+    // The first version by which the process can't have decided.
+    let too_new = match (status, route.removed) {
+        (404, None) => route.added.version,
+        (200, Some(removed)) => removed.version,
+        _ => u64::MAX,
+    };
+    let known = decider.version;
+    let implied = match (status, route.removed) {
+        (200, _) => route.added.version,
+        (404, Some(removed)) if known >= route.added.version => removed.version,
+        _ => 0,
     };
-    let change = if route.removed.is_some() { "removed" } else { "added" };
-    (is_old && since > APPLY_TIME).then(|| {
-        format!("{front} answers {status} for {}, {change} {since:?} earlier", route.prefix)
+    decider.version = known.max(implied);
+    let is_old = too_new < u64::MAX && since > APPLY_TIME;
+    (is_old || known >= too_new).then(|| {
+        let change = if route.removed.is_some() { "removed" } else { "added" };
+        format!(
+            "{} answers {status} for {}, {change} {since:?} earlier, and has decided by version {known}",
+            decider.front, route.prefix
+        )
     })
 }
--- a/crates/plantainlever-test-support/src/soak/world.rs
+++ b/crates/plantainlever-test-support/src/soak/world.rs
@@ -11,8 +11,9 @@
 /// Reading of a worker's clock when its incarnation starts.
 const CLOCK_ORIGIN_MS: u64 = 1_000_000;
 
-/// Time after the acknowledged cancellation of a job in which its tasks may still start.
-const CANCEL_GRACE: Duration = Duration::from_secs(4);
+/// Time after the acknowledged cancellation of a job in which starts of its tasks may still be decided; the platform's
+/// `cancel_ms`.
+const CANCEL_TIME: Duration = Duration::from_secs(3);
 
 /// Size and shape of a job.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -271,6 +272,9 @@
         if deadline_ms <= worker.clock_ms() {
             return Err("late");
         }
+        // The lease counts from the decision, so what is left of it tells how long the command was held up.
+        let left = Duration::from_millis(deadline_ms - worker.clock_ms());
+        let held_up = max_lease.saturating_sub(left);
         worker.extend_lease(Some(deadline_ms), max_lease);
         if worker.highest_ended_run.get(task).is_some_and(|highest| run <= *highest) {
             return Err("old");
@@ -283,7 +287,7 @@
             self.breaches.push(format!("{task} started, but no caller submitted its job"));
             return Ok(());
         };
-        self.check_start(index, task, &payload);
+        self.check_start(index, task, &payload, held_up);
         let now = Instant::now();
         let ends_at = now + Duration::from_millis(payload.ms);
         let started = Run { number: run, ends_at, stops_at: None, cpu: payload.cpu };
@@ -299,8 +303,8 @@
     }
 
     /// Reports a breach if the task already runs elsewhere, has completed with an acknowledged end, has an unfinished
-    /// predecessor step, or belongs to a cancelled job.
-    fn check_start(&mut self, index: usize, task: &str, payload: &Payload) {
+    /// predecessor step, or belongs to a job that had been cancelled when the start was decided, `held_up` ago.
+    fn check_start(&mut self, index: usize, task: &str, payload: &Payload, held_up: Duration) {
         let runs_elsewhere = |(other, worker): (usize, &Worker)| {
             other != index && worker.mode != WorkerMode::Dead && worker.runs.contains_key(task)
         };
@@ -322,7 +326,7 @@
             }
         }
         let cancelled = self.cancelled.get(parts[0]);
-        if cancelled.is_some_and(|at| at.elapsed() > CANCEL_GRACE) {
+        if cancelled.is_some_and(|at| at.elapsed() > CANCEL_TIME + held_up) {
             self.breaches.push(format!("{task} started after its job was cancelled"));
         }
     }
