Mark as removed in the soak just those routes that a change removes

The soak decided twice which routes are over, before and after the configuration is stored. A route whose time ran out in between was taken for removed while it was still stored, and a true answer then looked like one by an old configuration.

Both now use one reading of the clock. The check of an answer is written as the range of versions that allow it, and checks the same; so is the comment on submissions reworded.

--- a/crates/plantainlever-test-support/src/soak/routes.rs
+++ b/crates/plantainlever-test-support/src/soak/routes.rs
@@ -102,7 +102,8 @@
     let is_forgotten =
         |route: &AddedRoute| route.removed.is_some_and(|it| it.elapsed() >= REMOVED_TIME);
     routes.retain(|route| !is_forgotten(route));
-    let is_over = |route: &AddedRoute| route.added.elapsed() >= ROUTE_LIFETIME;
+    let now = Instant::now();
+    let is_over = |route: &AddedRoute| now - route.added.acknowledged >= ROUTE_LIFETIME;
     let prefix = format!("/added-{version}/");
     let mut prefixes: Vec<&str> = routes
         .iter()
@@ -123,21 +124,19 @@
 fn check(decider: &mut Decider, route: &AddedRoute) -> Option<String> {
     let since = route.removed.unwrap_or(route.added).elapsed();
     let status = caller::count_status(decider.front, &route.prefix)?;
-    // The first version by which the process can't have decided.
-    let too_new = match (status, route.removed) {
-        (404, None) => route.added.version,
-        (200, Some(removed)) => removed.version,
-        _ => u64::MAX,
-    };
     let known = decider.version;
-    let implied = match (status, route.removed) {
-        (200, _) => route.added.version,
-        (404, Some(removed)) if known >= route.added.version => removed.version,
-        _ => 0,
+    // The answer is allowed by versions from `first` on and before `end`.
+    let (first, end) = match (status, route.removed) {
+        (200, None) => (route.added.version, u64::MAX),
+        (200, Some(removed)) => (route.added.version, removed.version),
+        (404, None) => (0, route.added.version),
+        // A process that knew the route knows of its removal.
+        (404, Some(removed)) if known >= route.added.version => (removed.version, u64::MAX),
+        _ => (0, u64::MAX),
     };
-    decider.version = known.max(implied);
-    let is_old = too_new < u64::MAX && since > APPLY_TIME;
-    (is_old || known >= too_new).then(|| {
+    decider.version = known.max(first);
+    let is_old = end < u64::MAX && since > APPLY_TIME;
+    (is_old || known >= end).then(|| {
         let change = if route.removed.is_some() { "removed" } else { "added" };
         format!(
             "{} answers {status} for {}, {change} {since:?} earlier, and has decided by version {known}",
--- a/src/ops/api/tasks/submit.rs
+++ b/src/ops/api/tasks/submit.rs
@@ -74,8 +74,8 @@
     Ok(key)
 }
 
-/// Returns the entry as of a current catalogue. A submission needs the table in any case, so nothing is refused here that
-/// an older catalogue would let through for long.
+/// Returns the entry, unless the catalogue is too old to decide on it. A submission can't be served without the table in
+/// any case.
 fn entry(cx: &Context, name: &str) -> Result<Entry, TaskError> {
     let cache = cx.catalogue.snapshot();
     if !cache.is_fresh(cx.clock.now(), cx.cfg.timing.freshness()) {
