Keep the error code of submissions while the table is down

Found by reading docs/OPERATIONS.md against the code.

Both now answer with `store-unavailable`; the message names the entry or document.

--- a/src/ops/api/catalogue.rs
+++ b/src/ops/api/catalogue.rs
@@ -150,9 +150,9 @@
         }
         _ if age >= cx.cfg.timing.freshness() => Err(ApiError::new(
             503,
-            "catalogue-unconfirmed",
+            "store-unavailable",
             format!("the catalogue has no document {name:?}, but it could not be read lately"),
-            "send the request again",
+            "repeat the request when the table service answers again",
         )),
         _ => Err(ApiError::new(
             404,
--- a/src/ops/api/tasks/error.rs
+++ b/src/ops/api/tasks/error.rs
@@ -9,8 +9,6 @@
 pub(super) enum TaskError {
     #[error("the catalogue has no entry {entry:?}")]
     UnknownEntry { entry: String },
-    #[error("the catalogue could not be read lately, so entry {entry:?} may have changed")]
-    CatalogueUnconfirmed { entry: String },
     #[error("{entry:?} is not an entry that runs tasks")]
     NotATaskEntry { entry: String },
     #[error("there is no task {id:?}")]
@@ -45,9 +43,6 @@
             Self::UnknownEntry { .. } => {
                 (404, "unknown-entry", "see GET /v1/catalogue for the entries that exist")
             }
-            Self::CatalogueUnconfirmed { .. } => {
-                (503, "catalogue-unconfirmed", "nothing was changed; send the request again")
-            }
             Self::NotATaskEntry { .. } => {
                 (422, "not-a-task-entry", "name an entry that sets limits.per_task")
             }
--- a/src/ops/api/tasks/submit.rs
+++ b/src/ops/api/tasks/submit.rs
@@ -79,7 +79,8 @@
 fn entry(cx: &Context, name: &str) -> Result<Entry, TaskError> {
     let cache = cx.catalogue.snapshot();
     if !cache.is_fresh(cx.clock.now(), cx.cfg.timing.freshness()) {
-        return Err(TaskError::CatalogueUnconfirmed { entry: name.to_owned() });
+        let cause = format!("the catalogue could not be read lately, so {name:?} may have changed");
+        return Err(TaskError::StoreUnavailable { cause });
     }
     match cache.document(name) {
         Some(Document::Entry(entry)) if !entry.limits.per_task.is_zero() => Ok(entry.clone()),
--- a/tests/testsuite/platform/catalogue.rs
+++ b/tests/testsuite/platform/catalogue.rs
@@ -260,7 +260,7 @@
     edit("added", 0, &task_entry);
     t.clock.advance(process.cfg.timing.freshness());
     for name in ["changed", "added"] {
-        assert_eq!(submit(name), (503, "catalogue-unconfirmed".to_owned()), "{name}");
+        assert_eq!(submit(name), (503, "store-unavailable".to_owned()), "{name}");
     }
     sync::refresh(&process).unwrap();
     assert_eq!(submit("changed"), (422, "not-a-task-entry".to_owned()));
@@ -277,5 +277,5 @@
     assert_eq!(call(&cx, "GET", "catalogue/added", None, "").0, 404);
     t.clock.advance(cx.cfg.timing.freshness());
     let (status, body) = call(&cx, "GET", "catalogue/added", None, "");
-    assert_eq!((status, body.contains("\"catalogue-unconfirmed\"")), (503, true), "{body}");
+    assert_eq!((status, body.contains("\"store-unavailable\"")), (503, true), "{body}");
 }
