Log why long-running tasks wait and why workers get none

P0618 now says for the steps that have waited longest how long each task has waited, when a pass last tried the step, how many passes left it and why, and the most free processors on workers that it may use and on those that get no tasks, by cause. P0646 counts the unusable workers by cause. The volume is bounded by 16 lines a heartbeat, and one a step for each doubling of its wait.

--- a/src/ops/jobs/owner/rows.rs
+++ b/src/ops/jobs/owner/rows.rs
@@ -68,7 +68,9 @@
 }
 
 fn export_load<P>(owner: &ShardOwner<P>) {
-    let load = owner.scheduler.borrow().load(owner.node.clock.boot());
+    let now = owner.node.clock.boot();
+    owner.scheduler.borrow_mut().log_long_waits(now);
+    let load = owner.scheduler.borrow().load(now);
     let metrics = &owner.node.metrics;
     metrics.gauge("shard.jobs", load.jobs as u64);
     metrics.gauge("shard.waiting_steps", load.waiting_steps as u64);
@@ -78,13 +80,14 @@
     metrics.gauge("shard.usable_workers", load.usable_workers as u64);
     metrics.gauge("shard.free_cpu_millis", load.free_cpu_millis);
     event::SHARD_LOAD.emit(format_args!(
-        "shard={} jobs={} runs={} waiting={:?} workers={} usable={} free_cpu={} most_free_cpu={} leftover_cpu={} filling_tasks={} filling_asked={} filling_paced={} filling_used={} suspects={}",
+        "shard={} jobs={} runs={} waiting={:?} workers={} usable={} unusable={:?} free_cpu={} most_free_cpu={} leftover_cpu={} filling_tasks={} filling_asked={} filling_paced={} filling_used={} suspects={}",
         owner.claimed.shard.0,
         load.jobs,
         load.runs,
         load.waiting_tasks,
         load.workers,
         load.usable_workers,
+        load.unusable_workers,
         load.free_cpu_millis,
         load.most_free_cpu_millis,
         load.leftover_cpu_millis,
--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -44,18 +44,58 @@
     pub home: Option<&'a str>,
 }
 
+/// Why a worker gets no new tasks.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum UnusableCause {
+    /// It has not listed its runs to this owner.
+    NotListedRuns,
+    /// Its last answer is too old, or renewals since then got no answer.
+    NoAnswer,
+    /// Its failure domain is out of service.
+    DomainOut,
+    /// It is draining.
+    Draining,
+    /// It is missing from the VM list.
+    Unlisted,
+    /// Starts there got no answer.
+    UnansweredStarts,
+    /// Runs of several jobs failed there, or made no progress.
+    Quarantined,
+    /// The stored heartbeat names it as unreached.
+    ReportedUnreached,
+}
+
+/// Returns why a worker may get no new tasks, or `None` if it may.
+#[must_use]
+pub fn unusable_cause(
+    worker: &Worker,
+    now: Duration,
+    is_domain_out: bool,
+) -> Option<UnusableCause> {
+    let is_fresh = worker.answered.is_some_and(|at| now.saturating_sub(at) < ANSWER_AGE_LIMIT);
+    if !worker.has_listed_runs {
+        Some(UnusableCause::NotListedRuns)
+    } else if !is_fresh || worker.unanswered_renewals > 0 {
+        Some(UnusableCause::NoAnswer)
+    } else if is_domain_out {
+        Some(UnusableCause::DomainOut)
+    } else if worker.listing.is_draining {
+        Some(UnusableCause::Draining)
+    } else if worker.unlisted_for(now) >= UNLISTED_LIMIT {
+        Some(UnusableCause::Unlisted)
+    } else if worker.health.unanswered_starts >= UNANSWERED_STARTS_LIMIT {
+        Some(UnusableCause::UnansweredStarts)
+    } else if worker.health.is_quarantined(now) {
+        Some(UnusableCause::Quarantined)
+    } else {
+        None
+    }
+}
+
 /// Returns true if a worker may get new tasks.
 #[must_use]
 pub fn is_usable(worker: &Worker, now: Duration, is_domain_out: bool) -> bool {
-    let is_fresh = worker.answered.is_some_and(|at| now.saturating_sub(at) < ANSWER_AGE_LIMIT);
-    worker.has_listed_runs
-        && is_fresh
-        && worker.unanswered_renewals == 0
-        && !is_domain_out
-        && !worker.listing.is_draining
-        && worker.unlisted_for(now) < UNLISTED_LIMIT
-        && worker.health.unanswered_starts < UNANSWERED_STARTS_LIMIT
-        && !worker.health.is_quarantined(now)
+    unusable_cause(worker, now, is_domain_out).is_none()
 }
 
 /// Returns the estimated unused processors of a worker, in thousandths of a core. Negative if it is overcommitted.
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -5,7 +5,8 @@
 //! the work that they have done is lost if they become late. A job that has not begun and has little time left comes
 //! after those with more: it would probably become late, and delay the next job as well.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::job::{JobId, JobTaskId, StepId};
 
@@ -77,19 +78,75 @@
     }
 }
 
+/// Why a placement pass left a step without a worker.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum WaitCause {
+    /// It was tried, and no usable worker can take a task of it.
+    NoWorker,
+    /// It was skipped, because a step that asks for no more found no worker.
+    LikeMissed,
+    /// It was skipped, because too many steps of its queue found no worker.
+    QueueSkipped,
+}
+
+/// Step with waiting tasks.
+#[derive(Clone, Debug, Default)]
+pub struct WaitingStep {
+    /// Local time since which each task waits, by its index.
+    pub tasks: BTreeMap<u16, Duration>,
+    /// Local time of the last pass that tried the step; `None` before the first. Recorded for long-running steps.
+    pub last_tried: Option<Duration>,
+    /// Number of passes by why they left the step. Recorded for long-running steps.
+    pub passes: BTreeMap<WaitCause, u32>,
+    /// Wait of the oldest task at which the step was last logged.
+    pub logged_wait: Duration,
+}
+
+impl WaitingStep {
+    /// Returns how long the task that has waited longest has waited.
+    #[must_use]
+    pub fn longest_wait(&self, now: Duration) -> Duration {
+        self.tasks.values().min().map_or(Duration::ZERO, |since| now.saturating_sub(*since))
+    }
+}
+
 /// Waiting tasks, by rank and step.
 #[derive(Clone, Debug, Default)]
 pub struct WaitingTasks {
-    steps: BTreeMap<(Rank, StepId), BTreeSet<u16>>,
+    steps: BTreeMap<(Rank, StepId), WaitingStep>,
     /// Index of `steps` by step.
     ranks: BTreeMap<StepId, Rank>,
 }
 
 impl WaitingTasks {
-    /// Adds a task. All tasks of a step have the rank of the one that was added first.
-    pub fn push(&mut self, rank: Rank, task: JobTaskId) {
+    /// Adds a task that waits from `now` on. All tasks of a step have the rank of the one that was added first.
+    pub fn push(&mut self, rank: Rank, task: JobTaskId, now: Duration) {
         let rank = *self.ranks.entry(task.step).or_insert(rank);
-        self.steps.entry((rank, task.step)).or_default().insert(task.index);
+        let step = self.steps.entry((rank, task.step)).or_default();
+        step.tasks.entry(task.index).or_insert(now);
+    }
+
+    /// Records why a pass at `now` left a step without a worker for all of its tasks.
+    pub fn record_pass(&mut self, step: &StepId, cause: WaitCause, now: Duration) {
+        let Some(rank) = self.ranks.get(step) else { return };
+        let Some(waiting) = self.steps.get_mut(&(*rank, *step)) else { return };
+        *waiting.passes.entry(cause).or_default() += 1;
+        if cause == WaitCause::NoWorker {
+            waiting.last_tried = Some(now);
+        }
+    }
+
+    /// Records at which wait of its oldest task a step was logged.
+    pub fn set_logged_wait(&mut self, step: &StepId, wait: Duration) {
+        let Some(rank) = self.ranks.get(step) else { return };
+        if let Some(waiting) = self.steps.get_mut(&(*rank, *step)) {
+            waiting.logged_wait = wait;
+        }
+    }
+
+    /// Returns the steps with waiting tasks, in no particular order.
+    pub fn steps(&self) -> impl Iterator<Item = (&StepId, &WaitingStep)> {
+        self.steps.iter().map(|((_, id), step)| (id, step))
     }
 
     /// Records that a task of the job has started, which puts its waiting steps before those of jobs that have not
@@ -101,18 +158,18 @@
             if rank.is_begun {
                 continue;
             }
-            let tasks = self.steps.remove(&(*rank, *step));
+            let waiting = self.steps.remove(&(*rank, *step));
             rank.is_begun = true;
-            self.steps.extend(tasks.map(|tasks| ((*rank, *step), tasks)));
+            self.steps.extend(waiting.map(|waiting| ((*rank, *step), waiting)));
         }
     }
 
     /// Removes a task, if it waits.
     pub fn remove(&mut self, task: &JobTaskId) {
         let Some(rank) = self.ranks.get(&task.step).copied() else { return };
-        let Some(tasks) = self.steps.get_mut(&(rank, task.step)) else { return };
-        tasks.remove(&task.index);
-        if tasks.is_empty() {
+        let Some(step) = self.steps.get_mut(&(rank, task.step)) else { return };
+        step.tasks.remove(&task.index);
+        if step.tasks.is_empty() {
             self.remove_step(&task.step);
         }
     }
@@ -141,7 +198,7 @@
         });
         steps
             .into_iter()
-            .map(|((_, step), tasks)| (*step, tasks.iter().copied().collect()))
+            .map(|((_, id), step)| (*id, step.tasks.keys().copied().collect()))
             .collect()
     }
 
@@ -150,7 +207,7 @@
     pub fn tasks_by_priority(&self) -> BTreeMap<u32, usize> {
         let mut tasks = BTreeMap::new();
         for ((rank, _), waiting) in &self.steps {
-            *tasks.entry(rank.priority).or_default() += waiting.len();
+            *tasks.entry(rank.priority).or_default() += waiting.tasks.len();
         }
         tasks
     }
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -17,6 +17,7 @@
 mod rows;
 mod speculation;
 mod throttling;
+mod waits;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -26,7 +27,7 @@
 use crate::telemetry::event::shard as event;
 
 use super::interference::{self, Pressures};
-use super::pick;
+use super::pick::{self, UnusableCause};
 use super::queue::{QueuePolicy, Rank, WaitingTasks};
 use super::report::WorkerListing;
 use super::times::StepTimeRatios;
@@ -111,6 +112,8 @@
     last_placement: Duration,
     /// Local time of the last check of all workers and jobs.
     last_housekeeping: Duration,
+    /// Local time of the last tick.
+    now: Duration,
     /// Wall time of the last tick, in milliseconds since the Unix epoch; used for schedules and objectives.
     unix_ms: u64,
 }
@@ -144,6 +147,7 @@
             is_placement_due: true,
             last_placement: Duration::ZERO,
             last_housekeeping: Duration::ZERO,
+            now: claimed,
             unix_ms: 0,
         }
     }
@@ -348,15 +352,33 @@
         self.workers.keys().map(|id| id.as_str().to_owned()).collect()
     }
 
+    /// Returns why a worker may get no new tasks, or `None` if it may.
+    fn unusable_cause(
+        &self,
+        id: &WorkerId,
+        worker: &Worker,
+        now: Duration,
+    ) -> Option<UnusableCause> {
+        if self.inherited.reported_unreached.contains(id) {
+            return Some(UnusableCause::ReportedUnreached);
+        }
+        pick::unusable_cause(worker, now, self.domains_out.contains(&worker.listing.domain))
+    }
+
     /// Current load of the shard, for metrics and the log.
     #[must_use]
     pub fn load(&self, now: Duration) -> Load {
-        let is_usable = |worker: &&Worker| {
-            pick::is_usable(worker, now, self.domains_out.contains(&worker.listing.domain))
-        };
-        let usable: Vec<&Worker> = self.workers.values().filter(is_usable).collect();
+        let mut usable: Vec<&Worker> = Vec::new();
+        let mut unusable: BTreeMap<UnusableCause, usize> = BTreeMap::new();
+        for (id, worker) in &self.workers {
+            match self.unusable_cause(id, worker, now) {
+                Some(cause) => *unusable.entry(cause).or_default() += 1,
+                None => usable.push(worker),
+            }
+        }
         Load {
             usable_workers: usable.len(),
+            unusable_workers: unusable,
             free_cpu_millis: usable.iter().map(|worker| worker.free().cpu_millis).sum(),
             most_free_cpu_millis: usable.iter().map(|w| w.free().cpu_millis).max().unwrap_or(0),
             leftover_cpu_millis: usable.iter().map(|worker| pick::leftover_cpu(worker)).sum(),
@@ -373,6 +395,7 @@
     /// Performs the work that is due at `now`. `unix_ms` is the wall time; `confirmed` is the newest time at which this
     /// process was certainly the owner.
     pub fn tick(&mut self, now: Duration, unix_ms: u64, confirmed: Duration) {
+        self.now = now;
         self.unix_ms = unix_ms;
         let elapsed = now.saturating_sub(self.last_housekeeping);
         if elapsed >= HOUSEKEEPING_PERIOD {
@@ -440,7 +463,7 @@
                     let task = JobTaskId { step: key, index: task as u16 };
                     let may_run = self.live.contains_key(&task) || self.inherited.has(&task);
                     if !progress.is_done && !may_run {
-                        self.waiting.push(rank, task);
+                        self.waiting.push(rank, task, self.now);
                         self.is_placement_due = true;
                     }
                 }
@@ -460,7 +483,7 @@
         }
         let step = usize::from(task.step.step);
         let rank = self.rank(job, task.step.occurrence, step);
-        self.waiting.push(rank, *task);
+        self.waiting.push(rank, *task, self.now);
         self.is_placement_due = true;
     }
 
@@ -480,6 +503,8 @@
 pub struct Load {
     /// Workers that may get tasks.
     pub usable_workers: usize,
+    /// Workers that may not, by cause.
+    pub unusable_workers: BTreeMap<UnusableCause, usize>,
     /// Uncommitted processors on them, in thousandths of a core.
     pub free_cpu_millis: u64,
     /// The most uncommitted processors on one of them.
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -17,6 +17,7 @@
 use crate::job::{JobState, JobTaskId, Resources, StepId, StepSpec};
 use crate::shard::interference::WorkerInterference;
 use crate::shard::pick::{self, PlacementRequest};
+use crate::shard::queue::WaitCause;
 use crate::shard::worker::{Phase, Worker, WorkerId};
 use crate::telemetry::event::shard as event;
 
@@ -71,18 +72,20 @@
         }
     }
 
-    /// Returns true if the step need not be tried: its queue has had too many misses, or a step that asks for no more
-    /// found no worker.
-    fn may_skip(&self, queue: &str, step: &StepSpec) -> bool {
+    /// Returns why the step need not be tried, if so: its queue has had too many misses, or a step that asks for no
+    /// more found no worker.
+    fn skip_cause(&self, queue: &str, step: &StepSpec) -> Option<WaitCause> {
         if self.misses.get(queue).is_some_and(|misses| *misses >= MAX_MISSES_PER_QUEUE) {
-            return true;
+            return Some(WaitCause::QueueSkipped);
         }
-        self.failed.iter().any(|(failed_queue, image, uses_leftover, resources)| {
-            failed_queue == queue
-                && *image == step.image
-                && *uses_leftover == step.uses_leftover_cpu
-                && resources.fits(&step.resources)
-        })
+        let is_like_missed =
+            self.failed.iter().any(|(failed_queue, image, uses_leftover, resources)| {
+                failed_queue == queue
+                    && *image == step.image
+                    && *uses_leftover == step.uses_leftover_cpu
+                    && resources.fits(&step.resources)
+            });
+        is_like_missed.then_some(WaitCause::LikeMissed)
     }
 }
 
@@ -106,11 +109,13 @@
             let spec = Rc::clone(&job.spec);
             let queue = job.queue.clone();
             let step = &spec.steps[usize::from(key.step)];
-            if pass.may_skip(&queue, step) {
-                continue;
-            }
-            if !self.place_step(now, &mut pass, &key, step, &tasks) {
+            let mut cause = pass.skip_cause(&queue, step);
+            if cause.is_none() && !self.place_step(now, &mut pass, &key, step, &tasks) {
                 pass.record_miss(&queue, step);
+                cause = Some(WaitCause::NoWorker);
+            }
+            if let Some(cause) = cause.filter(|_| step.is_long_running) {
+                self.waiting.record_pass(&key, cause, now);
             }
         }
     }
@@ -119,8 +124,7 @@
         let mut pass = Pass::default();
         for (id, worker) in &self.workers {
             let domain = &worker.listing.domain;
-            let is_usable = pick::is_usable(worker, now, self.domains_out.contains(domain))
-                && !self.inherited.reported_unreached.contains(id);
+            let is_usable = self.unusable_cause(id, worker, now).is_none();
             pass.ids.push(id.clone());
             pass.usable.push(is_usable);
             let leftover = is_usable.then(|| pick::leftover_cpu(worker));
--- a/src/shard/scheduler/speculation.rs
+++ b/src/shard/scheduler/speculation.rs
@@ -35,7 +35,7 @@
         }
         let rank = self.rank(job, task.step.occurrence, usize::from(task.step.step));
         event::TASK_COPIED.emit(format_args!("task={task}"));
-        self.waiting.push(rank, *task);
+        self.waiting.push(rank, *task, self.now);
         self.is_placement_due = true;
     }
 }
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -39,6 +39,8 @@
 pub const TASK_COPIED: Event = Event::new(616, Level::Info, "task-copied");
 /// A task was moved to another worker, because other tasks on its worker leave it too few resources.
 pub const TASK_MOVED: Event = Event::new(617, Level::Info, "task-moved");
+/// Tasks of a long-running step have waited for a worker for long.
+pub const TASK_WAITING: Event = Event::new(618, Level::Info, "task-waiting");
 /// A worker was quarantined and gets no tasks for a while.
 pub const WORKER_QUARANTINED: Event = Event::new(620, Level::Warn, "worker-left-out");
 /// A worker does not answer renewals.
@@ -107,6 +109,7 @@
     RUN_UNWANTED,
     TASK_COPIED,
     TASK_MOVED,
+    TASK_WAITING,
     WORKER_QUARANTINED,
     WORKER_SILENT,
     WORKER_ANSWERS,
--- a/tests/testsuite/shard/queue.rs
+++ b/tests/testsuite/shard/queue.rs
@@ -1,5 +1,7 @@
 //! Order of waiting steps, and the step times that it is based on.
 
+use std::time::Duration;
+
 use plantainlever::job::{JobId, JobTaskId, StepId};
 use plantainlever::shard::queue::{Rank, WaitingTasks};
 use plantainlever::shard::times::StepTimeRatios;
@@ -23,7 +25,7 @@
 fn order(ranks: &[Rank]) -> Vec<u64> {
     let mut waiting = WaitingTasks::default();
     for (job, rank) in ranks.iter().enumerate() {
-        waiting.push(*rank, task(job as u64));
+        waiting.push(*rank, task(job as u64), Duration::ZERO);
     }
     waiting.ordered(NOW).into_iter().map(|(step, _)| step.job.0).collect()
 }
@@ -49,8 +51,8 @@
 #[test]
 fn waiting_tasks_of_a_job_move_up_when_it_begins() {
     let mut waiting = WaitingTasks::default();
-    waiting.push(rank(2_000, false), task(1));
-    waiting.push(rank(4_000, false), task(2));
+    waiting.push(rank(2_000, false), task(1), Duration::ZERO);
+    waiting.push(rank(4_000, false), task(2), Duration::ZERO);
     waiting.begin(JobId(2));
     let order: Vec<u64> = waiting.ordered(NOW).into_iter().map(|(step, _)| step.job.0).collect();
     assert_eq!(order, [2, 1]);
