Test that tasks do not wait beside workers that could run them

- a worker whose fault has ended is quarantined for up to 30 s.
Each failed run begins the next, longer quarantine, also a run that had started before the first one, so four failures in one list make 30 s after a fault of 1 s;
- a worker that has restarted is quarantined for its previous incarnation;
- a pass skips the rest of a queue after 40 steps without a worker.
Steps of equal rank are tried in the order of job IDs, so it is always the same rest;
- rows are written in the order of job IDs, so those with high IDs are never written while enough others change, and their tasks never start.

a_failing_worker_gets_one_task_at_a_time passes; it limits what a failing worker may get.

--- a/tests/testsuite/shard.rs
+++ b/tests/testsuite/shard.rs
@@ -9,4 +9,5 @@
 mod progress;
 mod queue;
 pub mod rig;
+mod starvation;
 mod takeover;
--- /dev/null
+++ b/tests/testsuite/shard/starvation.rs
@@ -0,0 +1,104 @@
+//! Tasks that wait although a worker could run them.
+
+use std::time::Duration;
+
+use plantainlever::job::{JobId, StepSpec};
+
+use super::rig::{Fleet, Rig, spec, step, worker_id};
+
+fn long_running(count: u32, cpu_millis: u64) -> StepSpec {
+    StepSpec { is_long_running: true, ..step(count, cpu_millis) }
+}
+
+/// Starts `count` workers of 4 cores of which the first is full, submits two jobs that need the rest, and lets all runs
+/// on the other workers fail for `fault`. Returns the jobs.
+fn run_with_failing_workers(rig: &mut Rig, workers: u32, fault: Duration) -> [JobId; 2] {
+    let full = rig.submit(1, spec(vec![long_running(4, 1_000)]));
+    rig.fleet.durations.insert(full, Duration::from_secs(1_000));
+    rig.run(Duration::from_millis(300));
+    for index in 1..workers {
+        rig.fleet.add(super::rig::listing(index, 4_000));
+        rig.fleet.get(index).fails_all = true;
+    }
+    let count = 2 * (workers - 1);
+    let jobs = [2, 3].map(|id| rig.submit(id, spec(vec![long_running(count, 1_000)])));
+    rig.run(fault);
+    for index in 1..workers {
+        rig.fleet.get(index).fails_all = false;
+    }
+    for id in jobs {
+        rig.fleet.durations.insert(id, Duration::from_secs(1_000));
+    }
+    jobs
+}
+
+/// Guards against sound workers that stay quarantined after a fault while tasks wait for resources.
+#[test]
+fn a_worker_gets_tasks_within_two_seconds_of_the_end_of_its_fault() {
+    for fault_s in [1, 5, 12, 40] {
+        let mut rig = Rig::new(Fleet::new(1, 4_000));
+        run_with_failing_workers(&mut rig, 4, Duration::from_secs(fault_s));
+        rig.run(Duration::from_secs(2));
+        for index in 1..4 {
+            assert_eq!(rig.fleet.get(index).runs.len(), 4, "worker {index}, fault {fault_s} s");
+        }
+        rig.assert_no_breach();
+    }
+}
+
+/// Guards against a worker that keeps failing and gets many tasks meanwhile.
+#[test]
+fn a_failing_worker_gets_one_task_at_a_time() {
+    let mut rig = Rig::new(Fleet::new(1, 4_000));
+    run_with_failing_workers(&mut rig, 2, Duration::from_secs(2));
+    rig.fleet.get(1).fails_all = true;
+    let before = rig.fleet.starts.len();
+    for id in [2, 3] {
+        rig.fleet.durations.insert(JobId(id), Duration::from_millis(100));
+    }
+    rig.run(Duration::from_secs(10));
+    let starts = rig.fleet.starts[before..].iter().filter(|(.., w)| *w == worker_id(1)).count();
+    assert!(starts <= 20, "{starts} starts in 10 s");
+}
+
+/// Guards against a worker that stays quarantined by the failures of its previous incarnation.
+#[test]
+fn a_restarted_worker_is_not_quarantined() {
+    let mut rig = Rig::new(Fleet::new(1, 4_000));
+    run_with_failing_workers(&mut rig, 2, Duration::from_secs(12));
+    rig.fleet.get(1).restart();
+    rig.run(Duration::from_millis(400));
+    assert_eq!(rig.fleet.get(1).runs.len(), 4);
+}
+
+/// Guards against a long-running task that is never tried, because many steps that are too large precede it in each
+/// pass.
+#[test]
+fn a_task_behind_many_steps_without_a_worker_starts_at_once() {
+    let mut rig = Rig::new(Fleet::new(2, 4_000));
+    // Each step asks for less than the one before, so that none can be skipped for the misses of others.
+    for id in 1..100 {
+        rig.submit(id, spec(vec![long_running(1, 5_000 - 2 * id)]));
+    }
+    rig.run(Duration::from_secs(1));
+    let small = rig.submit(0xe0, spec(vec![long_running(1, 1_000)]));
+    rig.run(Duration::from_millis(200));
+    assert_eq!(rig.starts_of(small).len(), 1);
+}
+
+/// Guards against jobs with high IDs whose rows are not written while those with lower IDs change all the time.
+#[test]
+fn every_changed_row_is_written_while_others_change_all_the_time() {
+    let mut rig = Rig::new(Fleet::new(4, 8_000));
+    rig.store.batch = 1;
+    let after = |index: u16| index.checked_sub(1).into_iter().collect();
+    let chain = (0..60).map(|index| StepSpec { after: after(index), ..step(1, 100) });
+    for id in 1..17 {
+        rig.submit(id, spec(chain.clone().collect()));
+    }
+    rig.run(Duration::from_secs(1));
+    let last = rig.submit(0xff, spec(vec![long_running(1, 100)]));
+    rig.fleet.durations.insert(last, Duration::from_secs(1_000));
+    rig.run(Duration::from_secs(1));
+    assert_eq!(rig.starts_of(last).len(), 1);
+}
