End the quarantine of a worker by evidence and not by time

Callers saw long-running tasks that did not run for up to 30 s after a disruption, beside sound and empty workers (LOST).

Cause: each failed run on a worker began a quarantine twice as long as the one before, up to 30 s, also a run that had started before the first quarantine. Four failures in one list of ends made 4, 8, 16 and 30 s at the same moment, and nothing ended a quarantine early. While the rest of the fleet was full, tasks waited for a clock.

Change: a worker is put on probation instead. It gets one task at a time, as a probe: one that can bear a failure, and only if no other worker takes it. A probe that succeeds, is ready for a second (long-running) or makes progress (after a standstill) ends the probation; after a failed one there is a pause of half a second. Ends of runs from before change nothing.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -8,6 +8,7 @@
 //! Nothing here does I/O. [`ShardScheduler`] consumes events and queues [`Command`]s, so that every rule can be tested
 //! without a network.
 
+pub mod health;
 pub mod interference;
 pub mod lapse;
 pub mod ownership;
--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -42,6 +42,8 @@
     pub step_id: &'a StepId,
     /// Home domain of the job, preferred for its tasks; `None` if it has none.
     pub home: Option<&'a str>,
+    /// Whether the task may run as a probe on a worker on probation.
+    pub can_probe: bool,
 }
 
 /// Why a worker gets no new tasks.
@@ -59,8 +61,8 @@
     Unlisted,
     /// Starts there got no answer.
     UnansweredStarts,
-    /// Runs of several jobs failed there, or made no progress.
-    Quarantined,
+    /// It is on probation, so it gets probes only.
+    Probation,
     /// The stored heartbeat names it as unreached.
     ReportedUnreached,
 }
@@ -85,19 +87,13 @@
         Some(UnusableCause::Unlisted)
     } else if worker.health.unanswered_starts >= UNANSWERED_STARTS_LIMIT {
         Some(UnusableCause::UnansweredStarts)
-    } else if worker.health.is_quarantined(now) {
-        Some(UnusableCause::Quarantined)
+    } else if worker.health.is_on_probation() {
+        Some(UnusableCause::Probation)
     } else {
         None
     }
 }
 
-/// Returns true if a worker may get new tasks.
-#[must_use]
-pub fn is_usable(worker: &Worker, now: Duration, is_domain_out: bool) -> bool {
-    unusable_cause(worker, now, is_domain_out).is_none()
-}
-
 /// Returns the estimated unused processors of a worker, in thousandths of a core. Negative if it is overcommitted.
 #[must_use]
 pub fn leftover_cpu(worker: &Worker) -> i64 {
--- a/src/shard/scheduler/ends.rs
+++ b/src/shard/scheduler/ends.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::job::{JobId, JobState, JobTaskId, StepId};
+use crate::shard::health::Restored;
 use crate::shard::report::{EndCause, EndReport};
 use crate::shard::worker::{Run, WorkerId};
 use crate::telemetry::event::shard as event;
@@ -44,17 +45,22 @@
 
     fn record_health(&mut self, now: Duration, worker_id: &WorkerId, end: &EndReport) {
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let (task, run) = (&end.task, end.run);
         match end.cause {
-            EndCause::Done => worker.health.on_done(),
-            EndCause::Failed if worker.health.on_failed(end.task.step.job, now) => {
-                let until = worker.health.quarantined_until.saturating_sub(now);
-                event::WORKER_QUARANTINED.emit(format_args!(
-                    "worker={worker_id} cause=failed-runs task={} for_ms={}",
-                    end.task,
-                    until.as_millis()
-                ));
+            EndCause::Done => {
+                let restored = worker.health.on_done(task, run, now);
+                log_restored(worker_id, restored);
             }
-            _ => {}
+            EndCause::Failed => {
+                if worker.health.on_failed(task, run, now) {
+                    event::WORKER_QUARANTINED
+                        .emit(format_args!("worker={worker_id} cause=failed-runs task={task}"));
+                }
+            }
+            EndCause::Stopped
+            | EndCause::LeaseExpired
+            | EndCause::GangBroken
+            | EndCause::GangIncomplete => {}
         }
     }
 
@@ -197,3 +203,14 @@
         Some(run)
     }
 }
+
+/// Logs the end of a worker's probation, if it has ended.
+pub(super) fn log_restored(worker_id: &WorkerId, restored: Option<Restored>) {
+    if let Some(restored) = restored {
+        event::WORKER_RESTORED.emit(format_args!(
+            "worker={worker_id} after_ms={} probes={}",
+            restored.after.as_millis(),
+            restored.probes
+        ));
+    }
+}
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -15,8 +15,9 @@
 use std::time::Duration;
 
 use crate::job::{JobState, JobTaskId, Resources, StepId, StepSpec};
+use crate::shard::health::ProbationCause;
 use crate::shard::interference::WorkerInterference;
-use crate::shard::pick::{self, PlacementRequest};
+use crate::shard::pick::{self, PlacementRequest, UnusableCause};
 use crate::shard::queue::WaitCause;
 use crate::shard::worker::{Phase, Worker, WorkerId};
 use crate::telemetry::event::shard as event;
@@ -29,62 +30,91 @@
 /// queue because queues ask for different things.
 const MAX_MISSES_PER_QUEUE: usize = 40;
 
+/// Deducted from the score of a worker on probation, so that tasks run there only if no other worker takes them.
+const PROBE_PENALTY: i64 = 10_000_000;
+
 /// Shortest time between two passes, so that tasks that become ready together share one pass.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Which tasks a worker may get in a pass.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Admission {
+    Any,
+    /// One task that can bear a failure.
+    Probe,
+    None,
+}
+
+/// Step that found no worker in a pass, for the comparison with later ones.
+#[derive(Debug)]
+struct FailedStep {
+    queue: String,
+    image: Option<String>,
+    uses_leftover_cpu: bool,
+    can_probe: bool,
+    /// Resources of one task.
+    resources: Resources,
+}
+
 /// State of one placement pass. Vectors have one element per worker, in the order of the scheduler's worker map, which
 /// a pass does not change.
 #[derive(Debug, Default)]
 struct Pass {
     ids: Vec<WorkerId>,
-    /// Whether the worker may get new tasks.
-    usable: Vec<bool>,
-    /// Estimated unused processors of the worker. `None` for an unusable worker, and after a start until it is needed
-    /// again.
+    admission: Vec<Admission>,
+    /// Estimated unused processors of the worker. `None` until it is needed, and again after a start.
     leftovers: Vec<Option<i64>>,
     /// Interference on the worker. `None` until it is needed, and again after a start.
     interference: Vec<Option<WorkerInterference>>,
     /// Free processors of the usable workers by failure domain: uncommitted, and unused by estimate, in thousandths of
     /// a core.
     domains: BTreeMap<String, (u64, i64)>,
-    /// Steps without a worker, as (queue, image, whether leftover processors are used, resources of one task).
-    failed: Vec<(String, Option<String>, bool, Resources)>,
+    /// Steps without a worker that say something about other steps.
+    failed: Vec<FailedStep>,
     /// Number of steps without a worker, by queue.
     misses: BTreeMap<String, usize>,
 }
 
 impl Pass {
-    /// Discards the cached values that a start on the worker has changed.
+    /// Updates the state of a worker after a run was reserved there or its reservation was taken back.
     fn invalidate(&mut self, worker: usize) {
+        if self.admission[worker] == Admission::Probe {
+            self.admission[worker] = Admission::None;
+        }
         self.leftovers[worker] = None;
         self.interference[worker] = None;
     }
 
-    fn record_miss(&mut self, queue: &str, step: &StepSpec) {
+    fn record_miss(&mut self, queue: &str, step: &StepSpec, can_probe: bool) {
         *self.misses.entry(queue.to_owned()).or_default() += 1;
         // Steps with further constraints may fail for other reasons than their size, so they tell nothing about other
         // steps.
         let is_unconstrained =
             step.required_label.is_none() && step.max_per_worker.is_none() && !step.is_gang;
         if is_unconstrained {
-            let image = step.image.clone();
-            self.failed.push((queue.to_owned(), image, step.uses_leftover_cpu, step.resources));
+            self.failed.push(FailedStep {
+                queue: queue.to_owned(),
+                image: step.image.clone(),
+                uses_leftover_cpu: step.uses_leftover_cpu,
+                can_probe,
+                resources: step.resources,
+            });
         }
     }
 
     /// Returns why the step need not be tried, if so: its queue has had too many misses, or a step that asks for no
     /// more found no worker.
-    fn skip_cause(&self, queue: &str, step: &StepSpec) -> Option<WaitCause> {
+    fn skip_cause(&self, queue: &str, step: &StepSpec, can_probe: bool) -> Option<WaitCause> {
         if self.misses.get(queue).is_some_and(|misses| *misses >= MAX_MISSES_PER_QUEUE) {
             return Some(WaitCause::QueueSkipped);
         }
-        let is_like_missed =
-            self.failed.iter().any(|(failed_queue, image, uses_leftover, resources)| {
-                failed_queue == queue
-                    && *image == step.image
-                    && *uses_leftover == step.uses_leftover_cpu
-                    && resources.fits(&step.resources)
-            });
+        let is_like_missed = self.failed.iter().any(|failed| {
+            failed.queue == queue
+                && failed.image == step.image
+                && failed.uses_leftover_cpu == step.uses_leftover_cpu
+                && (failed.can_probe || !can_probe)
+                && failed.resources.fits(&step.resources)
+        });
         is_like_missed.then_some(WaitCause::LikeMissed)
     }
 }
@@ -109,9 +139,10 @@
             let spec = Rc::clone(&job.spec);
             let queue = job.queue.clone();
             let step = &spec.steps[usize::from(key.step)];
-            let mut cause = pass.skip_cause(&queue, step);
-            if cause.is_none() && !self.place_step(now, &mut pass, &key, step, &tasks) {
-                pass.record_miss(&queue, step);
+            let can_probe = self.can_probe(&key, step, &tasks);
+            let mut cause = pass.skip_cause(&queue, step, can_probe);
+            if cause.is_none() && !self.place_step(now, &mut pass, &key, step, can_probe, &tasks) {
+                pass.record_miss(&queue, step, can_probe);
                 cause = Some(WaitCause::NoWorker);
             }
             if let Some(cause) = cause.filter(|_| step.is_long_running) {
@@ -124,10 +155,14 @@
         let mut pass = Pass::default();
         for (id, worker) in &self.workers {
             let domain = &worker.listing.domain;
-            let is_usable = self.unusable_cause(id, worker, now).is_none();
+            let admission = match self.unusable_cause(id, worker, now) {
+                None => Admission::Any,
+                Some(UnusableCause::Probation) if worker.may_get_probe(now) => Admission::Probe,
+                Some(_) => Admission::None,
+            };
             pass.ids.push(id.clone());
-            pass.usable.push(is_usable);
-            let leftover = is_usable.then(|| pick::leftover_cpu(worker));
+            pass.admission.push(admission);
+            let leftover = (admission == Admission::Any).then(|| pick::leftover_cpu(worker));
             pass.leftovers.push(leftover);
             pass.interference.push(None);
             if let Some(leftover) = leftover {
@@ -142,6 +177,18 @@
         pass
     }
 
+    /// Returns true if the tasks of a step may run as probes on workers on probation: a failure there costs them no
+    /// attempt, or the first of several.
+    fn can_probe(&self, key: &StepId, step: &StepSpec, tasks: &[u16]) -> bool {
+        let Some(job) = self.jobs.get(&key.job) else { return false };
+        let attempts = self.queues.get(&job.queue).map_or(0, |queue| queue.attempts);
+        let has_failed = |index: &u16| {
+            let progress = job.progress.task(&JobTaskId { step: *key, index: *index });
+            progress.is_none_or(|progress| !progress.failed_runs.is_empty())
+        };
+        !step.is_gang && (step.is_long_running || attempts > 1 && !tasks.iter().any(has_failed))
+    }
+
     /// Places the waiting tasks of a step. Returns false if a task found no worker.
     ///
     /// Workers are scored once per step, and a start rescores only its own worker: steps have up to a few dozen
@@ -152,13 +199,15 @@
         pass: &mut Pass,
         key: &StepId,
         step: &StepSpec,
+        can_probe: bool,
         tasks: &[u16],
     ) -> bool {
         if step.is_gang {
             return self.place_gang(now, pass, key, tasks);
         }
         self.choose_home(pass, key, step);
-        let mut best: BinaryHeap<(i64, usize)> = self.scores(pass, key, step, None).into();
+        let mut best: BinaryHeap<(i64, usize)> =
+            self.scores(pass, key, step, can_probe, None).into();
         for index in tasks {
             let task = JobTaskId { step: *key, index: *index };
             let Some((worker, position)) = self.pop_best(pass, &mut best, &task) else {
@@ -167,7 +216,7 @@
             let run = self.next_run(self.last_run(&task));
             self.reserve(now, &worker, &task, run);
             pass.invalidate(position);
-            let again = self.score_of(pass, key, step, &worker, position);
+            let again = self.score_of(pass, key, step, can_probe, position);
             best.extend(again.map(|score| (score, position)));
         }
         true
@@ -210,6 +259,7 @@
         pass: &mut Pass,
         key: &StepId,
         step: &StepSpec,
+        can_probe: bool,
         rack: Option<&str>,
     ) -> Vec<(i64, usize)> {
         let Some(job) = self.jobs.get(&key.job) else { return Vec::new() };
@@ -219,10 +269,11 @@
             step,
             step_id: key,
             home: job.home.as_deref(),
+            can_probe,
         };
         let mut scores = Vec::new();
         for (position, worker) in self.workers.values().enumerate() {
-            if pass.usable[position] && (rack.is_none() || worker.listing.rack() == rack) {
+            if rack.is_none() || worker.listing.rack() == rack {
                 let score = self.score(pass, &req, worker, position);
                 scores.extend(score.map(|score| (score, position)));
             }
@@ -235,7 +286,7 @@
         pass: &mut Pass,
         key: &StepId,
         step: &StepSpec,
-        worker: &WorkerId,
+        can_probe: bool,
         position: usize,
     ) -> Option<i64> {
         let job = self.jobs.get(&key.job)?;
@@ -245,8 +296,10 @@
             step,
             step_id: key,
             home: job.home.as_deref(),
+            can_probe,
         };
-        self.score(pass, &req, self.workers.get(worker)?, position)
+        let worker = self.workers.get(&pass.ids[position])?;
+        self.score(pass, &req, worker, position)
     }
 
     fn score(
@@ -256,16 +309,21 @@
         worker: &Worker,
         position: usize,
     ) -> Option<i64> {
+        let step = req.step;
+        let penalty = match pass.admission[position] {
+            Admission::Any => 0,
+            Admission::Probe if req.can_probe => PROBE_PENALTY,
+            Admission::Probe | Admission::None => return None,
+        };
         let leftover = &mut pass.leftovers[position];
         let interference = &mut pass.interference[position];
-        let step = req.step;
         let cost = || {
             let interference =
                 interference.get_or_insert_with(|| self.pressures.worker_interference(worker));
             self.pressures.cost_with(interference, step.image.as_deref(), step.resources.cpu_millis)
         };
         let leftover = || *leftover.get_or_insert_with(|| pick::leftover_cpu(worker));
-        pick::score(worker, req, leftover, cost)
+        pick::score(worker, req, leftover, cost).map(|score| score - penalty)
     }
 
     /// Chooses the home domain of a job, in which its tasks run together, unless its current one has usable workers.
@@ -306,13 +364,13 @@
         for rack in racks {
             let mut placed = Vec::new();
             let mut best: BinaryHeap<(i64, usize)> =
-                self.scores(pass, key, &step, rack.as_deref()).into();
+                self.scores(pass, key, &step, false, rack.as_deref()).into();
             for index in tasks {
                 let task = JobTaskId { step: *key, index: *index };
                 let Some((worker, position)) = self.pop_best(pass, &mut best, &task) else { break };
                 self.reserve(now, &worker, &task, run);
                 pass.invalidate(position);
-                let again = self.score_of(pass, key, &step, &worker, position);
+                let again = self.score_of(pass, key, &step, false, position);
                 best.extend(again.map(|score| (score, position)));
                 placed.push((worker, task, position));
             }
@@ -355,6 +413,7 @@
         let mut run = new_run(number, Phase::Reserved, now);
         set_step_attributes(&mut run, &job.spec.steps[usize::from(task.step.step)]);
         worker.add_run(*task, run);
+        worker.health.begin_probe(*task, number);
         self.live.entry(*task).or_default().push(worker_id.clone());
         self.waiting.remove(task);
         if let Some(progress) = job.progress.task_mut(task) {
@@ -397,7 +456,13 @@
     fn may_start(&self, now: Duration, planned: &PlannedStart) -> bool {
         let is_usable = self.workers.get(&planned.worker).is_some_and(|worker| {
             let is_out = self.domains_out.contains(&worker.listing.domain);
-            pick::is_usable(worker, now, is_out)
+            match pick::unusable_cause(worker, now, is_out) {
+                None => true,
+                Some(UnusableCause::Probation) => {
+                    worker.health.is_probe(&planned.task, planned.run)
+                }
+                Some(_) => false,
+            }
         });
         let job = self.jobs.get(&planned.task.step.job);
         self.is_start_allowed && is_usable && job.is_some_and(|job| !job.progress.state.is_final())
@@ -486,7 +551,12 @@
                 match refusal {
                     StartRefusal::Fenced => self.on_fenced(worker_id),
                     StartRefusal::Unhealthy | StartRefusal::Invalid => {
-                        worker.health.quarantine(now)
+                        worker.health.fail_probe(task, run, now);
+                        if worker.health.begin_probation(ProbationCause::RefusedStart, now) {
+                            event::WORKER_QUARANTINED.emit(format_args!(
+                                "worker={worker_id} cause=refused-start task={task}"
+                            ));
+                        }
                     }
                     StartRefusal::Old | StartRefusal::Late | StartRefusal::Room => {
                         worker.next_renewal = worker.next_renewal.min(now);
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -1,16 +1,18 @@
 //! Lease renewals, and processing of the run lists that workers return with them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::job::{JobTaskId, Resources};
+use crate::job::{JobId, JobTaskId, Resources};
+use crate::shard::health::{ProbationCause, ProbeReport};
 use crate::shard::lapse::WorkerClock;
 use crate::shard::report::{RenewalReport, RunReport};
 use crate::shard::worker::{Phase, Run, Worker, WorkerId};
 use crate::telemetry::event::shard as event;
 
-use super::{Command, CommandKind, CommandOutcome, ShardScheduler};
+use super::ends::log_restored;
+use super::{Command, CommandKind, CommandOutcome, Job, ShardScheduler};
 
 /// Pause between an answer and the next renewal of a worker. Renewals have a fixed cost, and the tasks of a step end
 /// close together, so one answer then reports several ends.
@@ -30,6 +32,9 @@
 /// The same for a worker without runs; its answers only show that it is alive.
 const MAX_WAIT_IDLE: Duration = Duration::from_millis(1_500);
 
+/// The same for a worker on probation with a run, so that a probe is judged soon.
+const MAX_WAIT_ON_PROBATION: Duration = Duration::from_millis(250);
+
 /// First pause after a renewal without an answer, doubled with each further one up to [`MAX_RETRY_PAUSE`], because each
 /// attempt opens a connection.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(250);
@@ -42,8 +47,8 @@
 const STOP_RETRY_PAUSE: Duration = Duration::from_millis(300);
 
 /// Time without progress after which a task counts as stuck. Tasks take from half a second to some seconds and report
-/// progress in percent, so a running one advances several times within it. Best-effort tasks and tasks at 100 percent
-/// are exempt.
+/// progress in percent, so a running one advances several times within it. Tasks at 100 percent and, unless they are
+/// probes, best-effort tasks are exempt.
 const STUCK_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Time within which a serving task must report that it is ready; otherwise it is stopped and started on another
@@ -259,6 +264,7 @@
             self.drop_run(worker_id, &task);
         }
         self.stop_unanswered_starts(now, worker_id, sent);
+        self.judge_probe(now, worker_id);
         self.stop_stuck(now, worker_id);
     }
 
@@ -351,27 +357,51 @@
         }
     }
 
+    /// Ends the probation of a worker if its probe shows that it works.
+    fn judge_probe(&mut self, now: Duration, worker_id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let Some((task, number)) = worker.health.probe() else { return };
+        let Some(run) = worker.runs.get(&task).filter(|run| run.number == number) else { return };
+        if run.phase != Phase::Active {
+            return;
+        }
+        let report = ProbeReport {
+            active_for: now.saturating_sub(run.phase_since),
+            has_advanced: run.advanced > run.phase_since,
+            is_ready: run.percent >= 100 && is_long_running(&self.jobs, &task),
+        };
+        let restored = worker.health.on_probe_report(report, now);
+        log_restored(worker_id, restored);
+    }
+
     /// Stops tasks that make no progress, so that they start again on other workers.
     fn stop_stuck(&mut self, now: Duration, worker_id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        let is_stuck = |run: &Run| {
+        let is_stuck = |task: &JobTaskId, run: &Run| {
+            let is_probe = worker.health.is_probe(task, run.number);
             let idle = now.saturating_sub(run.advanced.max(run.throttle_changed_at));
             match run.tail_target_ms {
                 Some(_) => run.percent < 100 && idle >= SERVING_START_TIMEOUT,
-                None => run.leftover_cpu == 0 && run.percent < 100 && idle >= STUCK_TIMEOUT,
+                // A throttled best-effort task may make no progress on a sound worker.
+                None if run.leftover_cpu > 0 && (!is_probe || run.cpu_percent < 100) => false,
+                None => run.percent < 100 && idle >= STUCK_TIMEOUT,
             }
         };
         let stuck: Vec<JobTaskId> = worker
             .runs
             .iter()
-            .filter(|(_, run)| run.phase == Phase::Active && is_stuck(run))
+            .filter(|(task, run)| run.phase == Phase::Active && is_stuck(task, run))
             .map(|(task, _)| *task)
             .collect();
         if stuck.is_empty() {
             return;
         }
-        if !worker.health.is_quarantined(now) {
-            worker.health.quarantine(now);
+        for task in &stuck {
+            if let Some(run) = worker.runs.get(task) {
+                worker.health.fail_probe(task, run.number, now);
+            }
+        }
+        if worker.health.begin_probation(ProbationCause::NoProgress, now) {
             event::WORKER_QUARANTINED
                 .emit(format_args!("worker={worker_id} cause=no-progress task={}", stuck[0]));
         }
@@ -501,6 +531,9 @@
     if worker.runs.is_empty() {
         return MAX_WAIT_IDLE;
     }
+    if worker.health.is_on_probation() {
+        return MAX_WAIT_ON_PROBATION;
+    }
     let is_serving = worker.runs.values().any(|run| run.tail_target_ms.is_some());
     let is_best_effort = worker.runs.values().any(|run| run.leftover_cpu > 0);
     if is_serving && is_best_effort { MAX_WAIT_WITH_MIXED_RUNS } else { MAX_WAIT_WITH_RUNS }
@@ -538,3 +571,9 @@
     run.tail_target_ms = step.tail_target_ms;
     run.image = step.image.as_deref().map(Rc::from);
 }
+
+fn is_long_running(jobs: &BTreeMap<JobId, Job>, task: &JobTaskId) -> bool {
+    let step =
+        jobs.get(&task.step.job).and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
+    step.is_some_and(|step| step.is_long_running)
+}
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -5,8 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::job::{JobId, JobTaskId, Resources};
+use crate::job::{JobTaskId, Resources};
 
+use super::health::Health;
 use super::lapse::WorkerClock;
 use super::report::WorkerListing;
 
@@ -105,61 +106,6 @@
     pub is_adopted: bool,
 }
 
-/// Health of a worker, derived from the ends of its runs and from unanswered starts.
-#[derive(Clone, Debug, Default)]
-pub struct Health {
-    /// Jobs with a failed run since the last success. Counted by job, so that one bad job does not quarantine a worker.
-    failed_jobs: Vec<JobId>,
-    /// Local time until which the worker gets no new task.
-    pub quarantined_until: Duration,
-    /// Length of the last quarantine; zero after a success.
-    last_quarantine: Duration,
-    /// Starts since the last answer that were not sent or got no answer.
-    pub unanswered_starts: u32,
-}
-
-/// Jobs that must have failed on a worker, without a success in between, before it is quarantined. One is not enough,
-/// because a job may fail everywhere.
-const FAILED_JOBS_LIMIT: usize = 2;
-/// Length of the first quarantine, about that of a short fault; doubled each time up to [`MAX_QUARANTINE`].
-const FIRST_QUARANTINE: Duration = Duration::from_secs(4);
-/// Upper bound of the length of a quarantine.
-const MAX_QUARANTINE: Duration = Duration::from_secs(30);
-
-impl Health {
-    /// Records that a run succeeded.
-    pub fn on_done(&mut self) {
-        self.failed_jobs.clear();
-        self.last_quarantine = Duration::ZERO;
-    }
-
-    /// Records that a run of a job failed. Returns true if this begins a quarantine.
-    pub fn on_failed(&mut self, job: JobId, now: Duration) -> bool {
-        if !self.failed_jobs.contains(&job) {
-            self.failed_jobs.push(job);
-        }
-        if self.failed_jobs.len() < FAILED_JOBS_LIMIT {
-            return false;
-        }
-        self.quarantine(now);
-        true
-    }
-
-    /// Begins a quarantine; consecutive ones last longer.
-    pub fn quarantine(&mut self, now: Duration) {
-        self.last_quarantine = (self.last_quarantine * 2).clamp(FIRST_QUARANTINE, MAX_QUARANTINE);
-        self.quarantined_until = now + self.last_quarantine;
-        // One more failure after the quarantine begins the next one.
-        self.failed_jobs.truncate(FAILED_JOBS_LIMIT - 1);
-    }
-
-    /// Returns true if the worker must get no new task.
-    #[must_use]
-    pub fn is_quarantined(&self, now: Duration) -> bool {
-        now < self.quarantined_until
-    }
-}
-
 /// Worker in the VM list, or one that may still have runs.
 #[derive(Debug)]
 pub struct Worker {
@@ -197,7 +143,7 @@
     pub answered: Option<Duration>,
     /// Consecutive renewals without an answer.
     pub unanswered_renewals: u32,
-    /// Failures, missing answers and quarantines.
+    /// Failures, missing answers and probation.
     pub health: Health,
     /// Local time of the last change of throttles; initially that of the first listing.
     pub last_throttle_change: Duration,
@@ -257,6 +203,15 @@
         self.listing.capacity.saturating_sub(&self.committed)
     }
 
+    /// Returns true if the worker is on probation and may get a task as a probe.
+    #[must_use]
+    pub fn may_get_probe(&self, now: Duration) -> bool {
+        let has_run = |(task, number): (JobTaskId, u32)| {
+            self.runs.get(&task).is_some_and(|run| run.number == number)
+        };
+        self.health.is_probe_due(now) && !self.health.probe().is_some_and(has_run)
+    }
+
     /// Returns the number of runs of a step's tasks on the worker.
     #[must_use]
     pub fn tasks_of(&self, step: &crate::job::StepId) -> u32 {
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -41,7 +41,7 @@
 pub const TASK_MOVED: Event = Event::new(617, Level::Info, "task-moved");
 /// Tasks of a long-running step have waited for a worker for long.
 pub const TASK_WAITING: Event = Event::new(618, Level::Info, "task-waiting");
-/// A worker was quarantined and gets no tasks for a while.
+/// A worker was put on probation: it gets one task at a time until a task has shown that it works.
 pub const WORKER_QUARANTINED: Event = Event::new(620, Level::Warn, "worker-left-out");
 /// A worker does not answer renewals.
 pub const WORKER_SILENT: Event = Event::new(621, Level::Warn, "worker-silent");
@@ -53,6 +53,8 @@
 pub const WORKER_DRAINING: Event = Event::new(624, Level::Info, "worker-draining");
 /// A worker was removed from the platform's list of workers, and its leases have lapsed.
 pub const WORKER_GONE: Event = Event::new(625, Level::Info, "worker-gone");
+/// A worker's probation has ended, because a task there succeeded or makes progress.
+pub const WORKER_RESTORED: Event = Event::new(626, Level::Info, "worker-restored");
 /// The failure domains that are out of service have changed.
 pub const DOMAINS_OUT: Event = Event::new(630, Level::Info, "domains-out");
 /// This process has claimed a shard.
@@ -116,6 +118,7 @@
     WORKER_RESTARTED,
     WORKER_DRAINING,
     WORKER_GONE,
+    WORKER_RESTORED,
     DOMAINS_OUT,
     SHARD_CLAIMED,
     TAKEOVER_DONE,
