Try every waiting step, by an index of free processors

Callers saw a long-running task that did not run beside workers with enough free resources (LOST).

Cause: after 40 steps without a worker a placement pass skipped the rest of the queue. Long-running steps have equal ranks and are tried in the order of job IDs, those of jobs that never started first, so the same forty large steps came first in each pass and a small one behind them was never tried.

Change: a pass looks up only the workers that have enough processors, in an index that it builds once, so that a step without a worker costs little and no step is skipped for the number of misses. Steps that examine many workers in vain, for other reasons than processors, are bounded by the number of workers examined; the next pass goes on where this one ended, after the steps that come first with half of that number.

Measured: a_task_behind_many_steps_without_a_worker_starts_at_once fails before (0 starts) and passes; its task now runs on, since at first it ended every 100 ms and was started twice in the time of the test.

--- a/crates/plantainlever-test-support/src/model.rs
+++ b/crates/plantainlever-test-support/src/model.rs
@@ -8,5 +8,6 @@
 pub mod evacuation;
 pub mod hold;
 pub mod placement;
+pub mod shard_pass;
 pub mod tasks;
 pub mod urgent;
--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -155,6 +155,12 @@
     score
 }
 
+/// Returns the unused processors that a worker must have for a best-effort task of the step, in thousandths of a core.
+#[must_use]
+pub fn leftover_needed(step: &StepSpec) -> i64 {
+    (step.resources.cpu_millis * LEFTOVER_NEEDED_PERCENT / 100) as i64
+}
+
 /// Scores a worker for a best-effort task: low cost for serving neighbours first, then many unused processors.
 fn score_best_effort(
     worker: &Worker,
@@ -163,8 +169,7 @@
     cost: impl FnOnce() -> f64,
 ) -> Option<i64> {
     const COST_WEIGHT: f64 = 60_000.0;
-    let cpu_millis = step.resources.cpu_millis;
-    if leftover < (cpu_millis * LEFTOVER_NEEDED_PERCENT / 100) as i64 {
+    if leftover < leftover_needed(step) {
         return None;
     }
     if worker.over_target_since.is_some() {
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -85,8 +85,8 @@
     NoWorker,
     /// It was skipped, because a step that asks for no more found no worker.
     LikeMissed,
-    /// It was skipped, because too many steps of its queue found no worker.
-    QueueSkipped,
+    /// It was left to a later pass, because the pass had examined too many workers before.
+    PassEnded,
 }
 
 /// Step with waiting tasks.
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -12,6 +12,7 @@
 mod command;
 mod ends;
 mod inherited;
+mod pass;
 mod placing;
 mod renewals;
 mod rows;
@@ -108,6 +109,8 @@
     is_start_allowed: bool,
     /// Free resources or waiting tasks have changed since the last placement pass.
     is_placement_due: bool,
+    /// First step that the last placement pass did not try because it had examined too many workers.
+    resume_pass_at: Option<StepId>,
     /// Local time of the last placement pass.
     last_placement: Duration,
     /// Local time of the last check of all workers and jobs.
@@ -145,6 +148,7 @@
             is_fenced: false,
             is_start_allowed: true,
             is_placement_due: true,
+            resume_pass_at: None,
             last_placement: Duration::ZERO,
             last_housekeeping: Duration::ZERO,
             now: claimed,
--- /dev/null
+++ b/src/shard/scheduler/pass.rs
@@ -0,0 +1,197 @@
+//! State of one placement pass, and how much a pass may examine.
+//!
+//! On a full fleet most waiting steps find no worker. An index of the workers by free processors leaves only those to
+//! examine that have enough, usually none. What remains is bounded: once a pass has examined [`MAX_EXAMINED`] workers
+//! for steps that found none, it ends, and the next pass goes on behind the last step that it tried. Steps of higher
+//! rank come first in each pass, with half of that number, so every waiting step is tried within a few passes, whatever
+//! precedes it.
+
+use std::collections::BTreeMap;
+
+use crate::job::{Resources, StepId, StepSpec};
+use crate::shard::interference::WorkerInterference;
+use crate::shard::pick;
+use crate::shard::queue::WaitCause;
+use crate::shard::worker::{Worker, WorkerId};
+
+/// Number of workers that a pass may examine for steps that find none.
+const MAX_EXAMINED: usize = 20_000;
+
+/// Which tasks a worker may get in a pass.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Admission {
+    Any,
+    /// One task that can bear a failure.
+    Probe,
+    None,
+}
+
+/// Step that found no worker in a pass, for the comparison with later ones.
+#[derive(Debug)]
+struct FailedStep {
+    queue: String,
+    image: Option<String>,
+    uses_leftover_cpu: bool,
+    can_probe: bool,
+    /// Resources of one task.
+    resources: Resources,
+}
+
+/// Workers of one pool that get tasks, by processors in thousandths of a core, most first. Not updated by starts, which
+/// only reduce the values, so a worker found here may have less.
+#[derive(Debug, Default)]
+struct PoolIndex {
+    by_free: Vec<(u64, usize)>,
+    by_leftover: Vec<(i64, usize)>,
+}
+
+/// State of one placement pass. Vectors have one element per worker, in the order of the scheduler's worker map, which
+/// a pass does not change.
+#[derive(Debug, Default)]
+pub(super) struct Pass {
+    pub(super) ids: Vec<WorkerId>,
+    pub(super) admission: Vec<Admission>,
+    /// Estimated unused processors of the worker. `None` until it is needed, and again after a start.
+    pub(super) leftovers: Vec<Option<i64>>,
+    /// Interference on the worker. `None` until it is needed, and again after a start.
+    pub(super) interference: Vec<Option<WorkerInterference>>,
+    /// Free processors of the usable workers by failure domain: uncommitted, and unused by estimate, in thousandths of
+    /// a core.
+    pub(super) domains: BTreeMap<String, (u64, i64)>,
+    pools: BTreeMap<String, PoolIndex>,
+    /// Steps without a worker that say something about other steps.
+    failed: Vec<FailedStep>,
+    /// Number of workers examined for the current step.
+    examined_by_step: usize,
+    /// Number of workers examined for steps that found none.
+    examined: usize,
+    /// Step at which the pass goes on once it has used half of [`MAX_EXAMINED`]; `None` to try all in order.
+    resume_at: Option<StepId>,
+    /// Steps are passed over until `resume_at` has been reached.
+    is_skipping: bool,
+}
+
+impl Pass {
+    /// Creates the state of a pass over `steps`. `resume_at` is the first step that the previous pass did not try.
+    pub(super) fn new(resume_at: Option<StepId>, steps: &[(StepId, Vec<u16>)]) -> Self {
+        let resume_at = resume_at.filter(|at| steps.iter().any(|(step, _)| step == at));
+        Self { resume_at, ..Self::default() }
+    }
+
+    /// Adds a worker. Workers are added in the order of the scheduler's worker map.
+    pub(super) fn add_worker(&mut self, id: &WorkerId, worker: &Worker, admission: Admission) {
+        let position = self.ids.len();
+        self.ids.push(id.clone());
+        self.admission.push(admission);
+        self.interference.push(None);
+        if admission == Admission::None {
+            self.leftovers.push(None);
+            return;
+        }
+        let listing = &worker.listing;
+        let (free, leftover) = (worker.free().cpu_millis, pick::leftover_cpu(worker));
+        self.leftovers.push(Some(leftover));
+        if !self.pools.contains_key(&listing.service) {
+            self.pools.insert(listing.service.clone(), PoolIndex::default());
+        }
+        if let Some(pool) = self.pools.get_mut(&listing.service) {
+            pool.by_free.push((free, position));
+            pool.by_leftover.push((leftover, position));
+        }
+        if admission == Admission::Any {
+            if !self.domains.contains_key(&listing.domain) {
+                self.domains.insert(listing.domain.clone(), (0, 0));
+            }
+            if let Some(sum) = self.domains.get_mut(&listing.domain) {
+                sum.0 += free;
+                sum.1 += leftover.max(0);
+            }
+        }
+    }
+
+    /// Builds the index, after all workers have been added.
+    pub(super) fn sort_pools(&mut self) {
+        for pool in self.pools.values_mut() {
+            pool.by_free.sort_unstable_by(|a, b| b.cmp(a));
+            pool.by_leftover.sort_unstable_by(|a, b| b.cmp(a));
+        }
+    }
+
+    /// Returns the positions of the workers of a pool that may have enough processors for a task of the step.
+    pub(super) fn candidates(&mut self, service: &str, step: &StepSpec) -> Vec<usize> {
+        self.examined_by_step += 1;
+        let Some(pool) = self.pools.get(service) else { return Vec::new() };
+        let candidates: Vec<usize> = if step.uses_leftover_cpu {
+            let needed = pick::leftover_needed(step);
+            let enough = pool.by_leftover.partition_point(|(leftover, _)| *leftover >= needed);
+            pool.by_leftover[..enough].iter().map(|(_, position)| *position).collect()
+        } else {
+            let needed = step.committed().cpu_millis;
+            let enough = pool.by_free.partition_point(|(free, _)| *free >= needed);
+            pool.by_free[..enough].iter().map(|(_, position)| *position).collect()
+        };
+        self.examined_by_step += candidates.len();
+        candidates
+    }
+
+    /// Updates the state of a worker after a run was reserved there or its reservation was taken back.
+    pub(super) fn invalidate(&mut self, worker: usize) {
+        if self.admission[worker] == Admission::Probe {
+            self.admission[worker] = Admission::None;
+        }
+        self.leftovers[worker] = None;
+        self.interference[worker] = None;
+    }
+
+    /// Records that the current step found no worker.
+    pub(super) fn record_miss(&mut self, queue: &str, step: &StepSpec, can_probe: bool) {
+        self.examined += self.examined_by_step;
+        // Steps with further constraints may fail for other reasons than their size, so they tell nothing about other
+        // steps.
+        let is_unconstrained =
+            step.required_label.is_none() && step.max_per_worker.is_none() && !step.is_gang;
+        if is_unconstrained {
+            self.failed.push(FailedStep {
+                queue: queue.to_owned(),
+                image: step.image.clone(),
+                uses_leftover_cpu: step.uses_leftover_cpu,
+                can_probe,
+                resources: step.resources,
+            });
+        }
+    }
+
+    /// Begins a step. Returns why it need not be tried, if so: a step that asks for no more found no worker, or the pass
+    /// leaves it to a later one.
+    pub(super) fn begin_step(
+        &mut self,
+        id: &StepId,
+        queue: &str,
+        step: &StepSpec,
+        can_probe: bool,
+    ) -> Option<WaitCause> {
+        self.examined_by_step = 0;
+        if self.resume_at.as_ref() == Some(id) {
+            self.resume_at = None;
+            self.is_skipping = false;
+        } else if self.resume_at.is_some() && self.examined >= MAX_EXAMINED / 2 {
+            self.is_skipping = true;
+        }
+        if self.is_skipping || self.is_over() {
+            return Some(WaitCause::PassEnded);
+        }
+        let is_like_missed = self.failed.iter().any(|failed| {
+            failed.queue == queue
+                && failed.image == step.image
+                && failed.uses_leftover_cpu == step.uses_leftover_cpu
+                && (failed.can_probe || !can_probe)
+                && failed.resources.fits(&step.resources)
+        });
+        is_like_missed.then_some(WaitCause::LikeMissed)
+    }
+
+    /// Returns true once the pass may examine no further workers.
+    pub(super) fn is_over(&self) -> bool {
+        self.examined >= MAX_EXAMINED
+    }
+}
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -1,124 +1,36 @@
 //! Placement: assigns waiting tasks to workers and starts them.
 //!
 //! Sized for a few hundred starts per second, in bursts of up to one step's tasks. One pass tries all waiting steps in
-//! rank order. A step that no worker can take does not block the steps behind it, but after [`MAX_MISSES_PER_QUEUE`]
-//! such steps the pass skips the rest of the queue, which bounds its duration on a full fleet. A step is skipped as
-//! well if a step without further constraints found no worker in the same pass, has the same queue, image and
-//! best-effort mode, and asks for no more resources.
+//! rank order. A step that no worker can take does not block the steps behind it. A step is skipped if a step without
+//! further constraints found no worker in the same pass, has the same queue, image and best-effort mode, and asks for
+//! no more resources. [`super::pass`] bounds how much a pass examines.
 //!
 //! The tasks of a job run together in its home domain. A failure domain may be cut off for seconds, and the state of
 //! the runs there is unknown meanwhile. A job that is spread over all domains is delayed by a cut of any of them; a job
 //! in one domain only by a cut of that one.
 
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeSet, BinaryHeap};
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::job::{JobState, JobTaskId, Resources, StepId, StepSpec};
+use crate::job::{JobState, JobTaskId, StepId, StepSpec};
 use crate::shard::health::ProbationCause;
-use crate::shard::interference::WorkerInterference;
 use crate::shard::pick::{self, PlacementRequest, UnusableCause};
 use crate::shard::queue::WaitCause;
 use crate::shard::worker::{Phase, Worker, WorkerId};
 use crate::telemetry::event::shard as event;
 
+use super::pass::{Admission, Pass};
 use super::renewals::{new_run, set_step_attributes};
 use super::rows::PlannedStart;
 use super::{Command, CommandKind, ShardScheduler, StartOutcome, StartRefusal};
 
-/// Number of a queue's steps that found no worker after which a pass skips the rest of the queue. The limit is per
-/// queue because queues ask for different things.
-const MAX_MISSES_PER_QUEUE: usize = 40;
-
 /// Deducted from the score of a worker on probation, so that tasks run there only if no other worker takes them.
 const PROBE_PENALTY: i64 = 10_000_000;
 
 /// Shortest time between two passes, so that tasks that become ready together share one pass.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Which tasks a worker may get in a pass.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Admission {
-    Any,
-    /// One task that can bear a failure.
-    Probe,
-    None,
-}
-
-/// Step that found no worker in a pass, for the comparison with later ones.
-#[derive(Debug)]
-struct FailedStep {
-    queue: String,
-    image: Option<String>,
-    uses_leftover_cpu: bool,
-    can_probe: bool,
-    /// Resources of one task.
-    resources: Resources,
-}
-
-/// State of one placement pass. Vectors have one element per worker, in the order of the scheduler's worker map, which
-/// a pass does not change.
-#[derive(Debug, Default)]
-struct Pass {
-    ids: Vec<WorkerId>,
-    admission: Vec<Admission>,
-    /// Estimated unused processors of the worker. `None` until it is needed, and again after a start.
-    leftovers: Vec<Option<i64>>,
-    /// Interference on the worker. `None` until it is needed, and again after a start.
-    interference: Vec<Option<WorkerInterference>>,
-    /// Free processors of the usable workers by failure domain: uncommitted, and unused by estimate, in thousandths of
-    /// a core.
-    domains: BTreeMap<String, (u64, i64)>,
-    /// Steps without a worker that say something about other steps.
-    failed: Vec<FailedStep>,
-    /// Number of steps without a worker, by queue.
-    misses: BTreeMap<String, usize>,
-}
-
-impl Pass {
-    /// Updates the state of a worker after a run was reserved there or its reservation was taken back.
-    fn invalidate(&mut self, worker: usize) {
-        if self.admission[worker] == Admission::Probe {
-            self.admission[worker] = Admission::None;
-        }
-        self.leftovers[worker] = None;
-        self.interference[worker] = None;
-    }
-
-    fn record_miss(&mut self, queue: &str, step: &StepSpec, can_probe: bool) {
-        *self.misses.entry(queue.to_owned()).or_default() += 1;
-        // Steps with further constraints may fail for other reasons than their size, so they tell nothing about other
-        // steps.
-        let is_unconstrained =
-            step.required_label.is_none() && step.max_per_worker.is_none() && !step.is_gang;
-        if is_unconstrained {
-            self.failed.push(FailedStep {
-                queue: queue.to_owned(),
-                image: step.image.clone(),
-                uses_leftover_cpu: step.uses_leftover_cpu,
-                can_probe,
-                resources: step.resources,
-            });
-        }
-    }
-
-    /// Returns why the step need not be tried, if so: its queue has had too many misses, or a step that asks for no
-    /// more found no worker.
-    fn skip_cause(&self, queue: &str, step: &StepSpec, can_probe: bool) -> Option<WaitCause> {
-        if self.misses.get(queue).is_some_and(|misses| *misses >= MAX_MISSES_PER_QUEUE) {
-            return Some(WaitCause::QueueSkipped);
-        }
-        let is_like_missed = self.failed.iter().any(|failed| {
-            failed.queue == queue
-                && failed.image == step.image
-                && failed.uses_leftover_cpu == step.uses_leftover_cpu
-                && (failed.can_probe || !can_probe)
-                && failed.resources.fits(&step.resources)
-        });
-        is_like_missed.then_some(WaitCause::LikeMissed)
-    }
-}
-
 impl ShardScheduler {
     /// Runs a placement pass if one is due.
     pub(super) fn place(&mut self, now: Duration) {
@@ -130,7 +42,8 @@
         self.is_placement_due = false;
         self.last_placement = now;
         let steps = self.waiting.ordered(self.unix_ms);
-        let mut pass = self.begin_pass(now);
+        let mut pass = self.begin_pass(now, &steps);
+        self.resume_pass_at = None;
         for (key, tasks) in steps {
             let Some(job) = self.jobs.get(&key.job) else {
                 self.waiting.remove_step(&key);
@@ -140,7 +53,10 @@
             let queue = job.queue.clone();
             let step = &spec.steps[usize::from(key.step)];
             let can_probe = self.can_probe(&key, step, &tasks);
-            let mut cause = pass.skip_cause(&queue, step, can_probe);
+            let mut cause = pass.begin_step(&key, &queue, step, can_probe);
+            if cause == Some(WaitCause::PassEnded) && pass.is_over() {
+                self.resume_pass_at.get_or_insert(key);
+            }
             if cause.is_none() && !self.place_step(now, &mut pass, &key, step, can_probe, &tasks) {
                 pass.record_miss(&queue, step, can_probe);
                 cause = Some(WaitCause::NoWorker);
@@ -151,29 +67,17 @@
         }
     }
 
-    fn begin_pass(&self, now: Duration) -> Pass {
-        let mut pass = Pass::default();
+    fn begin_pass(&self, now: Duration, steps: &[(StepId, Vec<u16>)]) -> Pass {
+        let mut pass = Pass::new(self.resume_pass_at, steps);
         for (id, worker) in &self.workers {
-            let domain = &worker.listing.domain;
             let admission = match self.unusable_cause(id, worker, now) {
                 None => Admission::Any,
                 Some(UnusableCause::Probation) if worker.may_get_probe(now) => Admission::Probe,
                 Some(_) => Admission::None,
             };
-            pass.ids.push(id.clone());
-            pass.admission.push(admission);
-            let leftover = (admission == Admission::Any).then(|| pick::leftover_cpu(worker));
-            pass.leftovers.push(leftover);
-            pass.interference.push(None);
-            if let Some(leftover) = leftover {
-                let free = match pass.domains.get_mut(domain) {
-                    Some(free) => free,
-                    None => pass.domains.entry(domain.clone()).or_default(),
-                };
-                free.0 += worker.free().cpu_millis;
-                free.1 += leftover.max(0);
-            }
+            pass.add_worker(id, worker, admission);
         }
+        pass.sort_pools();
         pass
     }
 
@@ -272,7 +176,8 @@
             can_probe,
         };
         let mut scores = Vec::new();
-        for (position, worker) in self.workers.values().enumerate() {
+        for position in pass.candidates(&policy.service, step) {
+            let Some(worker) = self.workers.get(&pass.ids[position]) else { continue };
             if rack.is_none() || worker.listing.rack() == rack {
                 let score = self.score(pass, &req, worker, position);
                 scores.extend(score.map(|score| (score, position)));
--- a/tests/testsuite/shard/starvation.rs
+++ b/tests/testsuite/shard/starvation.rs
@@ -82,6 +82,7 @@
     }
     rig.run(Duration::from_secs(1));
     let small = rig.submit(0xe0, spec(vec![long_running(1, 1_000)]));
+    rig.fleet.durations.insert(small, Duration::from_secs(1_000));
     rig.run(Duration::from_millis(200));
     assert_eq!(rig.starts_of(small).len(), 1);
 }
