Forget the health of a worker with its incarnation

A worker that has restarted stayed on probation for the failures of its previous incarnation, so it stood empty while tasks waited.

--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::job::{JobId, JobTaskId, Resources};
-use crate::shard::health::{ProbationCause, ProbeReport};
+use crate::shard::health::{Health, ProbationCause, ProbeReport};
 use crate::shard::lapse::WorkerClock;
 use crate::shard::report::{RenewalReport, RunReport};
 use crate::shard::worker::{Phase, Run, Worker, WorkerId};
@@ -186,6 +186,7 @@
             })
             .map(|(task, _)| *task)
             .collect();
+        worker.health = Health::default();
         worker.incarnation_started_unix_ms = None;
         worker.clock = None;
         worker.granted_expiry_ms = 0;
