Write changed rows in turn

Jobs with high IDs were not written, and so their tasks not started, while enough jobs with lower IDs changed all the time: a batch took the first 48 changed jobs in the order of their IDs.

A batch now begins behind the last job of the one before.

every_changed_row_is_written_while_others_change_all_the_time fails before (not started in 1 s, with one job a batch) and passes.

--- a/src/shard/scheduler/rows.rs
+++ b/src/shard/scheduler/rows.rs
@@ -1,6 +1,7 @@
 //! Write-back of job rows, and what may be acknowledged or started once they are stored.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 use std::time::Duration;
 
 use crate::job::{JobId, JobTaskId};
@@ -54,6 +55,9 @@
     dirty: BTreeSet<JobId>,
     /// Subset of `dirty` that should be written soon: runs wait for it, or a job has ended.
     urgent: BTreeSet<JobId>,
+    /// Last job of the last batch. The next one begins behind it, so that no job waits for more than one turn of all
+    /// others, however often these change.
+    last_taken: Option<JobId>,
     /// Runs whose workers are not stored yet.
     planned: BTreeMap<JobId, Vec<PlannedStart>>,
     /// Number of complete batches handed out so far, see [`RowBatch::number`].
@@ -100,6 +104,14 @@
         }
     }
 
+    /// Returns up to `most` changed jobs, urgent ones first, each group in turn.
+    fn next_jobs(&self, most: usize, is_urgent: bool) -> Vec<JobId> {
+        let urgent = in_turn(&self.urgent, self.last_taken);
+        let others = in_turn(&self.dirty, self.last_taken);
+        let others = others.filter(|id| !is_urgent && !self.urgent.contains(id));
+        urgent.chain(others).take(most).copied().collect()
+    }
+
     pub(super) fn has_ended(&self, id: JobId) -> bool {
         self.ended.contains(&id)
     }
@@ -129,9 +141,8 @@
         if due.is_empty() && (is_urgent || self.rows.ends.is_empty()) {
             return None;
         }
-        let urgent = self.rows.urgent.iter();
-        let others = due.iter().filter(|id| !self.rows.urgent.contains(id));
-        let ids: Vec<JobId> = urgent.chain(others).take(max_jobs).copied().collect();
+        let ids = self.rows.next_jobs(max_jobs, is_urgent);
+        self.rows.last_taken = ids.last().copied();
         // Ends may be acknowledged only with a batch that covers all jobs they may belong to.
         if ids.len() == self.rows.dirty.len() {
             self.rows.complete_batches += 1;
@@ -190,3 +201,13 @@
         }
     }
 }
+
+/// Iterates over all elements of a set, beginning behind `last`.
+fn in_turn(jobs: &BTreeSet<JobId>, last: Option<JobId>) -> impl Iterator<Item = &JobId> {
+    let (behind, up_to) = match last {
+        Some(last) => (Bound::Excluded(last), Some(Bound::Included(last))),
+        None => (Bound::Unbounded, None),
+    };
+    let first = up_to.map(|up_to| jobs.range((Bound::Unbounded, up_to)));
+    jobs.range((behind, Bound::Unbounded)).chain(first.into_iter().flatten())
+}
