Let failures of a worker that lie far apart not add up

A worker with nothing but long-running tasks has no successes, so two failures of different jobs put it on probation, at any distance in time.

Failures count for 10 s. rare_failures_put_no_worker_on_probation fails before (no usable worker after the second failure) and passes.

--- a/src/shard/health.rs
+++ b/src/shard/health.rs
@@ -5,14 +5,19 @@
 //! sound again right after its fault was noticed, and one that is kept out by the clock stays empty while tasks wait.
 //! Ends of runs that had started before the probation neither prolong nor end it.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::job::{JobId, JobTaskId};
 
-/// Jobs that must have failed on a worker, without a success in between, before it is put on probation. One is not
-/// enough, because a job may fail everywhere.
+/// Jobs that must have failed on a worker within [`FAILURE_MEMORY`], without a success in between, before it is put on
+/// probation. One is not enough, because a job may fail everywhere.
 const FAILED_JOBS_LIMIT: usize = 2;
 
+/// Time for which a failure counts. A worker with nothing but long-running tasks has no successes, and each of these
+/// may fail at times.
+const FAILURE_MEMORY: Duration = Duration::from_secs(10);
+
 /// Pause after a probe that failed, which bounds the work that a faulty worker wastes.
 const PROBE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -67,8 +72,9 @@
 /// Health of a worker, derived from its runs and from unanswered starts.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    /// Jobs with a failed run since the last success. Counted by job, so that one bad job does not affect a worker.
-    failed_jobs: Vec<JobId>,
+    /// Jobs with a failed run since the last success, with the local time of the newest. Counted by job, so that one bad
+    /// job does not affect a worker.
+    failed_jobs: BTreeMap<JobId, Duration>,
     probation: Option<Probation>,
     /// Starts since the last answer that were not sent or got no answer.
     pub unanswered_starts: u32,
@@ -140,10 +146,8 @@
     /// Records that a run of a job failed. Returns true if this begins a probation.
     pub fn on_failed(&mut self, task: &JobTaskId, run: u32, now: Duration) -> bool {
         self.fail_probe(task, run, now);
-        let job = task.step.job;
-        if !self.failed_jobs.contains(&job) {
-            self.failed_jobs.push(job);
-        }
+        self.failed_jobs.retain(|_, failed| now.saturating_sub(*failed) < FAILURE_MEMORY);
+        self.failed_jobs.insert(task.step.job, now);
         self.failed_jobs.len() >= FAILED_JOBS_LIMIT
             && self.begin_probation(ProbationCause::FailedRuns, now)
     }
@@ -164,7 +168,9 @@
     /// Ends the probation. One more failed job begins the next one, unless a success precedes it.
     fn restore(&mut self, now: Duration) -> Option<Restored> {
         let probation = self.probation.take()?;
-        self.failed_jobs.truncate(FAILED_JOBS_LIMIT - 1);
+        while self.failed_jobs.len() >= FAILED_JOBS_LIMIT {
+            self.failed_jobs.pop_first();
+        }
         Some(Restored { after: now.saturating_sub(probation.began), probes: probation.probes })
     }
 }
--- a/tests/testsuite/shard/starvation.rs
+++ b/tests/testsuite/shard/starvation.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use plantainlever::job::{JobId, StepSpec};
+use plantainlever::shard::report::EndCause;
 
 use super::rig::{Fleet, Rig, spec, step, worker_id};
 
@@ -61,6 +62,24 @@
     assert!(starts <= 20, "{starts} starts in 10 s");
 }
 
+/// Guards against workers full of long-running tasks that are put on probation for failures far apart.
+#[test]
+fn rare_failures_put_no_worker_on_probation() {
+    let mut rig = Rig::new(Fleet::new(1, 4_000));
+    for id in 1..=4 {
+        let id = rig.submit(id, spec(vec![long_running(1, 1_000)]));
+        rig.fleet.durations.insert(id, Duration::from_secs(1_000));
+    }
+    rig.run(Duration::from_millis(300));
+    for index in 0..3 {
+        let task = *rig.fleet.get(0).runs.keys().nth(index).unwrap();
+        rig.fleet.get(0).end(task, EndCause::Failed);
+        rig.run(Duration::from_millis(200));
+        assert_eq!(rig.owner.load(rig.fleet.now).usable_workers, 1, "after failure {index}");
+        rig.run(Duration::from_secs(15));
+    }
+}
+
 /// Guards against a worker that stays quarantined by the failures of its previous incarnation.
 #[test]
 fn a_restarted_worker_is_not_quarantined() {
