Judge a long probe by its progress after 1.5 s

a_long_probe_ends_the_probation_by_its_progress fails with 5 s (1 of 4 runs after 2.5 s) and passes.

--- a/src/shard/health.rs
+++ b/src/shard/health.rs
@@ -25,7 +25,7 @@
 const READY_PROBE_TIME: Duration = Duration::from_millis(1_000);
 
 /// Time for which a probe must run and make progress before its worker counts as sound, if the task takes longer.
-const LONG_PROBE_TIME: Duration = Duration::from_millis(5_000);
+const LONG_PROBE_TIME: Duration = Duration::from_millis(1_500);
 
 /// Why a worker was put on probation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/tests/testsuite/shard/starvation.rs
+++ b/tests/testsuite/shard/starvation.rs
@@ -47,6 +47,28 @@
     }
 }
 
+/// Guards against a sound worker that is not used until a probe that takes minutes has ended.
+#[test]
+fn a_long_probe_ends_the_probation_by_its_progress() {
+    let mut rig = Rig::new(Fleet::new(1, 4_000));
+    rig.fleet.get(0).fails_all = true;
+    for id in [1, 2] {
+        rig.submit(id, spec(vec![long_running(1, 1_000)]));
+    }
+    rig.run(Duration::from_millis(400));
+    for id in [1, 2] {
+        rig.owner.on_cancel(rig.fleet.now, JobId(id));
+    }
+    rig.fleet.get(0).fails_all = false;
+    let long = rig.submit(3, spec(vec![step(4, 1_000)]));
+    rig.fleet.durations.insert(long, Duration::from_secs(300));
+    for percent in [10, 20] {
+        rig.fleet.get(0).percent = percent;
+        rig.run(Duration::from_millis(1_250));
+    }
+    assert_eq!(rig.fleet.get(0).runs.len(), 4);
+}
+
 /// Guards against a worker that keeps failing and gets many tasks meanwhile.
 #[test]
 fn a_failing_worker_gets_one_task_at_a_time() {
