Skip no step for the miss of a task that runs on the only free worker

A speculative run that waits for a second worker made all steps of its size be skipped, although the worker of the first run had room for them: the pass took it for "no worker has enough resources".

A miss now says something about other steps only if no worker is left that could take the step. a_miss_for_its_own_run_skips_no_other_step fails before (not started) and passes.

--- a/src/shard/scheduler/pass.rs
+++ b/src/shard/scheduler/pass.rs
@@ -143,14 +143,20 @@
         self.interference[worker] = None;
     }
 
-    /// Records that the current step found no worker.
-    pub(super) fn record_miss(&mut self, queue: &str, step: &StepSpec, can_probe: bool) {
+    /// Records that the current step found no worker; `is_full` if no worker has enough resources for it.
+    pub(super) fn record_miss(
+        &mut self,
+        queue: &str,
+        step: &StepSpec,
+        can_probe: bool,
+        is_full: bool,
+    ) {
         self.examined += self.examined_by_step;
         // Steps with further constraints may fail for other reasons than their size, so they tell nothing about other
         // steps.
         let is_unconstrained =
             step.required_label.is_none() && step.max_per_worker.is_none() && !step.is_gang;
-        if is_unconstrained {
+        if is_unconstrained && is_full {
             self.failed.push(FailedStep {
                 queue: queue.to_owned(),
                 image: step.image.clone(),
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -31,6 +31,17 @@
 /// Shortest time between two passes, so that tasks that become ready together share one pass.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Result of the placement of a step's waiting tasks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StepOutcome {
+    /// All of them have a worker.
+    Placed,
+    /// No worker can take another one.
+    NoWorker,
+    /// The workers that can take another one already have a run of the same task.
+    OnlyOwnWorkers,
+}
+
 impl ShardScheduler {
     /// Runs a placement pass if one is due.
     pub(super) fn place(&mut self, now: Duration) {
@@ -57,9 +68,13 @@
             if cause == Some(WaitCause::PassEnded) && pass.is_over() {
                 self.resume_pass_at.get_or_insert(key);
             }
-            if cause.is_none() && !self.place_step(now, &mut pass, &key, step, can_probe, &tasks) {
-                pass.record_miss(&queue, step, can_probe);
-                cause = Some(WaitCause::NoWorker);
+            if cause.is_none() {
+                let outcome = self.place_step(now, &mut pass, &key, step, can_probe, &tasks);
+                if outcome != StepOutcome::Placed {
+                    let is_full = outcome == StepOutcome::NoWorker;
+                    pass.record_miss(&queue, step, can_probe, is_full);
+                    cause = Some(WaitCause::NoWorker);
+                }
             }
             if let Some(cause) = cause.filter(|_| step.is_long_running) {
                 self.waiting.record_pass(&key, cause, now);
@@ -93,7 +108,7 @@
         !step.is_gang && (step.is_long_running || attempts > 1 && !tasks.iter().any(has_failed))
     }
 
-    /// Places the waiting tasks of a step. Returns false if a task found no worker.
+    /// Places the waiting tasks of a step.
     ///
     /// Workers are scored once per step, and a start rescores only its own worker: steps have up to a few dozen
     /// identical tasks, and a shard has a few hundred workers.
@@ -105,9 +120,10 @@
         step: &StepSpec,
         can_probe: bool,
         tasks: &[u16],
-    ) -> bool {
+    ) -> StepOutcome {
         if step.is_gang {
-            return self.place_gang(now, pass, key, tasks);
+            let is_placed = self.place_gang(now, pass, key, tasks);
+            return if is_placed { StepOutcome::Placed } else { StepOutcome::NoWorker };
         }
         self.choose_home(pass, key, step);
         let mut best: BinaryHeap<(i64, usize)> =
@@ -115,7 +131,8 @@
         for index in tasks {
             let task = JobTaskId { step: *key, index: *index };
             let Some((worker, position)) = self.pop_best(pass, &mut best, &task) else {
-                return false;
+                let is_full = best.is_empty();
+                return if is_full { StepOutcome::NoWorker } else { StepOutcome::OnlyOwnWorkers };
             };
             let run = self.next_run(self.last_run(&task));
             self.reserve(now, &worker, &task, run);
@@ -123,7 +140,7 @@
             let again = self.score_of(pass, key, step, can_probe, position);
             best.extend(again.map(|score| (score, position)));
         }
-        true
+        StepOutcome::Placed
     }
 
     /// Removes the best worker for a task from `best` and returns it. Workers that already have a run of the task are
--- a/tests/testsuite/shard/starvation.rs
+++ b/tests/testsuite/shard/starvation.rs
@@ -128,6 +128,23 @@
     assert_eq!(rig.starts_of(small).len(), 1);
 }
 
+/// Guards against a speculative run that finds no other worker and makes steps of the same size be skipped.
+#[test]
+fn a_miss_for_its_own_run_skips_no_other_step() {
+    let mut rig = Rig::new(Fleet::new(1, 4_000));
+    let copied = StepSpec { is_speculative: true, ..step(1, 1_000) };
+    let copied = rig.submit(1, spec(vec![copied]));
+    rig.fleet.durations.insert(copied, Duration::from_secs(1_000));
+    rig.run(Duration::from_millis(300));
+    rig.fleet.get(0).is_cut = true;
+    rig.run(Duration::from_millis(100));
+    rig.fleet.get(0).is_cut = false;
+    rig.run(Duration::from_secs(1));
+    let other = rig.submit(2, spec(vec![step(1, 1_000)]));
+    rig.run(Duration::from_millis(200));
+    assert_eq!((rig.starts_of(copied).len(), rig.starts_of(other).len()), (1, 1));
+}
+
 /// Guards against jobs with high IDs whose rows are not written while those with lower IDs change all the time.
 #[test]
 fn every_changed_row_is_written_while_others_change_all_the_time() {
