Forget the oldest ended job first

Once 20,000 ended jobs were kept, the one with the lowest ID was forgotten, which may be the newest: a row of it that is read again then runs it again.

--- a/src/shard/scheduler/rows.rs
+++ b/src/shard/scheduler/rows.rs
@@ -1,6 +1,6 @@
 //! Write-back of job rows, and what may be acknowledged or started once they are stored.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Bound;
 use std::time::Duration;
 
@@ -66,6 +66,8 @@
     /// Sequence number of the newest end of each worker, by the number of the batch after which it may be acknowledged.
     ends: BTreeMap<u64, BTreeMap<WorkerId, u64>>,
     ended: BTreeSet<JobId>,
+    /// The same IDs as in `ended`, oldest first.
+    ended_in_order: VecDeque<JobId>,
 }
 
 impl PendingRows {
@@ -117,9 +119,13 @@
     }
 
     pub(super) fn record_ended(&mut self, id: JobId) {
-        self.ended.insert(id);
-        if self.ended.len() > MAX_ENDED_JOBS_KEPT {
-            self.ended.pop_first();
+        if self.ended.insert(id) {
+            self.ended_in_order.push_back(id);
+        }
+        if self.ended.len() > MAX_ENDED_JOBS_KEPT
+            && let Some(oldest) = self.ended_in_order.pop_front()
+        {
+            self.ended.remove(&oldest);
         }
     }
 }
--- a/tests/testsuite/shard/starvation.rs
+++ b/tests/testsuite/shard/starvation.rs
@@ -1,11 +1,12 @@
 //! Tasks that wait although a worker could run them.
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use plantainlever::job::{JobId, StepSpec};
+use plantainlever::job::{JobId, JobState, Progress, StepSpec};
 use plantainlever::shard::report::EndCause;
 
-use super::rig::{Fleet, Rig, spec, step, worker_id};
+use super::rig::{Fleet, Rig, accepted, spec, step, worker_id};
 
 fn long_running(count: u32, cpu_millis: u64) -> StepSpec {
     StepSpec { is_long_running: true, ..step(count, cpu_millis) }
@@ -161,3 +162,17 @@
     rig.run(Duration::from_secs(1));
     assert_eq!(rig.starts_of(last).len(), 1);
 }
+
+/// Guards against a job that runs again because its end was forgotten before those of older jobs.
+#[test]
+fn the_newest_of_many_ended_jobs_is_not_forgotten_first() {
+    let mut rig = Rig::new(Fleet::new(1, 4_000));
+    let spec = spec(vec![step(1, 1_000)]);
+    let ended = Progress { state: JobState::Completed, ..Progress::new() }.encode();
+    for id in (0..=20_000).rev() {
+        let job = accepted(JobId(id), Rc::clone(&spec));
+        rig.owner.on_job_with_progress(job, &ended).unwrap();
+    }
+    rig.owner.on_job(accepted(JobId(0), spec));
+    assert_eq!(rig.owner.load(rig.fleet.now).jobs, 0);
+}
