Start nothing on a worker with more committed than it has

A worker whose capacity has shrunk below what is committed there got tasks that ask for nothing in the dimension that is short, such as best-effort tasks, which commit no processors.

Cause: Worker::free is the difference per dimension, at least 0, so a shortage of 2,000 looked like 0 free, and a task that asks for 0 fits 0. It takes a capacity that shrinks; before, more was never committed than there was.

Change: placement asks Worker::has_room_for, which adds what the task commits to what is committed and compares the sum with the capacity, without a difference that would have to be negative.

--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -124,8 +124,7 @@
     cost: impl FnOnce() -> f64,
 ) -> Option<i64> {
     let step = req.step;
-    let free = worker.free();
-    if worker.listing.service != req.service || !step.committed().fits(&free) {
+    if worker.listing.service != req.service || !worker.has_room_for(&step.committed()) {
         return None;
     }
     if step.required_label.as_ref().is_some_and(|label| !worker.listing.labels.contains(label)) {
@@ -137,7 +136,7 @@
     let base = if step.uses_leftover_cpu {
         score_best_effort(worker, step, leftover(), cost)?
     } else {
-        score_committed(worker, step, &free)
+        score_committed(worker, step, &worker.free())
     };
     Some(base - penalty(worker, req))
 }
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -251,9 +251,25 @@
         self.unlisted_since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
     }
 
-    /// Returns the capacity that is not committed to runs.
+    /// Returns true if the capacity covers what is committed to runs and `more` in each dimension. A capacity may shrink
+    /// below what is committed; then no run fits, not even one that asks for nothing.
+    #[must_use]
+    pub fn has_room_for(&self, more: &Resources) -> bool {
+        self.committed.add(more).fits(&self.listing.capacity)
+    }
+
+    /// Returns true if more is committed to runs than the worker has, because its capacity has shrunk.
+    #[must_use]
+    pub fn is_overcommitted(&self) -> bool {
+        !self.has_room_for(&Resources::default())
+    }
+
+    /// Returns the capacity that is not committed to runs; zero in each dimension if one is overcommitted.
     #[must_use]
     pub fn free(&self) -> Resources {
+        if self.is_overcommitted() {
+            return Resources::default();
+        }
         self.listing.capacity.saturating_sub(&self.committed)
     }
 
