Check the room again before a reserved run starts

What callers would see: LIMIT. A run that was reserved before its worker shrank was started there, over the capacity. The time between the two is that of the write of the job's row: about 20 ms, but seconds while the store is slow or down.

Cause: start_planned asks whether the worker is still usable, not whether what is committed there still fits.

Change: may_start also requires that the worker is not overcommitted. Runs are checked one after the other, and each that is taken back makes room for the next, so a worker keeps what fits. All members of a gang are taken back if one of them can't start, as before for unusable workers.

A capacity that changes after the start was handed out (up to 20 ms before it is sent) is not seen; the rule counts a shrunk capacity 3 s and one beat later.

--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -365,7 +365,7 @@
     }
 
     /// Starts reserved runs once the progress rows that name their workers are stored. The worker may have become
-    /// unusable since the reservation; its task is then queued again, together with all members of its gang.
+    /// unusable or smaller since the reservation; its task is then queued again, together with all members of its gang.
     pub(super) fn start_planned(&mut self, now: Duration, planned: Vec<PlannedStart>) {
         let planned: Vec<PlannedStart> =
             planned.into_iter().filter(|planned| self.is_reserved(planned)).collect();
@@ -397,7 +397,8 @@
     fn may_start(&self, now: Duration, planned: &PlannedStart) -> bool {
         let is_usable = self.workers.get(&planned.worker).is_some_and(|worker| {
             let is_out = self.domains_out.contains(&worker.listing.domain);
-            pick::is_usable(worker, now, is_out)
+            // The run itself is committed, and so are runs that were reserved after it.
+            pick::is_usable(worker, now, is_out) && !worker.is_overcommitted()
         });
         let job = self.jobs.get(&planned.task.step.job);
         self.is_start_allowed && is_usable && job.is_some_and(|job| !job.progress.state.is_final())
