Let a run of unknown size fill a worker that has grown

A new owner that finds a run of a job it does not know stops it, and starts nothing beside it meanwhile. If the worker's capacity grew during the stop, tasks started beside the run.

Cause: the run committed the capacity that the worker had when the run was found, a copy of a value that changes.

Change: Run::is_size_unknown marks such a run, Worker counts them, and no run fits beside one (has_room_for). A run that was reserved on the worker before the unknown one was found is taken back, too. The worker's leftover processors count as 0 meanwhile, as before. shard::interference's own literal of a Run gets the field; nothing else in it changes.

--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -98,9 +98,13 @@
     unusable_cause(worker, now, is_domain_out).is_none()
 }
 
-/// Returns the estimated unused processors of a worker, in thousandths of a core. Negative if it is overcommitted.
+/// Returns the estimated unused processors of a worker, in thousandths of a core. Negative if it is overcommitted, and 0
+/// beside a run of unknown size.
 #[must_use]
 pub fn leftover_cpu(worker: &Worker) -> i64 {
+    if worker.has_run_of_unknown_size() {
+        return 0;
+    }
     let mut used = 0;
     for run in worker.runs.values() {
         used += if run.leftover_cpu > 0 {
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -398,7 +398,7 @@
         let is_usable = self.workers.get(&planned.worker).is_some_and(|worker| {
             let is_out = self.domains_out.contains(&worker.listing.domain);
             // The run itself is committed, and so are runs that were reserved after it.
-            pick::is_usable(worker, now, is_out) && !worker.is_overcommitted()
+            pick::is_usable(worker, now, is_out) && worker.has_room_for(&Resources::default())
         });
         let job = self.jobs.get(&planned.task.step.job);
         self.is_start_allowed && is_usable && job.is_some_and(|job| !job.progress.state.is_final())
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -317,10 +317,7 @@
                 is_wanted = !progress.is_done && !is_final && !is_live;
             }
         }
-        if let Some(worker) = self.workers.get(worker_id).filter(|_| !is_step_known) {
-            // The resources of a run of an unknown job are unknown, so it is assumed to occupy the whole worker.
-            run.committed = worker.listing.capacity;
-        }
+        run.is_size_unknown = !is_step_known;
         run.percent = listed.percent;
         run.load = listed.load;
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
@@ -512,6 +509,7 @@
         number,
         phase,
         committed: Resources::default(),
+        is_size_unknown: false,
         leftover_cpu: 0,
         tail_target_ms: None,
         image: None,
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -68,8 +68,10 @@
     pub number: u32,
     /// State of the run.
     pub phase: Phase,
-    /// Resources that count against the worker's capacity.
+    /// Resources that count against the worker's capacity; zero if they are unknown.
     pub committed: Resources,
+    /// The job of the run is unknown and so are its resources. Nothing may start beside it, whatever the capacity is.
+    pub is_size_unknown: bool,
     /// Processors that a best-effort task asks for, in thousandths of a core; 0 for other tasks.
     pub leftover_cpu: u64,
     /// Tail latency target in milliseconds of a serving task; `None` for other tasks.
@@ -182,6 +184,8 @@
     pub runs: BTreeMap<JobTaskId, Run>,
     /// Sum of the committed resources of `runs`.
     pub committed: Resources,
+    /// Number of runs of unknown size in `runs`.
+    runs_of_unknown_size: u32,
     /// Moving average of the share of the worker that the best-effort tasks of each image use. It decays within
     /// [`super::interference::REPORT_WINDOW`], to match the window of a report.
     pub shares: BTreeMap<Rc<str>, f64>,
@@ -218,6 +222,7 @@
             has_listed_runs: false,
             runs: BTreeMap::new(),
             committed: Resources::default(),
+            runs_of_unknown_size: 0,
             shares: BTreeMap::new(),
             seen_end: 0,
             acked_end: 0,
@@ -235,6 +240,7 @@
     pub fn add_run(&mut self, task: JobTaskId, run: Run) {
         self.remove_run(&task);
         self.committed = self.committed.add(&run.committed);
+        self.runs_of_unknown_size += u32::from(run.is_size_unknown);
         self.runs.insert(task, run);
     }
 
@@ -242,6 +248,7 @@
     pub fn remove_run(&mut self, task: &JobTaskId) -> Option<Run> {
         let run = self.runs.remove(task)?;
         self.committed = self.committed.saturating_sub(&run.committed);
+        self.runs_of_unknown_size -= u32::from(run.is_size_unknown);
         Some(run)
     }
 
@@ -252,22 +259,29 @@
     }
 
     /// Returns true if the capacity covers what is committed to runs and `more` in each dimension. A capacity may shrink
-    /// below what is committed; then no run fits, not even one that asks for nothing.
+    /// below what is committed; then no run fits, not even one that asks for nothing. None fits beside a run of unknown
+    /// size either.
     #[must_use]
     pub fn has_room_for(&self, more: &Resources) -> bool {
-        self.committed.add(more).fits(&self.listing.capacity)
+        !self.has_run_of_unknown_size() && self.committed.add(more).fits(&self.listing.capacity)
+    }
+
+    /// Returns true if the resources of a run on the worker are unknown.
+    #[must_use]
+    pub fn has_run_of_unknown_size(&self) -> bool {
+        self.runs_of_unknown_size > 0
     }
 
     /// Returns true if more is committed to runs than the worker has, because its capacity has shrunk.
     #[must_use]
     pub fn is_overcommitted(&self) -> bool {
-        !self.has_room_for(&Resources::default())
+        !self.committed.fits(&self.listing.capacity)
     }
 
-    /// Returns the capacity that is not committed to runs; zero in each dimension if one is overcommitted.
+    /// Returns the capacity that is not committed to runs; zero in each dimension if no run fits.
     #[must_use]
     pub fn free(&self) -> Resources {
-        if self.is_overcommitted() {
+        if !self.has_room_for(&Resources::default()) {
             return Resources::default();
         }
         self.listing.capacity.saturating_sub(&self.committed)
--- a/tests/testsuite/shard/interference.rs
+++ b/tests/testsuite/shard/interference.rs
@@ -23,6 +23,7 @@
         number: 1,
         phase: Phase::Active,
         committed: Resources::default(),
+        is_size_unknown: false,
         leftover_cpu: 0,
         tail_target_ms: None,
         image: Some(Rc::from(image)),
