Move best-effort tasks away from a worker that has shrunk

On a worker whose capacity has shrunk, best-effort tasks kept the processors and memory that tasks with reservations were promised. Nothing looked at a changed capacity.

Change: on_listing compares the capacity with the one before, logs a change (P0628), and after a shrink stops best-effort tasks and queues them again until the estimate of unused processors (leftover_cpu, by the current capacity) is not negative and no dimension has more committed than there is. Reserved runs go first, then those with the least progress. Resources of runs that are being stopped count as free here, so that no more are stopped than needed. While a worker is overcommitted the same is done after each of its reports, for runs that were starting when it shrank.

Not stopped: tasks with reservations, since their work would be lost and LIMIT is about starts only; tasks past the progress from which throttled tasks aren't moved either, which includes every long-running task at work (may-miss); gangs, whose members on other workers would end as well. The limits of progress are those of move_throttled, in one function now.

New: no_more_best_effort_tasks_leave_than_the_worker_lacks, and a_best_effort_task_that_was_starting_leaves_a_worker_that_has_shrunk, which fails if the check after a report is taken out.

--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -105,19 +105,22 @@
     if worker.has_run_of_unknown_size() {
         return 0;
     }
-    let mut used = 0;
-    for run in worker.runs.values() {
-        used += if run.leftover_cpu > 0 {
-            run.leftover_cpu * u64::from(run.cpu_percent) / 100
-        } else if run.tail_target_ms.is_some() {
-            run.committed.cpu_millis * SERVING_USE_PERCENT / 100
-        } else {
-            run.committed.cpu_millis
-        };
-    }
+    let used: u64 = worker.runs.values().map(estimated_use).sum();
     worker.listing.capacity.cpu_millis as i64 - used as i64
 }
 
+/// Returns the processors that a run is expected to use, in thousandths of a core.
+#[must_use]
+pub fn estimated_use(run: &Run) -> u64 {
+    if run.leftover_cpu > 0 {
+        run.leftover_cpu * u64::from(run.cpu_percent) / 100
+    } else if run.tail_target_ms.is_some() {
+        run.committed.cpu_millis * SERVING_USE_PERCENT / 100
+    } else {
+        run.committed.cpu_millis
+    }
+}
+
 /// Returns the score of a worker for a task, higher is better, or `None` if the task can't be placed there. `leftover`
 /// ([`leftover_cpu`]) and `cost` ([`super::interference::Pressures::cost_with`]) are called only for best-effort tasks.
 #[must_use]
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -9,6 +9,7 @@
 //! worker each run is or may be, and the workers still list every end that is not in a row. Only tasks that are
 //! recorded on a worker that does not answer have to wait for that worker.
 
+mod capacity;
 mod command;
 mod ends;
 mod inherited;
@@ -209,11 +210,15 @@
                 && worker.incarnation_started_unix_ms.is_some()
                 && entry.incarnation_started_unix_ms > worker.incarnation_started_unix_ms;
             let starts_to_drain = entry.is_draining && !worker.listing.is_draining;
-            worker.listing = entry;
+            let before = std::mem::replace(&mut worker.listing, entry).capacity;
+            let has_other_capacity = worker.listing.capacity != before;
             let id = worker.listing.id.clone();
             if is_new_incarnation {
                 self.on_new_incarnation(&id, now);
             }
+            if has_other_capacity {
+                self.on_capacity_changed(now, &id, &before);
+            }
             if starts_to_drain {
                 self.on_draining(&id, now);
             }
--- a/src/shard/scheduler/throttling.rs
+++ b/src/shard/scheduler/throttling.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::job::JobTaskId;
+use crate::job::{JobTaskId, StepSpec};
 use crate::shard::worker::{Phase, WorkerId};
 use crate::telemetry::event::shard as event;
 
@@ -20,6 +20,15 @@
 /// The same for a task without checkpoints, which would start from the beginning.
 const MAX_MOVE_PERCENT_WITHOUT_CHECKPOINTS: u8 = 20;
 
+/// Progress in percent from which a task of the step is not moved.
+pub(super) fn max_move_percent(step: Option<&StepSpec>) -> u8 {
+    if step.is_some_and(|step| step.checkpoints) {
+        MAX_MOVE_PERCENT_WITH_CHECKPOINTS
+    } else {
+        MAX_MOVE_PERCENT_WITHOUT_CHECKPOINTS
+    }
+}
+
 impl ShardScheduler {
     /// Adjusts the throttles of a worker's best-effort tasks after a report, and moves tasks that have been throttled
     /// for long.
@@ -37,6 +46,10 @@
             let address = worker.listing.address;
             self.commands.push(Command { worker: worker_id.clone(), address, kind });
         }
+        if worker.is_overcommitted() {
+            // Runs that were starting when the worker shrank are active by now.
+            self.move_best_effort(now, worker_id);
+        }
         self.move_throttled(now, worker_id);
     }
 
@@ -62,14 +75,9 @@
                 .jobs
                 .get(&task.step.job)
                 .map(|job| &job.spec.steps[usize::from(task.step.step)]);
-            let max_percent = if step.is_some_and(|step| step.checkpoints) {
-                MAX_MOVE_PERCENT_WITH_CHECKPOINTS
-            } else {
-                MAX_MOVE_PERCENT_WITHOUT_CHECKPOINTS
-            };
             if has_spare_workers
                 && now.saturating_sub(since) >= THROTTLED_LIMIT
-                && run.percent < max_percent
+                && run.percent < max_move_percent(step)
             {
                 moved.push(*task);
             }
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -37,7 +37,8 @@
 /// A speculative run was queued for a task that may run twice, because the worker of its first run is silent or the
 /// outcome of its start is in doubt.
 pub const TASK_COPIED: Event = Event::new(616, Level::Info, "task-copied");
-/// A task was moved to another worker, because other tasks on its worker leave it too few resources.
+/// A task was moved to another worker, because other tasks on its worker leave it too few resources or the worker has
+/// shrunk.
 pub const TASK_MOVED: Event = Event::new(617, Level::Info, "task-moved");
 /// Tasks of a long-running step have waited for a worker for long.
 pub const TASK_WAITING: Event = Event::new(618, Level::Info, "task-waiting");
@@ -53,6 +54,8 @@
 pub const WORKER_DRAINING: Event = Event::new(624, Level::Info, "worker-draining");
 /// A worker was removed from the platform's list of workers, and its leases have lapsed.
 pub const WORKER_GONE: Event = Event::new(625, Level::Info, "worker-gone");
+/// The capacity of a worker has changed.
+pub const WORKER_RESIZED: Event = Event::new(628, Level::Info, "worker-resized");
 /// The failure domains that are out of service have changed.
 pub const DOMAINS_OUT: Event = Event::new(630, Level::Info, "domains-out");
 /// This process has claimed a shard.
@@ -116,6 +119,7 @@
     WORKER_RESTARTED,
     WORKER_DRAINING,
     WORKER_GONE,
+    WORKER_RESIZED,
     DOMAINS_OUT,
     SHARD_CLAIMED,
     TAKEOVER_DONE,
--- a/tests/testsuite/shard/capacity.rs
+++ b/tests/testsuite/shard/capacity.rs
@@ -274,6 +274,45 @@
     }
 }
 
+/// Guards against more stops than the shrunk worker needs: tasks that are being stopped still use it, but not for long.
+/// A gang stays, because its members on other workers would end with the one here.
+#[test]
+fn no_more_best_effort_tasks_leave_than_the_worker_lacks() {
+    for (is_gang, stopped) in [(false, 1), (true, 0)] {
+        let mut rig = one_worker();
+        rig.fleet.get(0).percent = 10;
+        submit_long(&mut rig, 7, spec(vec![step(1, 2_000)]));
+        let mut filling = step(2, 1_000);
+        (filling.uses_leftover_cpu, filling.is_gang) = (true, is_gang);
+        let filling = submit_long(&mut rig, 8, spec(vec![filling]));
+        rig.run(SOON);
+        assert_eq!(rig.starts_of(filling).len(), 2);
+        rig.fleet.add(listing(1, 4_000));
+        set_cpu(&mut rig, 0, 3_000);
+        rig.run(Duration::from_secs(1));
+        rig.assert_no_breach();
+        assert_eq!(rig.starts_of(filling).len(), 2 + stopped, "gang: {is_gang}");
+    }
+}
+
+/// Guards against a best-effort task that was starting when its worker shrank and was not looked at again.
+#[test]
+fn a_best_effort_task_that_was_starting_leaves_a_worker_that_has_shrunk() {
+    let mut rig = one_worker();
+    rig.fleet.get(0).percent = 10;
+    submit_long(&mut rig, 7, spec(vec![step(1, 2_000)]));
+    rig.run(SOON);
+    // The start is carried out in the round after this one, which is too late to take it back.
+    let filling = submit_long(&mut rig, 8, best_effort(1_500));
+    rig.round();
+    rig.fleet.add(listing(1, 4_000));
+    rig.fleet.get(0).listing.capacity.memory_mib = 150;
+    rig.run(Duration::from_secs(1));
+    let on: Vec<WorkerId> = rig.starts_of(filling).into_iter().map(|(.., id)| id).collect();
+    assert_eq!(on.last(), Some(&worker_id(1)));
+    assert!(rig.fleet.get(0).runs.keys().all(|task| task.step.job != filling));
+}
+
 /// Guards against an estimate of unused processors by an earlier capacity.
 #[test]
 fn a_best_effort_task_waits_for_the_processors_of_a_shrunk_worker() {
