Wait for a restarted worker's own entry in the VM list

An executor may come back under the ID that it had, and another incarnation may have another capacity. Between its first answer and its first entry in the VM list, tasks were placed by the capacity of the incarnation before.

Cause: the start time of the incarnation that answers and that of the one in the VM list were compared only to detect a restart, not to tell whose capacity is listed.

If one of the two start times is unknown, nothing changes.

shard::capacity::a_restarted_worker_gets_no_task_before_its_new_capacity_is_listed gives four starts on room of two without the check, and none before the entry and two after it with the check.

--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -57,6 +57,8 @@
     Draining,
     /// It is missing from the VM list.
     Unlisted,
+    /// The VM list still has its previous incarnation, whose capacity may be another one.
+    PreviousListed,
     /// Starts there got no answer.
     UnansweredStarts,
     /// Runs of several jobs failed there, or made no progress.
@@ -83,6 +85,8 @@
         Some(UnusableCause::Draining)
     } else if worker.unlisted_for(now) >= UNLISTED_LIMIT {
         Some(UnusableCause::Unlisted)
+    } else if worker.is_previous_incarnation_listed() {
+        Some(UnusableCause::PreviousListed)
     } else if worker.health.unanswered_starts >= UNANSWERED_STARTS_LIMIT {
         Some(UnusableCause::UnansweredStarts)
     } else if worker.health.is_quarantined(now) {
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -252,6 +252,13 @@
         Some(run)
     }
 
+    /// Returns true if the VM list still has an earlier incarnation than the one that last answered.
+    #[must_use]
+    pub fn is_previous_incarnation_listed(&self) -> bool {
+        let listed = self.listing.incarnation_started_unix_ms;
+        listed.is_some() && listed < self.incarnation_started_unix_ms
+    }
+
     /// Returns for how long the VM list has not contained the worker; zero if it does.
     #[must_use]
     pub fn unlisted_for(&self, now: Duration) -> Duration {
--- a/tests/testsuite/shard/capacity.rs
+++ b/tests/testsuite/shard/capacity.rs
@@ -313,6 +313,24 @@
     assert!(rig.fleet.get(0).runs.keys().all(|task| task.step.job != filling));
 }
 
+/// Guards against starts on a restarted worker by the capacity that its previous incarnation had: the VM list shows the
+/// new one a moment after it answers.
+#[test]
+fn a_restarted_worker_gets_no_task_before_its_new_capacity_is_listed() {
+    let mut rig = one_worker();
+    rig.is_list_down = true;
+    rig.fleet.get(0).restart();
+    set_cpu(&mut rig, 0, 2_000);
+    rig.run(SOON);
+    let id = submit_long(&mut rig, 7, spec(vec![step(4, 1_000)]));
+    rig.run(SOON);
+    assert_eq!(rig.starts_of(id), []);
+    rig.is_list_down = false;
+    rig.run(SOON);
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 2);
+}
+
 /// Guards against an estimate of unused processors by an earlier capacity.
 #[test]
 fn a_best_effort_task_waits_for_the_processors_of_a_shrunk_worker() {
