--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -59,6 +59,8 @@
     Draining,
     /// It is missing from the VM list.
     Unlisted,
+    /// The VM list still has its previous incarnation, whose capacity may be another one.
+    PreviousListed,
     /// Starts there got no answer.
     UnansweredStarts,
     /// It is on probation, so it gets probes only.
@@ -85,6 +87,8 @@
         Some(UnusableCause::Draining)
     } else if worker.unlisted_for(now) >= UNLISTED_LIMIT {
         Some(UnusableCause::Unlisted)
+    } else if worker.is_previous_incarnation_listed() {
+        Some(UnusableCause::PreviousListed)
     } else if worker.health.unanswered_starts >= UNANSWERED_STARTS_LIMIT {
         Some(UnusableCause::UnansweredStarts)
     } else if worker.health.is_on_probation() {
@@ -94,22 +98,29 @@
     }
 }
 
-/// Returns the estimated unused processors of a worker, in thousandths of a core. Negative if it is overcommitted.
+/// Returns the estimated unused processors of a worker, in thousandths of a core. Negative if it is overcommitted, and 0
+/// beside a run of unknown size.
 #[must_use]
 pub fn leftover_cpu(worker: &Worker) -> i64 {
-    let mut used = 0;
-    for run in worker.runs.values() {
-        used += if run.leftover_cpu > 0 {
-            run.leftover_cpu * u64::from(run.cpu_percent) / 100
-        } else if run.tail_target_ms.is_some() {
-            run.committed.cpu_millis * SERVING_USE_PERCENT / 100
-        } else {
-            run.committed.cpu_millis
-        };
+    if worker.has_run_of_unknown_size() {
+        return 0;
     }
+    let used: u64 = worker.runs.values().map(estimated_use).sum();
     worker.listing.capacity.cpu_millis as i64 - used as i64
 }
 
+/// Returns the processors that a run is expected to use, in thousandths of a core.
+#[must_use]
+pub fn estimated_use(run: &Run) -> u64 {
+    if run.leftover_cpu > 0 {
+        run.leftover_cpu * u64::from(run.cpu_percent) / 100
+    } else if run.tail_target_ms.is_some() {
+        run.committed.cpu_millis * SERVING_USE_PERCENT / 100
+    } else {
+        run.committed.cpu_millis
+    }
+}
+
 /// Returns the score of a worker for a task, higher is better, or `None` if the task can't be placed there. `leftover`
 /// ([`leftover_cpu`]) and `cost` ([`super::interference::Pressures::cost_with`]) are called only for best-effort tasks.
 #[must_use]
@@ -120,8 +131,7 @@
     cost: impl FnOnce() -> f64,
 ) -> Option<i64> {
     let step = req.step;
-    let free = worker.free();
-    if worker.listing.service != req.service || !step.committed().fits(&free) {
+    if worker.listing.service != req.service || !worker.has_room_for(&step.committed()) {
         return None;
     }
     if step.required_label.as_ref().is_some_and(|label| !worker.listing.labels.contains(label)) {
@@ -133,7 +143,7 @@
     let base = if step.uses_leftover_cpu {
         score_best_effort(worker, step, leftover(), cost)?
     } else {
-        score_committed(worker, step, &free)
+        score_committed(worker, step, &worker.free())
     };
     Some(base - penalty(worker, req))
 }
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::job::{JobState, JobTaskId, StepId, StepSpec};
+use crate::job::{JobState, JobTaskId, Resources, StepId, StepSpec};
 use crate::shard::health::ProbationCause;
 use crate::shard::pick::{self, PlacementRequest, UnusableCause};
 use crate::shard::queue::WaitCause;
@@ -346,7 +346,7 @@
     }
 
     /// Starts reserved runs once the progress rows that name their workers are stored. The worker may have become
-    /// unusable since the reservation; its task is then queued again, together with all members of its gang.
+    /// unusable or smaller since the reservation; its task is then queued again, together with all members of its gang.
     pub(super) fn start_planned(&mut self, now: Duration, planned: Vec<PlannedStart>) {
         let planned: Vec<PlannedStart> =
             planned.into_iter().filter(|planned| self.is_reserved(planned)).collect();
@@ -378,13 +378,15 @@
     fn may_start(&self, now: Duration, planned: &PlannedStart) -> bool {
         let is_usable = self.workers.get(&planned.worker).is_some_and(|worker| {
             let is_out = self.domains_out.contains(&worker.listing.domain);
-            match pick::unusable_cause(worker, now, is_out) {
+            let is_admitted = match pick::unusable_cause(worker, now, is_out) {
                 None => true,
                 Some(UnusableCause::Probation) => {
                     worker.health.is_probe(&planned.task, planned.run)
                 }
                 Some(_) => false,
-            }
+            };
+            // The run itself is committed, and so are runs that were reserved after it.
+            is_admitted && worker.has_room_for(&Resources::default())
         });
         let job = self.jobs.get(&planned.task.step.job);
         self.is_start_allowed && is_usable && job.is_some_and(|job| !job.progress.state.is_final())
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -37,7 +37,8 @@
 /// A speculative run was queued for a task that may run twice, because the worker of its first run is silent or the
 /// outcome of its start is in doubt.
 pub const TASK_COPIED: Event = Event::new(616, Level::Info, "task-copied");
-/// A task was moved to another worker, because other tasks on its worker leave it too few resources.
+/// A task was moved to another worker, because other tasks on its worker leave it too few resources or the worker has
+/// shrunk.
 pub const TASK_MOVED: Event = Event::new(617, Level::Info, "task-moved");
 /// Tasks of a long-running step have waited for a worker for long.
 pub const TASK_WAITING: Event = Event::new(618, Level::Info, "task-waiting");
@@ -55,6 +56,8 @@
 pub const WORKER_GONE: Event = Event::new(625, Level::Info, "worker-gone");
 /// A worker's probation has ended, because a task there succeeded or makes progress.
 pub const WORKER_RESTORED: Event = Event::new(626, Level::Info, "worker-restored");
+/// The capacity of a worker has changed.
+pub const WORKER_RESIZED: Event = Event::new(628, Level::Info, "worker-resized");
 /// The failure domains that are out of service have changed.
 pub const DOMAINS_OUT: Event = Event::new(630, Level::Info, "domains-out");
 /// This process has claimed a shard.
@@ -119,6 +122,7 @@
     WORKER_DRAINING,
     WORKER_GONE,
     WORKER_RESTORED,
+    WORKER_RESIZED,
     DOMAINS_OUT,
     SHARD_CLAIMED,
     TAKEOVER_DONE,
