Add failing tests for tasks that crash their workers

Callers saw a job that never ended while one worker after the other crashed: a task that crashes the worker that starts it is started again without limit, since a crash leaves no listed end and only listed failures are counted.

--- a/tests/testsuite/shard.rs
+++ b/tests/testsuite/shard.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler of a shard, without a network. An in-memory fleet of workers follows the platform's rules for
 //! leases, epochs and ends, and records violations of them.
 
+mod crashes;
 mod ends;
 mod interference;
 mod lapse;
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use plantainlever::job::{JobId, JobSpec, JobTaskId, Resources, StepSpec};
+use plantainlever::job::{JobId, JobSpec, JobState, JobTaskId, Progress, Resources, StepSpec};
 use plantainlever::shard::report::{EndCause, EndReport, RenewalReport, RunReport, WorkerListing};
 use plantainlever::shard::scheduler::{
     AcceptedJob, Command, CommandKind, CommandOutcome, RenewalFailure, StartOutcome, StartRefusal,
@@ -59,11 +59,16 @@
     pub percent: u8,
     /// Load of every run in the next reports: for serving tasks, their tail in milliseconds.
     pub tail_ms: u64,
+    /// The worker has crashed and restarts at this time; until then it answers nothing.
+    pub down_until: Option<Duration>,
 }
 
 /// Time from a stop command to the end of the run.
 const STOP_TIME: Duration = Duration::from_millis(300);
 
+/// Usual time from the crash of a worker to its restart.
+pub const RESTART_TIME: Duration = Duration::from_secs(3);
+
 /// Reading of the workers' clocks at time 0 of the test, in milliseconds.
 const CLOCK_ORIGIN_MS: u64 = 1_000_000;
 
@@ -85,6 +90,14 @@
     pub durations: BTreeMap<JobId, Duration>,
     /// Resources of a task by job.
     pub sizes: BTreeMap<JobId, Resources>,
+    /// Tasks that crash the worker that starts them.
+    pub deadly: BTreeSet<JobTaskId>,
+    /// Time from a crash to the restart; [`RESTART_TIME`] if `None`.
+    pub restart_time: Option<Duration>,
+    /// Crashes in order, as (time, task, run, worker).
+    pub crashes: Vec<(Duration, JobTaskId, u32, WorkerId)>,
+    /// Most workers that were down at the same time.
+    pub most_down: usize,
 }
 
 pub fn worker_id(index: u32) -> WorkerId {
@@ -156,6 +169,7 @@
             is_replaced: false,
             percent: 100,
             tail_ms: 0,
+            down_until: None,
         };
         self.workers.insert(listing.id, worker);
     }
@@ -176,6 +190,14 @@
     /// Advances the time: carries out delayed starts, and ends runs whose duration, stop or lease is over.
     pub fn advance(&mut self, now: Duration) {
         self.now = now;
+        for worker in self.workers.values_mut() {
+            if worker.down_until.is_some_and(|until| until <= now) {
+                worker.down_until = None;
+                worker.restart();
+            }
+        }
+        let down = self.workers.values().filter(|worker| worker.down_until.is_some()).count();
+        self.most_down = self.most_down.max(down);
         let mut arrived = Vec::new();
         for worker in self.workers.values_mut() {
             arrived.extend(worker.late.extract_if(.., |(at, ..)| *at <= now));
@@ -216,7 +238,7 @@
         let now = self.now;
         *self.commands_sent.entry(command.worker.clone()).or_default() += 1;
         let worker = self.workers.get_mut(&command.worker)?;
-        if worker.is_cut {
+        if worker.is_cut || worker.down_until.is_some() {
             return None;
         }
         if worker.is_replaced {
@@ -233,6 +255,9 @@
         let clock_ms = self.clock_ms();
         let now = self.now;
         let worker = self.workers.get_mut(&command.worker)?;
+        if worker.down_until.is_some() {
+            return None;
+        }
         if epoch < worker.epoch {
             return Some(Answer::Fenced);
         }
@@ -253,6 +278,11 @@
                 }
                 worker.expiry_ms = worker.expiry_ms.max(*expiry_ms);
                 self.start(command.worker.clone(), *task, *run, now);
+                if self.deadly.contains(task) {
+                    self.crashes.push((now, *task, *run, command.worker.clone()));
+                    self.crash(&command.worker);
+                    return None;
+                }
                 Some(Answer::Done)
             }
             CommandKind::Stop { task, run } => {
@@ -267,6 +297,14 @@
         }
     }
 
+    /// Crashes a worker: its runs are gone without an end, and it restarts later under a new incarnation.
+    pub fn crash(&mut self, id: &WorkerId) {
+        let restart_time = self.restart_time.unwrap_or(RESTART_TIME);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.runs.clear();
+        worker.down_until = Some(self.now + restart_time);
+    }
+
     fn start(&mut self, id: WorkerId, task: JobTaskId, number: u32, now: Duration) {
         let job = task.step.job;
         let length = self.durations.get(&job).copied().unwrap_or(Duration::from_millis(100));
@@ -491,6 +529,11 @@
         self.owner.on_written(self.fleet.now);
     }
 
+    /// State of a job as it is stored; `None` before its first row.
+    pub fn stored_state(&self, id: JobId) -> Option<JobState> {
+        self.store.rows.get(&id).map(|row| Progress::decode_state(row).unwrap())
+    }
+
     /// Starts of a job's tasks.
     pub fn starts_of(&self, id: JobId) -> Vec<(JobTaskId, u32, WorkerId)> {
         self.fleet.starts.iter().filter(|(task, ..)| task.step.job == id).cloned().collect()
