Count the crashes of workers under a task and give it up

Callers saw a job that never ended, and operators saw one worker after the other crash: a run that is gone with its worker was queued again, without limit, because only failures that a worker lists were counted.

Each run that a worker may have had when it crashed is recorded by its number in the job's progress row, with the worker. The row also stores the start of the incarnation that has the newest run, so that a new owner notices a restart around the takeover. Rows of the previous release still decode. Runs whose leases lapsed on a silent worker are kept until it answers: another incarnation counts as a crash, the same one does not. Draining workers and crashes of most of a failure domain, rack or of a third of the fleet are not counted. A task is given up after two crashes if it was the only suspect of the last one, after three in any case; its job is shown as failed (P0619). Long-running tasks are cleared once they have been active for 3 s. Suspects get no speculative run.

Ruled out: quarantine of the crashed worker, since the next task there is as good as any.

--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -41,6 +41,9 @@
     /// Numbers of the runs that failed. Never shrinks. Kept by number and not as a count, because a new owner may read
     /// unacknowledged ends again, from several workers and in any order.
     pub failed_runs: BTreeSet<u32>,
+    /// Worker of each run under which its worker crashed and that may be the cause, by number of the run. Kept by number
+    /// for the same reason as `failed_runs`; each run is on one incarnation of one worker.
+    pub crashed_runs: BTreeMap<u32, Rc<str>>,
     /// Newest checkpoint; empty for none.
     pub checkpoint: String,
     /// Highest run number used, 0 for none. Never decreases.
@@ -48,6 +51,9 @@
     /// Worker that has, or may have, the newest run. It is stored before the run starts, so that a new owner knows
     /// which worker may have a run that is not listed.
     pub worker: Option<Rc<str>>,
+    /// Start of the incarnation of `worker` that has the run, in milliseconds since the Unix epoch; `None` if the worker
+    /// does not report it. A later incarnation shows a new owner that the run is gone. Meaningless without `worker`.
+    pub worker_started_unix_ms: Option<u64>,
 }
 
 /// Progress of one occurrence of a job.
@@ -121,6 +127,13 @@
     /// Tasks as (step, index) by the worker of their newest run.
     #[serde(rename = "w", default, skip_serializing_if = "BTreeMap::is_empty")]
     placements: BTreeMap<String, Vec<(u16, u16)>>,
+    /// Crashed runs as (step, index, run) by worker.
+    #[serde(rename = "x", default, skip_serializing_if = "BTreeMap::is_empty")]
+    crashed_runs: BTreeMap<String, Vec<(u16, u16, u32)>>,
+    /// Tasks as (step, index) by the start of the worker incarnation of their newest run, in milliseconds since the Unix
+    /// epoch.
+    #[serde(rename = "i", default, skip_serializing_if = "BTreeMap::is_empty")]
+    incarnations: BTreeMap<u64, Vec<(u16, u16)>>,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -176,6 +189,7 @@
         task.is_done = true;
         task.checkpoint.clear();
         task.worker = None;
+        task.crashed_runs.clear();
         occurrence.remaining[step] -= 1;
         true
     }
@@ -251,6 +265,8 @@
         checkpoints: Vec::new(),
         failed_runs: Vec::new(),
         placements: BTreeMap::new(),
+        crashed_runs: BTreeMap::new(),
+        incarnations: BTreeMap::new(),
     };
     for (step, list) in occurrence.steps.iter().enumerate() {
         stored.tasks.push(list.iter().map(encode_task).collect());
@@ -260,7 +276,14 @@
                 stored.checkpoints.push((step, index, task.checkpoint.clone()));
             }
             stored.failed_runs.extend(task.failed_runs.iter().map(|run| (step, index, *run)));
+            for (run, worker) in &task.crashed_runs {
+                let runs = stored.crashed_runs.entry(worker.to_string()).or_default();
+                runs.push((step, index, *run));
+            }
             let Some(worker) = task.worker.as_deref() else { continue };
+            if let Some(started) = task.worker_started_unix_ms {
+                stored.incarnations.entry(started).or_default().push((step, index));
+            }
             match stored.placements.get_mut(worker) {
                 Some(tasks) => tasks.push((step, index)),
                 None => {
@@ -300,6 +323,19 @@
     for (step, index, run) in &stored.failed_runs {
         stored_task(&mut occurrence, *step, *index)?.failed_runs.insert(*run);
     }
+    for (worker, runs) in &stored.crashed_runs {
+        let worker: Rc<str> = Rc::from(worker.as_str());
+        for (step, index, run) in runs {
+            let task = stored_task(&mut occurrence, *step, *index)?;
+            task.crashed_runs.insert(*run, Rc::clone(&worker));
+        }
+    }
+    for (started, tasks) in &stored.incarnations {
+        for (step, index) in tasks {
+            let task = stored_task(&mut occurrence, *step, *index)?;
+            task.worker_started_unix_ms = Some(*started);
+        }
+    }
     for (worker, tasks) in &stored.placements {
         let worker: Rc<str> = Rc::from(worker.as_str());
         for (step, index) in tasks {
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -10,6 +10,7 @@
 //! recorded on a worker that does not answer have to wait for that worker.
 
 mod command;
+mod crashes;
 mod ends;
 mod inherited;
 mod placing;
@@ -99,6 +100,7 @@
     times: BTreeMap<String, StepTimeRatios>,
     domains_out: BTreeSet<String>,
     inherited: inherited::Inherited,
+    crashes: crashes::Crashes,
     pressures: Pressures,
     rows: rows::PendingRows,
     commands: Vec<Command>,
@@ -139,6 +141,7 @@
             times: BTreeMap::new(),
             domains_out: BTreeSet::new(),
             inherited: inherited::Inherited::new(claimed, predecessor_lapsed),
+            crashes: crashes::Crashes::default(),
             pressures: Pressures::default(),
             rows: rows::PendingRows::default(),
             commands: Vec::new(),
@@ -209,11 +212,14 @@
                 && worker.incarnation_started_unix_ms.is_some()
                 && entry.incarnation_started_unix_ms > worker.incarnation_started_unix_ms;
             let starts_to_drain = entry.is_draining && !worker.listing.is_draining;
-            worker.listing = entry;
-            let id = worker.listing.id.clone();
+            let id = entry.id.clone();
             if is_new_incarnation {
+                // The entry so far tells whether the last incarnation was draining.
                 self.on_new_incarnation(&id, now);
             }
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.listing = entry;
+            }
             if starts_to_drain {
                 self.on_draining(&id, now);
             }
@@ -263,6 +269,7 @@
             },
         );
         self.begin_due_occurrences(id);
+        self.add_stored_suspects(id);
         self.queue_ready_tasks(id);
     }
 
@@ -412,6 +419,8 @@
             interference::update_shares(worker, elapsed);
         }
         self.begin_scheduled_occurrences();
+        self.clear_suspects();
+        self.forget_old_crashes();
         self.resolve_lapsed(now, confirmed);
         self.resolve_inherited(now);
         self.repeat_stops(now);
--- /dev/null
+++ b/src/shard/scheduler/crashes.rs
@@ -0,0 +1,390 @@
+//! Tasks that crash the workers that start them.
+//!
+//! A crash leaves no end that a worker could list: the worker answers later as another incarnation and runs nothing. All
+//! runs that it had may be the cause, so each of them is recorded in its job's progress row, by its number. A row that is
+//! written again, or read by a new owner, therefore neither forgets a crash nor counts it twice. If a worker restarts
+//! around a change of owner, the new owner compares its incarnation with the one that is stored with the placement.
+//!
+//! What counts as a crash:
+//!
+//! - Another incarnation of a worker that had runs, whether the worker answered in between or its leases had lapsed. A
+//!   start without an answer counts as well, because the worker may have received it.
+//! - Not a draining worker, which ends its runs as announced.
+//! - Not a worker that is unreachable, even if its leases lapse: it may be cut off and still be the same incarnation. Its
+//!   runs are kept until it answers again. A worker that never does so is not counted, because from here its crash can't
+//!   be told from a long partition.
+//! - Not a crash of most workers of a failure domain or rack, or of many of the fleet, at about the same time. These have
+//!   a common cause, such as a loss of power, and would make suspects of hundreds of tasks.
+//!
+//! Only runs that had not been active for [`PROVEN_AFTER`] are recorded, since a task that crashes its worker does so soon
+//! after its start. If the worker had no such run, all of its runs are recorded.
+//!
+//! A task is given up, and its job fails, after [`CLEAR_CRASHES_LIMIT`] crashes if it was the only suspect of the last
+//! one, and after [`CRASHES_LIMIT`] in any case. A gang is one suspect: its members share their runs, and a crash counts
+//! once per worker. A task of any occurrence fails the whole job. Success clears a suspect, as does being active for
+//! [`PROVEN_AFTER`] if it is a long-running task, which would otherwise collect unrelated crashes.
+//!
+//! The worker is not quarantined for a crash, because the next task there may be as good as any.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::job::{JobState, JobTaskId, Progress, StepId};
+use crate::shard::worker::{Phase, Run, Worker, WorkerId};
+use crate::telemetry::event::shard as event;
+
+use super::{Job, ShardScheduler};
+
+/// Crashes after which a task is given up if no other task can have caused the last one.
+const CLEAR_CRASHES_LIMIT: usize = 2;
+
+/// Crashes after which a task is given up in any case. Callers allow two starts more; they are left as a reserve for
+/// crashes that can't be seen.
+const CRASHES_LIMIT: usize = 3;
+
+/// Time for which a run must have been active to be no suspect: tasks that crash their workers do so within this time
+/// after their start.
+const PROVEN_AFTER: Duration = Duration::from_secs(3);
+
+/// Workers that were last heard of within this time of each other may have crashed together. Covers a renewal that a
+/// worker holds back.
+const MASS_CRASH_WINDOW: Duration = Duration::from_secs(2);
+
+/// Age of a worker's last answer from which the worker may be down, although its renewal has not failed yet. Longer than
+/// a worker with runs holds back an answer.
+const QUIET_AFTER: Duration = Duration::from_millis(1_200);
+
+/// Smallest number of workers that can make a mass crash; fewer are as likely to be a coincidence.
+const MIN_MASS_CRASH: usize = 4;
+
+/// A run that was, or may have been, on a worker incarnation that has ended.
+#[derive(Clone, Debug)]
+pub(super) struct LostRun {
+    task: JobTaskId,
+    number: u32,
+    /// Start of the incarnation, in milliseconds since the Unix epoch.
+    worker_started_unix_ms: Option<u64>,
+    /// Whether the run had been active for [`PROVEN_AFTER`].
+    is_proven: bool,
+}
+
+/// Crashes that are not part of a job's progress.
+#[derive(Debug, Default)]
+pub(super) struct Crashes {
+    /// Tasks with crashed runs, and the other members of their gangs. May contain tasks that were cleared since.
+    suspects: BTreeSet<JobTaskId>,
+    /// Runs whose leases lapsed on a worker that did not answer. Whether it has crashed is known once it answers again.
+    unresolved: BTreeMap<WorkerId, Vec<LostRun>>,
+    /// Workers that crashed within [`MASS_CRASH_WINDOW`] or not long before, with the local time of their last answer.
+    recent: BTreeMap<WorkerId, Duration>,
+}
+
+/// Suspect that is counted as one: a task, or the first member of a gang.
+fn suspect_of(job: &Job, task: &JobTaskId) -> JobTaskId {
+    let step = job.spec.steps.get(usize::from(task.step.step));
+    if step.is_some_and(|step| step.is_gang) { JobTaskId { index: 0, ..*task } } else { *task }
+}
+
+/// Tasks that share the runs of a task: all members of its gang, otherwise the task alone.
+fn members_of(job: &Job, task: &JobTaskId) -> Vec<JobTaskId> {
+    let step = job.spec.steps.get(usize::from(task.step.step));
+    let gang = step.filter(|step| step.is_gang).map(|step| step.count as u16);
+    match gang {
+        Some(count) => (0..count).map(|index| JobTaskId { index, ..*task }).collect(),
+        None => vec![*task],
+    }
+}
+
+/// Crashes under a task or gang, as (run, worker). Members of a gang on the same worker count once.
+fn crashes_of(job: &Job, task: &JobTaskId) -> BTreeSet<(u32, Rc<str>)> {
+    let members = members_of(job, task);
+    let progress = members.iter().filter_map(|member| job.progress.task(member));
+    progress
+        .flat_map(|progress| &progress.crashed_runs)
+        .map(|(run, worker)| (*run, Rc::clone(worker)))
+        .collect()
+}
+
+/// Returns true if a run had been active for [`PROVEN_AFTER`] when its worker last answered.
+fn is_proven(run: &Run, worker: &Worker) -> bool {
+    let is_active = matches!(run.phase, Phase::Active | Phase::Stopping);
+    let seen = worker.answered.unwrap_or_default();
+    is_active && seen.saturating_sub(run.phase_since) >= PROVEN_AFTER
+}
+
+impl ShardScheduler {
+    /// Removes and returns the runs that a worker's last incarnation may have had.
+    pub(super) fn take_lost_runs(&mut self, worker_id: &WorkerId) -> Vec<LostRun> {
+        let mut lost = self.crashes.unresolved.remove(worker_id).unwrap_or_default();
+        let Some(worker) = self.workers.get(worker_id) else { return lost };
+        let sent = worker.runs.iter().filter(|(_, run)| run.phase != Phase::Reserved);
+        lost.extend(sent.map(|(task, run)| LostRun {
+            task: *task,
+            number: run.number,
+            worker_started_unix_ms: worker.incarnation_started_unix_ms,
+            is_proven: is_proven(run, worker),
+        }));
+        lost
+    }
+
+    /// Keeps a run whose lease has lapsed until its worker answers again, which shows whether the worker has crashed.
+    pub(super) fn keep_lapsed_run(&mut self, worker_id: &WorkerId, task: &JobTaskId) {
+        let Some(worker) = self.workers.get(worker_id) else { return };
+        let Some(run) = worker.runs.get(task).filter(|run| run.phase != Phase::Reserved) else {
+            return;
+        };
+        let lost = LostRun {
+            task: *task,
+            number: run.number,
+            worker_started_unix_ms: worker.incarnation_started_unix_ms,
+            is_proven: is_proven(run, worker),
+        };
+        self.keep_unresolved(worker_id, lost);
+    }
+
+    /// The same for a run of a previous owner on a worker that has not answered this one.
+    pub(super) fn keep_inherited_run(&mut self, worker_id: &WorkerId, task: &JobTaskId) {
+        if let Some(lost) = self.inherited_run(task) {
+            self.keep_unresolved(worker_id, lost);
+        }
+    }
+
+    fn keep_unresolved(&mut self, worker_id: &WorkerId, lost: LostRun) {
+        // Without an incarnation a restart can't be detected.
+        if lost.worker_started_unix_ms.is_none() {
+            return;
+        }
+        let jobs = &self.jobs;
+        self.crashes.unresolved.retain(|_, runs| {
+            runs.retain(|run| jobs.contains_key(&run.task.step.job));
+            !runs.is_empty()
+        });
+        self.crashes.unresolved.entry(worker_id.clone()).or_default().push(lost);
+    }
+
+    fn inherited_run(&self, task: &JobTaskId) -> Option<LostRun> {
+        let progress = self.jobs.get(&task.step.job)?.progress.task(task)?;
+        let worker_started_unix_ms = progress.worker_started_unix_ms;
+        Some(LostRun {
+            task: *task,
+            number: progress.last_run,
+            worker_started_unix_ms,
+            is_proven: false,
+        })
+    }
+
+    /// Resolves the lapsed runs of a worker that answers: they crashed with it if it has restarted since.
+    pub(super) fn resolve_lapsed_runs(&mut self, worker_id: &WorkerId, started: Option<u64>) {
+        let Some(mut lost) = self.crashes.unresolved.remove(worker_id) else { return };
+        lost.retain(|run| run.worker_started_unix_ms < started);
+        if lost.is_empty() {
+            return;
+        }
+        let claimed = self.inherited.claimed;
+        let answered = self.workers.get(worker_id).and_then(|worker| worker.answered);
+        self.record_crash(worker_id, answered.unwrap_or(claimed), &lost);
+    }
+
+    /// Counts the runs of a previous owner that a worker does not have because it has restarted or was replaced.
+    pub(super) fn record_inherited_crash(&mut self, worker_id: &WorkerId, tasks: &[JobTaskId]) {
+        let Some(worker) = self.workers.get(worker_id) else { return };
+        let is_replaced = worker.answered.is_none();
+        let started = worker.incarnation_started_unix_ms;
+        let mut lost: Vec<LostRun> =
+            tasks.iter().filter_map(|task| self.inherited_run(task)).collect();
+        lost.retain(|run| {
+            let before = run.worker_started_unix_ms;
+            before.is_some() && (is_replaced || before < started)
+        });
+        if lost.is_empty() {
+            return;
+        }
+        self.record_crash(worker_id, self.inherited.claimed, &lost);
+    }
+
+    /// Records the crash of a worker that was last heard of at `seen`, and gives up the tasks that have crashed too many
+    /// workers.
+    pub(super) fn record_crash(&mut self, worker_id: &WorkerId, seen: Duration, lost: &[LostRun]) {
+        let Some(worker) = self.workers.get(worker_id) else { return };
+        let is_draining = worker.listing.is_draining;
+        let is_mass_crash = self.is_mass_crash(worker_id, worker, seen);
+        if !is_draining {
+            self.crashes.recent.insert(worker_id.clone(), seen);
+        }
+        let mut runs: Vec<&LostRun> = lost.iter().filter(|run| self.is_open(&run.task)).collect();
+        if runs.iter().any(|run| !run.is_proven) {
+            runs.retain(|run| !run.is_proven);
+        }
+        if runs.is_empty() {
+            return;
+        }
+        event::WORKER_CRASHED.emit(format_args!(
+            "worker={worker_id} draining={is_draining} mass={is_mass_crash} lost={} suspects={:?}",
+            lost.len(),
+            runs.iter().map(|run| (run.task.to_string(), run.number)).collect::<Vec<_>>()
+        ));
+        if is_draining || is_mass_crash {
+            return;
+        }
+        let mut changed = BTreeSet::new();
+        let mut suspects = BTreeSet::new();
+        for run in runs {
+            let Some(job) = self.jobs.get_mut(&run.task.step.job) else { continue };
+            let suspect = suspect_of(job, &run.task);
+            let members = members_of(job, &run.task);
+            suspects.insert(suspect);
+            let Some(progress) = job.progress.task_mut(&run.task) else { continue };
+            if progress.crashed_runs.insert(run.number, worker_id.shared()).is_none() {
+                changed.insert(suspect);
+                self.rows.mark(run.task.step.job);
+            }
+            self.crashes.suspects.extend(members);
+            if self.live.contains_key(&run.task) {
+                // A suspect gets no speculative run.
+                self.waiting.remove(&run.task);
+            }
+        }
+        for suspect in changed {
+            self.give_up_if_due(&suspect, suspects.len() == 1);
+        }
+    }
+
+    fn is_open(&self, task: &JobTaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.step.job) else { return false };
+        let is_open = job.progress.task(task).is_some_and(|progress| !progress.is_done);
+        is_open && !job.progress.state.is_final()
+    }
+
+    fn give_up_if_due(&mut self, suspect: &JobTaskId, is_only_suspect: bool) {
+        let id = suspect.step.job;
+        let Some(job) = self.jobs.get(&id) else { return };
+        if job.progress.state.is_final() {
+            return;
+        }
+        let crashes = crashes_of(job, suspect);
+        let limit = if is_only_suspect { CLEAR_CRASHES_LIMIT } else { CRASHES_LIMIT };
+        if crashes.len() < limit {
+            return;
+        }
+        event::TASK_GIVEN_UP.emit(format_args!(
+            "job={id} task={suspect} only_suspect={is_only_suspect} crashes={crashes:?}"
+        ));
+        event::JOB_ENDED
+            .emit(format_args!("job={id} state=failed task={suspect} crashes={}", crashes.len()));
+        self.end_job(self.now, id, JobState::Failed);
+    }
+
+    /// Returns true if so many workers were last heard of at about the same time as this one, and have crashed or are
+    /// silent, that they have a common cause.
+    fn is_mass_crash(&self, worker_id: &WorkerId, crashed: &Worker, seen: Duration) -> bool {
+        let mut domain = (0, 0);
+        let mut rack = (0, 0);
+        let mut fleet = (0, 0);
+        for (id, worker) in &self.workers {
+            let is_down = id == worker_id || self.is_down_since(id, worker, seen);
+            let count = |(down, all): &mut (usize, usize)| {
+                *down += usize::from(is_down);
+                *all += 1;
+            };
+            count(&mut fleet);
+            if worker.listing.domain == crashed.listing.domain {
+                count(&mut domain);
+            }
+            if worker.listing.rack() == crashed.listing.rack() {
+                count(&mut rack);
+            }
+        }
+        let is_most = |(down, all): (usize, usize)| down >= MIN_MASS_CRASH && down * 3 >= all * 2;
+        let is_many = fleet.0 >= MIN_MASS_CRASH && fleet.0 * 3 >= fleet.1;
+        is_most(domain) || is_most(rack) || is_many
+    }
+
+    /// Returns true if a worker was last heard of at about `seen` and has crashed or been silent since.
+    fn is_down_since(&self, id: &WorkerId, worker: &Worker, seen: Duration) -> bool {
+        let is_near = |at: Duration| at.abs_diff(seen) <= MASS_CRASH_WINDOW;
+        if self.crashes.recent.get(id).is_some_and(|at| is_near(*at)) {
+            return true;
+        }
+        worker.answered.is_some_and(|at| {
+            is_near(at) && (worker.unanswered_renewals > 0 || self.now >= at + QUIET_AFTER)
+        })
+    }
+
+    /// Adds the suspects of a job that a previous owner has recorded.
+    pub(super) fn add_stored_suspects(&mut self, id: crate::job::JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        for task in crashed_tasks(id, &job.progress) {
+            self.crashes.suspects.extend(members_of(job, &task));
+        }
+    }
+
+    /// Clears long-running suspects that have been active for long enough, and forgets suspects whose tasks have ended.
+    pub(super) fn clear_suspects(&mut self) {
+        let suspects: Vec<JobTaskId> = self.crashes.suspects.iter().copied().collect();
+        for task in suspects {
+            if self.is_proven_long_running(&task)
+                && let Some(job) = self.jobs.get_mut(&task.step.job)
+            {
+                for member in members_of(job, &task) {
+                    if let Some(progress) = job.progress.task_mut(&member) {
+                        progress.crashed_runs.clear();
+                    }
+                }
+                self.rows.mark(task.step.job);
+            }
+            if !self.is_suspect(&task) {
+                self.crashes.suspects.remove(&task);
+            }
+        }
+    }
+
+    fn is_proven_long_running(&self, task: &JobTaskId) -> bool {
+        let step = self.jobs.get(&task.step.job).map(|job| &job.spec.steps);
+        let step = step.and_then(|steps| steps.get(usize::from(task.step.step)));
+        step.is_some_and(|step| step.is_long_running)
+            && self.runs_of_task(task).any(|(w, run)| is_proven(run, w))
+    }
+
+    fn runs_of_task<'a>(
+        &'a self,
+        task: &'a JobTaskId,
+    ) -> impl Iterator<Item = (&'a Worker, &'a Run)> {
+        let workers = self.live.get(task).into_iter().flatten();
+        workers
+            .filter_map(|id| self.workers.get(id))
+            .filter_map(|worker| worker.runs.get(task).map(|run| (worker, run)))
+    }
+
+    /// Returns true if workers have crashed under a task or its gang, and it has not been cleared since.
+    pub(super) fn is_suspect(&self, task: &JobTaskId) -> bool {
+        if !self.crashes.suspects.contains(task) || !self.is_open(task) {
+            return false;
+        }
+        self.jobs.get(&task.step.job).is_some_and(|job| !crashes_of(job, task).is_empty())
+    }
+
+    /// Forgets crashes that are too old to belong to a mass crash.
+    pub(super) fn forget_old_crashes(&mut self) {
+        let now = self.now;
+        self.crashes.recent.retain(|_, at| now.saturating_sub(*at) < MASS_CRASH_MEMORY);
+    }
+}
+
+/// Time for which the last answer of a crashed worker is kept: a worker is down for some seconds, and one that crashed
+/// with it may be down for longer.
+const MASS_CRASH_MEMORY: Duration = Duration::from_secs(30);
+
+/// Tasks of a job with crashed runs.
+fn crashed_tasks(id: crate::job::JobId, progress: &Progress) -> Vec<JobTaskId> {
+    let mut crashed = Vec::new();
+    for (occurrence, begun) in &progress.occurrences {
+        for (step, tasks) in begun.steps.iter().enumerate() {
+            let step = StepId { job: id, occurrence: *occurrence, step: step as u16 };
+            let indexes =
+                tasks.iter().enumerate().filter(|(_, task)| !task.crashed_runs.is_empty());
+            crashed.extend(indexes.map(|(index, _)| JobTaskId { step, index: index as u16 }));
+        }
+    }
+    crashed
+}
--- a/src/shard/scheduler/inherited.rs
+++ b/src/shard/scheduler/inherited.rs
@@ -22,7 +22,8 @@
 /// Tasks by the worker that a previous owner recorded, for workers that have not answered yet.
 #[derive(Debug)]
 pub(super) struct Inherited {
-    claimed: Duration,
+    /// Local time of the claim.
+    pub(super) claimed: Duration,
     /// Local time at which all leases granted by the predecessor have lapsed.
     pub(super) predecessor_lapsed: Duration,
     workers: BTreeMap<WorkerId, InheritedWorker>,
@@ -130,6 +131,7 @@
     /// has replaced it.
     pub(super) fn release_inherited_of(&mut self, worker: &WorkerId) {
         let left = self.inherited.remove(worker);
+        self.record_inherited_crash(worker, &left);
         self.release_inherited(left);
     }
 
@@ -146,6 +148,9 @@
         for id in lapsed {
             let left = self.inherited.remove(&id);
             event::INHERITED_LAPSED.emit(format_args!("worker={id} tasks={}", left.len()));
+            for task in &left {
+                self.keep_inherited_run(&id, task);
+            }
             self.release_inherited(left);
         }
         if self.inherited.workers.is_empty() && !self.inherited.is_done {
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -360,6 +360,7 @@
         if let Some(progress) = job.progress.task_mut(task) {
             progress.last_run = number;
             progress.worker = Some(worker_id.shared());
+            progress.worker_started_unix_ms = worker.incarnation_started_unix_ms;
         }
         self.rows.plan_start(PlannedStart { worker: worker_id.clone(), task: *task, run: number });
     }
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -115,6 +115,7 @@
         if is_new_incarnation {
             self.on_new_incarnation(worker_id, now);
         }
+        self.resolve_lapsed_runs(worker_id, report.incarnation_started_unix_ms);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         if worker.unanswered_renewals >= SILENT_AFTER_MISSED {
             event::WORKER_ANSWERS
@@ -171,8 +172,10 @@
     /// Removes the runs of the previous incarnation of a worker. Runs whose start may still arrive are kept until a
     /// stop is answered.
     pub(super) fn on_new_incarnation(&mut self, worker_id: &WorkerId, now: Duration) {
+        let crashed = self.take_lost_runs(worker_id);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         event::WORKER_RESTARTED.emit(format_args!("worker={worker_id} runs={}", worker.runs.len()));
+        let seen = worker.answered.unwrap_or_default();
         let lost: Vec<JobTaskId> = worker
             .runs
             .iter()
@@ -192,6 +195,7 @@
         for task in lost {
             self.drop_run(worker_id, &task);
         }
+        self.record_crash(worker_id, seen, &crashed);
     }
 
     /// Handles a worker at whose address another incarnation answers: the recorded one has ended, so none of its
@@ -298,6 +302,8 @@
         let is_live = self.live.contains_key(&task);
         let mut run = new_run(listed.run, Phase::Active, now);
         run.is_adopted = true;
+        let worker = self.workers.get(worker_id);
+        let incarnation = worker.and_then(|worker| worker.incarnation_started_unix_ms);
         let mut is_wanted = false;
         let mut is_step_known = false;
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
@@ -310,6 +316,7 @@
                 progress.last_run = progress.last_run.max(listed.run);
                 if !is_live {
                     progress.worker = Some(worker_id.shared());
+                    progress.worker_started_unix_ms = incarnation;
                 }
                 if !listed.checkpoint.is_empty() {
                     progress.checkpoint.clone_from(&listed.checkpoint);
@@ -432,6 +439,7 @@
         }
         for (worker_id, task) in lapsed {
             event::RUN_GONE.emit(format_args!("task={task} worker={worker_id} cause=lease-lapsed"));
+            self.keep_lapsed_run(&worker_id, &task);
             self.drop_run(&worker_id, &task);
         }
         for id in gone {
--- a/src/shard/scheduler/speculation.rs
+++ b/src/shard/scheduler/speculation.rs
@@ -30,6 +30,10 @@
         let step = &job.spec.steps[usize::from(task.step.step)];
         let is_open = job.progress.task(task).is_some_and(|progress| !progress.is_done);
         let is_single = self.live.get(task).is_some_and(|workers| workers.len() == 1);
+        // A copy of a task that crashes its workers would crash one more.
+        if self.is_suspect(task) {
+            return;
+        }
         if !step.is_speculative || job.progress.state.is_final() || !is_open || !is_single {
             return;
         }
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -41,6 +41,8 @@
 pub const TASK_MOVED: Event = Event::new(617, Level::Info, "task-moved");
 /// Tasks of a long-running step have waited for a worker for long.
 pub const TASK_WAITING: Event = Event::new(618, Level::Info, "task-waiting");
+/// A task has crashed several workers, so it is not started again and its job has failed.
+pub const TASK_GIVEN_UP: Event = Event::new(619, Level::Warn, "task-given-up");
 /// A worker was quarantined and gets no tasks for a while.
 pub const WORKER_QUARANTINED: Event = Event::new(620, Level::Warn, "worker-left-out");
 /// A worker does not answer renewals.
@@ -53,6 +55,8 @@
 pub const WORKER_DRAINING: Event = Event::new(624, Level::Info, "worker-draining");
 /// A worker was removed from the platform's list of workers, and its leases have lapsed.
 pub const WORKER_GONE: Event = Event::new(625, Level::Info, "worker-gone");
+/// A worker has crashed under runs that may be the cause.
+pub const WORKER_CRASHED: Event = Event::new(626, Level::Warn, "worker-crashed");
 /// The failure domains that are out of service have changed.
 pub const DOMAINS_OUT: Event = Event::new(630, Level::Info, "domains-out");
 /// This process has claimed a shard.
@@ -110,12 +114,14 @@
     TASK_COPIED,
     TASK_MOVED,
     TASK_WAITING,
+    TASK_GIVEN_UP,
     WORKER_QUARANTINED,
     WORKER_SILENT,
     WORKER_ANSWERS,
     WORKER_RESTARTED,
     WORKER_DRAINING,
     WORKER_GONE,
+    WORKER_CRASHED,
     DOMAINS_OUT,
     SHARD_CLAIMED,
     TAKEOVER_DONE,
--- a/tests/testsuite/shard/progress.rs
+++ b/tests/testsuite/shard/progress.rs
@@ -1,5 +1,7 @@
 //! Stored progress of jobs, job descriptions and IDs.
 
+use std::rc::Rc;
+
 use arbtest::arbtest;
 use plantainlever::job::progress::{Progress, ProgressError};
 use plantainlever::job::{JobId, JobSpec, JobState, JobTaskId, SpecError, StepId, StepSpec};
@@ -24,6 +26,14 @@
                 let held = progress.task_mut(&key).unwrap();
                 held.failed_runs =
                     (0..u.int_in_range(0..=4)?).map(|run| run * 10_000 + 1).collect();
+                held.crashed_runs = (0..u.int_in_range(0..=3)?)
+                    .map(|run| (run * 10_000 + 1, Rc::from(format!("w{run}"))))
+                    .collect();
+                if u.arbitrary()? {
+                    held.worker = Some(Rc::from(format!("w{}", index % 3)));
+                    held.worker_started_unix_ms =
+                        u.arbitrary::<bool>()?.then_some(1_760_000_000_000 + u64::from(index % 4));
+                }
                 if u.arbitrary()? {
                     held.checkpoint = format!("checkpoint {index}");
                 }
@@ -40,6 +50,9 @@
                 assert_eq!(a.is_done, b.is_done);
                 if !a.is_done {
                     assert_eq!((&a.failed_runs, &a.checkpoint), (&b.failed_runs, &b.checkpoint));
+                    assert_eq!(a.crashed_runs, b.crashed_runs);
+                    assert_eq!(a.worker, b.worker);
+                    assert_eq!(a.worker_started_unix_ms, b.worker_started_unix_ms);
                 }
             }
             let steps = (&progress.occurrences[&0], &stored.occurrences[&0]);
@@ -49,6 +62,19 @@
     });
 }
 
+/// Guards against rows of the previous release that a new owner can't read.
+#[test]
+fn rows_without_crashed_runs_and_incarnations_are_decoded() {
+    let spec = spec(vec![step(2, 100)]);
+    let row = br#"{"s":"running","n":1,"o":{"0":{"t":["d."],"f":[[0,1,4]],"w":{"w1":[[0,1]]}}}}"#;
+    let progress = Progress::decode(&spec, row).unwrap();
+    let held = progress.task(&task(0, 1)).unwrap();
+    assert_eq!(held.worker.as_deref(), Some("w1"));
+    assert_eq!(held.worker_started_unix_ms, None);
+    assert!(held.crashed_runs.is_empty());
+    assert!(held.failed_runs.contains(&4));
+}
+
 /// Guards against a row of another job that is decoded as this one's.
 #[test]
 fn a_row_with_other_steps_is_refused() {
