Store the number of the newest run beside its worker incarnation

A task that crashed its workers around two changes of owner was started a third time: the number of the newest run was not stored, so a new owner recorded each inherited crash under number 0, and two of them counted as one.

The row stores the number with the incarnation, and decoding restores it as the newest run.

--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -130,10 +130,10 @@
     /// Crashed runs as (step, index, run) by worker.
     #[serde(rename = "x", default, skip_serializing_if = "BTreeMap::is_empty")]
     crashed_runs: BTreeMap<String, Vec<(u16, u16, u32)>>,
-    /// Tasks as (step, index) by the start of the worker incarnation of their newest run, in milliseconds since the Unix
-    /// epoch.
+    /// Newest runs as (step, index, run) by the start of the worker incarnation that has them, in milliseconds since the
+    /// Unix epoch.
     #[serde(rename = "i", default, skip_serializing_if = "BTreeMap::is_empty")]
-    incarnations: BTreeMap<u64, Vec<(u16, u16)>>,
+    incarnations: BTreeMap<u64, Vec<(u16, u16, u32)>>,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
@@ -282,7 +282,8 @@
             }
             let Some(worker) = task.worker.as_deref() else { continue };
             if let Some(started) = task.worker_started_unix_ms {
-                stored.incarnations.entry(started).or_default().push((step, index));
+                let runs = stored.incarnations.entry(started).or_default();
+                runs.push((step, index, task.last_run));
             }
             match stored.placements.get_mut(worker) {
                 Some(tasks) => tasks.push((step, index)),
@@ -330,9 +331,10 @@
             task.crashed_runs.insert(*run, Rc::clone(&worker));
         }
     }
-    for (started, tasks) in &stored.incarnations {
-        for (step, index) in tasks {
+    for (started, runs) in &stored.incarnations {
+        for (step, index, run) in runs {
             let task = stored_task(&mut occurrence, *step, *index)?;
+            task.last_run = *run;
             task.worker_started_unix_ms = Some(*started);
         }
     }
