Try each suspect of a crash on a worker by itself

Callers saw jobs fail that had only run beside a task that crashes its workers: suspects shared their next workers, so all of them collected the same crashes and were given up together.

A suspect's next run goes to a worker without another suspect, preferably one where no other run is fresh, and the worker gets no other task until the suspect has ended or been active for 3 s. One suspect of a job is tried at a time, and at most a sixth of the workers is on trial. A shard of fewer than six workers has no trials: there, runs_of_a_replaced_worker_start_elsewhere_at_once failed with them (5 starts instead of 8), since one other worker must take all tasks. Crashes count as one event if the workers were last heard of within 1 s, not 2 s: with the longer time, six tasks in 24 workers were taken for a mass crash, and started up to five times.

--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -61,6 +61,8 @@
     UnansweredStarts,
     /// Runs of several jobs failed there, or made no progress.
     Quarantined,
+    /// A task that may crash it has started there not long ago.
+    OnTrial,
     /// The stored heartbeat names it as unreached.
     ReportedUnreached,
 }
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -369,7 +369,9 @@
         if self.inherited.reported_unreached.contains(id) {
             return Some(UnusableCause::ReportedUnreached);
         }
-        pick::unusable_cause(worker, now, self.domains_out.contains(&worker.listing.domain))
+        let is_domain_out = self.domains_out.contains(&worker.listing.domain);
+        let cause = pick::unusable_cause(worker, now, is_domain_out);
+        cause.or_else(|| self.is_on_trial(worker).then_some(UnusableCause::OnTrial))
     }
 
     /// Current load of the shard, for metrics and the log.
--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -24,6 +24,14 @@
 //! once per worker. A task of any occurrence fails the whole job. Success clears a suspect, as does being active for
 //! [`PROVEN_AFTER`] if it is a long-running task, which would otherwise collect unrelated crashes.
 //!
+//! To find the cause among several suspects, each of them is tried by itself: its next run goes to a worker without
+//! another suspect, preferably one on which all runs are proven, and that worker gets no other task until the trial is
+//! over. A suspect has one run at a time, so it is not copied. One suspect of a job is tried at a time, because its tasks
+//! may all crash their workers and the first of them to do so decides; the job's other tasks go on, since most jobs with
+//! suspects are innocent. At most one in [`WORKERS_PER_TRIAL`] workers is on trial, which bounds what suspects can take
+//! down together; the others wait. A shard with fewer workers has no trials, since each would take too large a part of
+//! it out of use: there, suspects are placed like other tasks.
+//!
 //! The worker is not quarantined for a crash, because the next task there may be as good as any.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -47,9 +55,15 @@
 /// after their start.
 const PROVEN_AFTER: Duration = Duration::from_secs(3);
 
-/// Workers that were last heard of within this time of each other may have crashed together. Covers a renewal that a
-/// worker holds back.
-const MASS_CRASH_WINDOW: Duration = Duration::from_secs(2);
+/// Workers of the shard for each one that may be on trial at the same time.
+const WORKERS_PER_TRIAL: usize = 6;
+
+/// Smallest number of workers that may be on trial in a shard with trials, so that one suspect does not block all others.
+const MIN_TRIALS: usize = 2;
+
+/// Workers that were last heard of within this time of each other may have crashed together: the longest time for which
+/// a worker with runs holds back an answer.
+const MASS_CRASH_WINDOW: Duration = Duration::from_secs(1);
 
 /// Age of a worker's last answer from which the worker may be down, although its renewal has not failed yet. Longer than
 /// a worker with runs holds back an answer.
@@ -106,6 +120,11 @@
         .collect()
 }
 
+/// Returns true if a worker has a run that may still crash it.
+pub(super) fn has_unproven_run(worker: &Worker) -> bool {
+    worker.runs.values().any(|run| !is_proven(run, worker))
+}
+
 /// Returns true if a run had been active for [`PROVEN_AFTER`] when its worker last answered.
 fn is_proven(run: &Run, worker: &Worker) -> bool {
     let is_active = matches!(run.phase, Phase::Active | Phase::Stopping);
@@ -364,6 +383,44 @@
         self.jobs.get(&task.step.job).is_some_and(|job| !crashes_of(job, task).is_empty())
     }
 
+    /// Returns true if a suspect was placed on the worker and is not proven yet. The worker gets no other task meanwhile.
+    pub(super) fn is_on_trial(&self, worker: &Worker) -> bool {
+        let is_trial =
+            |(task, run): (&JobTaskId, &Run)| !is_proven(run, worker) && self.is_suspect(task);
+        let is_possible = self.max_trials() > 0 && !self.crashes.suspects.is_empty();
+        is_possible && worker.runs.iter().any(is_trial)
+    }
+
+    /// Returns true if a suspect may start: no other suspect of its job is on trial, and not too many workers are.
+    pub(super) fn may_try(&self, task: &JobTaskId) -> bool {
+        let mut on_trial = BTreeSet::new();
+        for suspect in self.crashes.suspects.iter().filter(|suspect| self.is_suspect(suspect)) {
+            for (worker, run) in self.runs_of_task(suspect) {
+                if is_proven(run, worker) {
+                    continue;
+                }
+                if suspect.step.job == task.step.job {
+                    return false;
+                }
+                on_trial.insert(&worker.listing.id);
+            }
+        }
+        on_trial.len() < self.max_trials()
+    }
+
+    /// Returns true if the next run of a task must be a trial.
+    pub(super) fn needs_trial(&self, task: &JobTaskId) -> bool {
+        self.max_trials() > 0 && self.is_suspect(task)
+    }
+
+    /// Most workers that may be on trial at the same time; 0 if the shard has no trials.
+    fn max_trials(&self) -> usize {
+        match self.workers.len() / WORKERS_PER_TRIAL {
+            0 => 0,
+            share => share.max(MIN_TRIALS),
+        }
+    }
+
     /// Forgets crashes that are too old to belong to a mass crash.
     pub(super) fn forget_old_crashes(&mut self) {
         let now = self.now;
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -21,6 +21,7 @@
 use crate::shard::worker::{Phase, Worker, WorkerId};
 use crate::telemetry::event::shard as event;
 
+use super::crashes::has_unproven_run;
 use super::renewals::{new_run, set_step_attributes};
 use super::rows::PlannedStart;
 use super::{Command, CommandKind, ShardScheduler, StartOutcome, StartRefusal};
@@ -161,12 +162,20 @@
         let mut best: BinaryHeap<(i64, usize)> = self.scores(pass, key, step, None).into();
         for index in tasks {
             let task = JobTaskId { step: *key, index: *index };
+            let needs_trial = self.needs_trial(&task);
+            if needs_trial && !self.may_try(&task) {
+                continue;
+            }
             let Some((worker, position)) = self.pop_best(pass, &mut best, &task) else {
                 return false;
             };
             let run = self.next_run(self.last_run(&task));
             self.reserve(now, &worker, &task, run);
             pass.invalidate(position);
+            if needs_trial {
+                pass.usable[position] = false;
+                continue;
+            }
             let again = self.score_of(pass, key, step, &worker, position);
             best.extend(again.map(|score| (score, position)));
         }
@@ -174,7 +183,8 @@
     }
 
     /// Removes the best worker for a task from `best` and returns it. Workers that already have a run of the task are
-    /// left out, and those that the job avoids for it are used only if there is no other.
+    /// left out, and those that the job avoids for it are used only if there is no other. So are, for a suspect, those
+    /// with a run that may crash them as well.
     fn pop_best(
         &self,
         pass: &Pass,
@@ -182,12 +192,16 @@
         task: &JobTaskId,
     ) -> Option<(WorkerId, usize)> {
         let avoid = self.jobs.get(&task.step.job).and_then(|job| job.avoid.get(task));
+        let needs_trial = self.needs_trial(task);
         let mut passed_over = Vec::new();
         let mut found = None;
         while let Some((score, position)) = best.pop() {
             let id = &pass.ids[position];
-            let has_no_run_of_task = !self.workers.get(id)?.runs.contains_key(task);
-            if has_no_run_of_task && !avoid.is_some_and(|avoid| avoid.contains(id)) {
+            let worker = self.workers.get(id)?;
+            let has_no_run_of_task = !worker.runs.contains_key(task);
+            let is_avoided = avoid.is_some_and(|avoid| avoid.contains(id))
+                || (needs_trial && has_unproven_run(worker));
+            if has_no_run_of_task && !is_avoided {
                 found = Some((id.clone(), position));
                 break;
             }
@@ -298,6 +312,11 @@
         if tasks.len() != step.count as usize {
             return false;
         }
+        let first = JobTaskId { step: *key, index: 0 };
+        let needs_trial = self.needs_trial(&first);
+        if needs_trial && !self.may_try(&first) {
+            return true;
+        }
         let is_coupled = step.is_tightly_coupled;
         let last_run =
             tasks.iter().map(|index| self.last_run(&JobTaskId { step: *key, index: *index })).max();
@@ -317,6 +336,9 @@
                 placed.push((worker, task, position));
             }
             if placed.len() == tasks.len() {
+                for (.., position) in placed.iter().filter(|_| needs_trial) {
+                    pass.usable[*position] = false;
+                }
                 return true;
             }
             for (worker, task, position) in placed {
