--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -65,6 +65,8 @@
     UnansweredStarts,
     /// It is on probation, so it gets probes only.
     Probation,
+    /// A task that may crash it has started there not long ago.
+    OnTrial,
     /// The stored heartbeat names it as unreached.
     ReportedUnreached,
 }
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -11,6 +11,7 @@
 
 mod capacity;
 mod command;
+mod crashes;
 mod ends;
 mod inherited;
 mod pass;
@@ -101,6 +102,7 @@
     times: BTreeMap<String, StepTimeRatios>,
     domains_out: BTreeSet<String>,
     inherited: inherited::Inherited,
+    crashes: crashes::Crashes,
     pressures: Pressures,
     rows: rows::PendingRows,
     commands: Vec<Command>,
@@ -143,6 +145,7 @@
             times: BTreeMap::new(),
             domains_out: BTreeSet::new(),
             inherited: inherited::Inherited::new(claimed, predecessor_lapsed),
+            crashes: crashes::Crashes::default(),
             pressures: Pressures::default(),
             rows: rows::PendingRows::default(),
             commands: Vec::new(),
@@ -214,12 +217,16 @@
                 && worker.incarnation_started_unix_ms.is_some()
                 && entry.incarnation_started_unix_ms > worker.incarnation_started_unix_ms;
             let starts_to_drain = entry.is_draining && !worker.listing.is_draining;
-            let before = std::mem::replace(&mut worker.listing, entry).capacity;
-            let has_other_capacity = worker.listing.capacity != before;
-            let id = worker.listing.id.clone();
+            let before = worker.listing.capacity;
+            let has_other_capacity = entry.capacity != before;
+            let id = entry.id.clone();
             if is_new_incarnation {
+                // The entry so far tells whether the last incarnation was draining.
                 self.on_new_incarnation(&id, now);
             }
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.listing = entry;
+            }
             if has_other_capacity {
                 self.on_capacity_changed(now, &id, &before);
             }
@@ -272,6 +279,7 @@
             },
         );
         self.begin_due_occurrences(id);
+        self.add_stored_suspects(id);
         self.queue_ready_tasks(id);
     }
 
@@ -371,7 +379,9 @@
         if self.inherited.reported_unreached.contains(id) {
             return Some(UnusableCause::ReportedUnreached);
         }
-        pick::unusable_cause(worker, now, self.domains_out.contains(&worker.listing.domain))
+        let is_domain_out = self.domains_out.contains(&worker.listing.domain);
+        let cause = pick::unusable_cause(worker, now, is_domain_out);
+        cause.or_else(|| self.is_on_trial(worker).then_some(UnusableCause::OnTrial))
     }
 
     /// Current load of the shard, for metrics and the log.
@@ -421,6 +431,8 @@
             interference::update_shares(worker, elapsed);
         }
         self.begin_scheduled_occurrences();
+        self.clear_suspects();
+        self.forget_old_crashes();
         self.resolve_lapsed(now, confirmed);
         self.resolve_inherited(now);
         self.repeat_stops(now);
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -20,6 +20,7 @@
 use crate::shard::worker::{Phase, Worker, WorkerId};
 use crate::telemetry::event::shard as event;
 
+use super::crashes::has_unproven_run;
 use super::pass::{Admission, Pass};
 use super::renewals::{new_run, set_step_attributes};
 use super::rows::PlannedStart;
@@ -130,6 +131,10 @@
             self.scores(pass, key, step, can_probe, None).into();
         for index in tasks {
             let task = JobTaskId { step: *key, index: *index };
+            let needs_trial = self.needs_trial(&task);
+            if needs_trial && !self.may_try(&task) {
+                continue;
+            }
             let Some((worker, position)) = self.pop_best(pass, &mut best, &task) else {
                 let is_full = best.is_empty();
                 return if is_full { StepOutcome::NoWorker } else { StepOutcome::OnlyOwnWorkers };
@@ -137,6 +142,10 @@
             let run = self.next_run(self.last_run(&task));
             self.reserve(now, &worker, &task, run);
             pass.invalidate(position);
+            if needs_trial {
+                pass.admission[position] = Admission::None;
+                continue;
+            }
             let again = self.score_of(pass, key, step, can_probe, position);
             best.extend(again.map(|score| (score, position)));
         }
@@ -144,7 +153,8 @@
     }
 
     /// Removes the best worker for a task from `best` and returns it. Workers that already have a run of the task are
-    /// left out, and those that the job avoids for it are used only if there is no other.
+    /// left out, and those that the job avoids for it are used only if there is no other. So are, for a suspect, those
+    /// with a run that may crash them as well.
     fn pop_best(
         &self,
         pass: &Pass,
@@ -152,12 +162,16 @@
         task: &JobTaskId,
     ) -> Option<(WorkerId, usize)> {
         let avoid = self.jobs.get(&task.step.job).and_then(|job| job.avoid.get(task));
+        let needs_trial = self.needs_trial(task);
         let mut passed_over = Vec::new();
         let mut found = None;
         while let Some((score, position)) = best.pop() {
             let id = &pass.ids[position];
-            let has_no_run_of_task = !self.workers.get(id)?.runs.contains_key(task);
-            if has_no_run_of_task && !avoid.is_some_and(|avoid| avoid.contains(id)) {
+            let worker = self.workers.get(id)?;
+            let has_no_run_of_task = !worker.runs.contains_key(task);
+            let is_avoided = avoid.is_some_and(|avoid| avoid.contains(id))
+                || (needs_trial && has_unproven_run(worker));
+            if has_no_run_of_task && !is_avoided {
                 found = Some((id.clone(), position));
                 break;
             }
@@ -278,6 +292,11 @@
         if tasks.len() != step.count as usize {
             return false;
         }
+        let first = JobTaskId { step: *key, index: 0 };
+        let needs_trial = self.needs_trial(&first);
+        if needs_trial && !self.may_try(&first) {
+            return true;
+        }
         let is_coupled = step.is_tightly_coupled;
         let last_run =
             tasks.iter().map(|index| self.last_run(&JobTaskId { step: *key, index: *index })).max();
@@ -297,6 +316,9 @@
                 placed.push((worker, task, position));
             }
             if placed.len() == tasks.len() {
+                for (.., position) in placed.iter().filter(|_| needs_trial) {
+                    pass.admission[*position] = Admission::None;
+                }
                 return true;
             }
             for (worker, task, position) in placed {
@@ -341,6 +363,7 @@
         if let Some(progress) = job.progress.task_mut(task) {
             progress.last_run = number;
             progress.worker = Some(worker_id.shared());
+            progress.worker_started_unix_ms = worker.incarnation_started_unix_ms;
         }
         self.rows.plan_start(PlannedStart { worker: worker_id.clone(), task: *task, run: number });
     }
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -42,6 +42,8 @@
 pub const TASK_MOVED: Event = Event::new(617, Level::Info, "task-moved");
 /// Tasks of a long-running step have waited for a worker for long.
 pub const TASK_WAITING: Event = Event::new(618, Level::Info, "task-waiting");
+/// A task has crashed several workers, so it is not started again and its job has failed.
+pub const TASK_GIVEN_UP: Event = Event::new(619, Level::Warn, "task-given-up");
 /// A worker was put on probation: it gets one task at a time until a task has shown that it works.
 pub const WORKER_QUARANTINED: Event = Event::new(620, Level::Warn, "worker-left-out");
 /// A worker does not answer renewals.
@@ -58,6 +60,8 @@
 pub const WORKER_RESTORED: Event = Event::new(626, Level::Info, "worker-restored");
 /// The capacity of a worker has changed.
 pub const WORKER_RESIZED: Event = Event::new(628, Level::Info, "worker-resized");
+/// A worker has crashed under runs that may be the cause.
+pub const WORKER_CRASHED: Event = Event::new(627, Level::Warn, "worker-crashed");
 /// The failure domains that are out of service have changed.
 pub const DOMAINS_OUT: Event = Event::new(630, Level::Info, "domains-out");
 /// This process has claimed a shard.
@@ -115,6 +119,7 @@
     TASK_COPIED,
     TASK_MOVED,
     TASK_WAITING,
+    TASK_GIVEN_UP,
     WORKER_QUARANTINED,
     WORKER_SILENT,
     WORKER_ANSWERS,
@@ -123,6 +128,7 @@
     WORKER_GONE,
     WORKER_RESTORED,
     WORKER_RESIZED,
+    WORKER_CRASHED,
     DOMAINS_OUT,
     SHARD_CLAIMED,
     TAKEOVER_DONE,
--- a/tests/testsuite/shard.rs
+++ b/tests/testsuite/shard.rs
@@ -2,6 +2,7 @@
 //! leases, epochs and ends, and records violations of them.
 
 mod capacity;
+mod crashes;
 mod ends;
 mod interference;
 mod lapse;
