Start no gang without a member that lost its reservation

If the worker of a reserved member restarted before the gang's start, the other members were started without it and would wait in vain. Found while reading what happens to reserved starts on workers that shrink; a shrink alone doesn't cause it.

Cause: start_planned leaves out runs that are no longer reserved before it looks for members that can't start, so a missing member was not noticed.

Change: the members of a gang that are still reserved are counted; if they are fewer than the step has, all are taken back and the gang is placed anew.

shard::placing::a_gang_does_not_start_without_a_member_whose_worker_has_restarted gives two starts instead of four without the change, and four with one run number with it.

--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -369,9 +369,16 @@
     pub(super) fn start_planned(&mut self, now: Duration, planned: Vec<PlannedStart>) {
         let planned: Vec<PlannedStart> =
             planned.into_iter().filter(|planned| self.is_reserved(planned)).collect();
+        let mut members: BTreeMap<StepId, u32> = BTreeMap::new();
+        for planned in &planned {
+            *members.entry(planned.task.step).or_default() += 1;
+        }
+        // A member may have lost its reservation, because its worker has restarted.
+        let is_whole = |step: &StepId| members.get(step) == self.gang_size(step).as_ref();
         let broken: BTreeSet<StepId> = planned
             .iter()
-            .filter(|planned| self.is_gang(&planned.task) && !self.may_start(now, planned))
+            .filter(|planned| self.gang_size(&planned.task.step).is_some())
+            .filter(|planned| !is_whole(&planned.task.step) || !self.may_start(now, planned))
             .map(|planned| planned.task.step)
             .collect();
         for planned in planned {
@@ -388,10 +395,10 @@
         run.is_some_and(|run| run.phase == Phase::Reserved && run.number == planned.run)
     }
 
-    fn is_gang(&self, task: &JobTaskId) -> bool {
-        let job = self.jobs.get(&task.step.job);
-        job.and_then(|job| job.spec.steps.get(usize::from(task.step.step)))
-            .is_some_and(|step| step.is_gang)
+    /// Number of members of a gang; `None` if the step is no gang or is unknown.
+    fn gang_size(&self, key: &StepId) -> Option<u32> {
+        let step = self.jobs.get(&key.job)?.spec.steps.get(usize::from(key.step))?;
+        step.is_gang.then_some(step.count)
     }
 
     fn may_start(&self, now: Duration, planned: &PlannedStart) -> bool {
--- a/tests/testsuite/shard/placing.rs
+++ b/tests/testsuite/shard/placing.rs
@@ -65,6 +65,27 @@
     rig.assert_no_breach();
 }
 
+/// Guards against a gang that starts without a member whose worker restarted between its reservation and its start: the
+/// others wait in vain and end.
+#[test]
+fn a_gang_does_not_start_without_a_member_whose_worker_has_restarted() {
+    let mut rig = Rig::new(Fleet::new(2, 2_000));
+    rig.run(Duration::from_millis(200));
+    rig.store.is_down = true;
+    let mut gang = step(4, 1_000);
+    gang.is_gang = true;
+    let id = rig.submit(7, spec(vec![gang]));
+    rig.fleet.durations.insert(id, Duration::from_secs(60));
+    rig.run(Duration::from_millis(200));
+    rig.fleet.get(1).restart();
+    rig.run(Duration::from_millis(200));
+    rig.store.is_down = false;
+    rig.run(Duration::from_secs(1));
+    let runs: BTreeSet<u32> = rig.starts_of(id).iter().map(|(_, run, _)| *run).collect();
+    assert_eq!((rig.starts_of(id).len(), runs.len()), (4, 1));
+    rig.assert_no_breach();
+}
+
 /// Guards against a step that no worker can take and that blocks a smaller one of the same priority.
 #[test]
 fn a_step_without_room_does_not_hold_up_the_steps_behind_it() {
