--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -9,7 +9,7 @@
 //! the runs there is unknown meanwhile. A job that is spread over all domains is delayed by a cut of any of them; a job
 //! in one domain only by a cut of that one.
 
-use std::collections::{BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::rc::Rc;
 use std::time::Duration;
 
