Let tasks crash the stand-in's workers, and change their capacity

A task with the argument {"crash": true} crashes its worker when its run time is over, at once without `run_ms`. The worker loses all attempts, is unreachable for two seconds, and restarts as a later incarnation with no attempts. An attempt that was stopped, or whose lease has lapsed, crashes nothing. `WorkerGroup::set_capacity` changes the resources that the inventory reports; attempts continue, and a restart keeps the value. Restarts by tests and by crashes share one function.

Tested with a manual clock: `local::` (3 tests) passes.

--- a/src/local/worker.rs
+++ b/src/local/worker.rs
@@ -30,6 +30,9 @@
 /// How often the workers check for ended attempts and expired leases.
 const ADVANCE_PERIOD: Duration = Duration::from_millis(10);
 
+/// Time from a crash of a worker by a task to its next incarnation.
+pub const RESTART_TIME: Duration = Duration::from_secs(2);
+
 /// Fault switches of one worker.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct WorkerFaults {
@@ -66,6 +69,8 @@
     /// Boot time at which the worker's clock showed `clock_start_ms`.
     started_at: Duration,
     clock_start_ms: WorkerTimeMs,
+    /// Boot time at which the worker restarts after a crash; it is unreachable until then.
+    restarts_at: Option<Duration>,
 }
 
 impl Worker {
@@ -161,6 +166,7 @@
                 clock: Arc::clone(&clock),
                 // Each worker's clock starts at another time, so that tests find uses of a wrong clock.
                 clock_start_ms: 1_000_000 + index * 10_000,
+                restarts_at: None,
                 spec,
             };
             (worker.spec.name.clone(), Mutex::new(worker))
@@ -205,18 +211,19 @@
         }
     }
 
+    /// Changes the total resources of a worker, which its inventory reports from then on. Attempts continue.
+    pub fn set_capacity(&self, name: &str, capacity: Resources) {
+        if let Some(mut worker) = self.shared.worker(name) {
+            worker.spec.capacity = capacity;
+            worker.state.set_capacity(capacity);
+        }
+    }
+
     /// Restarts a worker: it loses its attempts and its clock starts anew. The history shows them as lapsed.
     pub fn restart(&self, name: &str) {
-        let Some(mut worker) = self.shared.worker(name) else { return };
-        let lost: Vec<AttemptRef> = worker.state.running().cloned().collect();
-        for attempt in lost {
-            let event = AttemptEvent::Ended(attempt, crate::platform::worker::AttemptState::Lapsed);
-            self.shared.record(&worker, event);
+        if let Some(mut worker) = self.shared.worker(name) {
+            self.shared.restart(&mut worker);
         }
-        let incarnation = worker.state.inventory(&InventoryRequest::default(), 0, 0).incarnation;
-        worker.state = WorkerState::new(worker.spec.capacity, incarnation + 1);
-        worker.started_at = worker.clock.boot();
-        worker.clock_start_ms = 5;
     }
 
     /// Returns the attempts that run on a worker; empty for an unknown worker.
@@ -258,7 +265,30 @@
         }
     }
 
+    /// Starts the next incarnation of a worker. The history shows the attempts that it loses as lapsed.
+    fn restart(&self, worker: &mut Worker) {
+        let lost: Vec<AttemptRef> = worker.state.running().cloned().collect();
+        for attempt in lost {
+            let event = AttemptEvent::Ended(attempt, crate::platform::worker::AttemptState::Lapsed);
+            self.record(worker, event);
+        }
+        let incarnation = worker.state.inventory(&InventoryRequest::default(), 0, 0).incarnation;
+        worker.state = WorkerState::new(worker.spec.capacity, incarnation + 1);
+        worker.started_at = worker.clock.boot();
+        worker.clock_start_ms = 5;
+    }
+
+    /// Brings a worker up to date: ends attempts, crashes it, or restarts it after a crash.
     fn advance(&self, worker: &mut Worker) {
+        let now_ms = worker.now_ms();
+        if worker.state.is_crash_due(now_ms) {
+            // Attempts are lost at the crash. The incarnation that this begins is unreachable until the restart.
+            self.restart(worker);
+            worker.restarts_at = Some(worker.clock.boot() + RESTART_TIME);
+        }
+        if worker.restarts_at.take_if(|at| *at <= worker.clock.boot()).is_some() {
+            self.restart(worker);
+        }
         let now_ms = worker.now_ms();
         for event in worker.state.advance(now_ms) {
             self.record(worker, event);
@@ -294,10 +324,13 @@
     }
 
     fn call(&self, name: &str, path: &str, body: &[u8]) -> CallOutcome {
-        let Some(faults) = self.worker(name).map(|worker| worker.faults.clone()) else {
+        let Some((faults, is_crashed)) = self.worker(name).map(|mut worker| {
+            self.advance(&mut worker);
+            (worker.faults.clone(), worker.restarts_at.is_some())
+        }) else {
             return CallOutcome::Rejected("no such worker".to_owned());
         };
-        if faults.down {
+        if faults.down || is_crashed {
             return CallOutcome::Down;
         }
         if let Some(slow) = faults.slow {
--- a/src/local/worker/state.rs
+++ b/src/local/worker/state.rs
@@ -38,6 +38,9 @@
     /// True if the attempt ends with a failure.
     #[serde(default)]
     fail: bool,
+    /// True if the attempt crashes its worker when its run time is over, at once without one.
+    #[serde(default)]
+    crash: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -56,9 +59,11 @@
 }
 
 impl Attempt {
-    /// Returns when the work will be done at the current speed; `None` if it runs until it is stopped.
+    /// Returns when the work will be done, or the worker crashes, at the current speed; `None` if the attempt runs until
+    /// it is stopped.
     fn finish_time_ms(&self) -> Option<WorkerTimeMs> {
-        let remaining_us = (self.behaviour.run_ms? * 1000).saturating_sub(self.done_us);
+        let run_ms = self.behaviour.run_ms.or_else(|| self.behaviour.crash.then_some(0))?;
+        let remaining_us = (run_ms * 1000).saturating_sub(self.done_us);
         let percent = u64::from(self.percent.max(1));
         Some(self.accumulated_until_ms + (remaining_us * 100).div_ceil(percent * 1000))
     }
@@ -113,6 +118,23 @@
         self.service_p99_us = p99_us;
     }
 
+    /// Changes the total resources. Attempts continue.
+    pub fn set_capacity(&mut self, capacity: Resources) {
+        self.capacity = capacity;
+    }
+
+    /// True if a running attempt crashes the worker at this time or before.
+    #[must_use]
+    pub fn is_crash_due(&self, now_ms: WorkerTimeMs) -> bool {
+        let is_due = |attempt: &Attempt| {
+            attempt.state == AttemptState::Running
+                && attempt.behaviour.crash
+                && attempt.finish_time_ms().is_some_and(|at| at <= now_ms)
+                && attempt.lease_until_ms > now_ms
+        };
+        self.attempts.values().any(is_due)
+    }
+
     /// Ends attempts whose work is done or whose lease has expired, and removes attempts that ended long ago.
     pub fn advance(&mut self, now_ms: WorkerTimeMs) -> Vec<AttemptEvent> {
         let mut events = Vec::new();
@@ -120,7 +142,8 @@
             if attempt.state != AttemptState::Running {
                 continue;
             }
-            let finish = attempt.finish_time_ms().filter(|finish| *finish <= now_ms);
+            let finish = attempt.finish_time_ms().filter(|_| !attempt.behaviour.crash);
+            let finish = finish.filter(|finish| *finish <= now_ms);
             let expiry = (attempt.lease_until_ms <= now_ms).then_some(attempt.lease_until_ms);
             let (at_ms, state) = match (finish, expiry) {
                 (Some(finish), expiry) if expiry.is_none_or(|expiry| finish <= expiry) => {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod adapter;
 mod cli;
 mod jobs;
+mod local;
 mod net;
 mod operator_config;
 mod peer;
