Add tasks that crash their workers to the soak

Some jobs now get a task that crashes its worker 0.05 to 1 s after each start. The worker is back 2 to 5 s later as a later incarnation under the same ID, with nothing running, no fencing token and ends numbered from 1; its directory entry stays for three heartbeats of silence. These jobs come in series of up to three and are drawn by a generator of their own, so the other jobs and faults of a seed stay as they were. The seed also decides whether a run has them (three of four runs do).

- BUDGET: at most two starts of such a task by processes in touch after three workers have crashed under it.
A crash counts for every task that ran on the worker, whatever caused it, and so does a worker that another fault takes away: the rule speaks of workers that crash under a task.
To tell who sent a start, each process has links of its own to the workers; link faults still apply to all links of a worker.
A process is in touch 3 s after the last disruption of it, of its link to the store, or of the store.
A start that was sent earlier counts when it is executed; one that was held up counts only if its sender was in touch from the sending on.
- A job without such a task must not be `failed`.
`failed` used to be a breach always; now it is allowed once two workers have crashed under one task of the job, or a task has failed 50 times (the queue's `attempts`).
- A job with such a task must end, and never as `completed`.

Changed besides: a thread ends runs and restarts workers in time, instead of the next request to a worker doing so; a command that was received by a lost worker is no longer executed by it or by its next incarnation.

--- a/crates/plantainlever-test-support/src/bin/soak.rs
+++ b/crates/plantainlever-test-support/src/bin/soak.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use plantainlever_test_support::soak;
+use plantainlever_test_support::soak::{self, OptionalFaults};
 
 /// Default of SECONDS.
 const DEFAULT_FAULT_TIME_S: u64 = 20;
@@ -22,19 +22,24 @@
     let fault_time = Duration::from_secs(number(4).unwrap_or(DEFAULT_FAULT_TIME_S));
     let mut failed = 0;
     for seed in first..first + seeds {
-        match soak::run(Path::new(binary), seed, fault_time) {
-            Ok(report) if report.breaches.is_empty() => println!(
-                "seed {seed}: passed; {} accepted, {} refused, {} starts, {} faults",
-                report.accepted,
-                report.refused,
-                report.starts,
-                report.faults.len()
-            ),
+        let optional_faults = OptionalFaults::of_seed(seed);
+        match soak::run(Path::new(binary), seed, optional_faults, fault_time) {
             Ok(report) => {
-                failed += 1;
-                println!("seed {seed}: FAILED");
-                for line in report.breaches.iter().chain(&report.faults).chain(&report.logs) {
-                    println!("  {line}");
+                let has_passed = report.breaches.is_empty();
+                println!(
+                    "seed {seed}: {}; {} accepted, {} refused, {} starts, {} crashes, {} faults, {optional_faults:?}",
+                    if has_passed { "passed" } else { "FAILED" },
+                    report.accepted,
+                    report.refused,
+                    report.starts,
+                    report.crashes,
+                    report.faults.len()
+                );
+                if !has_passed {
+                    failed += 1;
+                    for line in report.breaches.iter().chain(&report.faults).chain(&report.logs) {
+                        println!("  {line}");
+                    }
                 }
             }
             Err(e) => {
--- a/crates/plantainlever-test-support/src/soak.rs
+++ b/crates/plantainlever-test-support/src/soak.rs
@@ -4,11 +4,14 @@
 //! The seed determines the cluster size, the jobs and the faults: links that are cut, silenced in one or both
 //! directions, or delayed; open connections that go silent while new ones work; processes that are killed, paused,
 //! stopped gracefully and restarted; a store that refuses requests, is silent or slow, loses answers, applies writes
-//! late or compacts its change history; workers that are lost, drain, fail every run or execute commands late. Faults
-//! overlap, and routes are added and removed meanwhile. The stand-ins check each start of a task, and the callers check
-//! the job states in the answers. After the last fault every accepted job must end.
+//! late or compacts its change history; workers that are lost, drain, fail every run or execute commands late; tasks that
+//! crash their workers. Faults overlap, and routes are added and removed
+//! meanwhile. The stand-ins check each start of a task, and the callers check the job states in the answers. After the
+//! last fault every accepted job must end.
 
 mod caller;
+pub mod contact;
+pub mod crash;
 mod faults;
 mod node;
 mod routes;
@@ -47,6 +50,40 @@
 /// Time in which the first task must start.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// CPU of a worker in thousandths of a core, while it is not changed.
+const WORKER_CPU: u64 = 4_000;
+
+/// Number of failed runs after which a task fails its job.
+const ATTEMPTS: u32 = 50;
+
+/// Salt of the random numbers that select the optional faults of a seed.
+const OPTIONAL_FAULTS_SALT: u64 = 0x0517_0f7a;
+
+/// Probability of each of them.
+const OPTIONAL_FAULT_PROBABILITY: f64 = 0.75;
+
+/// Faults that not every run has.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OptionalFaults {
+    /// Some jobs have a task that crashes its workers.
+    pub crashing_tasks: bool,
+}
+
+impl OptionalFaults {
+    /// None of them.
+    pub const NONE: Self = Self { crashing_tasks: false };
+
+    /// All of them.
+    pub const ALL: Self = Self { crashing_tasks: true };
+
+    /// Those of a run with this seed.
+    #[must_use]
+    pub fn of_seed(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed ^ OPTIONAL_FAULTS_SALT);
+        Self { crashing_tasks: rng.random_bool(OPTIONAL_FAULT_PROBABILITY) }
+    }
+}
+
 /// Result of a soak run.
 #[derive(Debug)]
 pub struct Report {
@@ -60,6 +97,8 @@
     pub refused: usize,
     /// Number of task starts that workers executed.
     pub starts: usize,
+    /// Number of crashes of workers.
+    pub crashes: usize,
     /// Descriptions of the injected faults, in order.
     pub faults: Vec<String>,
     /// Last log lines of all processes, for the diagnosis of a failed run.
@@ -70,18 +109,23 @@
 pub(crate) struct SoakCluster {
     pub(crate) world: SharedWorld,
     pub(crate) nodes: Vec<NodeProcess>,
-    /// One link from each process to the store.
-    pub(crate) store_links: Vec<Link>,
-    /// One link per worker, used by all processes.
-    pub(crate) worker_links: Vec<Link>,
+    /// By process: its link to the store.
+    pub(crate) store_links: Vec<Vec<Link>>,
+    /// By worker: the links to it, one from each process.
+    pub(crate) worker_links: Arc<Vec<Vec<Link>>>,
 }
 
-/// Runs the soak with a seed, and injects faults for `fault_time`.
+/// Runs the soak with a seed, and injects faults for `fault_time`, the optional ones as given.
 ///
 /// # Errors
 ///
 /// If a process or a stand-in cannot be started.
-pub fn run(binary: &Path, seed: u64, fault_time: Duration) -> Result<Report, std::io::Error> {
+pub fn run(
+    binary: &Path,
+    seed: u64,
+    optional_faults: OptionalFaults,
+    fault_time: Duration,
+) -> Result<Report, std::io::Error> {
     let mut rng = StdRng::seed_from_u64(seed);
     let worker_count = rng.random_range(4..=9);
     let node_count = rng.random_range(2..=5);
@@ -89,13 +133,17 @@
     let (stop, stopped) = watch::channel(false);
     let (tx, rx) = mpsc::channel();
     let served_world = Arc::clone(&world);
-    let platform =
-        std::thread::spawn(move || serve::run(&served_world, worker_count, &tx, &stopped));
+    let platform = std::thread::spawn(move || {
+        serve::run(&served_world, node_count, worker_count, &tx, &stopped)
+    });
     let not_started = |_| std::io::Error::other("the stand-ins did not start");
     let addresses = rx.recv().map_err(not_started)?;
     let mut cluster = start_cluster(binary, &world, node_count, &addresses)?;
     let stop_callers = Arc::new(AtomicBool::new(false));
-    let callers = caller::start(&cluster, seed, &stop_callers);
+    let callers = caller::start(&cluster, seed, optional_faults, &stop_callers);
+    let stop_restarts = Arc::new(AtomicBool::new(false));
+    let start = Instant::now();
+    let restarts = crash::start(&cluster, &stop_restarts);
     let mut faults = Vec::new();
     if wait_for_first_start(&cluster) {
         let routes = routes::start(&cluster, seed, &stop_callers);
@@ -115,6 +163,10 @@
     }
     wait_for_jobs(&cluster, &jobs);
     check_refused_jobs(&world, &jobs);
+    stop_restarts.store(true, Ordering::SeqCst);
+    if restarts.join().is_err() {
+        lock(&world).breaches.push("the thread that restarts workers has panicked".to_owned());
+    }
     let logs = cluster.nodes.iter().flat_map(NodeProcess::last_log_lines).collect();
     drop(cluster);
     stop.send_replace(true);
@@ -123,12 +175,17 @@
     if !matches!(server_result, Ok(Ok(()))) {
         world.breaches.push(format!("the stand-ins ended with {server_result:?}"));
     }
+    faults.extend(world.crashes.iter().map(|crash| {
+        let after_s = crash.at.duration_since(start).as_secs_f64();
+        format!("crash {after_s:.1} s after the start: {} with {:?}", crash.worker, crash.tasks)
+    }));
     Ok(Report {
         seed,
         breaches: std::mem::take(&mut world.breaches),
         accepted: jobs.iter().filter(|job| job.outcome == Outcome::Accepted).count(),
         refused: jobs.iter().filter(|job| job.outcome == Outcome::Refused).count(),
         starts: world.starts.len(),
+        crashes: world.crashes.len(),
         faults,
         logs,
     })
@@ -140,24 +197,34 @@
     node_count: usize,
     addresses: &[SocketAddr],
 ) -> Result<SoakCluster, std::io::Error> {
-    let worker_links =
-        addresses[1..].iter().map(|to| Link::to(*to)).collect::<Result<Vec<_>, _>>()?;
+    let by_node: Vec<&[SocketAddr]> = addresses.chunks(addresses.len() / node_count).collect();
+    // The first address of a process is the store's, the others are the workers'.
+    let links = |index: usize| {
+        by_node.iter().map(|of_node| Link::to(of_node[index])).collect::<Result<Vec<_>, _>>()
+    };
+    let worker_links = (1..by_node[0].len()).map(links).collect::<Result<Vec<_>, _>>()?;
     {
         let mut world = lock(world);
-        for (index, link) in worker_links.iter().enumerate() {
-            world.workers.push(Worker::new(index, link.address().to_string(), 4_000));
+        for (index, links) in worker_links.iter().enumerate() {
+            let addresses = links.iter().map(|link| link.address().to_string()).collect();
+            world.workers.push(Worker::new(index, addresses, WORKER_CPU));
         }
+        (0..node_count).for_each(|node| world.contact.disrupt_node(node));
         publish_workers(&mut world);
     }
     routes::publish(world, 1, &[]);
-    let store_links =
-        (0..node_count).map(|_| Link::to(addresses[0])).collect::<Result<Vec<_>, _>>()?;
+    let store_links = links(0)?;
     let nodes = store_links
         .iter()
         .enumerate()
         .map(|(index, link)| NodeProcess::start(binary, index, link.address()))
         .collect::<Result<Vec<_>, _>>()?;
-    Ok(SoakCluster { world: Arc::clone(world), nodes, store_links, worker_links })
+    Ok(SoakCluster {
+        world: Arc::clone(world),
+        nodes,
+        store_links: store_links.into_iter().map(|link| vec![link]).collect(),
+        worker_links: Arc::new(worker_links),
+    })
 }
 
 /// Writes the directory entry of each worker to the store, and removes the entries of lost ones.
@@ -166,13 +233,12 @@
         .workers
         .iter()
         .map(|worker| {
-            let is_lost = worker.mode == world::WorkerMode::Dead;
-            let entry = serde_json::json!({ "service": "pool", "address": worker.address,
+            let entry = serde_json::json!({ "service": "pool", "address": worker.addresses[0],
                 "zone": worker.domain, "state": if worker.is_draining { "draining" } else { "ready" },
                 "capacity": { "cpu": worker.capacity, "mem-mb": 1_000_000, "gpu": 0 },
                 "labels": ["a", "rack"], "born": worker.incarnation_started_unix_ms, "version": "v1",
                 "slots": 8, "seq": 1 });
-            let value = (!is_lost).then(|| BASE64_STANDARD.encode(entry.to_string()));
+            let value = worker.is_listed().then(|| BASE64_STANDARD.encode(entry.to_string()));
             (worker.id.clone(), value)
         })
         .collect();
@@ -207,10 +273,10 @@
                 if !state.is_final() {
                     last_seen = format!("{}: {state:?}", job.id);
                 }
-                let is_breach = state.is_breach(job);
+                let mut world = lock(&cluster.world);
+                let is_breach = state.is_breach(job, &world);
                 if is_breach {
-                    let breach = format!("{} is shown as {state:?}", job.id);
-                    lock(&cluster.world).breaches.push(breach);
+                    world.breaches.push(format!("{} is shown as {state:?}", job.id));
                 }
                 !state.is_final() && !is_breach
             });
--- a/crates/plantainlever-test-support/src/soak/caller.rs
+++ b/crates/plantainlever-test-support/src/soak/caller.rs
@@ -10,9 +10,10 @@
 use rand::{RngExt, SeedableRng};
 use ureq::Agent;
 
+use super::crash::CrashingTasks;
 use super::serve::{SharedWorld, lock};
-use super::world::Payload;
-use super::{HOST, PREFIX, SoakCluster};
+use super::world::{Payload, World};
+use super::{HOST, OptionalFaults, PREFIX, SoakCluster};
 
 /// Number of caller threads.
 const CALLER_THREADS: usize = 4;
@@ -63,16 +64,19 @@
     /// Returns true if the job has ended.
     #[must_use]
     pub fn is_final(&self) -> bool {
-        matches!(self, Self::Named(name) if name == "completed" || name == "cancelled")
+        matches!(self, Self::Named(name) if ["completed", "cancelled", "failed"].contains(&name.as_str()))
     }
 
-    /// Returns true if no process may ever report this state for the accepted job.
+    /// Returns true if no process may report this state for the accepted job after what has happened so far.
     #[must_use]
-    pub fn is_breach(&self, job: &Job) -> bool {
+    pub fn is_breach(&self, job: &Job, world: &World) -> bool {
         match self {
-            Self::Named(name) => {
-                name == "failed" || name == "cancelled" && !job.is_cancel_requested
-            }
+            Self::Named(name) => match name.as_str() {
+                "completed" => world.has_crashing_task(&job.id),
+                "failed" => !world.may_fail(&job.id),
+                "cancelled" => !job.is_cancel_requested,
+                _ => false,
+            },
             Self::Absent => true,
             Self::Unknown => false,
         }
@@ -120,6 +124,7 @@
 pub(super) fn start(
     cluster: &SoakCluster,
     seed: u64,
+    optional_faults: OptionalFaults,
     stop: &Arc<AtomicBool>,
 ) -> Vec<JoinHandle<Vec<Job>>> {
     let fronts: Vec<SocketAddr> = cluster.nodes.iter().map(super::NodeProcess::front).collect();
@@ -128,10 +133,13 @@
             let (world, stop, fronts) =
                 (Arc::clone(&cluster.world), Arc::clone(stop), fronts.clone());
             let mut rng = StdRng::seed_from_u64(seed ^ (number as u64 + 1) << 32);
+            let mut crashing_tasks =
+                optional_faults.crashing_tasks.then(|| CrashingTasks::new(seed, number as u64));
             std::thread::spawn(move || {
                 let mut jobs = Vec::new();
                 while !stop.load(Ordering::SeqCst) {
-                    jobs.push(submit_random_job(&world, &fronts, &mut rng));
+                    let crashing_tasks = crashing_tasks.as_mut();
+                    jobs.push(submit_random_job(&world, &fronts, &mut rng, crashing_tasks));
                     std::thread::sleep(Duration::from_millis(rng.random_range(50..400)));
                 }
                 jobs
@@ -141,13 +149,20 @@
 }
 
 /// Submits a random job, and cancels or queries it with some probability.
-fn submit_random_job(world: &SharedWorld, fronts: &[SocketAddr], rng: &mut StdRng) -> Job {
+fn submit_random_job(
+    world: &SharedWorld,
+    fronts: &[SocketAddr],
+    rng: &mut StdRng,
+    crashing_tasks: Option<&mut CrashingTasks>,
+) -> Job {
     let id = format!("{:016x}", rng.random::<u64>());
-    let payload = Payload {
+    let mut payload = Payload {
         cpu: rng.random_range(1..=3) * 500,
         ms: rng.random_range(50..1_500),
         counts: (0..rng.random_range(1..=3)).map(|_| rng.random_range(1..=4)).collect(),
+        crashing_task: None,
     };
+    payload.crashing_task = crashing_tasks.and_then(|tasks| tasks.next(&payload.counts));
     lock(world).submitted.insert(id.clone(), payload.clone());
     let outcome = submit(fronts, &id, &payload, rng);
     let mut job = Job { id, outcome, is_cancel_requested: false };
@@ -157,8 +172,9 @@
     }
     if job.outcome == Outcome::Accepted && rng.random_bool(0.3) {
         let state = state(fronts[rng.random_range(0..fronts.len())], &job.id);
-        if state.is_breach(&job) {
-            lock(world).breaches.push(format!("{} is shown as {state:?}", job.id));
+        let mut world = lock(world);
+        if state.is_breach(&job, &world) {
+            world.breaches.push(format!("{} is shown as {state:?}", job.id));
         }
     }
     job
--- a/crates/plantainlever-test-support/src/soak/faults.rs
+++ b/crates/plantainlever-test-support/src/soak/faults.rs
@@ -5,6 +5,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::link::Link;
+
 use super::serve::lock;
 use super::world::{StoreMode, WorkerMode};
 use super::{SoakCluster, publish_workers};
@@ -45,6 +47,9 @@
         for (_, component) in active_faults.extract_if(.., |(at, _)| *at <= now) {
             restore(cluster, &component);
         }
+        for (_, component) in &active_faults {
+            record_disruption(cluster, component);
+        }
         if now >= next_loss {
             let description = silence_open_connections(cluster, &mut loss_rng);
             descriptions.push(format!("{:.1} s: {description}", start.elapsed().as_secs_f64()));
@@ -67,16 +72,37 @@
     descriptions
 }
 
-/// Silences the open connections of a random link for good; new ones work.
+/// Records that the component's process or the store is disrupted.
+fn record_disruption(cluster: &SoakCluster, component: &FaultyComponent) {
+    let contact = &mut lock(&cluster.world).contact;
+    match component {
+        FaultyComponent::Process(index) | FaultyComponent::StoreLink(index) => {
+            contact.disrupt_node(*index);
+        }
+        FaultyComponent::Store => contact.disrupt_store(),
+        FaultyComponent::WorkerLink(_) | FaultyComponent::Worker(_) => {}
+    }
+}
+
+/// Silences the open connections of a process to the store, or of all processes to a worker, for good; new ones work.
 fn silence_open_connections(cluster: &SoakCluster, rng: &mut StdRng) -> String {
-    let (links, link_end) = if rng.random_bool(0.8) {
+    let is_to_store = rng.random_bool(0.8);
+    let (links, link_end) = links(cluster, is_to_store);
+    let index = rng.random_range(0..links.len());
+    links[index].iter().for_each(Link::silence_open_connections);
+    if is_to_store {
+        record_disruption(cluster, &FaultyComponent::StoreLink(index));
+    }
+    format!("open connections to {link_end} {index} are silent")
+}
+
+/// Returns the links from each process to the store, or from all processes to each worker, and what they lead to.
+fn links(cluster: &SoakCluster, is_to_store: bool) -> (&[Vec<Link>], &'static str) {
+    if is_to_store {
         (&cluster.store_links, "store of process")
     } else {
         (&cluster.worker_links, "worker")
-    };
-    let index = rng.random_range(0..links.len());
-    links[index].silence_open_connections();
-    format!("open connections to {link_end} {index} are silent")
+    }
 }
 
 fn start_random_fault(cluster: &mut SoakCluster, rng: &mut StdRng) -> (String, FaultyComponent) {
@@ -101,35 +127,36 @@
     rng: &mut StdRng,
     is_to_store: bool,
 ) -> (String, FaultyComponent) {
-    let links = if is_to_store { &cluster.store_links } else { &cluster.worker_links };
+    let (links, link_end) = links(cluster, is_to_store);
     let index = rng.random_range(0..links.len());
-    let link = &links[index];
+    let links = &links[index];
     let condition = match rng.random_range(0..5) {
         0 => {
-            link.cut();
+            links.iter().for_each(Link::cut);
             "cut"
         }
         1 => {
-            link.silence(true, true);
+            links.iter().for_each(|link| link.silence(true, true));
             "silent"
         }
         2 => {
-            link.silence(false, true);
+            links.iter().for_each(|link| link.silence(false, true));
             "without answers"
         }
         3 => {
-            link.silence(true, false);
+            links.iter().for_each(|link| link.silence(true, false));
             "without requests"
         }
         _ => {
-            link.delay(Duration::from_millis(rng.random_range(20..400)));
+            let delay = Duration::from_millis(rng.random_range(20..400));
+            links.iter().for_each(|link| link.delay(delay));
             "slow"
         }
     };
-    let (link_end, component) = if is_to_store {
-        ("store of process", FaultyComponent::StoreLink(index))
+    let component = if is_to_store {
+        FaultyComponent::StoreLink(index)
     } else {
-        ("worker", FaultyComponent::WorkerLink(index))
+        FaultyComponent::WorkerLink(index)
     };
     (format!("link to {link_end} {index} is {condition}"), component)
 }
@@ -155,6 +182,7 @@
     let mut world = lock(&cluster.world);
     let index = rng.random_range(0..world.workers.len());
     let delay = Duration::from_millis(rng.random_range(100..4_000));
+    world.advance();
     let worker = &mut world.workers[index];
     if worker.mode == WorkerMode::Dead {
         return (format!("worker {index} stays lost"), FaultyComponent::Worker(index));
@@ -166,16 +194,18 @@
     }
     worker.mode =
         [WorkerMode::Dead, WorkerMode::Fails, WorkerMode::Late(delay)][rng.random_range(0..3)];
-    let description = format!("worker {index} is {:?}", worker.mode);
-    if worker.mode == WorkerMode::Dead {
-        cluster.worker_links[index].cut();
+    let mode = worker.mode;
+    if mode == WorkerMode::Dead {
+        world.crash_worker(index, None);
+        cluster.worker_links[index].iter().for_each(Link::cut);
         publish_workers(&mut world);
     }
-    (description, FaultyComponent::Worker(index))
+    (format!("worker {index} is {mode:?}"), FaultyComponent::Worker(index))
 }
 
 /// Ends a fault: restarts the process or restores the component.
 fn restore(cluster: &mut SoakCluster, component: &FaultyComponent) {
+    record_disruption(cluster, component);
     match component {
         FaultyComponent::Process(index) => {
             cluster.nodes[*index].signal("-CONT");
@@ -185,20 +215,26 @@
                 lock(&cluster.world).breaches.push(format!("process {index} does not start: {e}"));
             }
         }
-        FaultyComponent::StoreLink(index) => cluster.store_links[*index].heal(),
+        FaultyComponent::StoreLink(index) => {
+            cluster.store_links[*index].iter().for_each(Link::heal);
+        }
         FaultyComponent::WorkerLink(index) => {
             let is_lost = lock(&cluster.world).workers[*index].mode == WorkerMode::Dead;
             if !is_lost {
-                cluster.worker_links[*index].heal();
+                cluster.worker_links[*index].iter().for_each(Link::heal);
             }
         }
         FaultyComponent::Store => lock(&cluster.world).store = StoreMode::Well,
         FaultyComponent::Worker(index) => {
             let mut world = lock(&cluster.world);
             let worker = &mut world.workers[*index];
+            // A worker that a task has crashed restarts at its own time.
+            if worker.is_crashed() {
+                return;
+            }
             if worker.mode == WorkerMode::Dead {
                 worker.restart();
-                cluster.worker_links[*index].heal();
+                cluster.worker_links[*index].iter().for_each(Link::heal);
             }
             worker.mode = WorkerMode::Well;
             worker.is_draining = false;
@@ -221,8 +257,10 @@
     // A process may still be stopping gracefully; it is restarted once it has exited.
     let deadline = Instant::now() + Duration::from_secs(8);
     while Instant::now() < deadline {
-        for node in &mut cluster.nodes {
-            node.restart()?;
+        for (index, node) in cluster.nodes.iter_mut().enumerate() {
+            if node.restart()? {
+                lock(&cluster.world).contact.disrupt_node(index);
+            }
         }
         std::thread::sleep(Duration::from_millis(200));
     }
--- a/crates/plantainlever-test-support/src/soak/node.rs
+++ b/crates/plantainlever-test-support/src/soak/node.rs
@@ -58,17 +58,17 @@
         }
     }
 
-    /// Starts the process again if it has exited; does nothing otherwise.
+    /// Starts the process again if it has exited; does nothing otherwise. Returns true if it has started.
     ///
     /// # Errors
     ///
     /// If the process cannot be started.
-    pub fn restart(&mut self) -> Result<(), std::io::Error> {
+    pub fn restart(&mut self) -> Result<bool, std::io::Error> {
         if matches!(self.child.try_wait(), Ok(None)) {
-            return Ok(());
+            return Ok(false);
         }
         self.child = spawn(&self.binary, &self.folder, &self.log_lines)?;
-        Ok(())
+        Ok(true)
     }
 
     /// The last log lines, of all starts of the process.
--- a/crates/plantainlever-test-support/src/soak/routes.rs
+++ b/crates/plantainlever-test-support/src/soak/routes.rs
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::serve::{SharedWorld, lock};
-use super::{HOST, PREFIX, SoakCluster, caller};
+use super::{ATTEMPTS, HOST, PREFIX, SoakCluster, caller};
 
 /// Time after which an acknowledged change must be in force; the platform's `config-apply-ms`.
 const APPLY_TIME: Duration = Duration::from_millis(2_000);
@@ -62,7 +62,7 @@
         .map(|prefix| {
             serde_json::json!({ "name": if *prefix == PREFIX { "queue" } else { *prefix },
                 "host": HOST, "path-prefix": prefix, "service": "pool", "priority": 0,
-                "attempts": 50, "stretch": 2.0, "target-latency-ms": 1_000 })
+                "attempts": ATTEMPTS, "stretch": 2.0, "target-latency-ms": 1_000 })
         })
         .collect();
     let config = serde_json::json!({ "version": version, "routes": routes }).to_string();
--- a/crates/plantainlever-test-support/src/soak/serve.rs
+++ b/crates/plantainlever-test-support/src/soak/serve.rs
@@ -4,12 +4,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
 use plantainlever::net::server::{self, Received, Reply, ServerLimits};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use super::world::{StoreMode, WorkerMode, World};
+use super::world::{RowId, StoreMode, WorkerMode, World};
 
 /// Maximum lease that a worker grants, on its own clock.
 pub const MAX_LEASE: Duration = Duration::from_secs(6);
@@ -28,9 +30,11 @@
     world.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Serves the store and `workers` workers until `stop` is true. Sends their addresses, the store's first.
+/// Serves the store and `workers` workers until `stop` is true, under addresses of their own for each of `nodes`
+/// processes. Sends the addresses: for each process that of the store, then those of the workers.
 pub fn run(
     world: &SharedWorld,
+    nodes: usize,
     workers: usize,
     addresses: &std::sync::mpsc::Sender<Vec<SocketAddr>>,
     stop: &watch::Receiver<bool>,
@@ -38,11 +42,11 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let mut bound = Vec::new();
-        for index in 0..=workers {
+        for (node, index) in (0..nodes).flat_map(|node| (0..=workers).map(move |i| (node, i))) {
             let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
             bound.push(listener.local_addr()?);
             let (world, stop) = (Arc::clone(world), stop.clone());
-            let answer = move |req| answer(Arc::clone(&world), index.checked_sub(1), req);
+            let answer = move |req| answer(Arc::clone(&world), node, index.checked_sub(1), req);
             tokio::task::spawn_local(server::serve(listener, limits(), stop, answer));
         }
         if addresses.send(bound).is_err() {
@@ -66,17 +70,22 @@
     }
 }
 
-async fn answer(world: SharedWorld, worker: Option<usize>, req: Received) -> Reply {
+async fn answer(world: SharedWorld, node: usize, worker: Option<usize>, req: Received) -> Reply {
     let body = req.body.as_ref().ok().filter(|body| !body.is_empty());
     let body = body.and_then(|body| serde_json::from_slice(body).ok()).unwrap_or(Value::Null);
     let (status, body) = match worker {
-        Some(index) => on_worker_request(&world, index, &req, &body).await,
-        None => on_store_request(&world, &req, &body).await,
+        Some(index) => on_worker_request(&world, (node, index), &req, &body).await,
+        None => on_store_request(&world, node, &req, &body).await,
     };
     Reply::json(hyper::StatusCode::from_u16(status).unwrap_or_default(), body.to_string().into())
 }
 
-async fn on_store_request(world: &SharedWorld, req: &Received, body: &Value) -> (u16, Value) {
+async fn on_store_request(
+    world: &SharedWorld,
+    node: usize,
+    req: &Received,
+    body: &Value,
+) -> (u16, Value) {
     let mode = lock(world).store;
     match mode {
         StoreMode::Busy => return (503, Value::Null),
@@ -95,8 +104,8 @@
             }
             answer
         }
-        "/rows-get" => read(&lock(world), &query(req)),
-        "/rows-feed" => feed(world, &query(req)).await,
+        "/rows-get" => read(&lock(world), node, &query(req)),
+        "/rows-feed" => feed(world, node, &query(req)).await,
         _ => (404, Value::Null),
     }
 }
@@ -145,9 +154,20 @@
     (200, json!({ "ver": world.version }))
 }
 
+/// Returns a row's value as a process reads it: a worker's entry has the address of the link from this process.
+fn value_for(world: &World, node: usize, id: &RowId, value: Option<&str>) -> Option<String> {
+    let worker = world.workers.iter().find(|worker| id.0 == "servers" && worker.id == id.2);
+    let entry = worker.and_then(|worker| {
+        let entry = String::from_utf8(BASE64_STANDARD.decode(value?).ok()?).ok()?;
+        let entry = entry.replace(&worker.addresses[0], &worker.addresses[node]);
+        Some(BASE64_STANDARD.encode(entry))
+    });
+    entry.or_else(|| value.map(str::to_owned))
+}
+
 type Query = std::collections::BTreeMap<String, String>;
 
-fn read(world: &World, query: &Query) -> (u16, Value) {
+fn read(world: &World, node: usize, query: &Query) -> (u16, Value) {
     let field = |name: &str| query.get(name).cloned().unwrap_or_default();
     let (table, part, from, to) = (field("table"), field("part"), field("from"), field("target"));
     let is_wanted = |(row_table, row_part, key): &(String, String, String)| {
@@ -156,8 +176,9 @@
     let rows = world.rows.iter().filter(|(id, (_, value))| is_wanted(id) && value.is_some());
     let mut rows: Vec<Value> = rows
         .take(501)
-        .map(|((table, part, key), (ver, value))| {
-            json!({ "table": table, "part": part, "key": key, "ver": ver, "value": value })
+        .map(|(id, (ver, value))| {
+            let value = value_for(world, node, id, value.as_deref());
+            json!({ "table": id.0, "part": id.1, "key": id.2, "ver": ver, "value": value })
         })
         .collect();
     let has_more = rows.len() > 500;
@@ -166,7 +187,7 @@
 }
 
 /// Long poll for rows changed after a version; 410 if those changes have been compacted away.
-async fn feed(world: &SharedWorld, query: &Query) -> (u16, Value) {
+async fn feed(world: &SharedWorld, node: usize, query: &Query) -> (u16, Value) {
     let number = |name: &str| query.get(name).and_then(|value| value.parse::<u64>().ok());
     let table = query.get("table").cloned().unwrap_or_default();
     let after = number("after").unwrap_or(0);
@@ -181,8 +202,9 @@
                 .rows
                 .iter()
                 .filter(|((row_table, ..), (ver, _))| *row_table == table && *ver > after)
-                .map(|((table, part, key), (ver, value))| {
-                    let row = json!({ "table": table, "part": part, "key": key, "ver": ver,
+                .map(|(id, (ver, value))| {
+                    let value = value_for(&world, node, id, value.as_deref());
+                    let row = json!({ "table": id.0, "part": id.1, "key": id.2, "ver": ver,
                         "value": value, "tombstone": value.is_none() });
                     (*ver, row)
                 })
@@ -199,39 +221,41 @@
 
 async fn on_worker_request(
     world: &SharedWorld,
-    index: usize,
+    (node, index): (usize, usize),
     req: &Received,
     body: &Value,
 ) -> (u16, Value) {
-    let (mode, id) = {
-        let world = lock(world);
-        (world.workers[index].mode, world.workers[index].id.clone())
+    let (mode, id, incarnation) = {
+        let worker = &lock(world).workers[index];
+        (worker.mode, worker.id.clone(), worker.incarnation_started_unix_ms)
+    };
+    // A lost worker executes nothing, and neither does its next incarnation. The worker ID does not distinguish them.
+    let is_lost = move |world: &World| {
+        let worker = &world.workers[index];
+        worker.mode == WorkerMode::Dead || worker.incarnation_started_unix_ms != incarnation
     };
     if mode == WorkerMode::Dead {
         tokio::time::sleep(UNANSWERED_DELAY).await;
+        return (503, Value::Null);
     }
     if req.header("x-expect-instance") != Some(id.as_str()) {
         return (421, Value::Null);
     }
     let path = req.uri.path().to_owned();
     if let (WorkerMode::Late(delay), "/run-start" | "/run-stop") = (mode, path.as_str()) {
-        let (world, body, incarnation) = (
-            Arc::clone(world),
-            body.clone(),
-            lock(world).workers[index].incarnation_started_unix_ms,
-        );
+        let (world, body) = (Arc::clone(world), body.clone());
         tokio::task::spawn_local(async move {
             tokio::time::sleep(delay).await;
-            // A later incarnation has not received the command. The worker ID does not distinguish incarnations.
-            if lock(&world).workers[index].incarnation_started_unix_ms == incarnation {
-                command(&mut lock(&world), index, &path, &body);
+            let mut world = lock(&world);
+            if !is_lost(&world) {
+                command(&mut world, (node, index), &path, &body);
             }
         });
         tokio::time::sleep(UNANSWERED_DELAY).await;
         return (503, Value::Null);
     }
     if path != "/hold" {
-        return command(&mut lock(world), index, &path, body);
+        return command(&mut lock(world), (node, index), &path, body);
     }
     let wait = Duration::from_millis(body["wait-ms"].as_u64().unwrap_or(0));
     let deadline = Instant::now() + wait;
@@ -242,6 +266,10 @@
         tokio::time::sleep(POLL_PERIOD).await;
         lock(world).advance();
     }
+    if is_lost(&lock(world)) {
+        tokio::time::sleep(UNANSWERED_DELAY).await;
+        return (503, Value::Null);
+    }
     list_runs(&lock(world), index)
 }
 
@@ -283,7 +311,13 @@
     (200, body)
 }
 
-fn command(world: &mut World, index: usize, path: &str, body: &Value) -> (u16, Value) {
+/// Executes a command of a process to a worker, given by their indexes.
+fn command(
+    world: &mut World,
+    (node, index): (usize, usize),
+    path: &str,
+    body: &Value,
+) -> (u16, Value) {
     if let Some(refused) = check_fencing_token(world, index, body) {
         return refused;
     }
@@ -292,7 +326,7 @@
     let outcome = match path {
         "/run-start" => {
             let deadline_ms = body["deadline-ms"].as_u64().unwrap_or(0);
-            world.start_run(index, &task, run, deadline_ms, MAX_LEASE)
+            world.start_run((node, index), &task, run, deadline_ms, MAX_LEASE)
         }
         "/run-stop" => {
             world.workers[index].stop_run(&task, run);
--- a/crates/plantainlever-test-support/src/soak/world.rs
+++ b/crates/plantainlever-test-support/src/soak/world.rs
@@ -5,7 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Job, Outcome};
+use super::contact::Contact;
+use super::crash::{Crash, CrashingTask, MAX_CRASHES};
+use super::{Job, Outcome, WORKER_CPU};
 
 /// Time from a stop command to the end of the run.
 const STOP_DURATION: Duration = Duration::from_millis(200);
@@ -17,6 +19,12 @@
 /// `cancel_ms`.
 const CANCEL_TIME: Duration = Duration::from_secs(3);
 
+/// Maximum time between two updates of a worker's directory entry; the platform's `heartbeat-ms`.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+
+/// Number of missed heartbeats after which the directory entry of a crashed worker is removed.
+const HEARTBEATS_UNTIL_REMOVAL: u32 = 3;
+
 /// Size and shape of a job.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Payload {
@@ -26,6 +34,17 @@
     pub ms: u64,
     /// Number of tasks of each step; a step depends on the one before.
     pub counts: Vec<u16>,
+    /// Task that crashes its workers.
+    #[serde(skip)]
+    pub crashing_task: Option<CrashingTask>,
+}
+
+impl Payload {
+    /// Returns the crashing task if `name` is its name, which has the form JOB.K.STEP.INDEX.
+    fn crashing_task(&self, name: &str) -> Option<CrashingTask> {
+        self.crashing_task
+            .filter(|task| name.ends_with(&format!(".0.{}.{}", task.step, task.index)))
+    }
 }
 
 /// Behaviour of the store.
@@ -74,6 +93,8 @@
     ends_at: Instant,
     /// End of a stop in progress.
     stops_at: Option<Instant>,
+    /// Time from the crash that ends the run to the next incarnation of the worker; `None` if the run ends well.
+    restart_time: Option<Duration>,
     cpu: u64,
 }
 
@@ -87,8 +108,8 @@
     pub id: String,
     /// Start of its incarnation in ms since the Unix epoch; increases with each incarnation.
     pub incarnation_started_unix_ms: u64,
-    /// Address of its link.
-    pub address: String,
+    /// By process: address of the link from the process to the worker.
+    pub addresses: Vec<String>,
     /// Name of its failure domain.
     pub domain: String,
     /// CPU in thousandths of a core.
@@ -97,6 +118,10 @@
     pub mode: WorkerMode,
     /// Whether it announces itself as draining.
     pub is_draining: bool,
+    /// Start of the next incarnation after a crash by a task.
+    restarts_at: Option<Instant>,
+    /// Removal of the directory entry after such a crash, unless the worker restarts before.
+    unlisted_at: Option<Instant>,
     started_at: Instant,
     /// Speed of its clock in thousandths of real time.
     clock_rate_permille: u64,
@@ -128,6 +153,14 @@
     pub breaches: Vec<String>,
     /// Executed starts: task, run number, worker.
     pub starts: Vec<(String, u32, String)>,
+    /// Crashes of workers, oldest first.
+    pub crashes: Vec<Crash>,
+    /// Disruptions of the processes and the store.
+    pub contact: Contact,
+    /// By crashing task: number of starts by processes in touch after [`MAX_CRASHES`].
+    pub(super) starts_after_crashes: BTreeMap<String, u32>,
+    /// By task: number of runs that failed.
+    pub(super) failed_runs: BTreeMap<String, u32>,
     /// Tasks that have completed, and whether an owner has acknowledged the end.
     completed_tasks: BTreeMap<String, bool>,
     /// Payloads of all jobs by ID, recorded before the first attempt to submit them.
@@ -139,15 +172,17 @@
 impl Worker {
     /// Creates a worker whose incarnation starts now. The clock of every second worker is 2 % slow.
     #[must_use]
-    pub fn new(index: usize, address: String, capacity: u64) -> Self {
+    pub fn new(index: usize, addresses: Vec<String>, capacity: u64) -> Self {
         Self {
             id: format!("i-{index:04}"),
             incarnation_started_unix_ms: 1_000,
-            address,
+            addresses,
             domain: format!("domain-{}", index % 3),
             capacity,
             mode: WorkerMode::Well,
             is_draining: false,
+            restarts_at: None,
+            unlisted_at: None,
             started_at: Instant::now(),
             clock_rate_permille: if index.is_multiple_of(2) { 1_000 } else { 980 },
             fencing_token: 0,
@@ -172,12 +207,46 @@
         self.started_at = Instant::now();
         self.mode = WorkerMode::Well;
         self.is_draining = false;
+        (self.restarts_at, self.unlisted_at) = (None, None);
         (self.fencing_token, self.expiry_ms, self.next_end_number) = (0, 0, 1);
         self.runs.clear();
         self.ended.clear();
         self.highest_ended_run.clear();
     }
 
+    /// Loses the worker, until `restart_time` after `now` or, without it, until [`Worker::restart`].
+    pub(super) fn crash(&mut self, now: Instant, restart_time: Option<Duration>) {
+        self.mode = WorkerMode::Dead;
+        self.restarts_at = restart_time.map(|time| now + time);
+        self.unlisted_at = restart_time.map(|_| now + HEARTBEAT * HEARTBEATS_UNTIL_REMOVAL);
+    }
+
+    /// True if a task has crashed it and its next incarnation has not started.
+    #[must_use]
+    pub fn is_crashed(&self) -> bool {
+        self.restarts_at.is_some()
+    }
+
+    /// True if the directory has an entry of the worker.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
+        self.mode != WorkerMode::Dead || self.unlisted_at.is_some()
+    }
+
+    /// Restarts the worker if a task has crashed it and the next incarnation is due. Returns true if it has restarted.
+    pub fn restart_if_due(&mut self) -> bool {
+        let is_due = self.restarts_at.is_some_and(|at| at <= Instant::now());
+        if is_due {
+            self.restart();
+        }
+        is_due
+    }
+
+    /// Returns true if the directory entry of a crashed worker has to be removed now.
+    pub fn unlist_if_due(&mut self) -> bool {
+        self.unlisted_at.take_if(|at| *at <= Instant::now()).is_some()
+    }
+
     /// Ends that have not been acknowledged, oldest first.
     #[must_use]
     pub fn ended(&self) -> &[RunEnd] {
@@ -215,17 +284,19 @@
 }
 
 impl World {
-    /// Ends the runs that are due: completed, failed, stopped, or on a worker whose lease has lapsed.
+    /// Ends the runs that are due: completed, failed, stopped, or on a worker whose lease has lapsed. Crashes the workers
+    /// whose crashing tasks are due.
     pub fn advance(&mut self) {
         let now = Instant::now();
-        for worker in &mut self.workers {
+        let mut crashed = Vec::new();
+        for (index, worker) in self.workers.iter_mut().enumerate() {
             if worker.mode == WorkerMode::Dead {
                 continue;
             }
             let has_lapsed = worker.clock_ms() >= worker.expiry_ms;
             let is_due = |run: &Run| {
                 let is_stopped = run.stops_at.is_some_and(|at| at <= now);
-                has_lapsed || run.ends_at <= now || is_stopped
+                has_lapsed || is_stopped || run.ends_at <= now && run.restart_time.is_none()
             };
             let due_runs: Vec<(String, bool)> = worker
                 .runs
@@ -241,10 +312,20 @@
                     _ => "done",
                 };
                 worker.end_run(&task, reason);
-                if reason == "done" {
-                    self.completed_tasks.entry(task).or_insert(false);
+                match reason {
+                    "done" => {
+                        self.completed_tasks.entry(task).or_insert(false);
+                    }
+                    "failed" => *self.failed_runs.entry(task).or_default() += 1,
+                    _ => {}
                 }
             }
+            // Of the runs that are due, only those that crash the worker are left.
+            let due_run = worker.runs.values().find(|run| run.ends_at <= now);
+            crashed.extend(due_run.map(|run| (index, run.restart_time)));
+        }
+        for (index, restart_time) in crashed {
+            self.crash_worker(index, restart_time);
         }
     }
 
@@ -260,7 +341,11 @@
                 (0..*count).map(move |index| format!("{}.0.{step}.{index}", job.id))
             });
             let left = tasks.filter(|task| !self.completed_tasks.contains_key(task)).count();
-            left as u64 * payload.cpu * payload.ms
+            // A crash makes the whole worker unavailable until its restart.
+            let crash = payload.crashing_task.map_or(0, |task| {
+                (task.run_time + task.restart_time).as_millis() as u64 * WORKER_CPU
+            });
+            left as u64 * payload.cpu * payload.ms + crash * MAX_CRASHES as u64
         };
         let work: u64 = jobs.iter().filter(is_left).map(work).sum();
         Duration::from_millis(work / capacity.max(1))
@@ -277,11 +362,11 @@
         worker.ended.retain(|end| end.0 > cursor);
     }
 
-    /// Executes a start command, and reports a breach if the start violates an invariant. `Err` is the reason of a
-    /// refusal.
+    /// Executes a start command of a process to a worker, given by their indexes, and reports a breach if the start
+    /// violates an invariant. `Err` is the reason of a refusal.
     pub fn start_run(
         &mut self,
-        index: usize,
+        (node, index): (usize, usize),
         task: &str,
         run: u32,
         deadline_ms: u64,
@@ -309,8 +394,14 @@
         };
         self.check_start(index, task, &payload, held_up);
         let now = Instant::now();
-        let ends_at = now + Duration::from_millis(payload.ms);
-        let started = Run { number: run, ends_at, stops_at: None, cpu: payload.cpu };
+        let crashing = payload.crashing_task(task);
+        if crashing.is_some() {
+            self.check_start_of_crashing_task(node, task, held_up);
+        }
+        let run_time = crashing.map_or(Duration::from_millis(payload.ms), |task| task.run_time);
+        let restart_time = crashing.map(|task| task.restart_time);
+        let ends_at = now + run_time;
+        let started = Run { number: run, ends_at, stops_at: None, restart_time, cpu: payload.cpu };
         let worker = &mut self.workers[index];
         worker.runs.insert(task.to_owned(), started);
         let id = worker.id.clone();
--- a/tests/testsuite/operator_config.rs
+++ b/tests/testsuite/operator_config.rs
@@ -44,7 +44,7 @@
         let (stop, stopped) = watch::channel(false);
         let (tx, rx) = mpsc::channel();
         let served = Arc::clone(&world);
-        let thread = std::thread::spawn(move || serve::run(&served, 0, &tx, &stopped));
+        let thread = std::thread::spawn(move || serve::run(&served, 1, 0, &tx, &stopped));
         let address = rx.recv_timeout(BOUND).unwrap()[0];
         Self { world, address, stop, thread: Some(thread) }
     }
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -4,11 +4,11 @@
 use std::path::Path;
 use std::time::Duration;
 
-use plantainlever_test_support::soak;
+use plantainlever_test_support::soak::{self, OptionalFaults};
 
-fn assert_no_breaches(seed: u64, fault_time: Duration) {
+fn assert_no_breaches(seed: u64, optional_faults: OptionalFaults, fault_time: Duration) {
     let binary = Path::new(env!("CARGO_BIN_EXE_plantainlever"));
-    let report = soak::run(binary, seed, fault_time).unwrap();
+    let report = soak::run(binary, seed, optional_faults, fault_time).unwrap();
     let details = [report.faults.as_slice(), report.logs.as_slice()].concat().join("\n");
     assert_eq!(report.breaches, Vec::<String>::new(), "seed {seed}:\n{details}");
     assert!(report.accepted > 0 && report.starts > 0, "{report:?}");
@@ -18,17 +18,17 @@
 /// and thereby acknowledges the first ends of the next incarnation.
 #[test]
 fn soak_with_seed_3_has_no_breaches() {
-    assert_no_breaches(3, Duration::from_secs(15));
+    assert_no_breaches(3, OptionalFaults::NONE, Duration::from_secs(15));
 }
 
 /// Guards against a process that goes on by an old configuration while it can't read the store.
 #[test]
 fn soak_with_seed_1000_has_no_breaches() {
-    assert_no_breaches(1000, Duration::from_secs(20));
+    assert_no_breaches(1000, OptionalFaults::NONE, Duration::from_secs(20));
 }
 
 /// Short run with a seed that has never failed.
 #[test]
 fn short_soak_has_no_breaches() {
-    assert_no_breaches(1, Duration::from_secs(6));
+    assert_no_breaches(1, OptionalFaults::NONE, Duration::from_secs(6));
 }
