Change the capacities of workers in the soak

In the soak it never changed.

Every 0.2 to 1.5 s a random worker now gets a capacity between 0.5 and 4 cores until its next change; runs continue. A generator of its own draws the changes, and the seed decides whether a run has them (three of four do). After the faults all workers have their full capacity again.

--- a/crates/plantainlever-test-support/src/soak/faults.rs
+++ b/crates/plantainlever-test-support/src/soak/faults.rs
@@ -7,9 +7,10 @@
 
 use crate::link::Link;
 
+use super::capacity::{self, CapacityChanges};
 use super::serve::lock;
 use super::world::{StoreMode, WorkerMode};
-use super::{SoakCluster, publish_workers};
+use super::{OptionalFaults, SoakCluster, publish_workers};
 
 /// Upper bound of the time between the starts of two faults.
 const MAX_FAULT_INTERVAL_MS: u64 = 1_500;
@@ -34,11 +35,13 @@
     cluster: &mut SoakCluster,
     rng: &mut StdRng,
     seed: u64,
+    optional_faults: OptionalFaults,
     fault_time: Duration,
 ) -> Vec<String> {
     let start = Instant::now();
     let mut loss_rng = StdRng::seed_from_u64(seed ^ CONNECTION_LOSS_SALT);
     let mut next_loss = start;
+    let mut capacity_changes = optional_faults.capacity_changes.then(|| CapacityChanges::new(seed));
     let mut active_faults: Vec<(Instant, FaultyComponent)> = Vec::new();
     let mut next = start;
     let mut descriptions = Vec::new();
@@ -50,6 +53,10 @@
         for (_, component) in &active_faults {
             record_disruption(cluster, component);
         }
+        let change = capacity_changes.as_mut().and_then(|it| it.change_if_due(cluster));
+        if let Some(change) = change {
+            descriptions.push(format!("{:.1} s: {change}", start.elapsed().as_secs_f64()));
+        }
         if now >= next_loss {
             let description = silence_open_connections(cluster, &mut loss_rng);
             descriptions.push(format!("{:.1} s: {description}", start.elapsed().as_secs_f64()));
@@ -254,6 +261,7 @@
         restore(cluster, &FaultyComponent::Process(index));
     }
     restore(cluster, &FaultyComponent::Store);
+    capacity::restore_all(cluster);
     // A process may still be stopping gracefully; it is restarted once it has exited.
     let deadline = Instant::now() + Duration::from_secs(8);
     while Instant::now() < deadline {
