--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -4,14 +4,15 @@
 use std::path::Path;
 use std::time::Duration;
 
-use plantainlever_test_support::soak::{self, OptionalFaults};
+use plantainlever_test_support::soak::{self, OptionalFaults, Report};
 
-fn assert_no_breaches(seed: u64, optional_faults: OptionalFaults, fault_time: Duration) {
+fn assert_no_breaches(seed: u64, optional_faults: OptionalFaults, fault_time: Duration) -> Report {
     let binary = Path::new(env!("CARGO_BIN_EXE_plantainlever"));
     let report = soak::run(binary, seed, optional_faults, fault_time).unwrap();
     let details = [report.faults.as_slice(), report.logs.as_slice()].concat().join("\n");
     assert_eq!(report.breaches, Vec::<String>::new(), "seed {seed}:\n{details}");
     assert!(report.accepted > 0 && report.starts > 0, "{report:?}");
+    report
 }
 
 /// Guards against a shard owner that stores run ends of a worker's previous incarnation after the worker has restarted,
@@ -32,3 +33,11 @@
 fn short_soak_has_no_breaches() {
     assert_no_breaches(1, OptionalFaults::NONE, Duration::from_secs(6));
 }
+
+/// Guards against a task that goes on crashing workers, a job that fails for its neighbours, and starts over a capacity
+/// that has shrunk.
+#[test]
+fn soak_with_crashing_tasks_and_changing_capacities_has_no_breaches() {
+    let report = assert_no_breaches(60, OptionalFaults::ALL, Duration::from_secs(15));
+    assert!(report.crashes > 0, "{report:?}");
+}
