Let any task be a probe if no better one waits

A worker could stay on probation for good, beside tasks that it could run: if those that waited had failed there once, were gangs, or were in their last attempt, none of them was allowed to be the probe. And long-running tasks that fail by their own fault took each probe, so that no other task started.

Tasks that have not failed are the first probes, 0.3 s after the last failure; then those that may be tried again, after 0.5 s; and any task, with all members of its gang, after 1.5 s. A task that was stopped for want of progress counts as one that has failed.

a_task_that_has_failed_may_end_the_probation, a_gang_may_end_the_probation and tasks_that_have_not_failed_are_the_first_probes fail before and pass.

--- a/src/shard/health.rs
+++ b/src/shard/health.rs
@@ -1,9 +1,12 @@
 //! Health of a worker: whether it gets tasks, judged by what its runs do.
 //!
-//! A worker on which runs of several jobs fail, or whose runs stand still, is put on probation. From then on it gets
-//! one task at a time, as a probe, until a probe has shown that it works. Probation has no fixed length: a worker may be
-//! sound again right after its fault was noticed, and one that is kept out by the clock stays empty while tasks wait.
-//! Ends of runs that had started before the probation neither prolong nor end it.
+//! A worker on which runs of several jobs fail, or whose runs make no progress, is put on probation. From then on it
+//! gets one task at a time, as a probe, until a probe has shown that it works. Probation has no fixed length: a worker
+//! may be healthy again right after its fault was noticed, and one that is kept out by the clock stays empty while tasks
+//! wait. Ends of runs that had started before the probation neither prolong nor end it.
+//!
+//! A probe may fail by its own fault, so tasks without a failure go first ([`ProbeTier`]). If none of them fits for a
+//! while, any task may be the probe: otherwise a worker would stay empty if only its own former tasks wait.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -19,7 +22,13 @@
 const FAILURE_MEMORY: Duration = Duration::from_secs(10);
 
 /// Pause after a probe that failed, which bounds the work that a faulty worker wastes.
-const PROBE_PAUSE: Duration = Duration::from_millis(500);
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
+
+/// The same for the next probe if it may be a task that has failed before, so that the others have precedence.
+const RETRY_PROBE_PAUSE: Duration = Duration::from_millis(500);
+
+/// The same if it may be any task.
+const ANY_PROBE_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Time for which a long-running probe must be ready before its worker counts as sound.
 const READY_PROBE_TIME: Duration = Duration::from_millis(1_000);
@@ -27,6 +36,17 @@
 /// Time for which a probe must run and make progress before its worker counts as sound, if the task takes longer.
 const LONG_PROBE_TIME: Duration = Duration::from_millis(1_500);
 
+/// Tasks that may be probes, in the order in which a worker on probation takes them.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum ProbeTier {
+    /// Tasks that have not failed and may be tried again if they do.
+    Fresh,
+    /// Tasks that have failed on a worker and may be tried again if they do so once more.
+    Retried,
+    /// All tasks, also members of gangs and those in their last attempt.
+    Any,
+}
+
 /// Why a worker was put on probation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProbationCause {
@@ -55,8 +75,8 @@
     began: Duration,
     /// Newest probe, as task and run number; `None` before the first.
     probe: Option<(JobTaskId, u32)>,
-    /// Local time before which no probe starts.
-    next_probe: Duration,
+    /// Local time at which the probation began or the last probe failed.
+    last_failure: Duration,
     probes: u32,
 }
 
@@ -99,10 +119,17 @@
         self.probation.as_ref()?.probe
     }
 
-    /// Returns true if the pause after the last probe is over. The caller checks that the probe itself is.
+    /// Returns which tasks may be the next probe; `None` if none may yet. The caller checks that no probe is active.
     #[must_use]
-    pub fn is_probe_due(&self, now: Duration) -> bool {
-        self.probation.as_ref().is_some_and(|probation| now >= probation.next_probe)
+    pub fn probe_tier(&self, now: Duration) -> Option<ProbeTier> {
+        let pause = now.saturating_sub(self.probation.as_ref()?.last_failure);
+        if pause >= ANY_PROBE_PAUSE {
+            Some(ProbeTier::Any)
+        } else if pause >= RETRY_PROBE_PAUSE {
+            Some(ProbeTier::Retried)
+        } else {
+            (pause >= PROBE_PAUSE).then_some(ProbeTier::Fresh)
+        }
     }
 
     /// Records that a run was reserved as a probe.
@@ -119,7 +146,7 @@
             && probation.probe == Some((*task, run))
         {
             probation.probe = None;
-            probation.next_probe = now + PROBE_PAUSE;
+            probation.last_failure = now;
         }
     }
 
@@ -128,8 +155,7 @@
         if self.probation.is_some() {
             return false;
         }
-        let probation =
-            Probation { cause, began: now, probe: None, next_probe: now + PROBE_PAUSE, probes: 0 };
+        let probation = Probation { cause, began: now, probe: None, last_failure: now, probes: 0 };
         self.probation = Some(probation);
         true
     }
--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -11,6 +11,7 @@
 
 use crate::job::{Resources, StepId, StepSpec};
 
+use super::health::ProbeTier;
 use super::worker::{Run, Worker};
 
 /// A worker whose last answer is at least this old gets no new task. Covers one renewal of an idle worker, which may
@@ -42,8 +43,8 @@
     pub step_id: &'a StepId,
     /// Home domain of the job, preferred for its tasks; `None` if it has none.
     pub home: Option<&'a str>,
-    /// Whether the task may run as a probe on a worker on probation.
-    pub can_probe: bool,
+    /// Tier of the task as a probe on a worker on probation.
+    pub tier: ProbeTier,
 }
 
 /// Why a worker gets no new tasks.
--- a/src/shard/scheduler/pass.rs
+++ b/src/shard/scheduler/pass.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 
 use crate::job::{Resources, StepId, StepSpec};
+use crate::shard::health::ProbeTier;
 use crate::shard::interference::WorkerInterference;
 use crate::shard::pick;
 use crate::shard::queue::WaitCause;
@@ -21,8 +22,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Admission {
     Any,
-    /// One task that can bear a failure.
-    Probe,
+    /// One task of this tier or an earlier one.
+    Probe(ProbeTier),
     None,
 }
 
@@ -32,7 +33,7 @@
     queue: String,
     image: Option<String>,
     uses_leftover_cpu: bool,
-    can_probe: bool,
+    tier: ProbeTier,
     /// Resources of one task.
     resources: Resources,
 }
@@ -136,7 +137,7 @@
 
     /// Updates the state of a worker after a run was reserved there or its reservation was taken back.
     pub(super) fn invalidate(&mut self, worker: usize) {
-        if self.admission[worker] == Admission::Probe {
+        if matches!(self.admission[worker], Admission::Probe(_)) {
             self.admission[worker] = Admission::None;
         }
         self.leftovers[worker] = None;
@@ -148,7 +149,7 @@
         &mut self,
         queue: &str,
         step: &StepSpec,
-        can_probe: bool,
+        tier: ProbeTier,
         is_full: bool,
     ) {
         self.examined += self.examined_by_step;
@@ -161,7 +162,7 @@
                 queue: queue.to_owned(),
                 image: step.image.clone(),
                 uses_leftover_cpu: step.uses_leftover_cpu,
-                can_probe,
+                tier,
                 resources: step.resources,
             });
         }
@@ -174,7 +175,7 @@
         id: &StepId,
         queue: &str,
         step: &StepSpec,
-        can_probe: bool,
+        tier: ProbeTier,
     ) -> Option<WaitCause> {
         self.examined_by_step = 0;
         if self.resume_at.as_ref() == Some(id) {
@@ -190,7 +191,7 @@
             failed.queue == queue
                 && failed.image == step.image
                 && failed.uses_leftover_cpu == step.uses_leftover_cpu
-                && (failed.can_probe || !can_probe)
+                && failed.tier <= tier
                 && failed.resources.fits(&step.resources)
         });
         is_like_missed.then_some(WaitCause::LikeMissed)
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use crate::job::{JobState, JobTaskId, StepId, StepSpec};
-use crate::shard::health::ProbationCause;
+use crate::shard::health::{ProbationCause, ProbeTier};
 use crate::shard::pick::{self, PlacementRequest, UnusableCause};
 use crate::shard::queue::WaitCause;
 use crate::shard::worker::{Phase, Worker, WorkerId};
@@ -63,16 +63,16 @@
             let spec = Rc::clone(&job.spec);
             let queue = job.queue.clone();
             let step = &spec.steps[usize::from(key.step)];
-            let can_probe = self.can_probe(&key, step, &tasks);
-            let mut cause = pass.begin_step(&key, &queue, step, can_probe);
+            let tier = self.probe_tier(&key, step, &tasks);
+            let mut cause = pass.begin_step(&key, &queue, step, tier);
             if cause == Some(WaitCause::PassEnded) && pass.is_over() {
                 self.resume_pass_at.get_or_insert(key);
             }
             if cause.is_none() {
-                let outcome = self.place_step(now, &mut pass, &key, step, can_probe, &tasks);
+                let outcome = self.place_step(now, &mut pass, &key, step, tier, &tasks);
                 if outcome != StepOutcome::Placed {
                     let is_full = outcome == StepOutcome::NoWorker;
-                    pass.record_miss(&queue, step, can_probe, is_full);
+                    pass.record_miss(&queue, step, tier, is_full);
                     cause = Some(WaitCause::NoWorker);
                 }
             }
@@ -87,7 +87,9 @@
         for (id, worker) in &self.workers {
             let admission = match self.unusable_cause(id, worker, now) {
                 None => Admission::Any,
-                Some(UnusableCause::Probation) if worker.may_get_probe(now) => Admission::Probe,
+                Some(UnusableCause::Probation) => {
+                    worker.probe_tier(now).map_or(Admission::None, Admission::Probe)
+                }
                 Some(_) => Admission::None,
             };
             pass.add_worker(id, worker, admission);
@@ -96,16 +98,22 @@
         pass
     }
 
-    /// Returns true if the tasks of a step may run as probes on workers on probation: a failure there costs them no
-    /// attempt, or the first of several.
-    fn can_probe(&self, key: &StepId, step: &StepSpec, tasks: &[u16]) -> bool {
-        let Some(job) = self.jobs.get(&key.job) else { return false };
-        let attempts = self.queues.get(&job.queue).map_or(0, |queue| queue.attempts);
-        let has_failed = |index: &u16| {
-            let progress = job.progress.task(&JobTaskId { step: *key, index: *index });
-            progress.is_none_or(|progress| !progress.failed_runs.is_empty())
+    /// Returns the tier of a step's waiting tasks as probes: the last one that a task of it has.
+    fn probe_tier(&self, key: &StepId, step: &StepSpec, tasks: &[u16]) -> ProbeTier {
+        let Some(job) = self.jobs.get(&key.job) else { return ProbeTier::Any };
+        let attempts = self.queues.get(&job.queue).map_or(0, |queue| queue.attempts as usize);
+        let tier = |index: &u16| {
+            let task = JobTaskId { step: *key, index: *index };
+            let failures = job.progress.task(&task).map_or(0, |task| task.failed_runs.len());
+            if step.is_gang || !step.is_long_running && failures + 1 >= attempts {
+                ProbeTier::Any
+            } else if failures > 0 || job.avoid.contains_key(&task) {
+                ProbeTier::Retried
+            } else {
+                ProbeTier::Fresh
+            }
         };
-        !step.is_gang && (step.is_long_running || attempts > 1 && !tasks.iter().any(has_failed))
+        tasks.iter().map(tier).max().unwrap_or(ProbeTier::Any)
     }
 
     /// Places the waiting tasks of a step.
@@ -118,7 +126,7 @@
         pass: &mut Pass,
         key: &StepId,
         step: &StepSpec,
-        can_probe: bool,
+        tier: ProbeTier,
         tasks: &[u16],
     ) -> StepOutcome {
         if step.is_gang {
@@ -126,8 +134,7 @@
             return if is_placed { StepOutcome::Placed } else { StepOutcome::NoWorker };
         }
         self.choose_home(pass, key, step);
-        let mut best: BinaryHeap<(i64, usize)> =
-            self.scores(pass, key, step, can_probe, None).into();
+        let mut best: BinaryHeap<(i64, usize)> = self.scores(pass, key, step, tier, None).into();
         for index in tasks {
             let task = JobTaskId { step: *key, index: *index };
             let Some((worker, position)) = self.pop_best(pass, &mut best, &task) else {
@@ -137,7 +144,7 @@
             let run = self.next_run(self.last_run(&task));
             self.reserve(now, &worker, &task, run);
             pass.invalidate(position);
-            let again = self.score_of(pass, key, step, can_probe, position);
+            let again = self.score_of(pass, key, step, tier, position);
             best.extend(again.map(|score| (score, position)));
         }
         StepOutcome::Placed
@@ -180,7 +187,7 @@
         pass: &mut Pass,
         key: &StepId,
         step: &StepSpec,
-        can_probe: bool,
+        tier: ProbeTier,
         rack: Option<&str>,
     ) -> Vec<(i64, usize)> {
         let Some(job) = self.jobs.get(&key.job) else { return Vec::new() };
@@ -190,7 +197,7 @@
             step,
             step_id: key,
             home: job.home.as_deref(),
-            can_probe,
+            tier,
         };
         let mut scores = Vec::new();
         for position in pass.candidates(&policy.service, step) {
@@ -208,7 +215,7 @@
         pass: &mut Pass,
         key: &StepId,
         step: &StepSpec,
-        can_probe: bool,
+        tier: ProbeTier,
         position: usize,
     ) -> Option<i64> {
         let job = self.jobs.get(&key.job)?;
@@ -218,7 +225,7 @@
             step,
             step_id: key,
             home: job.home.as_deref(),
-            can_probe,
+            tier,
         };
         let worker = self.workers.get(&pass.ids[position])?;
         self.score(pass, &req, worker, position)
@@ -234,8 +241,8 @@
         let step = req.step;
         let penalty = match pass.admission[position] {
             Admission::Any => 0,
-            Admission::Probe if req.can_probe => PROBE_PENALTY,
-            Admission::Probe | Admission::None => return None,
+            Admission::Probe(tier) if req.tier <= tier => PROBE_PENALTY,
+            Admission::Probe(_) | Admission::None => return None,
         };
         let leftover = &mut pass.leftovers[position];
         let interference = &mut pass.interference[position];
@@ -286,17 +293,23 @@
         for rack in racks {
             let mut placed = Vec::new();
             let mut best: BinaryHeap<(i64, usize)> =
-                self.scores(pass, key, &step, false, rack.as_deref()).into();
+                self.scores(pass, key, &step, ProbeTier::Any, rack.as_deref()).into();
             for index in tasks {
                 let task = JobTaskId { step: *key, index: *index };
                 let Some((worker, position)) = self.pop_best(pass, &mut best, &task) else { break };
                 self.reserve(now, &worker, &task, run);
+                // A worker on probation may take several members, which are one probe.
+                let admission = pass.admission[position];
                 pass.invalidate(position);
-                let again = self.score_of(pass, key, &step, false, position);
+                pass.admission[position] = admission;
+                let again = self.score_of(pass, key, &step, ProbeTier::Any, position);
                 best.extend(again.map(|score| (score, position)));
                 placed.push((worker, task, position));
             }
             if placed.len() == tasks.len() {
+                for (.., position) in placed {
+                    pass.invalidate(position);
+                }
                 return true;
             }
             for (worker, task, position) in placed {
@@ -380,9 +393,7 @@
             let is_out = self.domains_out.contains(&worker.listing.domain);
             match pick::unusable_cause(worker, now, is_out) {
                 None => true,
-                Some(UnusableCause::Probation) => {
-                    worker.health.is_probe(&planned.task, planned.run)
-                }
+                Some(UnusableCause::Probation) => self.is_probe(worker, planned),
                 Some(_) => false,
             }
         });
@@ -390,6 +401,15 @@
         self.is_start_allowed && is_usable && job.is_some_and(|job| !job.progress.state.is_final())
     }
 
+    /// Returns true if a planned start is the worker's newest probe, or of the same gang.
+    fn is_probe(&self, worker: &Worker, planned: &PlannedStart) -> bool {
+        worker.health.probe().is_some_and(|(task, run)| {
+            let is_same = task == planned.task
+                || task.step == planned.task.step && self.is_gang(&planned.task);
+            is_same && run == planned.run
+        })
+    }
+
     fn send_start(&mut self, now: Duration, worker_id: &WorkerId, task: &JobTaskId, run: u32) {
         let lease = self.timing.lease;
         let Some(job) = self.jobs.get(&task.step.job) else { return };
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -407,6 +407,12 @@
                 .emit(format_args!("worker={worker_id} cause=no-progress task={}", stuck[0]));
         }
         for task in stuck {
+            if let Some(job) = self.jobs.get_mut(&task.step.job) {
+                let avoid = job.avoid.entry(task).or_default();
+                if !avoid.contains(worker_id) {
+                    avoid.push(worker_id.clone());
+                }
+            }
             self.stop_run(now, worker_id, &task, false);
         }
     }
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -7,7 +7,7 @@
 
 use crate::job::{JobTaskId, Resources};
 
-use super::health::Health;
+use super::health::{Health, ProbeTier};
 use super::lapse::WorkerClock;
 use super::report::WorkerListing;
 
@@ -203,13 +203,14 @@
         self.listing.capacity.saturating_sub(&self.committed)
     }
 
-    /// Returns true if the worker is on probation and may get a task as a probe.
+    /// Returns which tasks may start as a probe on a worker on probation; `None` if none may.
     #[must_use]
-    pub fn may_get_probe(&self, now: Duration) -> bool {
-        let has_run = |(task, number): (JobTaskId, u32)| {
+    pub fn probe_tier(&self, now: Duration) -> Option<ProbeTier> {
+        let is_active = |(task, number): (JobTaskId, u32)| {
             self.runs.get(&task).is_some_and(|run| run.number == number)
         };
-        self.health.is_probe_due(now) && !self.health.probe().is_some_and(has_run)
+        let tier = self.health.probe_tier(now)?;
+        if self.health.probe().is_some_and(is_active) { None } else { Some(tier) }
     }
 
     /// Returns the number of runs of a step's tasks on the worker.
--- a/tests/testsuite/shard/starvation.rs
+++ b/tests/testsuite/shard/starvation.rs
@@ -1,12 +1,13 @@
 //! Tasks that wait although a worker could run them.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use plantainlever::job::{JobId, JobState, Progress, StepSpec};
 use plantainlever::shard::report::EndCause;
 
-use super::rig::{Fleet, Rig, accepted, spec, step, worker_id};
+use super::rig::{Fleet, Rig, accepted, listing, spec, step, worker_id};
 
 fn long_running(count: u32, cpu_millis: u64) -> StepSpec {
     StepSpec { is_long_running: true, ..step(count, cpu_millis) }
@@ -19,7 +20,7 @@
     rig.fleet.durations.insert(full, Duration::from_secs(1_000));
     rig.run(Duration::from_millis(300));
     for index in 1..workers {
-        rig.fleet.add(super::rig::listing(index, 4_000));
+        rig.fleet.add(listing(index, 4_000));
         rig.fleet.get(index).fails_all = true;
     }
     let count = 2 * (workers - 1);
@@ -176,3 +177,75 @@
     rig.owner.on_job(accepted(JobId(0), spec));
     assert_eq!(rig.owner.load(rig.fleet.now).jobs, 0);
 }
+
+/// Runs rounds for `length`; runs of the jobs end as failed 300 ms after their start, on any worker.
+fn run_with_failing_jobs(rig: &mut Rig, length: Duration, failing: &[JobId]) {
+    let until = rig.fleet.now + length;
+    let mut begun = BTreeMap::new();
+    while rig.fleet.now < until {
+        let now = rig.fleet.now;
+        for worker in rig.fleet.workers.values_mut() {
+            let runs: Vec<_> = worker.runs.iter().map(|(task, run)| (*task, run.number)).collect();
+            for (task, run) in runs.into_iter().filter(|(task, _)| failing.contains(&task.step.job))
+            {
+                if now - *begun.entry((task, run)).or_insert(now) >= Duration::from_millis(300) {
+                    worker.end(task, EndCause::Failed);
+                }
+            }
+        }
+        rig.round();
+    }
+}
+
+/// Puts the worker of a fleet with one worker on probation by two jobs that fail there and are cancelled then.
+fn put_on_probation(rig: &mut Rig) {
+    let jobs = [1, 2].map(|id| rig.submit(id, spec(vec![long_running(1, 1_000)])));
+    for id in jobs {
+        rig.fleet.durations.insert(id, Duration::from_secs(1_000));
+    }
+    run_with_failing_jobs(rig, Duration::from_millis(700), &jobs);
+    for id in jobs {
+        rig.owner.on_cancel(rig.fleet.now, id);
+    }
+    assert_eq!(rig.owner.load(rig.fleet.now).usable_workers, 0);
+}
+
+/// Guards against a worker that stays on probation because every waiting task has failed there.
+#[test]
+fn a_task_that_has_failed_may_end_the_probation() {
+    let mut rig = Rig::new(Fleet::new(1, 4_000));
+    rig.fleet.get(0).fails_all = true;
+    let jobs = [1, 2].map(|id| rig.submit(id, spec(vec![step(1, 1_000)])));
+    rig.run(Duration::from_millis(250));
+    rig.fleet.get(0).fails_all = false;
+    rig.run(Duration::from_secs(3));
+    assert!(jobs.iter().all(|id| rig.store.ended.contains(id)));
+}
+
+/// Guards against a worker that stays on probation because only gangs wait for it.
+#[test]
+fn a_gang_may_end_the_probation() {
+    let mut rig = Rig::new(Fleet::new(1, 4_000));
+    put_on_probation(&mut rig);
+    let gang = rig.submit(3, spec(vec![StepSpec { is_gang: true, ..step(2, 1_000) }]));
+    rig.run(Duration::from_secs(3));
+    assert!(rig.store.ended.contains(&gang));
+}
+
+/// Guards against jobs that fail by their own fault and take every probe, so that other tasks do not run.
+#[test]
+fn tasks_that_have_not_failed_are_the_first_probes() {
+    let mut rig = Rig::new(Fleet::new(1, 16_000));
+    let good = rig.submit(0xe0, spec(vec![long_running(4, 1_000)]));
+    rig.fleet.durations.insert(good, Duration::from_secs(1_000));
+    rig.run(Duration::from_millis(300));
+    let failing = [1, 2].map(|id| rig.submit(id, spec(vec![long_running(1, 1_000)])));
+    for id in failing {
+        rig.fleet.durations.insert(id, Duration::from_secs(1_000));
+    }
+    run_with_failing_jobs(&mut rig, Duration::from_secs(1), &failing);
+    let task = *rig.fleet.get(0).runs.keys().find(|task| task.step.job == good).unwrap();
+    rig.fleet.get(0).end(task, EndCause::Stopped);
+    run_with_failing_jobs(&mut rig, Duration::from_secs(3), &failing);
+    assert_eq!(rig.starts_of(good).len(), 5);
+}
