Start another probe beside a throttled one

A best-effort task that was halted to protect a serving one stayed the probe of its worker, and no other task started there. It neither advances nor counts as stuck, so nothing ended the probation.

A throttled probe leaves its place to another task. a_throttled_probe_leaves_its_place_to_another_task fails before (not started in 2 s) and passes.

--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -203,11 +203,12 @@
         self.listing.capacity.saturating_sub(&self.committed)
     }
 
-    /// Returns which tasks may start as a probe on a worker on probation; `None` if none may.
+    /// Returns which tasks may start as a probe on a worker on probation; `None` if none may. A probe that is throttled
+    /// shows nothing, so another one may start beside it.
     #[must_use]
     pub fn probe_tier(&self, now: Duration) -> Option<ProbeTier> {
         let is_active = |(task, number): (JobTaskId, u32)| {
-            self.runs.get(&task).is_some_and(|run| run.number == number)
+            self.runs.get(&task).is_some_and(|run| run.number == number && run.cpu_percent == 100)
         };
         let tier = self.health.probe_tier(now)?;
         if self.health.probe().is_some_and(is_active) { None } else { Some(tier) }
--- a/tests/testsuite/shard/starvation.rs
+++ b/tests/testsuite/shard/starvation.rs
@@ -249,3 +249,28 @@
     run_with_failing_jobs(&mut rig, Duration::from_secs(3), &failing);
     assert_eq!(rig.starts_of(good).len(), 5);
 }
+
+/// Guards against a best-effort probe that is halted beside a serving task and keeps all others from its worker.
+#[test]
+fn a_throttled_probe_leaves_its_place_to_another_task() {
+    let mut rig = Rig::new(Fleet::new(1, 16_000));
+    let image = |name: &str| Some(name.to_owned());
+    let serving = long_running(1, 4_000);
+    let serving = StepSpec { tail_target_ms: Some(50), image: image("service"), ..serving };
+    let serving = rig.submit(9, spec(vec![serving]));
+    rig.fleet.durations.insert(serving, Duration::from_secs(1_000));
+    rig.fleet.get(0).tail_ms = 10;
+    rig.run(Duration::from_millis(400));
+    put_on_probation(&mut rig);
+    rig.fleet.get(0).percent = 0;
+    let batch = StepSpec { uses_leftover_cpu: true, image: image("batch"), ..step(1, 2_000) };
+    let batch = rig.submit(4, spec(vec![batch]));
+    rig.fleet.durations.insert(batch, Duration::from_secs(1_000));
+    rig.run(Duration::from_secs(2));
+    assert_eq!(rig.starts_of(batch).len(), 1);
+    rig.fleet.get(0).tail_ms = 80;
+    let waiting = rig.submit(5, spec(vec![long_running(1, 1_000)]));
+    rig.fleet.durations.insert(waiting, Duration::from_secs(1_000));
+    rig.run(Duration::from_secs(2));
+    assert_eq!(rig.starts_of(waiting).len(), 1);
+}
