Try a step at the resume point in each pass

A pass that examined too many workers before it came to its resume point ended there, and the next one began with the same steps. Three steps with a label that no worker has and one tightly coupled gang were enough, with 600 workers: a task behind them did not start beside empty workers.

Found by the review of the index of free processors. The steps before the resume point now have half of the examinations, and the rest is left for those at and after it, even if a single step exceeded its part.

a_task_behind_steps_that_examine_many_workers_starts fails before (not started in 1 s) and passes.

--- a/src/shard/scheduler/pass.rs
+++ b/src/shard/scheduler/pass.rs
@@ -1,10 +1,10 @@
 //! State of one placement pass, and how much a pass may examine.
 //!
 //! On a full fleet most waiting steps find no worker. An index of the workers by free processors leaves only those to
-//! examine that have enough, usually none. What remains is bounded: once a pass has examined [`MAX_EXAMINED`] workers
-//! for steps that found none, it ends, and the next pass goes on behind the last step that it tried. Steps of higher
-//! rank come first in each pass, with half of that number, so every waiting step is tried within a few passes, whatever
-//! precedes it.
+//! examine that have enough, usually none. What remains is bounded: once a pass has examined about [`MAX_EXAMINED`]
+//! workers for steps that found none, it ends, and the next pass resumes there after it has spent up to half of that
+//! number on the steps of the highest rank. Each pass tries at least one step at the resume point, so every waiting step
+//! is tried eventually, whatever precedes it.
 
 use std::collections::BTreeMap;
 
@@ -181,6 +181,7 @@
         if self.resume_at.as_ref() == Some(id) {
             self.resume_at = None;
             self.is_skipping = false;
+            self.examined = self.examined.min(MAX_EXAMINED / 2);
         } else if self.resume_at.is_some() && self.examined >= MAX_EXAMINED / 2 {
             self.is_skipping = true;
         }
@@ -199,6 +200,6 @@
 
     /// Returns true once the pass may examine no further workers.
     pub(super) fn is_over(&self) -> bool {
-        self.examined >= MAX_EXAMINED
+        self.resume_at.is_none() && self.examined >= MAX_EXAMINED
     }
 }
--- a/tests/testsuite/shard/starvation.rs
+++ b/tests/testsuite/shard/starvation.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use plantainlever::job::{JobId, JobState, Progress, StepSpec};
-use plantainlever::shard::report::EndCause;
+use plantainlever::shard::report::{EndCause, WorkerListing};
 
 use super::rig::{Fleet, Rig, accepted, listing, spec, step, worker_id};
 
@@ -274,3 +274,26 @@
     rig.run(Duration::from_secs(2));
     assert_eq!(rig.starts_of(waiting).len(), 1);
 }
+
+/// Guards against a pass that ends at the same step each time, because those before it examine many workers in vain.
+#[test]
+fn a_task_behind_steps_that_examine_many_workers_starts() {
+    let mut rig = Rig::new(Fleet::default());
+    for index in 0..600 {
+        let rack = format!("rack-{}", index / 20);
+        rig.fleet
+            .add(WorkerListing { labels: vec!["a".to_owned(), rack], ..listing(index, 4_000) });
+    }
+    rig.run(Duration::from_millis(300));
+    let without_worker =
+        StepSpec { required_label: Some("none".to_owned()), ..long_running(2, 1_000) };
+    for id in 1..4 {
+        rig.submit(id, spec(vec![without_worker.clone()]));
+    }
+    let gang = StepSpec { is_gang: true, is_tightly_coupled: true, ..without_worker };
+    rig.submit(4, spec(vec![gang]));
+    let last = rig.submit(0xe0, spec(vec![long_running(1, 1_000)]));
+    rig.fleet.durations.insert(last, Duration::from_secs(1_000));
+    rig.run(Duration::from_secs(1));
+    assert_eq!(rig.starts_of(last).len(), 1);
+}
