Place tasks that have lost a run before new ones

Cause: all long-running steps had the same place in the order, so those of jobs that had never started came first, and then job IDs decided. Each piece of resources that became free went to them.

Change: among long-running tasks, those that have lost a run come first, the one that has waited longest before the others; new ones follow by their wait.

Measured: a_task_that_has_lost_its_run_goes_before_new_ones_and_later_ones fails before (the place goes to the new job) and passes.

--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -89,11 +89,20 @@
     PassEnded,
 }
 
+/// Waiting task of a step.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct WaitingTask {
+    /// The task has never had a run.
+    pub is_new: bool,
+    /// Local time since which it waits.
+    pub since: Duration,
+}
+
 /// Step with waiting tasks.
 #[derive(Clone, Debug, Default)]
 pub struct WaitingStep {
-    /// Local time since which each task waits, by its index.
-    pub tasks: BTreeMap<u16, Duration>,
+    /// Waiting tasks by index.
+    pub tasks: BTreeMap<u16, WaitingTask>,
     /// Local time of the last pass that tried the step; `None` before the first. Recorded for long-running steps.
     pub last_tried: Option<Duration>,
     /// Number of passes by why they left the step. Recorded for long-running steps.
@@ -106,7 +115,15 @@
     /// Returns how long the task that has waited longest has waited.
     #[must_use]
     pub fn longest_wait(&self, now: Duration) -> Duration {
-        self.tasks.values().min().map_or(Duration::ZERO, |since| now.saturating_sub(*since))
+        let since = self.tasks.values().map(|task| task.since).min();
+        since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
+    /// Returns the indexes of the tasks, those that have lost a run first, then by waiting time.
+    fn in_order(&self) -> Vec<u16> {
+        let mut tasks: Vec<_> = self.tasks.iter().collect();
+        tasks.sort_by_key(|(index, task)| (**task, **index));
+        tasks.into_iter().map(|(index, _)| *index).collect()
     }
 }
 
@@ -119,11 +136,11 @@
 }
 
 impl WaitingTasks {
-    /// Adds a task that waits from `now` on. All tasks of a step have the rank of the one that was added first.
-    pub fn push(&mut self, rank: Rank, task: JobTaskId, now: Duration) {
+    /// Adds a task. All tasks of a step have the rank of the one that was added first.
+    pub fn push(&mut self, rank: Rank, task: JobTaskId, waiting: WaitingTask) {
         let rank = *self.ranks.entry(task.step).or_insert(rank);
         let step = self.steps.entry((rank, task.step)).or_default();
-        step.tasks.entry(task.index).or_insert(now);
+        step.tasks.entry(task.index).or_insert(waiting);
     }
 
     /// Records why a pass at `now` left a step without a worker for all of its tasks.
@@ -186,20 +203,24 @@
     /// Within a priority, jobs that can still meet their objective come first: begun ones before others, then by latest
     /// start. Jobs that have not begun and have little time left come after those with more. Late jobs follow, the
     /// least late first, and then those whose end has no value any more.
+    ///
+    /// Long-running steps precede the others of their priority. On a full fleet, resources become free piece by piece.
+    /// They go to tasks that have lost a run before those that never ran, and to the one that has waited longest, so
+    /// that no service stays incomplete while others start.
     #[must_use]
     pub fn ordered(&self, unix_ms: u64) -> Vec<(StepId, Vec<u16>)> {
         let mut steps: Vec<_> = self.steps.iter().collect();
-        steps.sort_by_key(|((rank, _), _)| {
+        steps.sort_by_cached_key(|((rank, _), step)| {
             let outlook = rank.outlook(unix_ms);
             let is_on_time = outlook == DeadlineOutlook::OnTime;
             let start_by = rank.start_by_unix_ms.unwrap_or(0);
             let order = if is_on_time { start_by } else { u64::MAX - start_by };
-            (rank.priority, outlook, is_on_time && !rank.is_begun && start_by > 0, order)
+            let is_long_running = rank.start_by_unix_ms.is_none();
+            let longest_waiting = step.tasks.values().min().filter(|_| is_long_running).copied();
+            let is_unbegun = is_on_time && !rank.is_begun && !is_long_running;
+            (rank.priority, outlook, is_unbegun, order, longest_waiting)
         });
-        steps
-            .into_iter()
-            .map(|((_, id), step)| (*id, step.tasks.keys().copied().collect()))
-            .collect()
+        steps.into_iter().map(|((_, id), step)| (*id, step.in_order())).collect()
     }
 
     /// Returns the number of waiting tasks by priority.
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -29,7 +29,7 @@
 
 use super::interference::{self, Pressures};
 use super::pick::{self, UnusableCause};
-use super::queue::{QueuePolicy, Rank, WaitingTasks};
+use super::queue::{QueuePolicy, Rank, WaitingTask, WaitingTasks};
 use super::report::WorkerListing;
 use super::times::StepTimeRatios;
 use super::worker::{Phase, Worker, WorkerId};
@@ -467,7 +467,8 @@
                     let task = JobTaskId { step: key, index: task as u16 };
                     let may_run = self.live.contains_key(&task) || self.inherited.has(&task);
                     if !progress.is_done && !may_run {
-                        self.waiting.push(rank, task, self.now);
+                        let is_new = progress.last_run == 0;
+                        self.waiting.push(rank, task, WaitingTask { is_new, since: self.now });
                         self.is_placement_due = true;
                     }
                 }
@@ -482,12 +483,13 @@
         if job.progress.state.is_final() || may_run {
             return;
         }
-        if job.progress.task(task).is_none_or(|progress| progress.is_done) {
+        let Some(progress) = job.progress.task(task).filter(|progress| !progress.is_done) else {
             return;
-        }
+        };
+        let is_new = progress.last_run == 0;
         let step = usize::from(task.step.step);
         let rank = self.rank(job, task.step.occurrence, step);
-        self.waiting.push(rank, *task, self.now);
+        self.waiting.push(rank, *task, WaitingTask { is_new, since: self.now });
         self.is_placement_due = true;
     }
 
--- a/src/shard/scheduler/speculation.rs
+++ b/src/shard/scheduler/speculation.rs
@@ -1,6 +1,7 @@
 //! Speculative runs: second runs of tasks that their callers allow to run twice.
 
 use crate::job::JobTaskId;
+use crate::shard::queue::WaitingTask;
 use crate::shard::worker::{Phase, WorkerId};
 use crate::telemetry::event::shard as event;
 
@@ -35,7 +36,7 @@
         }
         let rank = self.rank(job, task.step.occurrence, usize::from(task.step.step));
         event::TASK_COPIED.emit(format_args!("task={task}"));
-        self.waiting.push(rank, *task, self.now);
+        self.waiting.push(rank, *task, WaitingTask { is_new: false, since: self.now });
         self.is_placement_due = true;
     }
 }
--- a/src/shard/scheduler/waits.rs
+++ b/src/shard/scheduler/waits.rs
@@ -65,7 +65,7 @@
         let waits: BTreeMap<u16, u128> = waiting
             .tasks
             .iter()
-            .map(|(index, since)| (*index, now.saturating_sub(*since).as_millis()))
+            .map(|(index, task)| (*index, now.saturating_sub(task.since).as_millis()))
             .collect();
         let tried_ms = waiting.last_tried.map(|tried| now.saturating_sub(tried).as_millis() as u64);
         event::TASK_WAITING.emit(format_args!(
--- a/tests/testsuite/shard/queue.rs
+++ b/tests/testsuite/shard/queue.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use plantainlever::job::{JobId, JobTaskId, StepId};
-use plantainlever::shard::queue::{Rank, WaitingTasks};
+use plantainlever::shard::queue::{Rank, WaitingTask, WaitingTasks};
 use plantainlever::shard::times::StepTimeRatios;
 
 const NOW: u64 = 100_000;
 
+const WAITING: WaitingTask = WaitingTask { is_new: true, since: Duration::ZERO };
+
 fn task(job: u64) -> JobTaskId {
     JobTaskId { step: StepId { job: JobId(job), occurrence: 0, step: 0 }, index: 0 }
 }
@@ -25,7 +27,7 @@
 fn order(ranks: &[Rank]) -> Vec<u64> {
     let mut waiting = WaitingTasks::default();
     for (job, rank) in ranks.iter().enumerate() {
-        waiting.push(*rank, task(job as u64), Duration::ZERO);
+        waiting.push(*rank, task(job as u64), WAITING);
     }
     waiting.ordered(NOW).into_iter().map(|(step, _)| step.job.0).collect()
 }
@@ -51,8 +53,8 @@
 #[test]
 fn waiting_tasks_of_a_job_move_up_when_it_begins() {
     let mut waiting = WaitingTasks::default();
-    waiting.push(rank(2_000, false), task(1), Duration::ZERO);
-    waiting.push(rank(4_000, false), task(2), Duration::ZERO);
+    waiting.push(rank(2_000, false), task(1), WAITING);
+    waiting.push(rank(4_000, false), task(2), WAITING);
     waiting.begin(JobId(2));
     let order: Vec<u64> = waiting.ordered(NOW).into_iter().map(|(step, _)| step.job.0).collect();
     assert_eq!(order, [2, 1]);
--- a/tests/testsuite/shard/starvation.rs
+++ b/tests/testsuite/shard/starvation.rs
@@ -297,3 +297,28 @@
     rig.run(Duration::from_secs(1));
     assert_eq!(rig.starts_of(last).len(), 1);
 }
+
+/// Guards against services that stay incomplete while the resources that become free go to new ones: a task of a
+/// service that had lost its run waited for 30 s.
+#[test]
+fn a_task_that_has_lost_its_run_goes_before_new_ones_and_later_ones() {
+    let mut rig = Rig::new(Fleet::new(1, 4_000));
+    let [first, second] = [0xf0, 0xe0].map(|id| rig.submit(id, spec(vec![long_running(2, 1_000)])));
+    for id in [first, second] {
+        rig.fleet.durations.insert(id, Duration::from_secs(1_000));
+    }
+    rig.run(Duration::from_millis(300));
+    let new = rig.submit(1, spec(vec![long_running(2, 1_000)]));
+    rig.fleet.durations.insert(new, Duration::from_secs(1_000));
+    rig.owner.allow_starts(false);
+    for id in [first, second] {
+        let task = *rig.fleet.get(0).runs.keys().find(|task| task.step.job == id).unwrap();
+        rig.fleet.get(0).end(task, EndCause::Stopped);
+        rig.run(Duration::from_millis(100));
+    }
+    rig.fleet.get(0).listing.capacity.cpu_millis = 3_000;
+    rig.run(Duration::from_millis(100));
+    rig.owner.allow_starts(true);
+    rig.run(Duration::from_millis(100));
+    assert_eq!([first, second, new].map(|id| rig.starts_of(id).len()), [3, 2, 0]);
+}
