--- a/src/shard/scheduler/pass.rs
+++ b/src/shard/scheduler/pass.rs
@@ -1,14 +1,15 @@
 //! State of one placement pass, and how much a pass may examine.
 //!
 //! On a full fleet most waiting steps find no worker. An index of the workers by free processors leaves only those to
-//! examine that have enough, usually none. What remains is bounded: once a pass has examined [`MAX_EXAMINED`] workers
-//! for steps that found none, it ends, and the next pass goes on behind the last step that it tried. Steps of higher
-//! rank come first in each pass, with half of that number, so every waiting step is tried within a few passes, whatever
-//! precedes it.
+//! examine that have enough, usually none. What remains is bounded: once a pass has examined about [`MAX_EXAMINED`]
+//! workers for steps that found none, it ends, and the next pass resumes there after it has spent up to half of that
+//! number on the steps of the highest rank. Each pass tries at least one step at the resume point, so every waiting step
+//! is tried eventually, whatever precedes it.
 
 use std::collections::BTreeMap;
 
 use crate::job::{Resources, StepId, StepSpec};
+use crate::shard::health::ProbeTier;
 use crate::shard::interference::WorkerInterference;
 use crate::shard::pick;
 use crate::shard::queue::WaitCause;
@@ -21,8 +22,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Admission {
     Any,
-    /// One task that can bear a failure.
-    Probe,
+    /// One task of this tier or an earlier one.
+    Probe(ProbeTier),
     None,
 }
 
@@ -32,7 +33,7 @@
     queue: String,
     image: Option<String>,
     uses_leftover_cpu: bool,
-    can_probe: bool,
+    tier: ProbeTier,
     /// Resources of one task.
     resources: Resources,
 }
@@ -136,7 +137,7 @@
 
     /// Updates the state of a worker after a run was reserved there or its reservation was taken back.
     pub(super) fn invalidate(&mut self, worker: usize) {
-        if self.admission[worker] == Admission::Probe {
+        if matches!(self.admission[worker], Admission::Probe(_)) {
             self.admission[worker] = Admission::None;
         }
         self.leftovers[worker] = None;
@@ -148,7 +149,7 @@
         &mut self,
         queue: &str,
         step: &StepSpec,
-        can_probe: bool,
+        tier: ProbeTier,
         is_full: bool,
     ) {
         self.examined += self.examined_by_step;
@@ -161,7 +162,7 @@
                 queue: queue.to_owned(),
                 image: step.image.clone(),
                 uses_leftover_cpu: step.uses_leftover_cpu,
-                can_probe,
+                tier,
                 resources: step.resources,
             });
         }
@@ -174,12 +175,13 @@
         id: &StepId,
         queue: &str,
         step: &StepSpec,
-        can_probe: bool,
+        tier: ProbeTier,
     ) -> Option<WaitCause> {
         self.examined_by_step = 0;
         if self.resume_at.as_ref() == Some(id) {
             self.resume_at = None;
             self.is_skipping = false;
+            self.examined = self.examined.min(MAX_EXAMINED / 2);
         } else if self.resume_at.is_some() && self.examined >= MAX_EXAMINED / 2 {
             self.is_skipping = true;
         }
@@ -190,7 +192,7 @@
             failed.queue == queue
                 && failed.image == step.image
                 && failed.uses_leftover_cpu == step.uses_leftover_cpu
-                && (failed.can_probe || !can_probe)
+                && failed.tier <= tier
                 && failed.resources.fits(&step.resources)
         });
         is_like_missed.then_some(WaitCause::LikeMissed)
@@ -198,6 +200,6 @@
 
     /// Returns true once the pass may examine no further workers.
     pub(super) fn is_over(&self) -> bool {
-        self.examined >= MAX_EXAMINED
+        self.resume_at.is_none() && self.examined >= MAX_EXAMINED
     }
 }
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -7,7 +7,7 @@
 
 use crate::job::{JobTaskId, Resources};
 
-use super::health::Health;
+use super::health::{Health, ProbeTier};
 use super::lapse::WorkerClock;
 use super::report::WorkerListing;
 
@@ -240,13 +240,15 @@
         self.listing.capacity.saturating_sub(&self.committed)
     }
 
-    /// Returns true if the worker is on probation and may get a task as a probe.
+    /// Returns which tasks may start as a probe on a worker on probation; `None` if none may. A probe that is throttled
+    /// shows nothing, so another one may start beside it.
     #[must_use]
-    pub fn may_get_probe(&self, now: Duration) -> bool {
-        let has_run = |(task, number): (JobTaskId, u32)| {
-            self.runs.get(&task).is_some_and(|run| run.number == number)
+    pub fn probe_tier(&self, now: Duration) -> Option<ProbeTier> {
+        let is_active = |(task, number): (JobTaskId, u32)| {
+            self.runs.get(&task).is_some_and(|run| run.number == number && run.cpu_percent == 100)
         };
-        self.health.is_probe_due(now) && !self.health.probe().is_some_and(has_run)
+        let tier = self.health.probe_tier(now)?;
+        if self.health.probe().is_some_and(is_active) { None } else { Some(tier) }
     }
 
     /// Returns the number of runs of a step's tasks on the worker.
