Recognize crashes of many workers that come back with new IDs or from a cut

The list still held the previous IDs of the zone's workers, which halved the share of those that had crashed; a fifth of the fleet was below the limit of a third; and a new owner counted the first of them before it had heard of the rest. Workers are now counted by address, an eighth of the fleet (at least six) within 1 s is a mass crash, and workers that have not answered a new owner for 1.2 s count as down.

--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -13,7 +13,7 @@
 //! - Not a worker that is unreachable, even if its leases lapse: it may be cut off and still be the same incarnation. Its
 //!   runs are kept until it answers again. A worker that never does so is not counted, because from here its crash can't
 //!   be told from a long partition.
-//! - Not a crash of most workers of a failure domain or rack, or of many of the fleet, at about the same time. These have
+//! - Not a crash of most workers of a failure domain or rack, or of an eighth of the fleet, at about the same time. These have
 //!   a common cause, such as a loss of power, and would make suspects of hundreds of tasks.
 //!
 //! Only runs that had not been active for [`PROVEN_AFTER`] are recorded, since a task that crashes its worker does so soon
@@ -35,6 +35,7 @@
 //! The worker is not quarantined for a crash, because the next task there may be as good as any.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -72,6 +73,9 @@
 /// Smallest number of workers that can make a mass crash; fewer are as likely to be a coincidence.
 const MIN_MASS_CRASH: usize = 4;
 
+/// Smallest number of workers of any domain and rack that can make a mass crash.
+const MIN_FLEET_CRASH: usize = 6;
+
 /// A run that was, or may have been, on a worker incarnation that has ended.
 #[derive(Clone, Debug)]
 pub(super) struct LostRun {
@@ -297,25 +301,22 @@
     /// Returns true if so many workers were last heard of at about the same time as this one, and have crashed or are
     /// silent, that they have a common cause.
     fn is_mass_crash(&self, worker_id: &WorkerId, crashed: &Worker, seen: Duration) -> bool {
-        let mut domain = (0, 0);
-        let mut rack = (0, 0);
-        let mut fleet = (0, 0);
+        // By address, because the list may still contain the predecessor of a worker that came back with a new ID.
+        let mut down: BTreeMap<SocketAddr, (bool, &Worker)> = BTreeMap::new();
         for (id, worker) in &self.workers {
             let is_down = id == worker_id || self.is_down_since(id, worker, seen);
-            let count = |(down, all): &mut (usize, usize)| {
-                *down += usize::from(is_down);
-                *all += 1;
-            };
-            count(&mut fleet);
-            if worker.listing.domain == crashed.listing.domain {
-                count(&mut domain);
-            }
-            if worker.listing.rack() == crashed.listing.rack() {
-                count(&mut rack);
-            }
+            down.entry(worker.listing.address).or_insert((false, worker)).0 |= is_down;
         }
+        let count = |is_counted: &dyn Fn(&Worker) -> bool| {
+            let counted = down.values().filter(|(_, worker)| is_counted(worker));
+            counted
+                .fold((0, 0), |(down, all), (is_down, _)| (down + usize::from(*is_down), all + 1))
+        };
+        let domain = count(&|worker| worker.listing.domain == crashed.listing.domain);
+        let rack = count(&|worker| worker.listing.rack() == crashed.listing.rack());
+        let fleet = count(&|_| true);
         let is_most = |(down, all): (usize, usize)| down >= MIN_MASS_CRASH && down * 3 >= all * 2;
-        let is_many = fleet.0 >= MIN_MASS_CRASH && fleet.0 * 3 >= fleet.1;
+        let is_many = fleet.0 >= MIN_FLEET_CRASH && fleet.0 * 8 >= fleet.1;
         is_most(domain) || is_most(rack) || is_many
     }
 
@@ -325,6 +326,11 @@
         if self.crashes.recent.get(id).is_some_and(|at| is_near(*at)) {
             return true;
         }
+        let claimed = self.inherited.claimed;
+        if self.inherited.is_unreached(id) && is_near(claimed) && self.now >= claimed + QUIET_AFTER
+        {
+            return true;
+        }
         worker.answered.is_some_and(|at| {
             is_near(at) && (worker.unanswered_renewals > 0 || self.now >= at + QUIET_AFTER)
         })
--- a/src/shard/scheduler/inherited.rs
+++ b/src/shard/scheduler/inherited.rs
@@ -76,6 +76,11 @@
         self.tasks.contains_key(task)
     }
 
+    /// Returns true if a worker with recorded tasks has not answered this owner.
+    pub(super) fn is_unreached(&self, worker: &WorkerId) -> bool {
+        self.workers.contains_key(worker)
+    }
+
     pub(super) fn len(&self) -> usize {
         self.workers.len()
     }
--- a/tests/testsuite/shard/crashes.rs
+++ b/tests/testsuite/shard/crashes.rs
@@ -326,6 +326,54 @@
     }
 }
 
+/// Guards against jobs that fail because many workers, spread over the fleet, crash behind a partition twice.
+#[test]
+fn crashes_of_many_workers_at_once_are_not_counted() {
+    let mut rig = Rig::new(Fleet::new(40, 4_000));
+    rig.run(Duration::from_secs(1));
+    let ids: Vec<JobId> = (10..20).map(|id| rig.submit(id, spec(vec![step(8, 1_000)]))).collect();
+    for id in &ids {
+        rig.fleet.durations.insert(*id, Duration::from_secs(20));
+    }
+    for _ in 0..4 {
+        rig.run(Duration::from_secs(2));
+        let used: BTreeSet<_> = rig.fleet.starts.iter().rev().map(|(.., w)| w.clone()).collect();
+        for worker in used.iter().take(8) {
+            rig.fleet.crash(worker);
+        }
+        rig.run(RESTART_TIME + Duration::from_millis(100));
+    }
+    rig.run(Duration::from_secs(60));
+    for id in ids {
+        assert_eq!(rig.stored_state(id), Some(JobState::Completed), "{id}");
+    }
+}
+
+/// Guards against jobs that fail because a failure domain lost its power together with the owner, twice: the next owner
+/// finds all of its workers restarted at once.
+#[test]
+fn the_crash_of_a_domain_and_the_owner_is_not_counted() {
+    let mut rig = Rig::new(Fleet::new(24, 4_000));
+    rig.run(Duration::from_secs(1));
+    let ids: Vec<JobId> = (10..16).map(|id| rig.submit(id, spec(vec![step(8, 1_000)]))).collect();
+    for id in &ids {
+        rig.fleet.durations.insert(*id, Duration::from_secs(20));
+    }
+    for round in 0..4 {
+        rig.run(Duration::from_secs(2));
+        for index in (0..24).filter(|index| index % 3 == round % 3) {
+            rig.fleet.crash(&worker_id(index));
+        }
+        let now = rig.fleet.now;
+        rig.take_over(now + LEASE * 2);
+        rig.run(RESTART_TIME + Duration::from_millis(100));
+    }
+    rig.run(Duration::from_secs(60));
+    for id in ids {
+        assert_eq!(rig.stored_state(id), Some(JobState::Completed), "{id}");
+    }
+}
+
 /// Guards against suspects that wait for one another for long: a job whose tasks were beside a crash completes soon.
 #[test]
 fn the_suspects_of_a_job_complete_soon() {
