Use one term for probation and plain names in the placement pass

Wording only, from the review: probation instead of quarantine in the shard scheduler, and names that say what a skipped step was skipped for.

--- a/benches/shard_pass.rs
+++ b/benches/shard_pass.rs
@@ -4,12 +4,12 @@
 
 use plantainlever_test_support::model::shard_pass::median_full_pass;
 
-/// Numbers of workers: a small fleet, the largest deployment, and the most that one shard has.
+/// Numbers of workers of a shard; 600 is the most that one has.
 const WORKER_COUNTS: [usize; 3] = [66, 490, 600];
 
 const PASSES: usize = 150;
 
-/// Limit of a pass with 490 workers: half of the shortest time between two passes.
+/// Limit of the time of a pass with 490 workers. Passes are at least 10 ms apart.
 const PASS_LIMIT: Duration = Duration::from_millis(5);
 
 fn main() {
--- a/crates/plantainlever-test-support/src/model/shard_pass.rs
+++ b/crates/plantainlever-test-support/src/model/shard_pass.rs
@@ -49,7 +49,7 @@
     ]));
     let listed: Vec<WorkerListing> = (0..workers).map(listing).collect();
     let mut now = Duration::ZERO;
-    // Two thirds more long-running tasks than fit, in steps of 14, and as many best-effort tasks as wait of them.
+    // Nearly three times as many long-running tasks as fit, in steps of 14, and 20 best-effort tasks for each worker.
     for id in 0..workers {
         owner.on_job(job(id as u64 * 2, LONG_RUNNING, long_running(&mut rng)));
         owner.on_job(job(id as u64 * 2 + 1, BATCH, best_effort(&mut rng)));
--- a/src/shard/health.rs
+++ b/src/shard/health.rs
@@ -30,10 +30,10 @@
 /// The same if it may be any task.
 const ANY_PROBE_PAUSE: Duration = Duration::from_millis(1_500);
 
-/// Time for which a long-running probe must be ready before its worker counts as sound.
+/// Time for which a long-running probe that is ready must have run before its worker counts as healthy.
 const READY_PROBE_TIME: Duration = Duration::from_millis(1_000);
 
-/// Time for which a probe must run and make progress before its worker counts as sound, if the task takes longer.
+/// Time for which a probe must run and make progress before its worker counts as healthy, if the task takes longer.
 const LONG_PROBE_TIME: Duration = Duration::from_millis(1_500);
 
 /// Tasks that may be probes, in the order in which a worker on probation takes them.
@@ -140,7 +140,7 @@
         }
     }
 
-    /// Records that a run did not show its worker to be sound: it failed, did not start, or was stopped.
+    /// Records that a probe has failed, did not start, or made no progress. Has no effect for other runs.
     pub fn fail_probe(&mut self, task: &JobTaskId, run: u32, now: Duration) {
         if let Some(probation) = &mut self.probation
             && probation.probe == Some((*task, run))
@@ -181,14 +181,14 @@
     /// Judges a report on the newest probe. Returns the probation if this ends it.
     pub fn on_probe_report(&mut self, report: ProbeReport, now: Duration) -> Option<Restored> {
         let probation = self.probation.as_ref()?;
-        let is_sound = match probation.cause {
+        let is_healthy = match probation.cause {
             _ if report.is_ready => report.active_for >= READY_PROBE_TIME,
             ProbationCause::NoProgress => report.has_advanced,
             ProbationCause::FailedRuns | ProbationCause::RefusedStart => {
                 report.has_advanced && report.active_for >= LONG_PROBE_TIME
             }
         };
-        if is_sound { self.restore(now) } else { None }
+        if is_healthy { self.restore(now) } else { None }
     }
 
     /// Ends the probation. One more failed job begins the next one, unless a success precedes it.
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -84,9 +84,9 @@
     /// It was tried, and no usable worker can take a task of it.
     NoWorker,
     /// It was skipped, because a step that asks for no more found no worker.
-    LikeMissed,
+    SmallerStepMissed,
     /// It was left to a later pass, because the pass had examined too many workers before.
-    PassEnded,
+    Deferred,
 }
 
 /// Waiting task of a step.
--- a/src/shard/scheduler/ends.rs
+++ b/src/shard/scheduler/ends.rs
@@ -53,7 +53,7 @@
             }
             EndCause::Failed => {
                 if worker.health.on_failed(task, run, now) {
-                    event::WORKER_QUARANTINED
+                    event::WORKER_ON_PROBATION
                         .emit(format_args!("worker={worker_id} cause=failed-runs task={task}"));
                 }
             }
--- a/src/shard/scheduler/pass.rs
+++ b/src/shard/scheduler/pass.rs
@@ -60,7 +60,7 @@
     /// a core.
     pub(super) domains: BTreeMap<String, (u64, i64)>,
     pools: BTreeMap<String, PoolIndex>,
-    /// Steps without a worker that say something about other steps.
+    /// Steps without a worker that larger ones need not be tried after.
     failed: Vec<FailedStep>,
     /// Number of workers examined for the current step.
     examined_by_step: usize,
@@ -153,8 +153,7 @@
         is_full: bool,
     ) {
         self.examined += self.examined_by_step;
-        // Steps with further constraints may fail for other reasons than their size, so they tell nothing about other
-        // steps.
+        // Steps with further constraints may fail for other reasons than their size.
         let is_unconstrained =
             step.required_label.is_none() && step.max_per_worker.is_none() && !step.is_gang;
         if is_unconstrained && is_full {
@@ -186,16 +185,16 @@
             self.is_skipping = true;
         }
         if self.is_skipping || self.is_over() {
-            return Some(WaitCause::PassEnded);
+            return Some(WaitCause::Deferred);
         }
-        let is_like_missed = self.failed.iter().any(|failed| {
+        let is_smaller_missed = self.failed.iter().any(|failed| {
             failed.queue == queue
                 && failed.image == step.image
                 && failed.uses_leftover_cpu == step.uses_leftover_cpu
                 && failed.tier <= tier
                 && failed.resources.fits(&step.resources)
         });
-        is_like_missed.then_some(WaitCause::LikeMissed)
+        is_smaller_missed.then_some(WaitCause::SmallerStepMissed)
     }
 
     /// Returns true once the pass may examine no further workers.
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -40,7 +40,7 @@
     /// No worker can take another one.
     NoWorker,
     /// The workers that can take another one already have a run of the same task.
-    OnlyOwnWorkers,
+    OnlyWorkersWithTask,
 }
 
 impl ShardScheduler {
@@ -66,7 +66,7 @@
             let step = &spec.steps[usize::from(key.step)];
             let tier = self.probe_tier(&key, step, &tasks);
             let mut cause = pass.begin_step(&key, &queue, step, tier);
-            if cause == Some(WaitCause::PassEnded) && pass.is_over() {
+            if cause == Some(WaitCause::Deferred) && pass.is_over() {
                 self.resume_pass_at.get_or_insert(key);
             }
             if cause.is_none() {
@@ -144,7 +144,11 @@
             }
             let Some((worker, position)) = self.pop_best(pass, &mut best, &task) else {
                 let is_full = best.is_empty();
-                return if is_full { StepOutcome::NoWorker } else { StepOutcome::OnlyOwnWorkers };
+                return if is_full {
+                    StepOutcome::NoWorker
+                } else {
+                    StepOutcome::OnlyWorkersWithTask
+                };
             };
             let run = self.next_run(self.last_run(&task));
             self.reserve(now, &worker, &task, run);
@@ -527,7 +531,7 @@
                     StartRefusal::Unhealthy | StartRefusal::Invalid => {
                         worker.health.fail_probe(task, run, now);
                         if worker.health.begin_probation(ProbationCause::RefusedStart, now) {
-                            event::WORKER_QUARANTINED.emit(format_args!(
+                            event::WORKER_ON_PROBATION.emit(format_args!(
                                 "worker={worker_id} cause=refused-start task={task}"
                             ));
                         }
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -387,7 +387,7 @@
             let idle = now.saturating_sub(run.advanced.max(run.throttle_changed_at));
             match run.tail_target_ms {
                 Some(_) => run.percent < 100 && idle >= SERVING_START_TIMEOUT,
-                // A throttled best-effort task may make no progress on a sound worker.
+                // A throttled best-effort task may make no progress on a healthy worker.
                 None if run.leftover_cpu > 0 && (!is_probe || run.cpu_percent < 100) => false,
                 None => run.percent < 100 && idle >= STUCK_TIMEOUT,
             }
@@ -407,7 +407,7 @@
             }
         }
         if worker.health.begin_probation(ProbationCause::NoProgress, now) {
-            event::WORKER_QUARANTINED
+            event::WORKER_ON_PROBATION
                 .emit(format_args!("worker={worker_id} cause=no-progress task={}", stuck[0]));
         }
         for task in stuck {
--- a/src/shard/scheduler/rows.rs
+++ b/src/shard/scheduler/rows.rs
@@ -55,8 +55,7 @@
     dirty: BTreeSet<JobId>,
     /// Subset of `dirty` that should be written soon: runs wait for it, or a job has ended.
     urgent: BTreeSet<JobId>,
-    /// Last job of the last batch. The next one begins behind it, so that no job waits for more than one turn of all
-    /// others, however often these change.
+    /// Last job of the last batch, after which the next batch begins, so that the order of IDs gives no job precedence.
     last_taken: Option<JobId>,
     /// Runs whose workers are not stored yet.
     planned: BTreeMap<JobId, Vec<PlannedStart>>,
@@ -106,10 +105,10 @@
         }
     }
 
-    /// Returns up to `most` changed jobs, urgent ones first, each group in turn.
+    /// Returns up to `most` changed jobs, urgent ones first, each group round robin.
     fn next_jobs(&self, most: usize, is_urgent: bool) -> Vec<JobId> {
-        let urgent = in_turn(&self.urgent, self.last_taken);
-        let others = in_turn(&self.dirty, self.last_taken);
+        let urgent = round_robin(&self.urgent, self.last_taken);
+        let others = round_robin(&self.dirty, self.last_taken);
         let others = others.filter(|id| !is_urgent && !self.urgent.contains(id));
         urgent.chain(others).take(most).copied().collect()
     }
@@ -208,8 +207,8 @@
     }
 }
 
-/// Iterates over all elements of a set, beginning behind `last`.
-fn in_turn(jobs: &BTreeSet<JobId>, last: Option<JobId>) -> impl Iterator<Item = &JobId> {
+/// Iterates over all elements of a set, beginning after `last`.
+fn round_robin(jobs: &BTreeSet<JobId>, last: Option<JobId>) -> impl Iterator<Item = &JobId> {
     let (behind, up_to) = match last {
         Some(last) => (Bound::Excluded(last), Some(Bound::Included(last))),
         None => (Bound::Unbounded, None),
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -40,12 +40,12 @@
 /// A task was moved to another worker, because other tasks on its worker leave it too few resources or the worker has
 /// shrunk.
 pub const TASK_MOVED: Event = Event::new(617, Level::Info, "task-moved");
-/// Tasks of a long-running step have waited for a worker for long.
+/// Tasks of a long-running step have waited for a worker for a long time.
 pub const TASK_WAITING: Event = Event::new(618, Level::Info, "task-waiting");
 /// A task has crashed several workers, so it is not started again and its job has failed.
 pub const TASK_GIVEN_UP: Event = Event::new(619, Level::Warn, "task-given-up");
 /// A worker was put on probation: it gets one task at a time until a task has shown that it works.
-pub const WORKER_QUARANTINED: Event = Event::new(620, Level::Warn, "worker-left-out");
+pub const WORKER_ON_PROBATION: Event = Event::new(620, Level::Warn, "worker-left-out");
 /// A worker does not answer renewals.
 pub const WORKER_SILENT: Event = Event::new(621, Level::Warn, "worker-silent");
 /// A silent worker answers again.
@@ -120,7 +120,7 @@
     TASK_MOVED,
     TASK_WAITING,
     TASK_GIVEN_UP,
-    WORKER_QUARANTINED,
+    WORKER_ON_PROBATION,
     WORKER_SILENT,
     WORKER_ANSWERS,
     WORKER_RESTARTED,
--- a/tests/testsuite/shard/starvation.rs
+++ b/tests/testsuite/shard/starvation.rs
@@ -35,7 +35,7 @@
     jobs
 }
 
-/// Guards against sound workers that stay quarantined after a fault while tasks wait for resources.
+/// Guards against healthy workers that get no tasks after a fault while tasks wait for resources.
 #[test]
 fn a_worker_gets_tasks_within_two_seconds_of_the_end_of_its_fault() {
     for fault_s in [1, 5, 12, 40] {
@@ -49,7 +49,7 @@
     }
 }
 
-/// Guards against a sound worker that is not used until a probe that takes minutes has ended.
+/// Guards against a healthy worker that is not used until a probe that takes minutes has ended.
 #[test]
 fn a_long_probe_ends_the_probation_by_its_progress() {
     let mut rig = Rig::new(Fleet::new(1, 4_000));
@@ -104,9 +104,9 @@
     }
 }
 
-/// Guards against a worker that stays quarantined by the failures of its previous incarnation.
+/// Guards against a worker that stays on probation for the failures of its previous incarnation.
 #[test]
-fn a_restarted_worker_is_not_quarantined() {
+fn a_restarted_worker_is_not_on_probation() {
     let mut rig = Rig::new(Fleet::new(1, 4_000));
     run_with_failing_workers(&mut rig, 2, Duration::from_secs(12));
     rig.fleet.get(1).restart();
