Keep no long-running task waiting for the trials of suspects

After a crash, the tasks of the worker were tried one by one: each alone on its worker for 3 s, and one of a job at a time. Long-running tasks therefore started 3, 7, 11 ... s after the worker was back, beside its free resources, which LOST does not allow. A worker with a suspect on trial took no other task meanwhile.

Only suspects that had not been active for long when their worker crashed are tried, and a long-running task waits for trials for 1.5 s: then a suspect is placed like any other task, and others may start beside a trial. Crashes are counted as before, so a task is still given up after two or three. A worker on trial gets no probe any more if it is on probation as well.

--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -45,6 +45,8 @@
     pub home: Option<&'a str>,
     /// Tier of the task as a probe on a worker on probation.
     pub tier: ProbeTier,
+    /// The task has waited for so long that it may run beside a suspect on trial.
+    pub is_overdue: bool,
 }
 
 /// Why a worker gets no new tasks.
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -153,6 +153,14 @@
         }
     }
 
+    /// Returns how long the task of a step that has waited longest has waited; zero if none waits.
+    #[must_use]
+    pub fn longest_wait(&self, step: &StepId, now: Duration) -> Duration {
+        let rank = self.ranks.get(step);
+        let waiting = rank.and_then(|rank| self.steps.get(&(*rank, *step)));
+        waiting.map_or(Duration::ZERO, |waiting| waiting.longest_wait(now))
+    }
+
     /// Records at which wait of its oldest task a step was logged.
     pub fn set_logged_wait(&mut self, step: &StepId, wait: Duration) {
         let Some(rank) = self.ranks.get(step) else { return };
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -381,7 +381,8 @@
         }
         let is_domain_out = self.domains_out.contains(&worker.listing.domain);
         let cause = pick::unusable_cause(worker, now, is_domain_out);
-        cause.or_else(|| self.is_on_trial(worker).then_some(UnusableCause::OnTrial))
+        let is_healthy = matches!(cause, None | Some(UnusableCause::Probation));
+        if is_healthy && self.is_on_trial(worker) { Some(UnusableCause::OnTrial) } else { cause }
     }
 
     /// Current load of the shard, for metrics and the log.
--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -26,7 +26,8 @@
 //!
 //! To find the cause among several suspects, each of them is tried by itself: its next run goes to a worker without
 //! another suspect, preferably one on which all runs are proven, and that worker gets no other task until the trial is
-//! over. A suspect has one run at a time, so it is not copied. One suspect of a job is tried at a time, because its tasks
+//! over. A suspect that had been active for long is not tried, and a long-running task waits for trials for
+//! [`TRIAL_PATIENCE`] only, because services must not wait beside free resources. A suspect has one run at a time, so it is not copied. One suspect of a job is tried at a time, because its tasks
 //! may all crash their workers and the first of them to do so decides; the job's other tasks go on, since most jobs with
 //! suspects are innocent. At most one in [`WORKERS_PER_TRIAL`] workers is on trial, which bounds what suspects can take
 //! down together; the others wait. A shard with fewer workers has no trials, since each would take too large a part of
@@ -39,7 +40,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::job::{JobState, JobTaskId, Progress, StepId};
+use crate::job::{JobState, JobTaskId, Progress, StepId, StepSpec};
 use crate::shard::worker::{Phase, Run, Worker, WorkerId};
 use crate::telemetry::event::shard as event;
 
@@ -59,6 +60,10 @@
 /// Workers of the shard for each one that may be on trial at the same time.
 const WORKERS_PER_TRIAL: usize = 6;
 
+/// Time after which a long-running task waits for no trial any more: neither a suspect for one of its own, nor another
+/// task for the end of one. Isolation must not keep a service from resources that are free.
+const TRIAL_PATIENCE: Duration = Duration::from_millis(1_500);
+
 /// Smallest number of workers that may be on trial in a shard with trials, so that one suspect does not block all others.
 const MIN_TRIALS: usize = 2;
 
@@ -92,6 +97,11 @@
 pub(super) struct Crashes {
     /// Tasks with crashed runs, and the other members of their gangs. May contain tasks that were cleared since.
     suspects: BTreeSet<JobTaskId>,
+    /// Suspects whose next run is a trial: those that were not proven when their worker crashed, and those that a
+    /// previous owner recorded. Subset of `suspects`.
+    untried: BTreeSet<JobTaskId>,
+    /// Newest run of each suspect that was placed as a trial.
+    trials: BTreeMap<JobTaskId, u32>,
     /// Runs whose leases lapsed on a worker that did not answer. Whether it has crashed is known once it answers again.
     unresolved: BTreeMap<WorkerId, Vec<LostRun>>,
     /// Workers that crashed within [`MASS_CRASH_WINDOW`] or not long before, with the local time of their last answer.
@@ -262,6 +272,9 @@
                 changed.insert(suspect);
                 self.rows.mark(run.task.step.job);
             }
+            if !run.is_proven {
+                self.crashes.untried.extend(members.iter().copied());
+            }
             self.crashes.suspects.extend(members);
             if self.live.contains_key(&run.task) {
                 // A suspect gets no speculative run.
@@ -340,7 +353,9 @@
     pub(super) fn add_stored_suspects(&mut self, id: crate::job::JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         for task in crashed_tasks(id, &job.progress) {
-            self.crashes.suspects.extend(members_of(job, &task));
+            let members = members_of(job, &task);
+            self.crashes.untried.extend(members.iter().copied());
+            self.crashes.suspects.extend(members);
         }
     }
 
@@ -360,6 +375,8 @@
             }
             if !self.is_suspect(&task) {
                 self.crashes.suspects.remove(&task);
+                self.crashes.untried.remove(&task);
+                self.crashes.trials.remove(&task);
             }
         }
     }
@@ -391,10 +408,22 @@
 
     /// Returns true if a suspect was placed on the worker and is not proven yet. The worker gets no other task meanwhile.
     pub(super) fn is_on_trial(&self, worker: &Worker) -> bool {
-        let is_trial =
-            |(task, run): (&JobTaskId, &Run)| !is_proven(run, worker) && self.is_suspect(task);
-        let is_possible = self.max_trials() > 0 && !self.crashes.suspects.is_empty();
-        is_possible && worker.runs.iter().any(is_trial)
+        let is_trial = |(task, run): (&JobTaskId, &Run)| {
+            !is_proven(run, worker)
+                && self.crashes.trials.get(task) == Some(&run.number)
+                && self.is_suspect(task)
+        };
+        !self.crashes.trials.is_empty() && worker.runs.iter().any(is_trial)
+    }
+
+    /// Records that a run was placed as a trial.
+    pub(super) fn begin_trial(&mut self, task: &JobTaskId, run: u32) {
+        self.crashes.trials.insert(*task, run);
+    }
+
+    /// Returns true if a task of a long-running step has waited for so long that trials no longer matter to it.
+    pub(super) fn is_overdue(&self, step: &StepSpec, key: &StepId) -> bool {
+        step.is_long_running && self.waiting.longest_wait(key, self.now) >= TRIAL_PATIENCE
     }
 
     /// Returns true if a suspect may start: no other suspect of its job is on trial, and not too many workers are.
@@ -416,7 +445,13 @@
 
     /// Returns true if the next run of a task must be a trial.
     pub(super) fn needs_trial(&self, task: &JobTaskId) -> bool {
-        self.max_trials() > 0 && self.is_suspect(task)
+        if self.max_trials() == 0 || !self.crashes.untried.contains(task) || !self.is_suspect(task)
+        {
+            return false;
+        }
+        let job = self.jobs.get(&task.step.job);
+        let step = job.and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
+        !step.is_some_and(|step| self.is_overdue(step, &task.step))
     }
 
     /// Most workers that may be on trial at the same time; 0 if the shard has no trials.
--- a/src/shard/scheduler/pass.rs
+++ b/src/shard/scheduler/pass.rs
@@ -24,6 +24,8 @@
     Any,
     /// One task of this tier or an earlier one.
     Probe(ProbeTier),
+    /// Overdue tasks only, because a suspect is on trial there.
+    Overdue,
     None,
 }
 
@@ -34,6 +36,7 @@
     image: Option<String>,
     uses_leftover_cpu: bool,
     tier: ProbeTier,
+    is_overdue: bool,
     /// Resources of one task.
     resources: Resources,
 }
@@ -150,6 +153,7 @@
         queue: &str,
         step: &StepSpec,
         tier: ProbeTier,
+        is_overdue: bool,
         is_full: bool,
     ) {
         self.examined += self.examined_by_step;
@@ -162,6 +166,7 @@
                 image: step.image.clone(),
                 uses_leftover_cpu: step.uses_leftover_cpu,
                 tier,
+                is_overdue,
                 resources: step.resources,
             });
         }
@@ -175,6 +180,7 @@
         queue: &str,
         step: &StepSpec,
         tier: ProbeTier,
+        is_overdue: bool,
     ) -> Option<WaitCause> {
         self.examined_by_step = 0;
         if self.resume_at.as_ref() == Some(id) {
@@ -192,6 +198,7 @@
                 && failed.image == step.image
                 && failed.uses_leftover_cpu == step.uses_leftover_cpu
                 && failed.tier <= tier
+                && (failed.is_overdue || !is_overdue)
                 && failed.resources.fits(&step.resources)
         });
         is_smaller_missed.then_some(WaitCause::SmallerStepMissed)
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -65,7 +65,8 @@
             let queue = job.queue.clone();
             let step = &spec.steps[usize::from(key.step)];
             let tier = self.probe_tier(&key, step, &tasks);
-            let mut cause = pass.begin_step(&key, &queue, step, tier);
+            let is_overdue = self.is_overdue(step, &key);
+            let mut cause = pass.begin_step(&key, &queue, step, tier, is_overdue);
             if cause == Some(WaitCause::Deferred) && pass.is_over() {
                 self.resume_pass_at.get_or_insert(key);
             }
@@ -73,7 +74,7 @@
                 let outcome = self.place_step(now, &mut pass, &key, step, tier, &tasks);
                 if outcome != StepOutcome::Placed {
                     let is_full = outcome == StepOutcome::NoWorker;
-                    pass.record_miss(&queue, step, tier, is_full);
+                    pass.record_miss(&queue, step, tier, is_overdue, is_full);
                     cause = Some(WaitCause::NoWorker);
                 }
             }
@@ -91,6 +92,7 @@
                 Some(UnusableCause::Probation) => {
                     worker.probe_tier(now).map_or(Admission::None, Admission::Probe)
                 }
+                Some(UnusableCause::OnTrial) => Admission::Overdue,
                 Some(_) => Admission::None,
             };
             pass.add_worker(id, worker, admission);
@@ -154,6 +156,7 @@
             self.reserve(now, &worker, &task, run);
             pass.invalidate(position);
             if needs_trial {
+                self.begin_trial(&task, run);
                 pass.admission[position] = Admission::None;
                 continue;
             }
@@ -216,6 +219,7 @@
             step_id: key,
             home: job.home.as_deref(),
             tier,
+            is_overdue: self.is_overdue(step, key),
         };
         let mut scores = Vec::new();
         for position in pass.candidates(&policy.service, step) {
@@ -244,6 +248,7 @@
             step_id: key,
             home: job.home.as_deref(),
             tier,
+            is_overdue: self.is_overdue(step, key),
         };
         let worker = self.workers.get(&pass.ids[position])?;
         self.score(pass, &req, worker, position)
@@ -260,7 +265,8 @@
         let penalty = match pass.admission[position] {
             Admission::Any => 0,
             Admission::Probe(tier) if req.tier <= tier => PROBE_PENALTY,
-            Admission::Probe(_) | Admission::None => return None,
+            Admission::Overdue if req.is_overdue => PROBE_PENALTY,
+            Admission::Probe(_) | Admission::Overdue | Admission::None => return None,
         };
         let leftover = &mut pass.leftovers[position];
         let interference = &mut pass.interference[position];
@@ -330,9 +336,10 @@
                 placed.push((worker, task, position));
             }
             if placed.len() == tasks.len() {
-                for (.., position) in placed {
+                for (_, task, position) in placed {
                     pass.invalidate(position);
                     if needs_trial {
+                        self.begin_trial(&task, run);
                         pass.admission[position] = Admission::None;
                     }
                 }
--- a/tests/testsuite/shard/crashes.rs
+++ b/tests/testsuite/shard/crashes.rs
@@ -388,3 +388,60 @@
     assert_eq!(rig.stored_state(id), Some(JobState::Completed));
     assert!(rig.starts_of(id).len() <= 12);
 }
+
+/// Guards against services that wait beside free resources, because the tasks of a crashed worker are tried one by one.
+#[test]
+fn long_running_tasks_start_soon_on_a_worker_that_is_back_from_a_crash() {
+    for (jobs, tasks, active_ms) in [(24, 1, 5_000), (2, 12, 5_000), (24, 1, 1_000), (2, 12, 1_000)]
+    {
+        let mut rig = Rig::new(Fleet::new(6, 4_000));
+        for id in 1..=jobs {
+            let id = rig.submit(id, spec(vec![long_running(tasks, 1_000)]));
+            rig.fleet.durations.insert(id, Duration::from_secs(1_000));
+        }
+        rig.run(Duration::from_millis(300 + active_ms));
+        rig.fleet.get(0).restart();
+        rig.run(Duration::from_secs(3));
+        let runs = rig.fleet.get(0).runs.len();
+        assert_eq!(runs, 4, "{jobs} jobs of {tasks} tasks, active for {active_ms} ms");
+    }
+}
+
+/// Guards against a task that waits beside free resources of a worker on which a suspect is on trial.
+#[test]
+fn an_overdue_task_starts_beside_a_suspect_on_trial() {
+    let mut rig = Rig::new(Fleet::new(6, 4_000));
+    let suspect = rig.submit(1, spec(vec![long_running(1, 1_000)]));
+    rig.fleet.durations.insert(suspect, Duration::from_secs(1_000));
+    rig.run(Duration::from_millis(200));
+    let on = rig.starts_of(suspect)[0].2.clone();
+    let full = rig.submit(2, spec(vec![long_running(20, 1_000)]));
+    rig.fleet.durations.insert(full, Duration::from_secs(1_000));
+    rig.run(Duration::from_millis(200));
+    rig.fleet.workers.get_mut(&on).unwrap().restart();
+    let waiting = rig.submit(3, spec(vec![long_running(2, 1_000)]));
+    rig.fleet.durations.insert(waiting, Duration::from_secs(1_000));
+    rig.run(Duration::from_millis(2_200));
+    assert_eq!(rig.starts_of(waiting).len(), 2);
+    rig.assert_no_breach();
+}
+
+/// Guards against tasks that crash as many workers at the same time as a loss of power does, and are never counted.
+#[test]
+fn tasks_that_crash_many_workers_at_once_are_given_up() {
+    let mut rig = Rig::new(Fleet::new(48, 4_000));
+    rig.run(Duration::from_secs(1));
+    let alone = StepSpec { max_per_worker: Some(1), ..step(1, 3_000) };
+    let deadly: Vec<_> =
+        (1..=12).map(|id| submit_deadly(&mut rig, id, vec![alone.clone()])).collect();
+    let gang = StepSpec { is_gang: true, max_per_worker: Some(1), ..step(8, 3_000) };
+    let gang = rig.submit(20, spec(vec![gang]));
+    rig.fleet.deadly.extend((0..8).map(|index| task(gang, 0, index)));
+    rig.run(Duration::from_secs(120));
+    for (id, task) in deadly {
+        assert_eq!(rig.stored_state(id), Some(JobState::Failed), "{id}");
+        assert!(starts_after_third_crash(&rig, task) < 3, "{:?}", rig.fleet.crashes);
+    }
+    assert_eq!(rig.stored_state(gang), Some(JobState::Failed));
+    assert!(starts_after_third_crash(&rig, task(gang, 0, 0)) < 3);
+}
