Remember over a change of owner which tasks have had a run

A task that had lost its run before a change of owner counted as new for the new owner, so it waited behind new services again: the progress row names runs of placed tasks only.

The row marks tasks that have had a run. Older rows decode as before, and older programs read the mark as "not done".

a_new_owner_places_tasks_that_have_lost_a_run_before_new_ones fails before (the place goes to the new job) and passes.

--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -115,7 +115,7 @@
 /// Stored form of an occurrence.
 #[derive(Debug, Deserialize, Serialize)]
 struct StoredOccurrence {
-    /// One string per step with one character per task: `d` if it has succeeded, otherwise `.`.
+    /// One string per step with one character per task: `d` if it has succeeded, `r` if it has had a run, otherwise `.`.
     #[serde(rename = "t")]
     tasks: Vec<String>,
     /// Checkpoints as (step, index, text).
@@ -297,7 +297,11 @@
 }
 
 fn encode_task(task: &TaskProgress) -> char {
-    if task.is_done { 'd' } else { '.' }
+    match task {
+        task if task.is_done => 'd',
+        task if task.last_run > 0 => 'r',
+        _ => '.',
+    }
 }
 
 fn decode_occurrence(
@@ -314,6 +318,8 @@
         }
         for (task, c) in occurrence.steps[step].iter_mut().zip(text.chars()) {
             task.is_done = c == 'd';
+            // The number of the run is stored for placed tasks only.
+            task.last_run = u32::from(c != '.');
         }
         let remaining = occurrence.steps[step].iter().filter(|task| !task.is_done).count();
         occurrence.remaining[step] = remaining as u32;
--- a/tests/testsuite/shard/starvation.rs
+++ b/tests/testsuite/shard/starvation.rs
@@ -322,3 +322,23 @@
     rig.run(Duration::from_millis(100));
     assert_eq!([first, second, new].map(|id| rig.starts_of(id).len()), [3, 2, 0]);
 }
+
+/// Guards against a new owner that takes tasks that have lost a run for new ones.
+#[test]
+fn a_new_owner_places_tasks_that_have_lost_a_run_before_new_ones() {
+    let mut rig = Rig::new(Fleet::new(1, 4_000));
+    let displaced = rig.submit(0xf0, spec(vec![long_running(4, 1_000)]));
+    rig.fleet.durations.insert(displaced, Duration::from_secs(1_000));
+    rig.run(Duration::from_millis(300));
+    let new = rig.submit(1, spec(vec![long_running(2, 1_000)]));
+    rig.fleet.durations.insert(new, Duration::from_secs(1_000));
+    rig.run(Duration::from_millis(100));
+    rig.owner.allow_starts(false);
+    let task = *rig.fleet.get(0).runs.keys().next().unwrap();
+    rig.fleet.get(0).end(task, EndCause::Failed);
+    rig.run(Duration::from_millis(300));
+    let lapsed = rig.fleet.now;
+    rig.take_over(lapsed);
+    rig.run(Duration::from_millis(300));
+    assert_eq!([displaced, new].map(|id| rig.starts_of(id).len()), [5, 0]);
+}
