--- a/crates/plantainlever-test-support/src/soak.rs
+++ b/crates/plantainlever-test-support/src/soak.rs
@@ -4,8 +4,8 @@
 //! The seed determines the cluster size, the jobs and the faults: links that are cut, silenced in one or both
 //! directions, or delayed; open connections that go silent while new ones work; processes that are killed, paused,
 //! stopped gracefully and restarted; a store that refuses requests, is silent or slow, loses answers, applies writes
-//! late or compacts its change history; workers that are lost, drain, fail every run or execute commands late; tasks that
-//! crash their workers, and capacities of workers that change. Faults overlap, and routes are added and removed
+//! late or compacts its change history; workers that are lost, drain, fail every run or execute commands late; tasks
+//! that crash their workers, and capacities of workers that change. Faults overlap, and routes are added and removed
 //! meanwhile. The stand-ins check each start of a task, and the callers check the job states in the answers. After the
 //! last fault every accepted job must end.
 
@@ -44,8 +44,8 @@
 const PREFIX: &str = "/jobs/";
 
 /// Time after the last fault in which every accepted job must end, besides the time for which the work that is left
-/// occupies all workers. It covers leases of lost shard owners and workers that lapse one after the other, and quarantines
-/// of workers.
+/// occupies all workers. It covers leases of lost shard owners and workers that lapse one after the other, and
+/// quarantines of workers.
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Time in which the first task must start.
--- a/crates/plantainlever-test-support/src/soak/crash.rs
+++ b/crates/plantainlever-test-support/src/soak/crash.rs
@@ -76,7 +76,8 @@
         Self { rng, left_in_series: 0 }
     }
 
-    /// Returns the crashing task of the caller's next job, if it has one. `counts` are the numbers of tasks of its steps.
+    /// Returns the crashing task of the caller's next job, if it has one. `counts` are the numbers of tasks of its
+    /// steps.
     pub(super) fn next(&mut self, counts: &[u16]) -> Option<CrashingTask> {
         if self.left_in_series == 0 && self.rng.random_bool(SERIES_PROBABILITY) {
             self.left_in_series = self.rng.random_range(SERIES_LENGTH);
@@ -127,8 +128,8 @@
 
     /// Reports a breach if processes in touch have started a crashing task too often after crashes of its workers.
     ///
-    /// A start that was sent before the last of these crashes counts when the worker executes it, since the limit has no
-    /// time bound; the starts below the limit leave room for these. It does not count if the process was disrupted
+    /// A start that was sent before the last of these crashes counts when the worker executes it, since the limit has
+    /// no time bound; the starts below the limit leave room for these. It does not count if the process was disrupted
     /// between the sending, `held_up` ago, and the execution, or less than the stable window before: then the process
     /// was not in touch.
     pub(super) fn check_start_of_crashing_task(
--- a/crates/plantainlever-test-support/src/soak/faults.rs
+++ b/crates/plantainlever-test-support/src/soak/faults.rs
@@ -30,7 +30,8 @@
     Worker(usize),
 }
 
-/// Injects faults for `fault_time`, besides the random ones of `rng` losses of open connections, and returns their descriptions.
+/// Injects faults for `fault_time`, besides the random ones of `rng` losses of open connections, and returns their
+/// descriptions.
 pub(super) fn inject(
     cluster: &mut SoakCluster,
     rng: &mut StdRng,
--- a/crates/plantainlever-test-support/src/soak/routes.rs
+++ b/crates/plantainlever-test-support/src/soak/routes.rs
@@ -1,5 +1,5 @@
-//! Changes the routes of the configuration during a soak, and checks that no process decides by an old one, or returns to
-//! an older one.
+//! Changes the routes of the configuration during a soak, and checks that no process decides by an old one, or returns
+//! to an older one.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/plantainlever-test-support/src/soak/world.rs
+++ b/crates/plantainlever-test-support/src/soak/world.rs
@@ -309,8 +309,8 @@
 }
 
 impl World {
-    /// Ends the runs that are due: completed, failed, stopped, or on a worker whose lease has lapsed. Crashes the workers
-    /// whose crashing tasks are due.
+    /// Ends the runs that are due: completed, failed, stopped, or on a worker whose lease has lapsed. Crashes the
+    /// workers whose crashing tasks are due.
     pub fn advance(&mut self) {
         let now = Instant::now();
         let mut crashed = Vec::new();
--- a/src/job.rs
+++ b/src/job.rs
@@ -1,9 +1,9 @@
 //! Jobs: steps of tasks with dependencies, their IDs and their progress.
 //!
 //! A job is accepted once and described by its [`JobSpec`]. Its [`Progress`] records which tasks have succeeded, which
-//! of their runs failed or ended with a crash of their worker, from which checkpoint a task resumes, and on which worker
-//! its newest run was placed. Whether that run is still active is not part of the job: a new owner reads that from the
-//! workers.
+//! of their runs failed or ended with a crash of their worker, from which checkpoint a task resumes, and on which
+//! worker its newest run was placed. Whether that run is still active is not part of the job: a new owner reads that
+//! from the workers.
 
 pub mod progress;
 pub mod spec;
--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -41,8 +41,8 @@
     /// Numbers of the runs that failed. Never shrinks. Kept by number and not as a count, because a new owner may read
     /// unacknowledged ends again, from several workers and in any order.
     pub failed_runs: BTreeSet<u32>,
-    /// Worker of each run under which its worker crashed and that may be the cause, by number of the run. Kept by number
-    /// for the same reason as `failed_runs`; each run is on one incarnation of one worker.
+    /// Worker of each run under which its worker crashed and that may be the cause, by number of the run. Kept by
+    /// number for the same reason as `failed_runs`; each run is on one incarnation of one worker.
     pub crashed_runs: BTreeMap<u32, Rc<str>>,
     /// Newest checkpoint; empty for none.
     pub checkpoint: String,
@@ -51,8 +51,9 @@
     /// Worker that has, or may have, the newest run. It is stored before the run starts, so that a new owner knows
     /// which worker may have a run that is not listed.
     pub worker: Option<Rc<str>>,
-    /// Start of the incarnation of `worker` that has the run, in milliseconds since the Unix epoch; `None` if the worker
-    /// does not report it. A later incarnation shows a new owner that the run is gone. Meaningless without `worker`.
+    /// Start of the incarnation of `worker` that has the run, in milliseconds since the Unix epoch; `None` if the
+    /// worker does not report it. A later incarnation shows a new owner that the run is gone. Meaningless without
+    /// `worker`.
     pub worker_started_unix_ms: Option<u64>,
 }
 
@@ -115,7 +116,8 @@
 /// Stored form of an occurrence.
 #[derive(Debug, Deserialize, Serialize)]
 struct StoredOccurrence {
-    /// One string per step with one character per task: `d` if it has succeeded, `r` if it has had a run, otherwise `.`.
+    /// One string per step with one character per task: `d` if it has succeeded, `r` if it has had a run, otherwise
+    /// `.`.
     #[serde(rename = "t")]
     tasks: Vec<String>,
     /// Checkpoints as (step, index, text).
@@ -130,8 +132,8 @@
     /// Crashed runs as (step, index, run) by worker.
     #[serde(rename = "x", default, skip_serializing_if = "BTreeMap::is_empty")]
     crashed_runs: BTreeMap<String, Vec<(u16, u16, u32)>>,
-    /// Newest runs as (step, index, run) by the start of the worker incarnation that has them, in milliseconds since the
-    /// Unix epoch.
+    /// Newest runs as (step, index, run) by the start of the worker incarnation that has them, in milliseconds since
+    /// the Unix epoch.
     #[serde(rename = "i", default, skip_serializing_if = "BTreeMap::is_empty")]
     incarnations: BTreeMap<u64, Vec<(u16, u16, u32)>>,
 }
--- a/src/local/worker/state.rs
+++ b/src/local/worker/state.rs
@@ -59,8 +59,8 @@
 }
 
 impl Attempt {
-    /// Returns when the work will be done, or the worker crashes, at the current speed; `None` if the attempt runs until
-    /// it is stopped.
+    /// Returns when the work will be done, or the worker crashes, at the current speed; `None` if the attempt runs
+    /// until it is stopped.
     fn finish_time_ms(&self) -> Option<WorkerTimeMs> {
         let run_ms = self.behaviour.run_ms.or_else(|| self.behaviour.crash.then_some(0))?;
         let remaining_us = (run_ms * 1000).saturating_sub(self.done_us);
--- a/src/shard/health.rs
+++ b/src/shard/health.rs
@@ -2,8 +2,8 @@
 //!
 //! A worker on which runs of several jobs fail, or whose runs make no progress, is put on probation. From then on it
 //! gets one task at a time, as a probe, until a probe has shown that it works. Probation has no fixed length: a worker
-//! may be healthy again right after its fault was noticed, and one that is kept out by the clock stays empty while tasks
-//! wait. Ends of runs that had started before the probation neither prolong nor end it.
+//! may be healthy again right after its fault was noticed, and one that is kept out by the clock stays empty while
+//! tasks wait. Ends of runs that had started before the probation neither prolong nor end it.
 //!
 //! A probe may fail by its own fault, so tasks without a failure go first ([`ProbeTier`]). If none of them fits for a
 //! while, any task may be the probe: otherwise a worker would stay empty if only its own former tasks wait.
@@ -92,8 +92,8 @@
 /// Health of a worker, derived from its runs and from unanswered starts.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    /// Jobs with a failed run since the last success, with the local time of the newest. Counted by job, so that one bad
-    /// job does not affect a worker.
+    /// Jobs with a failed run since the last success, with the local time of the newest. Counted by job, so that one
+    /// bad job does not affect a worker.
     failed_jobs: BTreeMap<JobId, Duration>,
     probation: Option<Probation>,
     /// Starts since the last answer that were not sent or got no answer.
--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -103,8 +103,8 @@
     }
 }
 
-/// Returns the estimated unused processors of a worker, in thousandths of a core. Negative if it is overcommitted, and 0
-/// beside a run of unknown size.
+/// Returns the estimated unused processors of a worker, in thousandths of a core. Negative if it is overcommitted, and
+/// 0 beside a run of unknown size.
 #[must_use]
 pub fn leftover_cpu(worker: &Worker) -> i64 {
     if worker.has_run_of_unknown_size() {
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -177,8 +177,8 @@
         std::mem::take(&mut self.commands)
     }
 
-    /// Allows or forbids that tasks start. The caller forbids it while it can't confirm what it has told the scheduler of
-    /// queues, failure domains, workers and jobs. Runs continue.
+    /// Allows or forbids that tasks start. The caller forbids it while it can't confirm what it has told the scheduler
+    /// of queues, failure domains, workers and jobs. Runs continue.
     pub fn allow_starts(&mut self, is_allowed: bool) {
         self.is_start_allowed = is_allowed;
     }
--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -1,39 +1,41 @@
 //! Tasks that crash the workers that start them.
 //!
-//! A crash leaves no end that a worker could list: the worker answers later as another incarnation and runs nothing. All
-//! runs that it had may be the cause, so each of them is recorded in its job's progress row, by its number. A row that is
-//! written again, or read by a new owner, therefore neither forgets a crash nor counts it twice. If a worker restarts
-//! around a change of owner, the new owner compares its incarnation with the one that is stored with the placement.
+//! A crash leaves no end that a worker could list: the worker answers later as another incarnation and runs nothing.
+//! All runs that it had may be the cause, so each of them is recorded in its job's progress row, by its number. A row
+//! that is written again, or read by a new owner, therefore neither forgets a crash nor counts it twice. If a worker
+//! restarts around a change of owner, the new owner compares its incarnation with the one that is stored with the
+//! placement.
 //!
 //! What counts as a crash:
 //!
 //! - Another incarnation of a worker that had runs, whether the worker answered in between or its leases had lapsed. A
 //!   start without an answer counts as well, because the worker may have received it.
 //! - Not a draining worker, which ends its runs as announced.
-//! - Not a worker that is unreachable, even if its leases lapse: it may be cut off and still be the same incarnation. Its
-//!   runs are kept until it answers again. A worker that never does so is not counted, because from here its crash can't
-//!   be told from a long partition.
-//! - Not a crash of most workers of a failure domain or rack, or of an eighth of the fleet, at about the same time. These have
-//!   a common cause, such as a loss of power, and would make suspects of hundreds of tasks.
+//! - Not a worker that is unreachable, even if its leases lapse: it may be cut off and still be the same incarnation.
+//!   Its runs are kept until it answers again. A worker that never does so is not counted, because from here its crash
+//!   can't be told from a long partition.
+//! - Not a crash of most workers of a failure domain or rack, or of an eighth of the fleet, at about the same time.
+//!   These have a common cause, such as a loss of power, and would make suspects of hundreds of tasks.
 //!
-//! Only runs that had not been active for [`PROVEN_AFTER`] are recorded, since a task that crashes its worker does so soon
-//! after its start. If the worker had no such run, all of its runs are recorded.
+//! Only runs that had not been active for [`PROVEN_AFTER`] are recorded, since a task that crashes its worker does so
+//! soon after its start. If the worker had no such run, all of its runs are recorded.
 //!
 //! A task is given up, and its job fails, after [`CLEAR_CRASHES_LIMIT`] crashes if it was the only suspect of the last
-//! one, and after [`CRASHES_LIMIT`] in any case. A gang is one suspect: its members share their runs, and a crash counts
-//! once per worker. A task of any occurrence fails the whole job. Success clears a suspect, as does being active for
-//! [`PROVEN_AFTER`] if it is a long-running task, which would otherwise collect unrelated crashes.
+//! one, and after [`CRASHES_LIMIT`] in any case. A gang is one suspect: its members share their runs, and a crash
+//! counts once per worker. A task of any occurrence fails the whole job. Success clears a suspect, as does being active
+//! for [`PROVEN_AFTER`] if it is a long-running task, which would otherwise collect unrelated crashes.
 //!
 //! To find the cause among several suspects, each of them is tried by itself: its next run goes to a worker without
 //! another suspect, preferably one on which all runs are proven, and that worker gets no other task until the trial is
 //! over. A suspect that had been active for long is not tried, and a long-running task waits for trials for
-//! [`TRIAL_PATIENCE`] only, because services must not wait beside free resources. A suspect has one run at a time, so it is not copied. One suspect of a job is tried at a time, because its tasks
-//! may all crash their workers and the first of them to do so decides; the job's other tasks go on, since most jobs with
-//! suspects are innocent. At most one in [`WORKERS_PER_TRIAL`] workers is on trial, which bounds what suspects can take
-//! down together; the others wait. A shard with fewer workers has no trials, since each would take too large a part of
-//! it out of use: there, suspects are placed like other tasks.
+//! [`TRIAL_PATIENCE`] only, because services must not wait beside free resources. A suspect has one run at a time, so
+//! it is not copied. One suspect of a job is tried at a time, because its tasks may all crash their workers and the
+//! first of them to do so decides; the job's other tasks go on, since most jobs with suspects are innocent. At most one
+//! in [`WORKERS_PER_TRIAL`] workers is on trial, which bounds what suspects can take down together; the others wait. A
+//! shard with fewer workers has no trials, since each would take too large a part of it out of use: there, suspects are
+//! placed like other tasks.
 //!
-//! The worker is not quarantined for a crash, because the next task there may be as good as any.
+//! The worker is not put on probation for a crash, because the next task there may be as good as any.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -64,15 +66,16 @@
 /// task for the end of one. Isolation must not keep a service from resources that are free.
 const TRIAL_PATIENCE: Duration = Duration::from_millis(1_500);
 
-/// Smallest number of workers that may be on trial in a shard with trials, so that one suspect does not block all others.
+/// Smallest number of workers that may be on trial in a shard with trials, so that one suspect does not block all
+/// others.
 const MIN_TRIALS: usize = 2;
 
 /// Workers that were last heard of within this time of each other may have crashed together: the longest time for which
 /// a worker with runs holds back an answer.
 const MASS_CRASH_WINDOW: Duration = Duration::from_secs(1);
 
-/// Age of a worker's last answer from which the worker may be down, although its renewal has not failed yet. Longer than
-/// a worker with runs holds back an answer.
+/// Age of a worker's last answer from which the worker may be down, although its renewal has not failed yet. Longer
+/// than a worker with runs holds back an answer.
 const QUIET_AFTER: Duration = Duration::from_millis(1_200);
 
 /// Smallest number of workers that can make a mass crash; fewer are as likely to be a coincidence.
@@ -236,8 +239,8 @@
         self.record_crash(worker_id, self.inherited.claimed, &lost);
     }
 
-    /// Records the crash of a worker that was last heard of at `seen`, and gives up the tasks that have crashed too many
-    /// workers.
+    /// Records the crash of a worker that was last heard of at `seen`, and gives up the tasks that have crashed too
+    /// many workers.
     pub(super) fn record_crash(&mut self, worker_id: &WorkerId, seen: Duration, lost: &[LostRun]) {
         let Some(worker) = self.workers.get(worker_id) else { return };
         let is_draining = worker.listing.is_draining;
@@ -406,7 +409,8 @@
         self.jobs.get(&task.step.job).is_some_and(|job| !crashes_of(job, task).is_empty())
     }
 
-    /// Returns true if a suspect was placed on the worker and is not proven yet. The worker gets no other task meanwhile.
+    /// Returns true if a suspect was placed on the worker and is not proven yet. The worker gets no other task
+    /// meanwhile.
     pub(super) fn is_on_trial(&self, worker: &Worker) -> bool {
         let is_trial = |(task, run): (&JobTaskId, &Run)| {
             !is_proven(run, worker)
--- a/src/shard/scheduler/pass.rs
+++ b/src/shard/scheduler/pass.rs
@@ -3,8 +3,8 @@
 //! On a full fleet most waiting steps find no worker. An index of the workers by free processors leaves only those to
 //! examine that have enough, usually none. What remains is bounded: once a pass has examined about [`MAX_EXAMINED`]
 //! workers for steps that found none, it ends, and the next pass resumes there after it has spent up to half of that
-//! number on the steps of the highest rank. Each pass tries at least one step at the resume point, so every waiting step
-//! is tried eventually, whatever precedes it.
+//! number on the steps of the highest rank. Each pass tries at least one step at the resume point, so every waiting
+//! step is tried eventually, whatever precedes it.
 
 use std::collections::BTreeMap;
 
@@ -172,8 +172,8 @@
         }
     }
 
-    /// Begins a step. Returns why it need not be tried, if so: a step that asks for no more found no worker, or the pass
-    /// leaves it to a later one.
+    /// Begins a step. Returns why it need not be tried, if so: a step that asks for no more found no worker, or the
+    /// pass leaves it to a later one.
     pub(super) fn begin_step(
         &mut self,
         id: &StepId,
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -211,9 +211,9 @@
         self.unlisted_since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
     }
 
-    /// Returns true if the capacity covers what is committed to runs and `more` in each dimension. A capacity may shrink
-    /// below what is committed; then no run fits, not even one that asks for nothing. None fits beside a run of unknown
-    /// size either.
+    /// Returns true if the capacity covers what is committed to runs and `more` in each dimension. A capacity may
+    /// shrink below what is committed; then no run fits, not even one that asks for nothing. None fits beside a run of
+    /// unknown size either.
     #[must_use]
     pub fn has_room_for(&self, more: &Resources) -> bool {
         !self.has_run_of_unknown_size() && self.committed.add(more).fits(&self.listing.capacity)
--- a/tests/testsuite/shard/capacity.rs
+++ b/tests/testsuite/shard/capacity.rs
@@ -263,8 +263,8 @@
     assert_eq!(filling.last().map(|(.., worker)| worker.clone()), Some(worker_id(1)));
 }
 
-/// Guards against work that is lost without need: a best-effort task stays where the rest still has what it reserved, or
-/// where the task is about to end.
+/// Guards against work that is lost without need: a best-effort task stays where the rest still has what it reserved,
+/// or where the task is about to end.
 #[test]
 fn a_best_effort_task_stays_if_it_fits_or_is_about_to_end() {
     for (percent, cpu_millis) in [(10, 3_500), (90, 2_000)] {
