Count mass crashes from the second one of a task on

Change: the runs of such crashes are stored as well. A task is excused from its first one only, and is not copied after it. If most of a domain or rack is down at the same time, nothing is counted, as before, since tasks did not cause that.

Measured: tasks_that_crash_many_workers_at_once_are_given_up fails before and passes, and so do the tests with innocent tasks.

--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -44,6 +44,8 @@
     /// Worker of each run under which its worker crashed and that may be the cause, by number of the run. Kept by
     /// number for the same reason as `failed_runs`; each run is on one incarnation of one worker.
     pub crashed_runs: BTreeMap<u32, Rc<str>>,
+    /// The same for runs on workers that crashed together with many others, which need not be the task's fault.
+    pub mass_crashed_runs: BTreeMap<u32, Rc<str>>,
     /// Newest checkpoint; empty for none.
     pub checkpoint: String,
     /// Highest run number used, 0 for none. Never decreases.
@@ -132,6 +134,9 @@
     /// Crashed runs as (step, index, run) by worker.
     #[serde(rename = "x", default, skip_serializing_if = "BTreeMap::is_empty")]
     crashed_runs: BTreeMap<String, Vec<(u16, u16, u32)>>,
+    /// Runs in mass crashes as (step, index, run) by worker.
+    #[serde(rename = "m", default, skip_serializing_if = "BTreeMap::is_empty")]
+    mass_crashed_runs: BTreeMap<String, Vec<(u16, u16, u32)>>,
     /// Newest runs as (step, index, run) by the start of the worker incarnation that has them, in milliseconds since
     /// the Unix epoch.
     #[serde(rename = "i", default, skip_serializing_if = "BTreeMap::is_empty")]
@@ -192,6 +197,7 @@
         task.checkpoint.clear();
         task.worker = None;
         task.crashed_runs.clear();
+        task.mass_crashed_runs.clear();
         occurrence.remaining[step] -= 1;
         true
     }
@@ -268,6 +274,7 @@
         failed_runs: Vec::new(),
         placements: BTreeMap::new(),
         crashed_runs: BTreeMap::new(),
+        mass_crashed_runs: BTreeMap::new(),
         incarnations: BTreeMap::new(),
     };
     for (step, list) in occurrence.steps.iter().enumerate() {
@@ -282,6 +289,10 @@
                 let runs = stored.crashed_runs.entry(worker.to_string()).or_default();
                 runs.push((step, index, *run));
             }
+            for (run, worker) in &task.mass_crashed_runs {
+                let runs = stored.mass_crashed_runs.entry(worker.to_string()).or_default();
+                runs.push((step, index, *run));
+            }
             let Some(worker) = task.worker.as_deref() else { continue };
             if let Some(started) = task.worker_started_unix_ms {
                 let runs = stored.incarnations.entry(started).or_default();
@@ -339,6 +350,13 @@
             task.crashed_runs.insert(*run, Rc::clone(&worker));
         }
     }
+    for (worker, runs) in &stored.mass_crashed_runs {
+        let worker: Rc<str> = Rc::from(worker.as_str());
+        for (step, index, run) in runs {
+            let task = stored_task(&mut occurrence, *step, *index)?;
+            task.mass_crashed_runs.insert(*run, Rc::clone(&worker));
+        }
+    }
     for (started, runs) in &stored.incarnations {
         for (step, index, run) in runs {
             let task = stored_task(&mut occurrence, *step, *index)?;
--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -14,8 +14,10 @@
 //! - Not a worker that is unreachable, even if its leases lapse: it may be cut off and still be the same incarnation.
 //!   Its runs are kept until it answers again. A worker that never does so is not counted, because from here its crash
 //!   can't be told from a long partition.
-//! - Not a crash of most workers of a failure domain or rack, or of an eighth of the fleet, at about the same time.
-//!   These have a common cause, such as a loss of power, and would make suspects of hundreds of tasks.
+//! - Not a crash of most workers of a failure domain or rack at about the same time: that has a common cause, such as a
+//!   loss of power, and would make suspects of hundreds of tasks.
+//! - A crash of an eighth of the fleet at about the same time, from the second one of a task on: several tasks that crash
+//!   their workers may cause it as well.
 //!
 //! Only runs that had not been active for [`PROVEN_AFTER`] are recorded, since a task that crashes its worker does so
 //! soon after its start. If the worker had no such run, all of its runs are recorded.
@@ -95,6 +97,16 @@
     is_proven: bool,
 }
 
+/// Whether a worker crashed together with many others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum MassCrash {
+    None,
+    /// Many workers anywhere: tasks may have caused it.
+    OfFleet,
+    /// Most of a failure domain or rack: tasks did not cause it.
+    OfPlace,
+}
+
 /// Crashes that are not part of a job's progress.
 #[derive(Debug, Default)]
 pub(super) struct Crashes {
@@ -127,12 +139,16 @@
     }
 }
 
-/// Crashes under a task or gang, as (run, worker). Members of a gang on the same worker count once.
+/// Crashes that count against a task or gang, as (run, worker): all but its first one among mass crashes. Members of a
+/// gang on the same worker count once.
 fn crashes_of(job: &Job, task: &JobTaskId) -> BTreeSet<(u32, Rc<str>)> {
     let members = members_of(job, task);
-    let progress = members.iter().filter_map(|member| job.progress.task(member));
-    progress
-        .flat_map(|progress| &progress.crashed_runs)
+    let progress: Vec<_> = members.iter().filter_map(|member| job.progress.task(member)).collect();
+    let crashed = progress.iter().flat_map(|progress| &progress.crashed_runs);
+    let mass_crashed = || progress.iter().flat_map(|progress| &progress.mass_crashed_runs);
+    let first = mass_crashed().map(|(run, _)| *run).min();
+    crashed
+        .chain(mass_crashed().filter(|(run, _)| Some(**run) != first))
         .map(|(run, worker)| (*run, Rc::clone(worker)))
         .collect()
 }
@@ -244,7 +260,7 @@
     pub(super) fn record_crash(&mut self, worker_id: &WorkerId, seen: Duration, lost: &[LostRun]) {
         let Some(worker) = self.workers.get(worker_id) else { return };
         let is_draining = worker.listing.is_draining;
-        let is_mass_crash = self.is_mass_crash(worker_id, worker, seen);
+        let mass = self.mass_crash(worker_id, worker, seen);
         if !is_draining {
             self.crashes.recent.insert(worker_id.clone(), seen);
         }
@@ -256,13 +272,15 @@
             return;
         }
         event::WORKER_CRASHED.emit(format_args!(
-            "worker={worker_id} draining={is_draining} mass={is_mass_crash} lost={} suspects={:?}",
+            "worker={worker_id} draining={is_draining} mass={} lost={} suspects={:?}",
+            mass != MassCrash::None,
             lost.len(),
             runs.iter().map(|run| (run.task.to_string(), run.number)).collect::<Vec<_>>()
         ));
-        if is_draining || is_mass_crash {
+        if is_draining || mass == MassCrash::OfPlace {
             return;
         }
+        let is_mass_crash = mass == MassCrash::OfFleet;
         let mut changed = BTreeSet::new();
         let mut suspects = BTreeSet::new();
         for run in runs {
@@ -271,7 +289,12 @@
             let members = members_of(job, &run.task);
             suspects.insert(suspect);
             let Some(progress) = job.progress.task_mut(&run.task) else { continue };
-            if progress.crashed_runs.insert(run.number, worker_id.shared()).is_none() {
+            let recorded = if is_mass_crash {
+                &mut progress.mass_crashed_runs
+            } else {
+                &mut progress.crashed_runs
+            };
+            if recorded.insert(run.number, worker_id.shared()).is_none() {
                 changed.insert(suspect);
                 self.rows.mark(run.task.step.job);
             }
@@ -285,7 +308,7 @@
             }
         }
         for suspect in changed {
-            self.give_up_if_due(&suspect, suspects.len() == 1);
+            self.give_up_if_due(&suspect, suspects.len() == 1 && !is_mass_crash);
         }
     }
 
@@ -314,9 +337,9 @@
         self.end_job(self.now, id, JobState::Failed);
     }
 
-    /// Returns true if so many workers were last heard of at about the same time as this one, and have crashed or are
-    /// silent, that they have a common cause.
-    fn is_mass_crash(&self, worker_id: &WorkerId, crashed: &Worker, seen: Duration) -> bool {
+    /// Returns whether so many workers were last heard of at about the same time as this one, and have crashed or are
+    /// silent, that they may have a common cause.
+    fn mass_crash(&self, worker_id: &WorkerId, crashed: &Worker, seen: Duration) -> MassCrash {
         // By address, because the list may still contain the predecessor of a worker that came back with a new ID.
         let mut down: BTreeMap<SocketAddr, (bool, &Worker)> = BTreeMap::new();
         for (id, worker) in &self.workers {
@@ -333,7 +356,13 @@
         let fleet = count(&|_| true);
         let is_most = |(down, all): (usize, usize)| down >= MIN_MASS_CRASH && down * 3 >= all * 2;
         let is_many = fleet.0 >= MIN_FLEET_CRASH && fleet.0 * 8 >= fleet.1;
-        is_most(domain) || is_most(rack) || is_many
+        if is_most(domain) || is_most(rack) {
+            MassCrash::OfPlace
+        } else if is_many {
+            MassCrash::OfFleet
+        } else {
+            MassCrash::None
+        }
     }
 
     /// Returns true if a worker was last heard of at about `seen` and has crashed or been silent since.
@@ -372,6 +401,7 @@
                 for member in members_of(job, &task) {
                     if let Some(progress) = job.progress.task_mut(&member) {
                         progress.crashed_runs.clear();
+                        progress.mass_crashed_runs.clear();
                     }
                 }
                 self.rows.mark(task.step.job);
@@ -483,8 +513,9 @@
     for (occurrence, begun) in &progress.occurrences {
         for (step, tasks) in begun.steps.iter().enumerate() {
             let step = StepId { job: id, occurrence: *occurrence, step: step as u16 };
-            let indexes =
-                tasks.iter().enumerate().filter(|(_, task)| !task.crashed_runs.is_empty());
+            let indexes = tasks.iter().enumerate().filter(|(_, task)| {
+                !task.crashed_runs.is_empty() || !task.mass_crashed_runs.is_empty()
+            });
             crashed.extend(indexes.map(|(index, _)| JobTaskId { step, index: index as u16 }));
         }
     }
--- a/src/shard/scheduler/speculation.rs
+++ b/src/shard/scheduler/speculation.rs
@@ -32,7 +32,9 @@
         let is_open = job.progress.task(task).is_some_and(|progress| !progress.is_done);
         let is_single = self.live.get(task).is_some_and(|workers| workers.len() == 1);
         // A copy of a task that crashes its workers would crash one more.
-        if self.is_suspect(task) {
+        let progress = job.progress.task(task);
+        let has_crashed = progress.is_some_and(|progress| !progress.mass_crashed_runs.is_empty());
+        if has_crashed || self.is_suspect(task) {
             return;
         }
         if !step.is_speculative || job.progress.state.is_final() || !is_open || !is_single {
