--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -394,6 +394,9 @@
 class Run:
     def __init__(self, task, number, work_s):
         self.task, self.number, self.began, self.work_s = task, number, now(), work_s
+        self.worked_s = 0.0
+        self.percent = 100  # the share at which it works
+        self.tail_ms = None  # tail that a serving task reports; None for another task
         self.stop_at = None
 
 
@@ -448,6 +451,7 @@
             server.forget() if silent else server.reset()
 
     async def live(self, life):
+        last = now()
         while self.life == life:
             t = now()
             if self.runs and self.clock() >= self.lease:
@@ -456,8 +460,11 @@
             for run in list(self.runs.values()):
                 if run.stop_at is not None and t >= run.stop_at:
                     self.end(run, "stopped")
-                elif run.stop_at is None and t - run.began >= run.work_s:
+                    continue
+                run.worked_s += (t - last) * run.percent / 100
+                if run.stop_at is None and run.worked_s >= run.work_s:
                     self.end(run, "done")
+            last = t
             await asyncio.sleep(0.01)
 
     def end(self, run, how):
@@ -501,8 +508,9 @@
         self.lease = max(self.lease, min(req["deadline-ms"], clock + self.world.bounds["hold-max-ms"]))
         self.world.log("run %s/%d on %s starts, ordered by %s with token %d"
                        % (task, number, self.id, node, req["fencing-token"]))
-        work = json.loads(req["spec"]).get("work_s", 1.0) if req["spec"].startswith("{") else 1.0
-        self.runs[task] = Run(task, number, work)
+        spec = json.loads(req["spec"])
+        self.runs[task] = Run(task, number, spec["work_s"])
+        self.runs[task].tail_ms = spec.get("tail_ms")
         self.last_start = now()
         for other in self.world.workers.values():
             if other is not self and other.is_up and task in other.runs:
@@ -520,8 +528,19 @@
         return self.reply(200)
 
     async def pace(self, node, req):
+        run = self.runs.get(req["task"])
+        if run and run.number == req["run"]:
+            run.percent = req["percent"]
+            self.world.log("run %s/%d on %s works at %d%%, ordered by %s"
+                           % (run.task, run.number, self.id, run.percent, node))
         return self.reply(200)
 
+    def row(self, run):
+        is_ready = run.tail_ms is not None and now() - run.began > 0.5
+        percent = 100 if is_ready else min(100, int(100 * run.worked_s / run.work_s))
+        load = run.tail_ms if run.tail_ms is not None else 500 * run.percent // 100
+        return [run.task, run.number, "", percent, load]
+
     async def hold(self, node, req):
         clock = self.clock()
         if "deadline-ms" in req:
@@ -533,13 +552,13 @@
                 await asyncio.wait_for(self.changed.wait(), until - now())
             except asyncio.TimeoutError:
                 pass
-        active = [[r.task, r.number, "", min(100, int(100 * (now() - r.began) / r.work_s)), 500]
-                  for r in self.runs.values()]
+        active = [self.row(run) for run in self.runs.values()]
         return self.reply(200, active=active, finished=self.ended[:500])
 
 
-def job(work_s, count=1, cpu=1000, **step):
-    return {"spec": json.dumps({"work_s": work_s}),
+def job(work_s, count=1, cpu=1000, tail_ms=None, **step):
+    """Returns a job of one step. The stand-in reads from `spec` how long a task works and which tail it reports."""
+    return {"spec": json.dumps({"work_s": work_s, "tail_ms": tail_ms}),
             "steps": [{"count": count, "cpu": cpu, "mem-mb": 256, "estimate-ms": int(work_s * 1000), **step}]}
 
 
