Count the ownership lease from heartbeats only

Tasks of a failure domain that was cut off together with the shard's owner ran twice: the successor started them while the old owner's leases were still valid.

Cause: any stored write extended the ownership lease, but a successor sees only the owner row and the heartbeat row. Progress rows that were stored between the last heartbeat and the cut let the old owner renew leases up to 0.7 s longer than its successor assumed. The margin for slow clocks covers 0.38 s of it at most.

Change: the lease is extended by heartbeats. Other writes still confirm that the process was the owner when they were sent, which is what the end of a silent worker's leases needs. Both sides now count from one write, so no further margin is needed; the inequality is beside OWNERSHIP_LEASE_DURATION. An owner without the store stops up to 0.7 s earlier than before.

Measured: jobs::ownership::progress_rows_do_not_extend_the_ownership_lease failed before and passes. A test raises the rate of the clock and the delay of the kill beyond their bounds, and the runs then overlap.

--- a/src/ops/jobs/owner/rows.rs
+++ b/src/ops/jobs/owner/rows.rs
@@ -118,7 +118,11 @@
     match outcome {
         Ok(CommitOutcome::Applied { version }) => {
             let mut lease = owner.ownership_lease.get();
-            lease.confirm(sent);
+            if heartbeat.is_some() {
+                lease.renew(sent);
+            } else {
+                lease.confirm(sent);
+            }
             owner.ownership_lease.set(lease);
             if let Some(heartbeat) = &heartbeat {
                 owner.heartbeat_version.set(version);
--- a/src/shard/ownership.rs
+++ b/src/shard/ownership.rs
@@ -2,8 +2,8 @@
 //!
 //! The owner row names the owner and an epoch. A process claims a shard by a conditional write with a higher epoch: at
 //! once if the shard has no owner or if the owner was an earlier incarnation of the same process, otherwise once the
-//! owner's heartbeat row has not changed for [`HEARTBEAT_TIMEOUT`]. An owner must not send commands once its last
-//! confirmation by the store is older than [`OWNERSHIP_LEASE_DURATION`]. Until then it renews the workers' leases even
+//! owner's heartbeat row has not changed for [`HEARTBEAT_TIMEOUT`]. An owner must not send commands once its newest
+//! stored heartbeat is older than [`OWNERSHIP_LEASE_DURATION`]. Until then it renews the workers' leases even
 //! while the store is down, because no process can claim the shard without the store.
 
 use std::time::Duration;
@@ -17,8 +17,17 @@
 /// Time between heartbeats of an owner.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(700);
 
-/// Time after its last confirmation by the store for which an owner may send commands. It bridges the usual outages of
+/// Time after its newest stored heartbeat was sent for which an owner may send commands. It bridges the usual outages of
 /// a few seconds; in return, a new owner waits as long for workers that do not answer.
+///
+/// Both sides count from the same write, the heartbeat, so that no period or latency enters the comparison:
+///
+/// - The last command of the owner leaves before `heartbeat sent + OWNERSHIP_LEASE_DURATION`, also after a suspension,
+///   because the permission is checked by the boot clock just before the command is sent. It carries an expiry of the
+///   lease on the worker's clock, so a late arrival does not prolong it. A worker whose clock is 2% slow keeps its runs
+///   for up to `lease / 0.98`, and its timer fires up to `KILL_SLACK` late.
+/// - A successor starts the worker's tasks from `heartbeat seen + OWNERSHIP_LEASE_DURATION + longest_local_time(lease)`
+///   on, where `longest_local_time` is `1.025 * lease + KILL_SLACK`. A heartbeat is seen after it was sent.
 pub const OWNERSHIP_LEASE_DURATION: Duration = Duration::from_secs(7);
 
 /// Stored row that names the owner of a shard.
@@ -133,20 +142,31 @@
 }
 
 /// Time for which an owner may send commands.
+///
+/// A successor observes nothing but the owner row and the heartbeat row, so only writes of these two rows extend the
+/// permission. Other writes show that the process was the owner when they were sent, and no more.
 #[derive(Clone, Copy, Debug)]
 pub struct OwnershipLease {
-    /// Local time at which the newest confirmed write (the claim or a later write of the owner) was sent.
+    /// Local time at which the claim or the newest stored heartbeat was sent; the permission counts from it.
+    renewed: Duration,
+    /// Local time at which the newest stored write of any kind was sent; never before `renewed`.
     confirmed: Duration,
 }
 
 impl OwnershipLease {
-    /// Creates the lease of a claim that was sent at `sent` and has been confirmed.
+    /// Creates the lease of a claim that was sent at `sent` and has been stored.
     #[must_use]
     pub fn new(sent: Duration) -> Self {
-        Self { confirmed: sent }
+        Self { renewed: sent, confirmed: sent }
     }
 
-    /// Extends the lease after the store has applied a write of the owner that was sent at `sent`.
+    /// Extends the lease after the store has applied a heartbeat that was sent at `sent`.
+    pub fn renew(&mut self, sent: Duration) {
+        self.renewed = self.renewed.max(sent);
+        self.confirm(sent);
+    }
+
+    /// Records that the store has applied a write of the owner that was sent at `sent`. Does not extend the lease.
     pub fn confirm(&mut self, sent: Duration) {
         self.confirmed = self.confirmed.max(sent);
     }
@@ -160,6 +180,6 @@
     /// Returns true if commands may be sent at `now`.
     #[must_use]
     pub fn is_valid(&self, now: Duration) -> bool {
-        now.saturating_sub(self.confirmed) < OWNERSHIP_LEASE_DURATION
+        now.saturating_sub(self.renewed) < OWNERSHIP_LEASE_DURATION
     }
 }
--- a/tests/testsuite/jobs.rs
+++ b/tests/testsuite/jobs.rs
@@ -2,4 +2,5 @@
 
 mod flow;
 mod freshness;
+mod ownership;
 mod port;
--- a/tests/testsuite/jobs/port.rs
+++ b/tests/testsuite/jobs/port.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use plantainlever::clock::{Clock, SystemClock};
-use plantainlever::ops::jobs::{Node, NodeSettings, OperatorConfig, watch};
+use plantainlever::ops::jobs::{Node, NodeSettings, OperatorConfig, layout, watch};
 use plantainlever::port::{
     Commit, CommitOutcome, Row, RowKey, RowList, RowStore, StoreError, WorkerPort,
 };
@@ -41,6 +41,10 @@
     pub is_store_down: Cell<bool>,
     /// Transactions that the processes have sent.
     pub sent: RefCell<Vec<Commit>>,
+    /// Time at which the newest transaction with a heartbeat was applied.
+    pub heartbeat_applied: Cell<Duration>,
+    /// Transactions of the owner that were applied after the newest one with a heartbeat.
+    pub progress_since_heartbeat: Cell<u32>,
     began: Duration,
 }
 
@@ -54,11 +58,14 @@
             lose_answers: Cell::new(0),
             is_store_down: Cell::new(false),
             sent: RefCell::default(),
+            heartbeat_applied: Cell::default(),
+            progress_since_heartbeat: Cell::default(),
             began: SystemClock.boot(),
         })
     }
 
-    fn now(&self) -> Duration {
+    /// Time since the start of the test.
+    pub fn now(&self) -> Duration {
         SystemClock.boot() - self.began
     }
 
@@ -96,6 +103,12 @@
         }
         let version = self.version.get() + 1;
         self.version.set(version);
+        if commit.writes.iter().any(|(key, _)| key.key == layout::HEARTBEAT_KEY) {
+            self.heartbeat_applied.set(self.now());
+            self.progress_since_heartbeat.set(0);
+        } else if commit.partition == layout::shard_partition(ShardId(0)) {
+            self.progress_since_heartbeat.update(|count| count + 1);
+        }
         for (key, value) in &commit.writes {
             rows.insert(id(key), (version, Some(value.clone())));
         }
@@ -112,6 +125,8 @@
     pub world: Rc<World>,
     /// The process is cut off from the store and all workers.
     pub is_cut: Cell<bool>,
+    /// The process is cut off from the store, but not from the workers.
+    pub is_store_cut: Cell<bool>,
     /// Tables whose reads get no answer; those in progress get one once the table is removed from here. The VM list
     /// counts as a table.
     pub silent_tables: RefCell<BTreeSet<&'static str>>,
@@ -125,7 +140,7 @@
 impl Port {
     async fn reach_store(&self) -> Result<(), StoreError> {
         tokio::time::sleep(STORE_ANSWER).await;
-        if self.is_cut.get() {
+        if self.is_cut.get() || self.is_store_cut.get() {
             return Err(StoreError::NoAnswer { cause: "cut".to_owned() });
         }
         if self.world.is_store_down.get() {
@@ -268,6 +283,7 @@
     let port = Port {
         world: Rc::clone(world),
         is_cut: Cell::new(false),
+        is_store_cut: Cell::new(false),
         silent_tables: RefCell::default(),
     };
     let cfg = NodeSettings {
--- a/tests/testsuite/shard/ownership.rs
+++ b/tests/testsuite/shard/ownership.rs
@@ -76,9 +76,13 @@
     let mut lease = OwnershipLease::new(at(1_000));
     assert!(lease.is_valid(at(1_000) + OWNERSHIP_LEASE_DURATION - at(1)));
     assert!(!lease.is_valid(at(1_000) + OWNERSHIP_LEASE_DURATION));
-    lease.confirm(at(5_000));
-    lease.confirm(at(2_000));
+    lease.renew(at(5_000));
+    lease.renew(at(2_000));
     assert!(lease.is_valid(at(5_000) + OWNERSHIP_LEASE_DURATION - at(1)));
+    // A write that a successor does not observe confirms the ownership, but extends nothing.
+    lease.confirm(at(5_600));
+    assert_eq!(lease.confirmed(), at(5_600));
+    assert!(!lease.is_valid(at(5_000) + OWNERSHIP_LEASE_DURATION));
 }
 
 /// Guards against a new owner that does not wait until its silent predecessor can't send commands any more.
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -70,7 +70,7 @@
 pub const RESTART_TIME: Duration = Duration::from_secs(3);
 
 /// Reading of the workers' clocks at time 0 of the test, in milliseconds.
-const CLOCK_ORIGIN_MS: u64 = 1_000_000;
+pub const CLOCK_ORIGIN_MS: u64 = 1_000_000;
 
 /// Description of a violation of the platform's rules.
 pub type Breach = String;
