Claim a shard under the version of the heartbeat that was seen

A successor could start tasks while leases of the previous owner were still valid, after an owner that had been slow for two seconds.

Cause: the claim was conditional on the owner row only. A heartbeat that was stored between the successor's last read and its claim (which a small VM delays by 1 s, and a slow store by more) extended the ownership lease of the predecessor, while the successor counted from the heartbeat before.

Evidence: in the new test a heartbeat is stored while a claim is on its way to the store.

Change: the claim is conditional on the heartbeat row as well. If it has changed, the claimant observes the new heartbeat for the whole timeout.

--- a/src/ops/jobs/watch.rs
+++ b/src/ops/jobs/watch.rs
@@ -161,24 +161,39 @@
         tokio::time::sleep(CLAIM_DELAY_PER_OWNED_SHARD * node.owned_shards() + small_vm_delay)
             .await;
     }
-    let version = row.map_or(0, |row| row.version);
-    let predecessor = owner.as_ref();
-    claim(node, shard, reason, predecessor, version).await
+    let seen = SeenRows {
+        owner: owner.as_ref(),
+        owner_version: row.map_or(0, |row| row.version),
+        heartbeat_version,
+    };
+    claim(node, shard, reason, seen).await
+}
+
+/// Rows of a shard's owner, as read before a claim.
+struct SeenRows<'a> {
+    owner: Option<&'a OwnerRow>,
+    /// Version of the owner row; 0 if there is none.
+    owner_version: u64,
+    /// Version of the heartbeat row; 0 if there is none.
+    heartbeat_version: u64,
 }
 
 async fn claim<P: RowStore>(
     node: &Node<P>,
     shard: ShardId,
     reason: ClaimReason,
-    predecessor: Option<&OwnerRow>,
-    version: u64,
+    seen: SeenRows<'_>,
 ) -> Result<Option<Claimed>, ()> {
+    let predecessor = seen.owner;
     let epoch = predecessor.map_or(0, |row| row.epoch) + 1;
     let row = OwnerRow { epoch, vm: node.cfg.vm.clone(), started_unix_ms: node.started_unix_ms };
     let key = RowKey::new(layout::OWNERS_TABLE, layout::OWNER_KEY);
+    let heartbeat = RowKey::new(layout::OWNERS_TABLE, layout::HEARTBEAT_KEY);
     let commit = Commit {
         partition: layout::shard_partition(shard),
-        expected: vec![(key.clone(), version)],
+        // The heartbeat that the decision is based on must still be the newest, since a later one extends the
+        // ownership lease of the predecessor.
+        expected: vec![(key.clone(), seen.owner_version), (heartbeat, seen.heartbeat_version)],
         writes: vec![(key, serde_json::to_vec(&row).unwrap_or_default())],
         removes: Vec::new(),
     };
@@ -196,8 +211,8 @@
             node.set_owned_shards(node.owned_shards() + 1);
             Ok(Some(Claimed { shard, epoch, version, sent, predecessor_silent_at }))
         }
-        // Another process claimed the shard first, or an earlier claim of this process whose answer was lost took
-        // effect. The next check shows which.
+        // Another process claimed the shard first, the owner has sent a heartbeat, or an earlier claim of this process
+        // whose answer was lost took effect. The next check shows which.
         Ok(CommitOutcome::Conflict { .. }) => Ok(None),
         Err(_) => Err(()),
     }
--- a/tests/testsuite/jobs/ownership.rs
+++ b/tests/testsuite/jobs/ownership.rs
@@ -4,7 +4,10 @@
 
 use plantainlever::job::JobId;
 use plantainlever::ops::jobs::accept::Submission;
-use plantainlever::shard::ownership::OWNERSHIP_LEASE_DURATION;
+use plantainlever::ops::jobs::layout;
+use plantainlever::port::{Commit, CommitOutcome, RowKey};
+use plantainlever::shard::ShardId;
+use plantainlever::shard::ownership::{HEARTBEAT_TIMEOUT, OWNERSHIP_LEASE_DURATION};
 
 use super::flow::{job, run, until, wait_for};
 use super::port::{World, start};
@@ -43,3 +46,38 @@
         assert!(expiry <= last_grant + LEASE, "{:?} too late", expiry - last_grant - LEASE);
     });
 }
+
+/// Guards against two runs of a task: a heartbeat that is stored between the successor's last look and its claim
+/// extends the lease of the owner without the successor's knowledge.
+#[test]
+fn a_shard_is_not_claimed_after_a_heartbeat_that_the_claimant_has_not_seen() {
+    run(async {
+        let world = World::new(Fleet::new(1, 4_000));
+        let row = |key: &str| RowKey::new(layout::OWNERS_TABLE, key);
+        let write = |expected, key: &str, value: &str| {
+            let commit = Commit {
+                partition: layout::shard_partition(ShardId(0)),
+                expected,
+                writes: vec![(row(key), value.as_bytes().to_vec())],
+                removes: Vec::new(),
+            };
+            match world.apply(&commit) {
+                CommitOutcome::Applied { version } => version,
+                CommitOutcome::Conflict { .. } => panic!("the row {key} has changed"),
+            }
+        };
+        let owner = r#"{"epoch":1,"vm":"a","started_unix_ms":5}"#;
+        let owner_version = write(vec![], layout::OWNER_KEY, owner);
+        let heartbeat = write(vec![], layout::HEARTBEAT_KEY, r#"{"beat":1,"pending":{}}"#);
+        let b = start(&world, "b");
+        b.port.is_commit_delayed.set(true);
+        wait_for("a claim on its way", async || b.port.delayed_commits.get() > 0).await;
+        let expected =
+            vec![(row(layout::OWNER_KEY), owner_version), (row(layout::HEARTBEAT_KEY), heartbeat)];
+        write(expected, layout::HEARTBEAT_KEY, r#"{"beat":2,"pending":{}}"#);
+        let renewed = world.now();
+        b.port.is_commit_delayed.set(false);
+        wait_for("a claim", async || b.owned_shards() == 1).await;
+        assert!(world.now() - renewed >= HEARTBEAT_TIMEOUT, "{:?}", world.now() - renewed);
+    });
+}
--- a/tests/testsuite/jobs/port.rs
+++ b/tests/testsuite/jobs/port.rs
@@ -14,7 +14,7 @@
 };
 use plantainlever::shard::report::{RenewalReport, WorkerListing};
 use plantainlever::shard::scheduler::{Command, CommandOutcome, RenewalFailure, StartOutcome};
-use plantainlever::shard::{ShardId, ShardMap};
+use plantainlever::shard::{ShardId, ShardMap, WorkerId};
 use plantainlever::telemetry::Metrics;
 
 use crate::shard::rig::{Answer, Fleet, QUEUE, policy, timing};
@@ -127,6 +127,12 @@
     pub is_cut: Cell<bool>,
     /// The process is cut off from the store, but not from the workers.
     pub is_store_cut: Cell<bool>,
+    /// Workers that the process is cut off from.
+    pub cut_workers: RefCell<BTreeSet<WorkerId>>,
+    /// Transactions of the process reach the store only once this is false.
+    pub is_commit_delayed: Cell<bool>,
+    /// Transactions that have not reached the store yet because of [`Self::is_commit_delayed`].
+    pub delayed_commits: Cell<u32>,
     /// Tables whose reads get no answer; those in progress get one once the table is removed from here. The VM list
     /// counts as a table.
     pub silent_tables: RefCell<BTreeSet<&'static str>>,
@@ -158,7 +164,7 @@
 
     async fn reach_worker(&self, epoch: u64, command: &Command) -> Option<Answer> {
         tokio::time::sleep(WORKER_ANSWER).await;
-        if self.is_cut.get() {
+        if self.is_cut.get() || self.cut_workers.borrow().contains(&command.worker) {
             return None;
         }
         self.world.advance();
@@ -192,6 +198,13 @@
     }
 
     async fn commit(&self, commit: &Commit) -> Result<CommitOutcome, StoreError> {
+        if self.is_commit_delayed.get() {
+            self.delayed_commits.update(|count| count + 1);
+            while self.is_commit_delayed.get() {
+                tokio::time::sleep(STORE_ANSWER).await;
+            }
+            self.delayed_commits.update(|count| count - 1);
+        }
         self.reach_store().await?;
         self.world.sent.borrow_mut().push(commit.clone());
         let outcome = self.world.apply(commit);
@@ -284,6 +297,9 @@
         world: Rc::clone(world),
         is_cut: Cell::new(false),
         is_store_cut: Cell::new(false),
+        cut_workers: RefCell::default(),
+        is_commit_delayed: Cell::new(false),
+        delayed_commits: Cell::new(0),
         silent_tables: RefCell::default(),
     };
     let cfg = NodeSettings {
