Wait for all earlier owners after a release or a restart

A task could run twice if the owner of a shard changed twice within seconds: the first one cut off from the store, and the second released the shard at a planned stop, restarted, or did not learn that its claim was applied.

Cause: a claim after a release or after an earlier incarnation of the same process waited for that predecessor only, which sends no commands.

Evidence: in the new tests an owner is cut off with a worker that only it reaches.

Change: the owner row says for how long earlier owners may send commands, at its claim and again at its release, and the next owner waits for them as well.

--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -14,7 +14,7 @@
 
 use crate::job::JobId;
 use crate::port::{Commit, CommitOutcome, RowKey, RowStore, StoreError, WorkerPort};
-use crate::shard::ownership::OwnershipLease;
+use crate::shard::ownership::{OwnershipLease, silent_in_ms};
 use crate::shard::scheduler::{Command, CommandKind, CommandOutcome, RenewalFailure, StartOutcome};
 use crate::shard::{OwnerRow, ShardId, ShardScheduler};
 use crate::telemetry::event::shard as event;
@@ -54,8 +54,8 @@
     pub version: u64,
     /// Local time just before the claim was sent; the ownership lease counts from it.
     pub sent: Duration,
-    /// Local time from which the predecessor sends no commands.
-    pub predecessor_silent_at: Duration,
+    /// Local time from which no previous owner sends commands.
+    pub predecessors_silent_at: Duration,
 }
 
 /// State of the owner of a shard, shared by its async tasks on the event loop.
@@ -330,6 +330,10 @@
         epoch: owner.claimed.epoch,
         vm: String::new(),
         started_unix_ms: owner.node.started_unix_ms,
+        earlier_silent_in_ms: Some(silent_in_ms(
+            owner.claimed.predecessors_silent_at,
+            owner.node.clock.boot(),
+        )),
     };
     let commit = Commit {
         partition: layout::shard_partition(owner.claimed.shard),
--- a/src/ops/jobs/owner/load.rs
+++ b/src/ops/jobs/owner/load.rs
@@ -34,7 +34,7 @@
     let progress = read_all(&node, &layout::progress_table(shard), &partition).await?;
     let predecessor = predecessor_heartbeat(&owners);
     let now = node.clock.boot();
-    let lapsed = claimed.predecessor_silent_at + lapse::longest_local_time(node.cfg.timing.lease);
+    let lapsed = claimed.predecessors_silent_at + lapse::longest_local_time(node.cfg.timing.lease);
     let mut scheduler = ShardScheduler::new(claimed.epoch, node.cfg.timing, now, lapsed);
     apply_operator_config(&node, &mut scheduler);
     let mut versions = BTreeMap::new();
--- a/src/ops/jobs/watch.rs
+++ b/src/ops/jobs/watch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::port::{Commit, CommitOutcome, RowKey, RowStore, WorkerPort};
-use crate::shard::ownership::{ClaimDecision, ClaimReason, OwnerObserver};
+use crate::shard::ownership::{ClaimDecision, ClaimReason, OwnerObserver, silent_in_ms};
 use crate::shard::{OwnerRow, ShardId, ShardMap};
 use crate::telemetry::event::shard as event;
 
@@ -155,7 +155,7 @@
     };
     // One claim at a time, so that the wait below counts the shards that an earlier claim has won.
     let _lock = node.lock_claims().await;
-    if reason != ClaimReason::OwnPredecessor {
+    if !matches!(reason, ClaimReason::OwnPredecessor { .. }) {
         let is_small_vm = node.cfg.cpu_share < SMALL_VM_CPU_SHARE;
         let small_vm_delay = if is_small_vm { SMALL_VM_CLAIM_DELAY } else { Duration::ZERO };
         tokio::time::sleep(CLAIM_DELAY_PER_OWNED_SHARD * node.owned_shards() + small_vm_delay)
@@ -186,7 +186,14 @@
 ) -> Result<Option<Claimed>, ()> {
     let predecessor = seen.owner;
     let epoch = predecessor.map_or(0, |row| row.epoch) + 1;
-    let row = OwnerRow { epoch, vm: node.cfg.vm.clone(), started_unix_ms: node.started_unix_ms };
+    let sent = node.clock.boot();
+    let predecessors_silent_at = reason.predecessors_silent_at(sent);
+    let row = OwnerRow {
+        epoch,
+        vm: node.cfg.vm.clone(),
+        started_unix_ms: node.started_unix_ms,
+        earlier_silent_in_ms: Some(silent_in_ms(predecessors_silent_at, sent)),
+    };
     let key = RowKey::new(layout::OWNERS_TABLE, layout::OWNER_KEY);
     let heartbeat = RowKey::new(layout::OWNERS_TABLE, layout::HEARTBEAT_KEY);
     let commit = Commit {
@@ -197,7 +204,6 @@
         writes: vec![(key, serde_json::to_vec(&row).unwrap_or_default())],
         removes: Vec::new(),
     };
-    let sent = node.clock.boot();
     let outcome = node.port.commit(&commit).await;
     node.record_store_result(outcome.as_ref().err());
     match outcome {
@@ -207,9 +213,8 @@
                 shard.0,
                 predecessor.map_or("none", |row| row.vm.as_str())
             ));
-            let predecessor_silent_at = reason.predecessor_silent_at(sent);
             node.set_owned_shards(node.owned_shards() + 1);
-            Ok(Some(Claimed { shard, epoch, version, sent, predecessor_silent_at }))
+            Ok(Some(Claimed { shard, epoch, version, sent, predecessors_silent_at }))
         }
         // Another process claimed the shard first, the owner has sent a heartbeat, or an earlier claim of this process
         // whose answer was lost took effect. The next check shows which.
--- a/src/shard/ownership.rs
+++ b/src/shard/ownership.rs
@@ -40,6 +40,25 @@
     pub vm: String,
     /// Start time of the owner's process, in milliseconds since the Unix epoch.
     pub started_unix_ms: u64,
+    /// Longest time, in milliseconds from the write of this row on, until no owner before this one sends commands any
+    /// more; `None` in a row of a version that does not store it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub earlier_silent_in_ms: Option<u64>,
+}
+
+impl OwnerRow {
+    /// Returns the local time from which no owner before this one sends commands any more, for a row that was read at
+    /// `now`.
+    #[must_use]
+    pub fn earlier_silent_at(&self, now: Duration) -> Duration {
+        now + self.earlier_silent_in_ms.map_or(OWNERSHIP_LEASE_DURATION, Duration::from_millis)
+    }
+}
+
+/// Returns the time from `now` until `silent_at` in milliseconds, for [`OwnerRow::earlier_silent_in_ms`].
+#[must_use]
+pub fn silent_in_ms(silent_at: Duration, now: Duration) -> u64 {
+    u64::try_from(silent_at.saturating_sub(now).as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
 }
 
 /// Observes the owner of a shard that this process does not own, and decides when to claim the shard.
@@ -64,26 +83,36 @@
 }
 
 impl ClaimReason {
-    /// Returns the local time from which the predecessor sends no commands any more, for a claim made at `now`.
+    /// Returns the local time from which no previous owner sends commands any more, for a claim made at `now`.
     #[must_use]
-    pub fn predecessor_silent_at(self, now: Duration) -> Duration {
+    pub fn predecessors_silent_at(self, now: Duration) -> Duration {
         match self {
-            Self::New | Self::Released | Self::OwnPredecessor => now,
+            Self::New => now,
+            Self::Released { earlier_silent_at } | Self::OwnPredecessor { earlier_silent_at } => {
+                earlier_silent_at.max(now)
+            }
+            // Covers the owners before the silent one, whose last heartbeats precede its claim.
             Self::Silent { since } => (since + OWNERSHIP_LEASE_DURATION).max(now),
         }
     }
 }
 
-/// Reason of a claim; decides how long the new owner waits for its predecessor, see [`Self::predecessor_silent_at`].
+/// Reason of a claim; decides how long the new owner waits for its predecessors, see [`Self::predecessors_silent_at`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ClaimReason {
     /// The shard has not had an owner yet.
     New,
     /// The owner released the shard at a planned stop.
-    Released,
+    Released {
+        /// Local time from which no owner before the one that released the shard sends commands.
+        earlier_silent_at: Duration,
+    },
     /// The owner was an earlier incarnation of this process, or this process has claimed the shard already but the
     /// answer was lost.
-    OwnPredecessor,
+    OwnPredecessor {
+        /// Local time from which no owner before this process sends commands.
+        earlier_silent_at: Duration,
+    },
     /// The owner's heartbeat has not changed for the heartbeat timeout.
     Silent {
         /// Local time at which the last heartbeat was first seen; the owner's ownership lease started no later than
@@ -121,11 +150,12 @@
             }
         };
         let Some(row) = row else { return ClaimDecision::Now(ClaimReason::New) };
+        let earlier_silent_at = row.earlier_silent_at(now);
         if row.vm.is_empty() {
-            return ClaimDecision::Now(ClaimReason::Released);
+            return ClaimDecision::Now(ClaimReason::Released { earlier_silent_at });
         }
         if row.vm == self.vm {
-            return ClaimDecision::Now(ClaimReason::OwnPredecessor);
+            return ClaimDecision::Now(ClaimReason::OwnPredecessor { earlier_silent_at });
         }
         // Measured up to the time at which the read was sent, since the answer tells nothing about heartbeats written
         // after the read.
--- a/tests/testsuite/jobs/ownership.rs
+++ b/tests/testsuite/jobs/ownership.rs
@@ -1,16 +1,17 @@
 //! The end of an owner's permission to send commands, and what its successor concludes from the store.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use plantainlever::job::JobId;
 use plantainlever::ops::jobs::accept::Submission;
-use plantainlever::ops::jobs::layout;
+use plantainlever::ops::jobs::{Node, layout};
 use plantainlever::port::{Commit, CommitOutcome, RowKey};
-use plantainlever::shard::ShardId;
 use plantainlever::shard::ownership::{HEARTBEAT_TIMEOUT, OWNERSHIP_LEASE_DURATION};
+use plantainlever::shard::{ShardId, WorkerId};
 
-use super::flow::{job, run, until, wait_for};
-use super::port::{World, start};
+use super::flow::{assert_no_breach, job, run, until, wait_for};
+use super::port::{Port, World, start};
 use crate::shard::rig::{CLOCK_ORIGIN_MS, Fleet, LEASE, QUEUE};
 
 /// Guards against two runs of a task: a successor counts from the newest heartbeat, so no lease may be granted later
@@ -81,3 +82,71 @@
         assert!(world.now() - renewed >= HEARTBEAT_TIMEOUT, "{:?}", world.now() - renewed);
     });
 }
+
+/// An owner that is cut off from the store and from all workers but one, on which a task runs. No other process reaches
+/// that worker.
+struct CutOffOwner {
+    world: Rc<World>,
+    owner: Rc<Node<Port>>,
+    /// Process that will claim the shard next.
+    next: Rc<Node<Port>>,
+}
+
+impl CutOffOwner {
+    async fn start() -> Self {
+        let world = World::new(Fleet::new(2, 4_000));
+        let owner = start(&world, "a");
+        wait_for("an owner", async || owner.owned_shards() == 1).await;
+        let id = JobId(1);
+        world.fleet.borrow_mut().durations.insert(id, Duration::from_secs(60));
+        assert_eq!(owner.submit(id, QUEUE, job(1), until()).await, Submission::Accepted);
+        wait_for("a run", async || !world.fleet.borrow().starts.is_empty()).await;
+        let next = start(&world, "b");
+        let used = world.fleet.borrow().starts[0].2.clone();
+        let others: Vec<WorkerId> =
+            world.fleet.borrow().workers.keys().filter(|id| **id != used).cloned().collect();
+        next.port.cut_workers.borrow_mut().insert(used);
+        // Wait for a heartbeat after the run's row, so that the owner renews the lease for as long as it may.
+        let heartbeat = world.heartbeat_applied.get();
+        wait_for("a heartbeat", async || world.heartbeat_applied.get() > heartbeat).await;
+        owner.port.is_store_cut.set(true);
+        // Another worker would tell the owner of a higher epoch.
+        owner.port.cut_workers.borrow_mut().extend(others);
+        Self { world, owner, next }
+    }
+
+    /// Waits until the task runs on the worker that the owner cut off from the store does not use.
+    async fn assert_restart_without_overlap(&self) {
+        wait_for("a second start", async || self.world.fleet.borrow().starts.len() > 1).await;
+        assert_no_breach(&self.world);
+        assert!(self.owner.port.is_store_cut.get());
+    }
+}
+
+/// Guards against two runs of a task: a claim is stored but its answer is lost, and the process takes itself for the
+/// only predecessor, while the owner before it still renews leases.
+#[test]
+fn a_claim_with_a_lost_answer_waits_for_the_owner_before_it() {
+    run(async {
+        let case = CutOffOwner::start().await;
+        case.world.lose_answers.set(1);
+        wait_for("a claim", async || case.next.owned_shards() == 1).await;
+        assert_eq!(case.world.lose_answers.get(), 0);
+        case.assert_restart_without_overlap().await;
+    });
+}
+
+/// Guards against two runs of a task: an owner releases the shard soon after it claimed it from one that was cut off,
+/// and the next owner waits for neither.
+#[test]
+fn a_released_shard_waits_for_an_owner_that_was_cut_off_before() {
+    run(async {
+        let case = CutOffOwner::start().await;
+        wait_for("a claim", async || case.next.owned_shards() == 1).await;
+        let last = start(&case.world, "c");
+        last.port.cut_workers.borrow_mut().clone_from(&case.next.port.cut_workers.borrow());
+        case.next.begin_stop();
+        wait_for("a claim of the released shard", async || last.owned_shards() == 1).await;
+        case.assert_restart_without_overlap().await;
+    });
+}
--- a/tests/testsuite/shard/lapse.rs
+++ b/tests/testsuite/shard/lapse.rs
@@ -88,7 +88,7 @@
     let expires = last + on_worker * 1_000 / terms.rate_per_mille;
     let ends = if arrives < expires { expires + terms.kill_delay } else { last };
     let since = heartbeat + terms.heartbeat_latency;
-    let silent = ClaimReason::Silent { since }.predecessor_silent_at(since);
+    let silent = ClaimReason::Silent { since }.predecessors_silent_at(since);
     ends <= silent + longest_local_time(LEASE)
 }
 
--- a/tests/testsuite/shard/ownership.rs
+++ b/tests/testsuite/shard/ownership.rs
@@ -11,7 +11,7 @@
 const STAGGER: Duration = Duration::from_millis(100);
 
 fn row(vm: &str) -> OwnerRow {
-    OwnerRow { epoch: 4, vm: vm.to_owned(), started_unix_ms: 5 }
+    OwnerRow { epoch: 4, vm: vm.to_owned(), started_unix_ms: 5, earlier_silent_in_ms: Some(300) }
 }
 
 fn at(ms: u64) -> Duration {
@@ -62,11 +62,11 @@
     assert_eq!(ownership.on_read(None, 0, at(0), at(1)), ClaimDecision::Now(ClaimReason::New));
     assert_eq!(
         ownership.on_read(Some(&row("")), 1, at(0), at(1)),
-        ClaimDecision::Now(ClaimReason::Released)
+        ClaimDecision::Now(ClaimReason::Released { earlier_silent_at: at(301) })
     );
     assert_eq!(
         ownership.on_read(Some(&row("b")), 1, at(0), at(1)),
-        ClaimDecision::Now(ClaimReason::OwnPredecessor)
+        ClaimDecision::Now(ClaimReason::OwnPredecessor { earlier_silent_at: at(301) })
     );
 }
 
@@ -89,8 +89,10 @@
 #[test]
 fn a_silent_owner_may_send_commands_until_its_lease_expires() {
     let reason = ClaimReason::Silent { since: at(3_000) };
-    assert_eq!(reason.predecessor_silent_at(at(5_000)), at(3_000) + OWNERSHIP_LEASE_DURATION);
-    assert_eq!(ClaimReason::Released.predecessor_silent_at(at(5_000)), at(5_000));
+    assert_eq!(reason.predecessors_silent_at(at(5_000)), at(3_000) + OWNERSHIP_LEASE_DURATION);
+    let released = |earlier_silent_at| ClaimReason::Released { earlier_silent_at };
+    assert_eq!(released(at(4_000)).predecessors_silent_at(at(5_000)), at(5_000));
+    assert_eq!(released(at(6_000)).predecessors_silent_at(at(5_000)), at(6_000));
 }
 
 /// Guards against a change of the stored layout: the division of jobs among shards must never change.
@@ -103,3 +105,11 @@
     assert_eq!(ShardMap::for_workers(490).shards, 1);
     assert_eq!(ShardMap::for_workers(1_300).shards, 3);
 }
+
+/// Guards against an owner row of an earlier version being read as one whose predecessors have certainly ended.
+#[test]
+fn an_owner_row_without_the_silence_of_earlier_owners_assumes_the_longest() {
+    let row: OwnerRow =
+        serde_json::from_str(r#"{"epoch":4,"vm":"a","started_unix_ms":5}"#).unwrap();
+    assert_eq!(row.earlier_silent_at(at(1_000)), at(1_000) + OWNERSHIP_LEASE_DURATION);
+}
