Grant no lease to named workers before the first heartbeat

A task could run twice if an owner lost the store right after its claim.

Cause: a heartbeat names workers that the owner has not reached, and a successor relies on these having no new lease. A new owner forgot the names in its predecessor's heartbeat, which stays the stored one until its own first heartbeat. If that was never stored, the owner after it still relied on the old names.

Change: the new owner treats the names it has read as its own until its first heartbeat is stored.

Measured: shard::takeover::a_worker_that_the_previous_owner_named_gets_no_lease_ before_the_first_heartbeat failed before and passes.

--- a/src/shard/scheduler/inherited.rs
+++ b/src/shard/scheduler/inherited.rs
@@ -101,8 +101,10 @@
 
 impl ShardScheduler {
     /// Shortens the wait for workers that the predecessor could not reach either. It granted no lease there, so all
-    /// leases on them have lapsed by `lapsed`.
+    /// leases on them have lapsed by `lapsed`. The stored heartbeat names them until this owner has stored one, so it
+    /// grants them no lease either.
     pub fn on_unreached_by_predecessor(&mut self, workers: &[WorkerId], lapsed: Duration) {
+        self.inherited.reported_unreached.extend(workers.iter().cloned());
         for id in workers {
             if let Some(recorded) = self.inherited.workers.get_mut(id) {
                 recorded.lapsed = recorded.lapsed.min(lapsed);
--- a/tests/testsuite/shard/takeover.rs
+++ b/tests/testsuite/shard/takeover.rs
@@ -152,6 +152,35 @@
     rig.assert_no_breach();
 }
 
+/// Guards against a second run of a task. Until a new owner has stored a heartbeat, its successor relies on the one of
+/// the owner before. So the new owner grants no lease to workers that this one names.
+#[test]
+fn a_worker_that_the_previous_owner_named_gets_no_lease_before_the_first_heartbeat() {
+    let mut rig = Rig::new(Fleet::new(2, 4_000));
+    let id = rig.submit(7, spec(vec![step(1, 4_000)]));
+    rig.fleet.durations.insert(id, Duration::from_secs(60));
+    rig.run(Duration::from_secs(1));
+    let used = rig.starts_of(id)[0].2.clone();
+    rig.fleet.workers.get_mut(&used).unwrap().is_cut = true;
+    let lapsed = rig.fleet.now + LEASE + Duration::from_millis(400);
+    rig.take_over(lapsed);
+    rig.run(Duration::from_secs(2));
+    let before = rig.fleet.workers[&used].expiry_ms;
+    // The next owner loses the store right after its claim.
+    rig.store.is_down = true;
+    rig.take_over(lapsed + Duration::from_secs(9));
+    rig.fleet.workers.get_mut(&used).unwrap().is_cut = false;
+    rig.run(Duration::from_secs(1));
+    assert_eq!(rig.fleet.workers[&used].expiry_ms, before);
+    // The worker is silent again, and the owner after that reads the heartbeat of the first one.
+    rig.fleet.workers.get_mut(&used).unwrap().is_cut = true;
+    rig.store.is_down = false;
+    rig.take_over(lapsed + Duration::from_secs(18));
+    rig.run(Duration::from_secs(10));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 2);
+}
+
 /// Guards against a second run of a task. A worker answered a new owner once, which had not granted it a lease yet, and
 /// was cut off again while its runs still had the lease of the previous owner.
 #[test]
