Don't count leases on a new incarnation as lapsed while its clock is unknown

Tasks that were started on a worker soon after its restart ran twice.

Cause: a restart that the VM list shows forgets the clock of the worker, and a worker without a clock counted as one whose leases have lapsed. As soon as the renewal that waited at the earlier incarnation timed out, starts without an answer were dropped, although the new incarnation may carry them out (same ID). A command for the earlier incarnation can also extend the lease of the new one, up to the longest lease that a worker accepts, beyond what this owner granted it.

Two new tests with a manual clock show a second run.

Change: GrantedLease keeps the clock with the expiries that refer to it, and knows three ends: none, by a time, and unknown but by a time at the latest. The last one holds after a restart: commands that were sent before may be carried out 12 s late, which is the longest delay that the users' platform shows, and each lease is shortened to hold-max-ms. It only matters for a worker that stops answering again.

Measured: both tests failed before and pass. The workers of the test rig now restart their clocks and shorten leases, as the protocol says.

--- a/crates/plantainlever-test-support/src/model/shard_pass.rs
+++ b/crates/plantainlever-test-support/src/model/shard_pass.rs
@@ -33,8 +33,11 @@
 #[must_use]
 pub fn median_full_pass(workers: usize, passes: usize, seed: u64) -> PassCost {
     let mut rng = StdRng::seed_from_u64(seed);
-    let timing =
-        Timing { lease: Duration::from_secs(5), throttle_delay: Duration::from_millis(100) };
+    let timing = Timing {
+        lease: Duration::from_secs(5),
+        max_lease: Duration::from_secs(6),
+        throttle_delay: Duration::from_millis(100),
+    };
     let mut owner = ShardScheduler::new(1, timing, Duration::ZERO, Duration::ZERO);
     let queue = |priority| QueuePolicy {
         service: POOL.to_owned(),
--- a/src/shard/lapse.rs
+++ b/src/shard/lapse.rs
@@ -13,6 +13,9 @@
 /// Delay within which a worker kills runs whose lease has expired; its timer may fire late.
 const KILL_SLACK: Duration = Duration::from_millis(250);
 
+/// Longest time from sending a command until it is carried out, if it gets no answer.
+const MAX_COMMAND_DELAY: Duration = Duration::from_secs(12);
+
 /// Reading of a worker's clock.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WorkerClock {
@@ -57,3 +60,78 @@
 pub fn longest_local_time(length: Duration) -> Duration {
     length * MAX_LOCAL_MS_PER_WORKER_SECOND / 1_000 + KILL_SLACK
 }
+
+/// Latest end of the leases on a worker, as far as it is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LeaseEnd {
+    /// No command that grants a lease was sent.
+    None,
+    /// Every lease was granted by its expiry on a known clock and has ended by this local time.
+    By(Duration),
+    /// The worker may have a lease that was granted in terms of the clock of an earlier incarnation. Such a lease has
+    /// ended by this local time at the latest.
+    UnknownBy(Duration),
+}
+
+/// Leases that this owner may have granted on a worker, whether its commands were answered or not.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct GrantedLease {
+    /// Newest reading of the clock of the worker's newest incarnation; `None` before its first answer.
+    clock: Option<WorkerClock>,
+    /// Highest expiry in any command to that incarnation, in milliseconds of its clock.
+    expiry_ms: u64,
+    /// Local time by which the leases have ended that commands for earlier incarnations may have granted on the newest
+    /// one; `None` if there was no earlier one.
+    earlier_end: Option<Duration>,
+}
+
+impl GrantedLease {
+    /// Returns true if the clock of the newest incarnation is known, so that leases can be granted.
+    #[must_use]
+    pub fn has_clock(&self) -> bool {
+        self.clock.is_some()
+    }
+
+    /// Records a reading of the clock of the newest incarnation.
+    pub fn on_reading(&mut self, clock: WorkerClock) {
+        self.clock = Some(clock);
+    }
+
+    /// Grants a lease of `length` from `now` and returns its expiry in milliseconds of the worker's clock; `None` if
+    /// that clock is not known.
+    pub fn grant(&mut self, now: Duration, length: Duration) -> Option<u64> {
+        let expiry_ms = self.clock?.expiry_ms(now, length);
+        self.expiry_ms = self.expiry_ms.max(expiry_ms);
+        Some(expiry_ms)
+    }
+
+    /// Forgets the clock, because another incarnation of the worker has replaced the one that it belongs to.
+    ///
+    /// Commands that were sent to the worker before `now` may still be carried out by the new incarnation. An expiry on
+    /// the old clock means nothing there, but a worker shortens each lease to `max_lease` from the arrival.
+    pub fn begin_incarnation(&mut self, now: Duration, max_lease: Duration) {
+        let earlier_end = now + MAX_COMMAND_DELAY + longest_local_time(max_lease);
+        *self = Self { clock: None, expiry_ms: 0, earlier_end: Some(earlier_end) };
+    }
+
+    /// Returns the latest end of the leases.
+    #[must_use]
+    pub fn end(&self) -> LeaseEnd {
+        let own = self.clock.map(|clock| clock.lapsed_at(self.expiry_ms));
+        match (own, self.earlier_end) {
+            (None, None) => LeaseEnd::None,
+            (Some(own), None) => LeaseEnd::By(own),
+            (Some(own), Some(earlier)) if own >= earlier => LeaseEnd::By(own),
+            (_, Some(earlier)) => LeaseEnd::UnknownBy(earlier),
+        }
+    }
+
+    /// Returns true if all leases have certainly ended by the local time `at`.
+    #[must_use]
+    pub fn has_ended(&self, at: Duration) -> bool {
+        match self.end() {
+            LeaseEnd::None => true,
+            LeaseEnd::By(end) | LeaseEnd::UnknownBy(end) => at >= end,
+        }
+    }
+}
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -46,6 +46,8 @@
     /// Length of the lease of the runs on a worker. A new owner must reach the workers before their leases lapse; the
     /// tasks of a lost worker start elsewhere only once its lease has lapsed.
     pub lease: Duration,
+    /// Longest lease that a worker accepts; it shortens longer ones.
+    pub max_lease: Duration,
     /// Time until a throttle command takes effect on the worker.
     pub throttle_delay: Duration,
 }
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -457,13 +457,11 @@
         let lease = self.timing.lease;
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        let Some(clock) = worker.clock else { return };
+        let Some(expiry_ms) = worker.lease.grant(now, lease) else { return };
         if let Some(current) = worker.runs.get_mut(task) {
             current.phase = Phase::Starting;
             current.phase_since = now;
         }
-        let expiry_ms = clock.expiry_ms(now, lease);
-        worker.granted_expiry_ms = worker.granted_expiry_ms.max(expiry_ms);
         let checkpoint = self.checkpoint(job, task);
         let kind = CommandKind::Start {
             task: *task,
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -6,7 +6,7 @@
 
 use crate::job::{JobId, JobTaskId, Resources};
 use crate::shard::health::{Health, ProbationCause, ProbeReport};
-use crate::shard::lapse::WorkerClock;
+use crate::shard::lapse::{GrantedLease, WorkerClock};
 use crate::shard::report::{RenewalReport, RunReport};
 use crate::shard::worker::{Phase, Run, Worker, WorkerId};
 use crate::telemetry::event::shard as event;
@@ -83,9 +83,8 @@
             // that the heartbeat names as unreached gets none either, because a successor relies on that.
             let may_grant =
                 worker.unanswered_renewals == 0 && !self.inherited.reported_unreached.contains(id);
-            let clock = worker.clock.filter(|_| may_grant);
-            let expiry_ms = clock.map(|clock| clock.expiry_ms(now, self.timing.lease));
-            worker.granted_expiry_ms = worker.granted_expiry_ms.max(expiry_ms.unwrap_or(0));
+            let expiry_ms =
+                if may_grant { worker.lease.grant(now, self.timing.lease) } else { None };
             // A worker that did not answer should answer at once, so that its return is detected early.
             let may_wait = worker.has_listed_runs && worker.unanswered_renewals == 0;
             let wait = if may_wait { max_wait(worker) } else { Duration::ZERO };
@@ -128,7 +127,7 @@
         }
         worker.incarnation_started_unix_ms =
             report.incarnation_started_unix_ms.or(worker.incarnation_started_unix_ms);
-        worker.clock = Some(WorkerClock::new(report.clock_ms, now));
+        worker.lease.on_reading(WorkerClock::new(report.clock_ms, now));
         worker.answered = Some(now);
         worker.unanswered_renewals = 0;
         worker.health.unanswered_starts = 0;
@@ -191,8 +190,7 @@
             .collect();
         worker.health = Health::default();
         worker.incarnation_started_unix_ms = None;
-        worker.clock = None;
-        worker.granted_expiry_ms = 0;
+        worker.lease.begin_incarnation(now, self.timing.max_lease);
         worker.has_listed_runs = false;
         worker.seen_end = 0;
         worker.acked_end = 0;
@@ -216,6 +214,8 @@
         }
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         worker.answered = None;
+        // Another ID answers at the address, and refuses all commands for this one.
+        worker.lease = GrantedLease::default();
         worker.next_renewal = now + MAX_RETRY_PAUSE;
         let left: Vec<JobTaskId> = worker.runs.keys().copied().collect();
         self.release_inherited_of(worker_id);
@@ -455,10 +455,7 @@
         let mut gone = Vec::new();
         for (id, worker) in &self.workers {
             let is_silent = worker.unanswered_renewals > 0 || worker.answered.is_none();
-            let has_lapsed = worker
-                .clock
-                .is_none_or(|clock| owned_until >= clock.lapsed_at(worker.granted_expiry_ms));
-            if !is_silent || !has_lapsed {
+            if !is_silent || !worker.lease.has_ended(owned_until) {
                 continue;
             }
             // Adopted runs may hold leases granted by a previous owner.
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -8,7 +8,7 @@
 use crate::job::{JobTaskId, Resources};
 
 use super::health::{Health, ProbeTier};
-use super::lapse::WorkerClock;
+use super::lapse::GrantedLease;
 use super::report::WorkerListing;
 
 /// ID of a worker in the VM list. A restarted worker may keep it; incarnations are told apart by their start time.
@@ -118,11 +118,8 @@
     /// Start time of the incarnation that last answered, in milliseconds since the Unix epoch; `None` before the first
     /// answer of an incarnation, or if the worker does not report it.
     pub incarnation_started_unix_ms: Option<u64>,
-    /// Newest reading of the worker's clock; `None` before its first answer.
-    pub clock: Option<WorkerClock>,
-    /// Highest lease expiry, in milliseconds of the worker's clock, in any command of this owner, whether answered or
-    /// not.
-    pub granted_expiry_ms: u64,
+    /// Leases that this owner may have granted.
+    pub lease: GrantedLease,
     /// The worker has answered a renewal of this epoch, so its runs are known and it refuses commands of previous
     /// owners.
     pub has_listed_runs: bool,
@@ -163,8 +160,7 @@
             listing,
             unlisted_since: None,
             incarnation_started_unix_ms: None,
-            clock: None,
-            granted_expiry_ms: 0,
+            lease: GrantedLease::default(),
             has_listed_runs: false,
             runs: BTreeMap::new(),
             committed: Resources::default(),
--- a/tests/testsuite/operator_config/decisions.rs
+++ b/tests/testsuite/operator_config/decisions.rs
@@ -38,6 +38,7 @@
             cpu_share: 0.25,
             timing: Timing {
                 lease: Duration::from_secs(6),
+                max_lease: Duration::from_secs(6),
                 throttle_delay: Duration::from_millis(100),
             },
             keep_ended: Duration::from_secs(60),
--- a/tests/testsuite/shard.rs
+++ b/tests/testsuite/shard.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod crashes;
 mod ends;
+mod incarnations;
 mod interference;
 mod lapse;
 mod ownership;
--- a/tests/testsuite/shard/capacity.rs
+++ b/tests/testsuite/shard/capacity.rs
@@ -319,7 +319,8 @@
 fn a_restarted_worker_gets_no_task_before_its_new_capacity_is_listed() {
     let mut rig = one_worker();
     rig.is_list_down = true;
-    rig.fleet.get(0).restart();
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
     set_cpu(&mut rig, 0, 2_000);
     rig.run(SOON);
     let id = submit_long(&mut rig, 7, spec(vec![step(4, 1_000)]));
--- a/tests/testsuite/shard/crashes.rs
+++ b/tests/testsuite/shard/crashes.rs
@@ -277,7 +277,7 @@
         rig.fleet.workers.get_mut(&worker).unwrap().listing.is_draining = true;
         rig.run(Duration::from_millis(500));
         let left = rig.fleet.workers.get_mut(&worker).unwrap();
-        left.restart();
+        left.restart(rig.fleet.now);
         left.listing.is_draining = false;
     }
     rig.run(Duration::from_secs(20));
@@ -400,7 +400,8 @@
             rig.fleet.durations.insert(id, Duration::from_secs(1_000));
         }
         rig.run(Duration::from_millis(300 + active_ms));
-        rig.fleet.get(0).restart();
+        let now = rig.fleet.now;
+        rig.fleet.get(0).restart(now);
         rig.run(Duration::from_secs(3));
         let runs = rig.fleet.get(0).runs.len();
         assert_eq!(runs, 4, "{jobs} jobs of {tasks} tasks, active for {active_ms} ms");
@@ -418,7 +419,8 @@
     let full = rig.submit(2, spec(vec![long_running(20, 1_000)]));
     rig.fleet.durations.insert(full, Duration::from_secs(1_000));
     rig.run(Duration::from_millis(200));
-    rig.fleet.workers.get_mut(&on).unwrap().restart();
+    let now = rig.fleet.now;
+    rig.fleet.workers.get_mut(&on).unwrap().restart(now);
     let waiting = rig.submit(3, spec(vec![long_running(2, 1_000)]));
     rig.fleet.durations.insert(waiting, Duration::from_secs(1_000));
     rig.run(Duration::from_millis(2_200));
--- a/tests/testsuite/shard/ends.rs
+++ b/tests/testsuite/shard/ends.rs
@@ -74,7 +74,8 @@
     assert_eq!(rig.starts_of(first).len(), 4);
     rig.store.is_down = true;
     rig.run(Duration::from_millis(400));
-    rig.fleet.get(0).restart();
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
     rig.run(Duration::from_millis(400));
     rig.store.is_down = false;
     rig.run(Duration::from_millis(400));
--- /dev/null
+++ b/tests/testsuite/shard/incarnations.rs
@@ -0,0 +1,84 @@
+//! Workers that restart under their ID while commands for the earlier incarnation are under way. The platform can't
+//! tell the two apart, so either of them may carry out such a command.
+
+use std::time::Duration;
+
+use plantainlever::job::JobId;
+
+use super::rig::{Fleet, LEASE, MAX_LEASE, Rig, TICK, listing, spec, step, worker_id};
+
+/// Length of the run of a task, longer than any wait in these tests.
+const RUN_TIME: Duration = Duration::from_secs(60);
+
+/// Starts a shard with one worker, to which all tasks go until [`add_second_worker`].
+fn rig_with_one_worker() -> Rig {
+    let mut rig = Rig::new(Fleet::new(1, 4_000));
+    rig.run(Duration::from_millis(500));
+    rig
+}
+
+/// Adds a worker on which a task that is dropped by mistake starts again.
+fn add_second_worker(rig: &mut Rig) {
+    rig.fleet.add(listing(1, 4_000));
+}
+
+fn submit(rig: &mut Rig) -> JobId {
+    let id = rig.submit(7, spec(vec![step(1, 4_000)]));
+    rig.fleet.durations.insert(id, RUN_TIME);
+    id
+}
+
+/// Restarts the first worker silently. The VM list does not show it yet, and the renewal that waits for an answer of
+/// the earlier incarnation gets none for 1.8 s.
+fn restart_unnoticed(rig: &mut Rig) {
+    rig.is_list_down = true;
+    rig.fleet.restart_time = Some(Duration::from_millis(100));
+    rig.fleet.get(0).renewal_answer_delay = Duration::from_millis(1_800);
+    rig.fleet.crash(&worker_id(0));
+    rig.run(Duration::from_millis(200));
+    rig.fleet.get(0).renewal_answer_delay = Duration::ZERO;
+}
+
+/// Guards against two runs of a task: while the clock of a new incarnation was unknown, the lease of a run that it had
+/// accepted counted as lapsed.
+#[test]
+fn a_lease_on_an_incarnation_with_an_unknown_clock_does_not_count_as_lapsed() {
+    let mut rig = rig_with_one_worker();
+    restart_unnoticed(&mut rig);
+    rig.fleet.get(0).loses_start_answers = true;
+    let id = submit(&mut rig);
+    rig.run(Duration::from_millis(100));
+    assert_eq!(rig.starts_of(id).len(), 1);
+    add_second_worker(&mut rig);
+    rig.is_list_down = false;
+    rig.run(TICK * 2);
+    // The new incarnation does not answer before the renewal for the earlier one has failed.
+    rig.fleet.get(0).renewal_answer_delay = Duration::from_millis(1_800);
+    rig.run(Duration::from_secs(8));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 1);
+}
+
+/// Guards against two runs of a task: a renewal for an earlier incarnation that is carried out late extends the lease
+/// of the new one beyond what this owner has granted it.
+#[test]
+fn a_renewal_for_an_earlier_incarnation_may_extend_the_lease_of_the_next() {
+    let mut rig = rig_with_one_worker();
+    rig.fleet.get(0).renewal_delay = Some(Duration::from_millis(4_500));
+    rig.run(TICK * 2);
+    rig.fleet.get(0).renewal_delay = None;
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    rig.run(Duration::from_secs(1));
+    let id = submit(&mut rig);
+    rig.run(Duration::from_secs(1));
+    assert_eq!(rig.starts_of(id).len(), 1);
+    add_second_worker(&mut rig);
+    rig.fleet.get(0).is_cut = true;
+    let cut = rig.fleet.now;
+    rig.run(LEASE + Duration::from_secs(25));
+    rig.assert_no_breach();
+    // The task does not wait without end for the worker.
+    assert_eq!(rig.starts_of(id).len(), 2);
+    assert!(rig.fleet.now > cut + MAX_LEASE);
+}
--- a/tests/testsuite/shard/placing.rs
+++ b/tests/testsuite/shard/placing.rs
@@ -77,7 +77,8 @@
     let id = rig.submit(7, spec(vec![gang]));
     rig.fleet.durations.insert(id, Duration::from_secs(60));
     rig.run(Duration::from_millis(200));
-    rig.fleet.get(1).restart();
+    let now = rig.fleet.now;
+    rig.fleet.get(1).restart(now);
     rig.run(Duration::from_millis(200));
     rig.store.is_down = false;
     rig.run(Duration::from_secs(1));
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -17,6 +17,8 @@
 pub const POOL: &str = "pool";
 /// Length of the leases that the scheduler grants.
 pub const LEASE: Duration = Duration::from_secs(5);
+/// Longest lease that a worker accepts; a longer one is shortened.
+pub const MAX_LEASE: Duration = Duration::from_secs(6);
 /// Simulated time between two rounds.
 pub const TICK: Duration = Duration::from_millis(20);
 
@@ -36,7 +38,7 @@
     pub listing: WorkerListing,
     /// Highest epoch seen.
     pub epoch: u64,
-    /// Lease expiry on the worker's clock, which started 1,000 s before the test's.
+    /// Lease expiry on the worker's clock, which started 1,000 s before the test's, or with the incarnation.
     pub expiry_ms: u64,
     pub runs: BTreeMap<JobTaskId, FakeRun>,
     pub ended: Vec<EndReport>,
@@ -47,7 +49,7 @@
     pub is_cut: bool,
     /// Starts get no answer and are carried out after this delay, if they are still valid then.
     pub start_delay: Option<Duration>,
-    /// Delayed starts: time of arrival, epoch and command.
+    /// Delayed commands: time of arrival, epoch and command.
     pub late: Vec<(Duration, u64, Command)>,
     /// Every run ends as failed.
     pub fails_all: bool,
@@ -61,6 +63,14 @@
     pub tail_ms: u64,
     /// The worker has crashed and restarts at this time; until then it answers nothing.
     pub down_until: Option<Duration>,
+    /// Reading of the worker's clock at a time of the test.
+    clock: (u64, Duration),
+    /// Answers to renewals, and the lack of one, arrive after this delay.
+    pub renewal_answer_delay: Duration,
+    /// Renewals get no answer and are carried out after this delay.
+    pub renewal_delay: Option<Duration>,
+    /// Starts are carried out and get no answer.
+    pub loses_start_answers: bool,
 }
 
 /// Time from a stop command to the end of the run.
@@ -170,6 +180,10 @@
             percent: 100,
             tail_ms: 0,
             down_until: None,
+            clock: (CLOCK_ORIGIN_MS, Duration::ZERO),
+            renewal_answer_delay: Duration::ZERO,
+            renewal_delay: None,
+            loses_start_answers: false,
         };
         self.workers.insert(listing.id, worker);
     }
@@ -183,17 +197,13 @@
         self.workers.values().filter(|w| !w.is_cut).map(|w| w.listing.clone()).collect()
     }
 
-    fn clock_ms(&self) -> u64 {
-        CLOCK_ORIGIN_MS + self.now.as_millis() as u64
-    }
-
     /// Advances the time: carries out delayed starts, and ends runs whose duration, stop or lease is over.
     pub fn advance(&mut self, now: Duration) {
         self.now = now;
         for worker in self.workers.values_mut() {
             if worker.down_until.is_some_and(|until| until <= now) {
                 worker.down_until = None;
-                worker.restart();
+                worker.restart(now);
             }
         }
         let down = self.workers.values().filter(|worker| worker.down_until.is_some()).count();
@@ -205,9 +215,8 @@
         for (_, epoch, command) in arrived {
             self.carry_out_now(epoch, &command);
         }
-        let clock_ms = self.clock_ms();
         for worker in self.workers.values_mut() {
-            let has_lapsed = clock_ms >= worker.expiry_ms;
+            let has_lapsed = worker.clock_ms(now) >= worker.expiry_ms;
             let fails_all = worker.fails_all;
             let over: Vec<JobTaskId> = worker
                 .runs
@@ -244,27 +253,37 @@
         if worker.is_replaced {
             return Some(Answer::OtherIncarnation);
         }
-        if let (CommandKind::Start { .. }, Some(delay)) = (&command.kind, worker.start_delay) {
+        let delay = match &command.kind {
+            CommandKind::Start { .. } => worker.start_delay,
+            CommandKind::Renew { .. } => worker.renewal_delay,
+            _ => None,
+        };
+        if let Some(delay) = delay {
             worker.late.push((now + delay, epoch, command.clone()));
             return None;
         }
-        self.carry_out_now(epoch, command)
+        let is_answer_lost =
+            worker.loses_start_answers && matches!(command.kind, CommandKind::Start { .. });
+        let answer = self.carry_out_now(epoch, command);
+        if is_answer_lost { None } else { answer }
     }
 
     fn carry_out_now(&mut self, epoch: u64, command: &Command) -> Option<Answer> {
-        let clock_ms = self.clock_ms();
         let now = self.now;
         let worker = self.workers.get_mut(&command.worker)?;
         if worker.down_until.is_some() {
             return None;
         }
+        let clock_ms = worker.clock_ms(now);
+        let longest_expiry_ms = clock_ms + MAX_LEASE.as_millis() as u64;
         if epoch < worker.epoch {
             return Some(Answer::Fenced);
         }
         worker.epoch = epoch;
         match &command.kind {
             CommandKind::Renew { expiry_ms, acked_end, .. } => {
-                worker.expiry_ms = worker.expiry_ms.max(expiry_ms.unwrap_or(0));
+                let expiry_ms = expiry_ms.unwrap_or(0).min(longest_expiry_ms);
+                worker.expiry_ms = worker.expiry_ms.max(expiry_ms);
                 let keeps_ends = worker.keeps_ends;
                 worker.ended.retain(|end| keeps_ends || end.number > *acked_end);
                 Some(Answer::Renewed(worker.report(clock_ms)))
@@ -276,7 +295,7 @@
                 if worker.over.get(task).is_some_and(|over| run <= over) {
                     return Some(Answer::Refused(StartRefusal::Old));
                 }
-                worker.expiry_ms = worker.expiry_ms.max(*expiry_ms);
+                worker.expiry_ms = worker.expiry_ms.max((*expiry_ms).min(longest_expiry_ms));
                 self.start(command.worker.clone(), *task, *run, now);
                 if self.deadly.contains(task) {
                     self.crashes.push((now, *task, *run, command.worker.clone()));
@@ -340,8 +359,15 @@
 }
 
 impl FakeWorker {
+    /// Reading of the worker's clock, in milliseconds.
+    pub fn clock_ms(&self, now: Duration) -> u64 {
+        let (reading_ms, at) = self.clock;
+        reading_ms + now.saturating_sub(at).as_millis() as u64
+    }
+
     /// Restarts the worker: the new incarnation has the same ID and no state of the old one.
-    pub fn restart(&mut self) {
+    pub fn restart(&mut self, now: Duration) {
+        self.clock = (0, now);
         self.listing.incarnation_started_unix_ms =
             self.listing.incarnation_started_unix_ms.map(|started| started + 1);
         (self.epoch, self.expiry_ms, self.next_end) = (0, 0, 1);
@@ -407,13 +433,22 @@
     pub confirmed: Duration,
     /// The VM list can't be read.
     pub is_list_down: bool,
+    /// Answers that have not arrived yet: time of arrival, time at which the command was sent, command and answer.
+    delayed_answers: Vec<(Duration, Duration, Command, Option<Answer>)>,
 }
 
 impl Rig {
     pub fn new(fleet: Fleet) -> Self {
         let owner = ShardScheduler::new(1, timing(), Duration::ZERO, Duration::ZERO);
         let store = Store { batch: 24, ..Store::default() };
-        let mut rig = Self { fleet, store, owner, confirmed: Duration::ZERO, is_list_down: false };
+        let mut rig = Self {
+            fleet,
+            store,
+            owner,
+            confirmed: Duration::ZERO,
+            is_list_down: false,
+            delayed_answers: Vec::new(),
+        };
         rig.owner.on_queues(BTreeMap::from([(QUEUE.to_owned(), policy())]));
         rig
     }
@@ -433,6 +468,7 @@
         let (suspects, suspects_lapsed) = &self.store.suspects;
         let suspects: Vec<WorkerId> = suspects.iter().map(|id| WorkerId::new(id)).collect();
         self.owner = ShardScheduler::new(epoch, timing(), self.fleet.now, lapsed);
+        self.delayed_answers.clear();
         self.owner.on_queues(BTreeMap::from([(QUEUE.to_owned(), policy())]));
         for (id, spec) in &self.store.jobs {
             let job = accepted(*id, Rc::clone(spec));
@@ -463,14 +499,34 @@
             self.confirmed = now;
         }
         self.owner.tick(now, now.as_millis() as u64, self.confirmed);
+        for (_, sent, command, answer) in
+            self.delayed_answers.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>()
+        {
+            self.deliver_answer(now, sent, &command, answer);
+        }
         for command in self.owner.take_commands() {
+            let delay = match &command.kind {
+                CommandKind::Renew { .. } => {
+                    self.fleet.workers.get(&command.worker).map(|w| w.renewal_answer_delay)
+                }
+                _ => None,
+            };
             let answer = self.fleet.carry_out(self.owner.epoch(), &command);
-            self.deliver_answer(now, &command, answer);
+            match delay.filter(|delay| !delay.is_zero()) {
+                Some(delay) => self.delayed_answers.push((now + delay, now, command, answer)),
+                None => self.deliver_answer(now, now, &command, answer),
+            }
         }
         self.write();
     }
 
-    fn deliver_answer(&mut self, now: Duration, command: &Command, answer: Option<Answer>) {
+    fn deliver_answer(
+        &mut self,
+        now: Duration,
+        sent: Duration,
+        command: &Command,
+        answer: Option<Answer>,
+    ) {
         match &command.kind {
             CommandKind::Renew { .. } => {
                 let outcome = match answer {
@@ -479,7 +535,7 @@
                     Some(_) => Err(RenewalFailure::Fenced),
                     None => Err(RenewalFailure::NoAnswer),
                 };
-                self.owner.on_renewal(now, &command.worker, now, outcome);
+                self.owner.on_renewal(now, &command.worker, sent, outcome);
             }
             CommandKind::Start { task, run, .. } => {
                 let outcome = match answer {
@@ -557,5 +613,9 @@
 }
 
 pub fn timing() -> scheduler::Timing {
-    scheduler::Timing { lease: LEASE, throttle_delay: Duration::from_millis(100) }
+    scheduler::Timing {
+        lease: LEASE,
+        max_lease: MAX_LEASE,
+        throttle_delay: Duration::from_millis(100),
+    }
 }
--- a/tests/testsuite/shard/starvation.rs
+++ b/tests/testsuite/shard/starvation.rs
@@ -109,7 +109,8 @@
 fn a_restarted_worker_is_not_on_probation() {
     let mut rig = Rig::new(Fleet::new(1, 4_000));
     run_with_failing_workers(&mut rig, 2, Duration::from_secs(12));
-    rig.fleet.get(1).restart();
+    let now = rig.fleet.now;
+    rig.fleet.get(1).restart(now);
     rig.run(Duration::from_millis(400));
     assert_eq!(rig.fleet.get(1).runs.len(), 4);
 }
