Keep runs in doubt that a restarted worker has not listed

Tasks ran twice that were started on a worker between its restart and the first sign of it.

Cause: the answer to a start doesn't say which incarnation gave it. A run whose start was answered counted as one of the earlier incarnation, and so as ended, once the VM list showed the new one.

Evidence: in the new test a start is answered by the new incarnation before the VM list shows it; its task started a second time on the other worker.

Change: only runs that the earlier incarnation has listed end with it. Others are in doubt, until the new incarnation lists them or has answered a stop.

Measured: the test failed before and passes; a run that neither incarnation has still starts again.

--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -173,8 +173,8 @@
         self.is_fenced = true;
     }
 
-    /// Removes the runs of the previous incarnation of a worker. Runs whose start may still arrive are kept until a
-    /// stop is answered.
+    /// Removes the runs of the previous incarnation of a worker. Runs that it has not listed may be on the new one, or
+    /// their start may still arrive there. They are kept until the new one lists them or answers a stop.
     pub(super) fn on_new_incarnation(&mut self, worker_id: &WorkerId, now: Duration) {
         let crashed = self.take_lost_runs(worker_id);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
@@ -183,9 +183,7 @@
         let lost: Vec<JobTaskId> = worker
             .runs
             .iter()
-            .filter(|(_, run)| {
-                matches!(run.phase, Phase::Reserved | Phase::Active | Phase::Stopping)
-            })
+            .filter(|(_, run)| run.phase == Phase::Reserved || run.is_listed)
             .map(|(task, _)| *task)
             .collect();
         worker.health = Health::default();
@@ -199,9 +197,21 @@
         for task in lost {
             self.drop_run(worker_id, &task);
         }
+        self.doubt_unlisted_runs(worker_id, now);
         self.record_crash(worker_id, seen, &crashed);
     }
 
+    /// Marks the answered starts that remain after a restart as in doubt.
+    fn doubt_unlisted_runs(&mut self, worker_id: &WorkerId, now: Duration) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        for run in worker.runs.values_mut() {
+            if matches!(run.phase, Phase::Active | Phase::Stopping) {
+                run.phase = Phase::InDoubt;
+                run.phase_since = now;
+            }
+        }
+    }
+
     /// Handles a worker at whose address another incarnation answers: the recorded one has ended, so none of its
     /// pending commands can take effect any more.
     fn on_replaced(&mut self, worker_id: &WorkerId, now: Duration) {
@@ -283,6 +293,7 @@
         if run.number != listed.run {
             return;
         }
+        run.is_listed = true;
         if matches!(run.phase, Phase::Starting | Phase::InDoubt) && run.stop_queued_at.is_none() {
             run.phase = Phase::Active;
             run.phase_since = now;
@@ -309,6 +320,7 @@
         let is_live = self.live.contains_key(&task);
         let mut run = new_run(listed.run, Phase::Active, now);
         run.is_adopted = true;
+        run.is_listed = true;
         let worker = self.workers.get(worker_id);
         let incarnation = worker.and_then(|worker| worker.incarnation_started_unix_ms);
         let mut is_wanted = false;
@@ -571,6 +583,7 @@
         stop_answered: None,
         is_abandoned: false,
         is_adopted: false,
+        is_listed: false,
     }
 }
 
--- a/tests/testsuite/shard/incarnations.rs
+++ b/tests/testsuite/shard/incarnations.rs
@@ -82,3 +82,37 @@
     assert_eq!(rig.starts_of(id).len(), 2);
     assert!(rig.fleet.now > cut + MAX_LEASE);
 }
+
+/// Guards against two runs of a task: a start that the new incarnation answered before it was known to be one was taken
+/// for a run of the earlier incarnation, which had ended.
+#[test]
+fn a_run_that_was_never_listed_may_be_on_the_new_incarnation() {
+    let mut rig = rig_with_one_worker();
+    restart_unnoticed(&mut rig);
+    let id = submit(&mut rig);
+    rig.run(Duration::from_millis(100));
+    assert_eq!(rig.starts_of(id).len(), 1);
+    add_second_worker(&mut rig);
+    rig.is_list_down = false;
+    rig.run(Duration::from_secs(8));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 1);
+}
+
+/// Guards against a task that waits for a start that was never carried out: the run is settled by the list of the new
+/// incarnation and an answered stop.
+#[test]
+fn a_run_that_neither_incarnation_has_starts_again() {
+    let mut rig = rig_with_one_worker();
+    let id = submit(&mut rig);
+    rig.fleet.get(0).renewal_answer_delay = Duration::from_millis(1_800);
+    rig.run(TICK * 3);
+    assert_eq!(rig.starts_of(id).len(), 1);
+    rig.fleet.restart_time = Some(Duration::from_millis(100));
+    rig.fleet.crash(&worker_id(0));
+    rig.run(Duration::from_millis(200));
+    rig.fleet.get(0).renewal_answer_delay = Duration::ZERO;
+    rig.run(Duration::from_secs(4));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 2);
+}
