Tell outcomes of commands for an earlier incarnation from those for the next

After a restart of a worker under its ID, a task could run twice, and the new incarnation got no renewal for up to 1.8 s.

Cause: outcomes of commands were applied to the worker, whichever incarnation they were for. A stop that the earlier one had answered counted for a start that the new one might still carry out. A late list of the earlier one set the clock and the ends of the new one. A renewal that waited at the earlier one blocked the next.

Evidence: two new tests. A start is carried out on the new incarnation after its task was queued again; and a worker is used by the clock of its earlier incarnation.

Change: the owner numbers the incarnations of a worker, and commands carry the number. What belongs to an incarnation is reset in one place (Worker::begin_incarnation), which also allows the next renewal at once. Outcomes for an earlier one are ignored, unless the report names the newest one.

--- a/crates/plantainlever-test-support/src/model/shard_pass.rs
+++ b/crates/plantainlever-test-support/src/model/shard_pass.rs
@@ -82,7 +82,7 @@
 
 fn answer(owner: &mut ShardScheduler, now: Duration) {
     for command in owner.take_commands() {
-        match command.kind {
+        match &command.kind {
             CommandKind::Renew { .. } => {
                 // A truncated list ends no run that it does not contain.
                 let report = RenewalReport {
@@ -91,16 +91,14 @@
                     is_truncated: true,
                     ..RenewalReport::default()
                 };
-                owner.on_renewal(now, &command.worker, now, Ok(report));
+                owner.on_renewal(now, &command, now, Ok(report));
             }
             CommandKind::Start { task, run, .. } => {
-                owner.on_start(now, &command.worker, &task, run, StartOutcome::Started);
-            }
-            CommandKind::Stop { task, run } => {
-                owner.on_stop(now, &command.worker, &task, run, CommandOutcome::Done);
+                owner.on_start(now, &command.worker, task, *run, StartOutcome::Started);
             }
+            CommandKind::Stop { .. } => owner.on_stop(now, &command, CommandOutcome::Done),
             CommandKind::Throttle { task, run, .. } => {
-                owner.on_throttle(&command.worker, &task, run, CommandOutcome::Done);
+                owner.on_throttle(&command.worker, task, *run, CommandOutcome::Done);
             }
         }
     }
--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -282,7 +282,7 @@
                 port.close_idle(command.address);
             }
             let now = owner.node.clock.boot();
-            owner.scheduler.borrow_mut().on_renewal(now, &command.worker, sent, outcome);
+            owner.scheduler.borrow_mut().on_renewal(now, &command, sent, outcome);
         }
         CommandKind::Start { task, run, .. } => {
             let may_start = is_lease_valid && owner.may_start(sent);
@@ -295,7 +295,7 @@
             }
             owner.scheduler.borrow_mut().on_start(now, &command.worker, task, *run, outcome);
         }
-        CommandKind::Stop { task, run } => {
+        CommandKind::Stop { .. } => {
             let outcome = if_allowed(
                 is_lease_valid,
                 CommandOutcome::Unknown,
@@ -303,7 +303,7 @@
             )
             .await;
             let now = owner.node.clock.boot();
-            owner.scheduler.borrow_mut().on_stop(now, &command.worker, task, *run, outcome);
+            owner.scheduler.borrow_mut().on_stop(now, &command, outcome);
         }
         CommandKind::Throttle { task, run, .. } => {
             let outcome = if_allowed(
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -224,7 +224,7 @@
             let id = entry.id.clone();
             if is_new_incarnation {
                 // The entry so far tells whether the last incarnation was draining.
-                self.on_new_incarnation(&id, now);
+                self.on_new_incarnation(&id, entry.incarnation_started_unix_ms, now);
             }
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.listing = entry;
@@ -349,8 +349,8 @@
         run.is_stop_in_flight = true;
         run.stop_queued_at = Some(now);
         let kind = CommandKind::Stop { task: *task, run: run.number };
-        let address = worker.listing.address;
-        self.commands.push(Command { worker: worker_id.clone(), address, kind });
+        let command = worker.command(kind);
+        self.commands.push(command);
     }
 
     /// Number of jobs without a schedule of which no task has started, by queue.
--- a/src/shard/scheduler/command.rs
+++ b/src/shard/scheduler/command.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use crate::job::{JobSpec, JobTaskId};
-use crate::shard::worker::WorkerId;
+use crate::shard::worker::{Worker, WorkerId};
 
 /// Command for one worker.
 #[derive(Clone, Debug)]
 pub struct Command {
-    /// Incarnation that the command is meant for.
+    /// Worker that the command is meant for.
     pub worker: WorkerId,
+    /// Incarnation of the worker that the command was made for, see [`crate::shard::worker::Worker::incarnation`].
+    pub incarnation: u32,
     /// Address at which the worker takes commands.
     pub address: SocketAddr,
     /// Kind and arguments of the command.
@@ -102,3 +104,16 @@
     /// The command was not sent or got no valid answer.
     Unknown,
 }
+
+impl Worker {
+    /// Creates a command for the newest known incarnation of the worker.
+    #[must_use]
+    pub fn command(&self, kind: CommandKind) -> Command {
+        Command {
+            worker: self.listing.id.clone(),
+            incarnation: self.incarnation,
+            address: self.listing.address,
+            kind,
+        }
+    }
+}
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -24,7 +24,7 @@
 use super::pass::{Admission, Pass};
 use super::renewals::{new_run, set_step_attributes};
 use super::rows::PlannedStart;
-use super::{Command, CommandKind, ShardScheduler, StartOutcome, StartRefusal};
+use super::{CommandKind, ShardScheduler, StartOutcome, StartRefusal};
 
 /// Deducted from the score of a worker on probation, so that tasks run there only if no other worker takes them.
 const PROBE_PENALTY: i64 = 10_000_000;
@@ -470,8 +470,8 @@
             expiry_ms,
             checkpoint,
         };
-        let address = self.workers[worker_id].listing.address;
-        self.commands.push(Command { worker: worker_id.clone(), address, kind });
+        let worker = &self.workers[worker_id];
+        self.commands.push(worker.command(kind));
     }
 
     /// Returns the checkpoint from which a task resumes; all members of a gang resume from the same one.
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::job::{JobId, JobTaskId, Resources};
-use crate::shard::health::{Health, ProbationCause, ProbeReport};
+use crate::shard::health::{ProbationCause, ProbeReport};
 use crate::shard::lapse::{GrantedLease, WorkerClock};
 use crate::shard::report::{RenewalReport, RunReport};
 use crate::shard::worker::{Phase, Run, Worker, WorkerId};
@@ -91,11 +91,7 @@
             // A worker that did not answer may have restarted, which also restarts the numbers of its ends.
             let acked_end = if worker.unanswered_renewals == 0 { worker.acked_end } else { 0 };
             let kind = CommandKind::Renew { expiry_ms, acked_end, wait };
-            self.commands.push(Command {
-                worker: id.clone(),
-                address: worker.listing.address,
-                kind,
-            });
+            self.commands.push(worker.command(kind));
         }
     }
 
@@ -103,12 +99,21 @@
     pub fn on_renewal(
         &mut self,
         now: Duration,
-        worker_id: &WorkerId,
+        command: &Command,
         sent: Duration,
         outcome: Result<RenewalReport, RenewalFailure>,
     ) {
+        let worker_id = &command.worker;
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        worker.is_renewal_in_flight = false;
+        if command.incarnation == worker.incarnation {
+            worker.is_renewal_in_flight = false;
+        } else if !is_of_newest_incarnation(worker, &outcome) {
+            // The earlier incarnation has ended, and another renewal is on its way to the newest one.
+            if outcome == Err(RenewalFailure::Fenced) {
+                self.on_fenced(worker_id);
+            }
+            return;
+        }
         let report = match outcome {
             Ok(report) => report,
             Err(failure) => return self.on_renewal_failure(now, worker_id, failure),
@@ -117,7 +122,7 @@
             && report.incarnation_started_unix_ms.is_some()
             && worker.incarnation_started_unix_ms != report.incarnation_started_unix_ms;
         if is_new_incarnation {
-            self.on_new_incarnation(worker_id, now);
+            self.on_new_incarnation(worker_id, report.incarnation_started_unix_ms, now);
         }
         self.resolve_lapsed_runs(worker_id, report.incarnation_started_unix_ms);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
@@ -175,7 +180,12 @@
 
     /// Removes the runs of the previous incarnation of a worker. Runs that it has not listed may be on the new one, or
     /// their start may still arrive there. They are kept until the new one lists them or answers a stop.
-    pub(super) fn on_new_incarnation(&mut self, worker_id: &WorkerId, now: Duration) {
+    pub(super) fn on_new_incarnation(
+        &mut self,
+        worker_id: &WorkerId,
+        started_unix_ms: Option<u64>,
+        now: Duration,
+    ) {
         let crashed = self.take_lost_runs(worker_id);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         event::WORKER_RESTARTED.emit(format_args!("worker={worker_id} runs={}", worker.runs.len()));
@@ -186,13 +196,7 @@
             .filter(|(_, run)| run.phase == Phase::Reserved || run.is_listed)
             .map(|(task, _)| *task)
             .collect();
-        worker.health = Health::default();
-        worker.incarnation_started_unix_ms = None;
-        worker.lease.begin_incarnation(now, self.timing.max_lease);
-        worker.has_listed_runs = false;
-        worker.seen_end = 0;
-        worker.acked_end = 0;
-        worker.next_renewal = now;
+        worker.begin_incarnation(started_unix_ms, now, self.timing.max_lease);
         self.rows.forget_ends(worker_id);
         for task in lost {
             self.drop_run(worker_id, &task);
@@ -201,7 +205,8 @@
         self.record_crash(worker_id, seen, &crashed);
     }
 
-    /// Marks the answered starts that remain after a restart as in doubt.
+    /// Marks the answered starts that remain after a restart as in doubt. Stops that the earlier incarnation answered
+    /// don't keep a start from taking effect on the new one, so they are sent again.
     fn doubt_unlisted_runs(&mut self, worker_id: &WorkerId, now: Duration) {
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         for run in worker.runs.values_mut() {
@@ -209,6 +214,8 @@
                 run.phase = Phase::InDoubt;
                 run.phase_since = now;
             }
+            run.is_stop_in_flight = false;
+            run.stop_answered = None;
         }
     }
 
@@ -220,7 +227,7 @@
             .get(worker_id)
             .is_none_or(|worker| worker.answered.is_none() && worker.runs.is_empty());
         if !is_handled {
-            self.on_new_incarnation(worker_id, now);
+            self.on_new_incarnation(worker_id, None, now);
         }
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         worker.answered = None;
@@ -515,16 +522,13 @@
     }
 
     /// Processes the outcome of a stop command.
-    pub fn on_stop(
-        &mut self,
-        now: Duration,
-        worker_id: &WorkerId,
-        task: &JobTaskId,
-        run: u32,
-        outcome: CommandOutcome,
-    ) {
+    pub fn on_stop(&mut self, now: Duration, command: &Command, outcome: CommandOutcome) {
+        let CommandKind::Stop { task, run } = &command.kind else { return };
+        let worker_id = &command.worker;
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        if let Some(current) = worker.runs.get_mut(task).filter(|current| current.number == run) {
+        let is_newest = command.incarnation == worker.incarnation;
+        let current = worker.runs.get_mut(task).filter(|current| current.number == *run);
+        if let Some(current) = current.filter(|_| is_newest) {
             current.is_stop_in_flight = false;
             if outcome == CommandOutcome::Done {
                 current.stop_answered = Some(now);
@@ -538,6 +542,16 @@
     }
 }
 
+/// Returns true if the outcome of a renewal is a report of the newest known incarnation, whichever one the renewal was
+/// made for.
+fn is_of_newest_incarnation(
+    worker: &Worker,
+    outcome: &Result<RenewalReport, RenewalFailure>,
+) -> bool {
+    let started = outcome.as_ref().ok().and_then(|report| report.incarnation_started_unix_ms);
+    started.is_some() && started == worker.incarnation_started_unix_ms
+}
+
 /// Bounds the exponent: after 3 doublings the pause exceeds [`MAX_RETRY_PAUSE`].
 const MAX_RETRY_DOUBLINGS: u32 = 3;
 
--- a/src/shard/scheduler/throttling.rs
+++ b/src/shard/scheduler/throttling.rs
@@ -6,7 +6,7 @@
 use crate::shard::worker::{Phase, WorkerId};
 use crate::telemetry::event::shard as event;
 
-use super::{Command, CommandKind, CommandOutcome, ShardScheduler};
+use super::{CommandKind, CommandOutcome, ShardScheduler};
 
 /// CPU limit in percent at or below which a task delays its step.
 const THROTTLED_PERCENT: u8 = 30;
@@ -43,8 +43,7 @@
                 run: run.number,
                 percent: change.percent,
             };
-            let address = worker.listing.address;
-            self.commands.push(Command { worker: worker_id.clone(), address, kind });
+            self.commands.push(worker.command(kind));
         }
         if worker.is_overcommitted() {
             // Runs that were starting when the worker shrank are active by now.
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -96,11 +96,11 @@
     pub throttle_changed_at: Duration,
     /// Local time since which the CPU limit has been so low that the task delays its step; `None` if it is not.
     pub throttled_since: Option<Duration>,
-    /// A stop was queued or sent and has no outcome yet.
+    /// A stop was queued or sent to the newest incarnation and has no outcome yet.
     pub is_stop_in_flight: bool,
     /// Local time at which the last stop was queued; `None` if none was.
     pub stop_queued_at: Option<Duration>,
-    /// Local time at which the worker answered a stop; the run can't start any more.
+    /// Local time at which the worker's newest incarnation answered a stop; the run can't start there any more.
     pub stop_answered: Option<Duration>,
     /// The result of the run is not needed, so its task is not queued again.
     pub is_abandoned: bool,
@@ -118,8 +118,11 @@
     pub listing: WorkerListing,
     /// Local time since which the VM list has not contained the worker. Unchanged while the list can't be read.
     pub unlisted_since: Option<Duration>,
-    /// Start time of the incarnation that last answered, in milliseconds since the Unix epoch; `None` before the first
-    /// answer of an incarnation, or if the worker does not report it.
+    /// Number of the newest known incarnation, counted by this owner from 0. Commands carry it, so that an outcome is
+    /// told from one of a command that was made for an earlier incarnation.
+    pub incarnation: u32,
+    /// Start time of the newest known incarnation, in milliseconds since the Unix epoch; `None` before the first answer
+    /// of the worker, or if it does not report it.
     pub incarnation_started_unix_ms: Option<u64>,
     /// Leases that this owner may have granted.
     pub lease: GrantedLease,
@@ -139,7 +142,7 @@
     pub seen_end: u64,
     /// Sequence number of the newest end that is stored and may be acknowledged; 0 for none.
     pub acked_end: u64,
-    /// A renewal was queued or sent and has no outcome yet.
+    /// A renewal was queued or sent to the newest incarnation and has no outcome yet.
     pub is_renewal_in_flight: bool,
     /// Local time at which the next renewal is due.
     pub next_renewal: Duration,
@@ -162,6 +165,7 @@
         Self {
             listing,
             unlisted_since: None,
+            incarnation: 0,
             incarnation_started_unix_ms: None,
             lease: GrantedLease::default(),
             has_listed_runs: false,
@@ -181,6 +185,26 @@
         }
     }
 
+    /// Forgets what belongs to the incarnation that was the newest one: its clock and leases, the numbers of its ends,
+    /// its list of runs, its health and the renewal on its way to it. The caller decides which runs remain.
+    pub fn begin_incarnation(
+        &mut self,
+        started_unix_ms: Option<u64>,
+        now: Duration,
+        max_lease: Duration,
+    ) {
+        self.incarnation += 1;
+        self.incarnation_started_unix_ms = started_unix_ms;
+        self.lease.begin_incarnation(now, max_lease);
+        self.has_listed_runs = false;
+        self.seen_end = 0;
+        self.acked_end = 0;
+        self.is_renewal_in_flight = false;
+        self.unanswered_renewals = 0;
+        self.next_renewal = now;
+        self.health = Health::default();
+    }
+
     /// Adds a run and commits its resources.
     pub fn add_run(&mut self, task: JobTaskId, run: Run) {
         self.remove_run(&task);
--- a/tests/testsuite/adapter.rs
+++ b/tests/testsuite/adapter.rs
@@ -76,7 +76,7 @@
 }
 
 fn command(address: SocketAddr, kind: CommandKind) -> Command {
-    Command { worker: WorkerId::new("i-7f3a91c2"), address, kind }
+    Command { worker: WorkerId::new("i-7f3a91c2"), incarnation: 0, address, kind }
 }
 
 fn job() -> Job {
--- a/tests/testsuite/shard/incarnations.rs
+++ b/tests/testsuite/shard/incarnations.rs
@@ -116,3 +116,48 @@
     rig.assert_no_breach();
     assert_eq!(rig.starts_of(id).len(), 2);
 }
+
+/// Guards against two runs of a task: the earlier incarnation answers a stop, and the new one carries out the start.
+#[test]
+fn a_stop_that_the_earlier_incarnation_answered_is_sent_again() {
+    let mut rig = rig_with_one_worker();
+    rig.fleet.get(0).start_delay = Some(Duration::from_secs(3));
+    let id = submit(&mut rig);
+    while rig.fleet.get(0).over.is_empty() {
+        rig.round();
+    }
+    assert_eq!(rig.starts_of(id).len(), 0);
+    // The stop was answered, and the list that would confirm it was not returned yet.
+    rig.fleet.get(0).start_delay = None;
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    rig.run(Duration::from_secs(1));
+    add_second_worker(&mut rig);
+    rig.run(Duration::from_secs(6));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 1);
+}
+
+/// Guards against two runs of a task: a list that the earlier incarnation returned before its end arrived after the VM
+/// list had shown the next one, and was taken for a list of the latter.
+#[test]
+fn a_late_list_of_an_earlier_incarnation_is_ignored() {
+    let mut rig = rig_with_one_worker();
+    rig.fleet.get(0).renewal_answer_delay = Duration::from_millis(600);
+    rig.run(TICK * 2);
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    // Only the answer of the earlier incarnation arrives within this time.
+    rig.fleet.get(0).renewal_answer_delay = Duration::from_secs(3);
+    rig.run(TICK * 2);
+    rig.is_list_down = true;
+    rig.run(Duration::from_secs(1));
+    assert_eq!(rig.owner.load(rig.fleet.now).usable_workers, 0);
+    let id = submit(&mut rig);
+    rig.run(Duration::from_secs(1));
+    add_second_worker(&mut rig);
+    rig.is_list_down = false;
+    rig.run(Duration::from_secs(8));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 1);
+}
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -535,7 +535,7 @@
                     Some(_) => Err(RenewalFailure::Fenced),
                     None => Err(RenewalFailure::NoAnswer),
                 };
-                self.owner.on_renewal(now, &command.worker, sent, outcome);
+                self.owner.on_renewal(now, command, sent, outcome);
             }
             CommandKind::Start { task, run, .. } => {
                 let outcome = match answer {
@@ -549,9 +549,8 @@
                 };
                 self.owner.on_start(now, &command.worker, task, *run, outcome);
             }
-            CommandKind::Stop { task, run } => {
-                let outcome = outcome(answer.as_ref());
-                self.owner.on_stop(now, &command.worker, task, *run, outcome);
+            CommandKind::Stop { .. } => {
+                self.owner.on_stop(now, command, outcome(answer.as_ref()));
             }
             CommandKind::Throttle { task, run, .. } => {
                 self.owner.on_throttle(&command.worker, task, *run, outcome(answer.as_ref()));
