Isolate rows that the store rejects for good

One job could stop all others of its shard for as long as it was stored.

Cause: a transaction that the store answers with 400, 403 or 413 was repeated like one that it could not apply for the moment. It held the rows of up to 48 jobs and the heartbeat, so nothing was stored any more, and each next owner did the same.

Evidence: in the new test the store answers 400 to the rows of two jobs of nine; none of the nine ends.

Change: such an answer is its own error (StoreError::Rejected). The batch is divided until each rejected row is alone, after a heartbeat without any row; if that is rejected as well, no row is to blame. The job of a rejected row is logged with its size (P0666), counted and shown as failed.

--- a/src/ops/jobs/accept.rs
+++ b/src/ops/jobs/accept.rs
@@ -28,6 +28,11 @@
         /// Time after which the caller may retry.
         retry_after: Duration,
     },
+    /// The store does not accept the job's row, so the job is not stored. A repetition has the same outcome.
+    Rejected {
+        /// Why.
+        cause: String,
+    },
     /// The store gave no clear answer before the deadline; the job may be stored.
     Unknown,
 }
@@ -75,7 +80,7 @@
         let waited = self.clock.boot().saturating_sub(began);
         self.metrics.time("job.submit", waited);
         let waited = waited.as_millis();
-        match submission {
+        match &submission {
             Submission::Accepted => {
                 self.metrics.count("job.accepted", 1);
                 event::JOB_ACCEPTED.emit(format_args!(
@@ -89,6 +94,12 @@
                 event::JOB_REFUSED
                     .emit(format_args!("job={id} queue={queue} cause=store waited_ms={waited}"));
             }
+            Submission::Rejected { cause } => {
+                self.metrics.count("job.refused", 1);
+                event::JOB_REFUSED.emit(format_args!(
+                    "job={id} queue={queue} cause={cause:?} waited_ms={waited}"
+                ));
+            }
             Submission::Unknown => {
                 self.metrics.count("job.uncertain", 1);
                 event::JOB_UNCERTAIN
@@ -111,7 +122,10 @@
                 Err(StoreError::Refused { .. }) if !is_uncertain => {
                     return Submission::Refused { retry_after: REFUSED_RETRY_AFTER };
                 }
-                Err(StoreError::Refused { .. }) => {}
+                Err(StoreError::Rejected { cause }) if !is_uncertain => {
+                    return Submission::Rejected { cause };
+                }
+                Err(StoreError::Refused { .. } | StoreError::Rejected { .. }) => {}
                 Err(_) => is_uncertain = true,
             }
             if self.clock.boot() + RETRY_PAUSE >= deadline {
--- a/src/ops/jobs/node.rs
+++ b/src/ops/jobs/node.rs
@@ -218,6 +218,8 @@
             self.metrics.count("store.failed", 1);
         }
         match failure {
+            // The store answers, and says that the call will never succeed.
+            Some(StoreError::Rejected { .. }) => {}
             Some(e) if !self.is_store_unavailable.get() => {
                 self.is_store_unavailable.set(true);
                 event::STORE_LOST.emit(format_args!("cause={e}"));
--- a/src/ops/jobs/owner/rows.rs
+++ b/src/ops/jobs/owner/rows.rs
@@ -1,12 +1,14 @@
 //! Writes the owner's progress rows and heartbeats.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::job::JobId;
 use crate::ops::jobs::layout::{self, HeartbeatRow};
-use crate::port::{Commit, CommitOutcome, Row, RowKey, RowStore, WorkerPort};
+use crate::port::{Commit, CommitOutcome, Row, RowKey, RowStore, StoreError, WorkerPort};
 use crate::shard::ownership::HEARTBEAT_PERIOD;
-use crate::shard::scheduler::RowBatch;
+use crate::shard::scheduler::{JobRow, RowBatch};
 use crate::telemetry::event::shard as event;
 
 use super::{ShardOwner, end_ownership};
@@ -27,10 +29,10 @@
 
 /// Writes progress rows and heartbeats, one transaction at a time.
 pub(super) async fn write_rows<P: RowStore + WorkerPort>(owner: Rc<ShardOwner<P>>) {
-    let mut beat = 0;
-    let mut last_heartbeat: Option<Duration> = None;
+    let mut writer = RowWriter { owner, beat: 0, last_heartbeat: None };
     let mut last_complete = Duration::ZERO;
     loop {
+        let owner = &writer.owner;
         let now = owner.node.clock.boot();
         let is_complete_due = now.saturating_sub(last_complete) >= COMPLETE_WRITE_PERIOD;
         let batch = owner.scheduler.borrow_mut().take_rows(JOBS_PER_WRITE, !is_complete_due);
@@ -38,8 +40,7 @@
         if is_complete_due && batch.as_ref().is_none_or(|batch| batch.rows.len() < JOBS_PER_WRITE) {
             last_complete = now;
         }
-        let is_heartbeat_due =
-            last_heartbeat.is_none_or(|at| now.saturating_sub(at) >= HEARTBEAT_PERIOD);
+        let is_heartbeat_due = writer.is_heartbeat_due(now);
         if batch.is_none() && !is_heartbeat_due {
             tokio::select! {
                 () = owner.rows_due.notified() => {}
@@ -53,20 +54,122 @@
             owner.wake.notify_one();
             continue;
         }
-        beat += u64::from(is_heartbeat_due);
-        let heartbeat = is_heartbeat_due.then(|| heartbeat(&owner, beat));
-        let is_written = write(&owner, batch, heartbeat, now).await;
-        owner.wake.notify_one();
+        let is_written = writer.write(batch, is_heartbeat_due, now).await;
+        writer.owner.wake.notify_one();
         if is_heartbeat_due {
-            export_load(&owner);
-        }
-        if is_written && is_heartbeat_due {
-            last_heartbeat = Some(now);
+            export_load(&writer.owner);
         }
         tokio::time::sleep(if is_written { WRITE_GAP } else { WRITE_RETRY_PAUSE }).await;
     }
 }
 
+/// Why a transaction was not applied, or is not known to have been.
+enum WriteFailure {
+    /// The store rejects its content.
+    Rejected {
+        /// Why.
+        cause: String,
+    },
+    /// Anything else; the rows can be written again.
+    Other,
+}
+
+/// Writes the rows of one owner.
+struct RowWriter<P> {
+    owner: Rc<ShardOwner<P>>,
+    /// Number of the newest heartbeat that was sent.
+    beat: u64,
+    /// Local time just before the newest stored heartbeat was sent.
+    last_heartbeat: Option<Duration>,
+}
+
+impl<P: RowStore> RowWriter<P> {
+    fn is_heartbeat_due(&self, now: Duration) -> bool {
+        self.last_heartbeat.is_none_or(|at| now.saturating_sub(at) >= HEARTBEAT_PERIOD)
+    }
+
+    /// Writes a batch, together with a heartbeat if one is due, and gives the outcome to the scheduler. Returns false
+    /// if it was not applied or its outcome is unknown.
+    async fn write(
+        &mut self,
+        batch: Option<RowBatch>,
+        is_heartbeat_due: bool,
+        now: Duration,
+    ) -> bool {
+        let none = BTreeMap::new();
+        let rows = batch.as_ref().map_or(&none, |batch| &batch.rows);
+        let outcome = self.commit(rows, is_heartbeat_due, now).await;
+        if let Err(WriteFailure::Rejected { cause }) = &outcome {
+            event::BATCH_REJECTED.emit(format_args!(
+                "shard={} rows={} heartbeat={is_heartbeat_due} cause={cause}",
+                self.owner.claimed.shard.0,
+                rows.len()
+            ));
+            self.isolate_rejected(rows).await;
+        }
+        if let Some(batch) = batch {
+            let mut scheduler = self.owner.scheduler.borrow_mut();
+            match outcome {
+                Ok(()) => scheduler.on_written(self.owner.node.clock.boot()),
+                Err(_) => scheduler.on_write_failed(&batch),
+            }
+        }
+        outcome.is_ok()
+    }
+
+    /// Finds the rows that the store rejects, by dividing the batch until each of them is written alone, and ends their
+    /// jobs. The heartbeat goes first: the shard keeps its owner meanwhile, and if the store does not accept it either,
+    /// the cause is not in the rows.
+    async fn isolate_rejected(&mut self, rows: &BTreeMap<JobId, JobRow>) {
+        let mut groups = vec![rows.clone()];
+        let mut is_heartbeat_due = true;
+        while let Some(mut group) = groups.pop() {
+            let now = self.owner.node.clock.boot();
+            if is_heartbeat_due && self.commit(&BTreeMap::new(), true, now).await.is_err() {
+                return;
+            }
+            match self.commit(&group, false, now).await {
+                Ok(()) => {}
+                Err(WriteFailure::Other) => return,
+                Err(WriteFailure::Rejected { cause }) if group.len() == 1 => {
+                    for (id, row) in &group {
+                        self.reject_row(*id, row, &cause);
+                    }
+                }
+                Err(WriteFailure::Rejected { .. }) => {
+                    let middle = group.keys().nth(group.len() / 2).copied();
+                    groups.extend(middle.map(|middle| group.split_off(&middle)));
+                    groups.push(group);
+                }
+            }
+            is_heartbeat_due = self.is_heartbeat_due(self.owner.node.clock.boot());
+        }
+    }
+
+    fn reject_row(&self, id: JobId, row: &JobRow, cause: &str) {
+        event::ROW_REJECTED
+            .emit(format_args!("job={id} bytes={} cause={cause}", row.progress.len()));
+        self.owner.node.metrics.count("store.rejected", 1);
+        self.owner.scheduler.borrow_mut().on_row_rejected(self.owner.node.clock.boot(), id);
+    }
+
+    /// Writes rows and, if wanted, a heartbeat in one transaction.
+    async fn commit(
+        &mut self,
+        rows: &BTreeMap<JobId, JobRow>,
+        has_heartbeat: bool,
+        sent: Duration,
+    ) -> Result<(), WriteFailure> {
+        self.beat += u64::from(has_heartbeat);
+        let heartbeat = has_heartbeat.then(|| heartbeat(&self.owner, self.beat));
+        let outcome = commit(&self.owner, rows, heartbeat.as_ref(), sent).await;
+        if has_heartbeat && outcome.is_ok() {
+            self.last_heartbeat = Some(sent);
+        }
+        outcome
+    }
+}
+
 fn export_load<P>(owner: &ShardOwner<P>) {
     let now = owner.node.clock.boot();
     owner.scheduler.borrow_mut().log_long_waits(now);
@@ -99,16 +202,15 @@
     ));
 }
 
-/// Writes a batch and a heartbeat in one transaction, and gives the outcome to the scheduler. Returns false if it was
-/// not applied or its outcome is unknown.
-async fn write<P: RowStore>(
+/// Writes rows and a heartbeat in one transaction.
+async fn commit<P: RowStore>(
     owner: &ShardOwner<P>,
-    batch: Option<RowBatch>,
-    heartbeat: Option<HeartbeatRow>,
+    rows: &BTreeMap<JobId, JobRow>,
+    heartbeat: Option<&HeartbeatRow>,
     sent: Duration,
-) -> bool {
-    let commit = transaction(owner, batch.as_ref(), heartbeat.as_ref());
-    if let Some(heartbeat) = &heartbeat {
+) -> Result<(), WriteFailure> {
+    let commit = transaction(owner, rows, heartbeat);
+    if let Some(heartbeat) = heartbeat {
         owner.scheduler.borrow_mut().on_heartbeat_sent(&heartbeat.suspects);
     }
     let outcome = owner.node.port.commit(&commit).await;
@@ -117,40 +219,43 @@
     owner.node.metrics.time("store.write", waited);
     match outcome {
         Ok(CommitOutcome::Applied { version }) => {
-            let mut lease = owner.ownership_lease.get();
-            if heartbeat.is_some() {
-                lease.renew(sent);
-            } else {
-                lease.confirm(sent);
-            }
-            owner.ownership_lease.set(lease);
-            if let Some(heartbeat) = &heartbeat {
-                owner.heartbeat_version.set(version);
-                owner.scheduler.borrow_mut().on_heartbeat_stored(&heartbeat.suspects);
-            }
-            if let Some(batch) = batch {
-                let mut versions = owner.versions.borrow_mut();
-                for (id, row) in &batch.rows {
-                    versions.insert(*id, version);
-                    if row.has_ended {
-                        owner.ended_jobs.borrow_mut().insert(*id);
-                        owner.expiring.borrow_mut().push_back((sent, *id));
-                    }
-                }
-                drop(versions);
-                owner.scheduler.borrow_mut().on_written(owner.node.clock.boot());
-            }
-            return true;
+            on_applied(owner, rows, heartbeat, sent, version);
+            Ok(())
         }
-        Ok(CommitOutcome::Conflict { rows }) => {
-            on_conflict(owner, batch.as_ref(), heartbeat.is_some(), &rows);
+        Ok(CommitOutcome::Conflict { rows: current }) => {
+            on_conflict(owner, rows, heartbeat.is_some(), &current);
+            Err(WriteFailure::Other)
         }
-        Err(_) => {}
+        Err(StoreError::Rejected { cause }) => Err(WriteFailure::Rejected { cause }),
+        Err(_) => Err(WriteFailure::Other),
     }
-    if let Some(batch) = batch {
-        owner.scheduler.borrow_mut().on_write_failed(&batch);
+}
+
+fn on_applied<P>(
+    owner: &ShardOwner<P>,
+    rows: &BTreeMap<JobId, JobRow>,
+    heartbeat: Option<&HeartbeatRow>,
+    sent: Duration,
+    version: u64,
+) {
+    let mut lease = owner.ownership_lease.get();
+    match heartbeat {
+        Some(heartbeat) => {
+            lease.renew(sent);
+            owner.heartbeat_version.set(version);
+            owner.scheduler.borrow_mut().on_heartbeat_stored(&heartbeat.suspects);
+        }
+        None => lease.confirm(sent),
+    }
+    owner.ownership_lease.set(lease);
+    let mut versions = owner.versions.borrow_mut();
+    for (id, row) in rows {
+        versions.insert(*id, version);
+        if row.has_ended {
+            owner.ended_jobs.borrow_mut().insert(*id);
+            owner.expiring.borrow_mut().push_back((sent, *id));
+        }
     }
-    false
 }
 
 fn heartbeat<P>(owner: &ShardOwner<P>, beat: u64) -> HeartbeatRow {
@@ -166,7 +271,7 @@
 
 fn transaction<P>(
     owner: &ShardOwner<P>,
-    batch: Option<&RowBatch>,
+    rows: &BTreeMap<JobId, JobRow>,
     heartbeat: Option<&HeartbeatRow>,
 ) -> Commit {
     let shard = owner.claimed.shard;
@@ -177,7 +282,7 @@
         ..Commit::default()
     };
     let versions = owner.versions.borrow();
-    for (id, row) in batch.iter().flat_map(|batch| &batch.rows) {
+    for (id, row) in rows {
         let key = layout::progress_row(shard, *id);
         commit.expected.push((key.clone(), versions.get(id).copied().unwrap_or(0)));
         commit.writes.push((key, row.progress.clone()));
@@ -195,12 +300,13 @@
 /// effect, in which case the current versions are taken over.
 fn on_conflict<P>(
     owner: &ShardOwner<P>,
-    batch: Option<&RowBatch>,
+    rows: &BTreeMap<JobId, JobRow>,
     has_heartbeat: bool,
-    rows: &[Row],
+    current: &[Row],
 ) {
     let version_of = |key: &str, table: &str| {
-        rows.iter()
+        current
+            .iter()
             .find(|row| row.id.key == key && row.id.table == table)
             .map_or(0, |row| row.version)
     };
@@ -212,7 +318,7 @@
     }
     let table = layout::progress_table(owner.claimed.shard);
     let mut versions = owner.versions.borrow_mut();
-    for id in batch.iter().flat_map(|batch| batch.rows.keys()) {
+    for id in rows.keys() {
         let version = version_of(&id.to_string(), &table);
         if versions.get(id).copied().unwrap_or(0) != version {
             event::ROW_CONFLICT.emit(format_args!("job={id} version={version}"));
--- a/src/port.rs
+++ b/src/port.rs
@@ -85,6 +85,12 @@
         /// Why.
         cause: String,
     },
+    /// The store refused the call because of what it contains; it had no effect, and a repetition would be refused too.
+    #[error("the store rejects the call: {cause}")]
+    Rejected {
+        /// Why.
+        cause: String,
+    },
     /// The call may have taken effect, or may still do so later.
     #[error("the store gave no answer: {cause}")]
     NoAnswer {
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -38,7 +38,7 @@
 
 pub use command::{Command, CommandKind, CommandOutcome, StartOutcome, StartRefusal};
 pub use renewals::RenewalFailure;
-pub use rows::RowBatch;
+pub use rows::{JobRow, RowBatch};
 
 /// Durations from the platform's settings. The process caps the lease.
 #[derive(Clone, Copy, Debug)]
--- a/src/shard/scheduler/rows.rs
+++ b/src/shard/scheduler/rows.rs
@@ -4,8 +4,9 @@
 use std::ops::Bound;
 use std::time::Duration;
 
-use crate::job::{JobId, JobTaskId};
+use crate::job::{JobId, JobState, JobTaskId};
 use crate::shard::worker::WorkerId;
+use crate::telemetry::event::shard as event;
 
 use super::ShardScheduler;
 
@@ -188,6 +189,19 @@
         self.start_planned(now, batch.planned);
     }
 
+    /// Ends a job as failed, because the store rejects its row. If it rejects the row of the ended job as well, the job
+    /// is dropped.
+    pub fn on_row_rejected(&mut self, now: Duration, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if job.progress.state.is_final() {
+            self.jobs.remove(&id);
+            self.rows.record_ended(id);
+            return;
+        }
+        event::JOB_ENDED.emit(format_args!("job={id} state=failed cause=row-rejected"));
+        self.end_job(now, id, JobState::Failed);
+    }
+
     /// Records that the batch in flight was not written, or that its outcome is unknown. Its jobs are written with the
     /// next one.
     pub fn on_write_failed(&mut self, batch: &RowBatch) {
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -98,6 +98,10 @@
 pub const HISTORY_GONE: Event = Event::new(663, Level::Info, "history-gone");
 /// A write conflicted with an earlier write of this process whose answer was lost.
 pub const ROW_CONFLICT: Event = Event::new(664, Level::Info, "row-conflict");
+/// The store rejects a transaction because of its content; its rows are written in smaller groups.
+pub const BATCH_REJECTED: Event = Event::new(665, Level::Warn, "batch-rejected");
+/// The store rejects a job's row even alone, so the job ends as failed.
+pub const ROW_REJECTED: Event = Event::new(666, Level::Error, "row-rejected");
 
 /// All events of this module.
 pub const ALL: &[Event] = &[
@@ -147,4 +151,6 @@
     MALFORMED,
     HISTORY_GONE,
     ROW_CONFLICT,
+    BATCH_REJECTED,
+    ROW_REJECTED,
 ];
--- a/tests/testsuite/adapter.rs
+++ b/tests/testsuite/adapter.rs
@@ -278,11 +278,14 @@
         (503, ""),
         (429, ""),
         (500, ""),
+        (400, ""),
+        (403, ""),
+        (413, ""),
     ]);
     let platform = PlatformAdapter::new(address);
     let outcomes = RefCell::new(Vec::new());
     block_on(async {
-        for _ in 0..5 {
+        for _ in 0..8 {
             let outcome = platform.commit(&commit).await;
             outcomes.borrow_mut().push(outcome);
         }
@@ -294,6 +297,9 @@
     assert!(matches!(outcomes[2], Err(StoreError::Refused { .. })));
     assert!(matches!(outcomes[3], Err(StoreError::Refused { .. })));
     assert!(matches!(outcomes[4], Err(StoreError::NoAnswer { .. })));
+    for outcome in &outcomes[5..] {
+        assert!(matches!(outcome, Err(StoreError::Rejected { .. })), "{outcome:?}");
+    }
     assert_eq!(
         requests.recv().unwrap(),
         concat!(
--- a/tests/testsuite/jobs.rs
+++ b/tests/testsuite/jobs.rs
@@ -4,3 +4,4 @@
 mod freshness;
 mod ownership;
 mod port;
+mod rows;
--- a/tests/testsuite/jobs/port.rs
+++ b/tests/testsuite/jobs/port.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use plantainlever::clock::{Clock, SystemClock};
+use plantainlever::job::JobState;
+use plantainlever::job::progress::Progress;
 use plantainlever::ops::jobs::{Node, NodeSettings, OperatorConfig, layout, watch};
 use plantainlever::port::{
     Commit, CommitOutcome, Row, RowKey, RowList, RowStore, StoreError, WorkerPort,
@@ -39,6 +41,8 @@
     /// Number of next transactions that are applied but whose answers are lost.
     pub lose_answers: Cell<u32>,
     pub is_store_down: Cell<bool>,
+    /// Keys of rows of owners and progress that the store rejects, unless they show a failed job.
+    pub rejected_keys: RefCell<BTreeSet<String>>,
     /// Transactions that the processes have sent.
     pub sent: RefCell<Vec<Commit>>,
     /// Time at which the newest transaction with a heartbeat was applied.
@@ -57,6 +61,7 @@
             fleet: RefCell::new(fleet),
             lose_answers: Cell::new(0),
             is_store_down: Cell::new(false),
+            rejected_keys: RefCell::default(),
             sent: RefCell::default(),
             heartbeat_applied: Cell::default(),
             progress_since_heartbeat: Cell::default(),
@@ -207,6 +212,14 @@
         }
         self.reach_store().await?;
         self.world.sent.borrow_mut().push(commit.clone());
+        let is_rejected = |(key, value): &(RowKey, Vec<u8>)| {
+            !key.table.starts_with("jobs")
+                && self.world.rejected_keys.borrow().contains(&key.key)
+                && Progress::decode_state(value) != Ok(JobState::Failed)
+        };
+        if commit.writes.iter().any(is_rejected) {
+            return Err(StoreError::Rejected { cause: "status 400".to_owned() });
+        }
         let outcome = self.world.apply(commit);
         let lost = self.world.lose_answers.get();
         if lost > 0 {
