--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -1,5 +1,7 @@
 //! Progress of jobs and its stored form.
 
+mod stored;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -8,6 +10,37 @@
 
 use super::{JobSpec, JobTaskId};
 
+pub use stored::{EncodedRow, StoredRows};
+
+/// Most tasks in one row of a job's progress. A job with more tasks has several rows, so that a change writes little
+/// and no row outgrows the store's limit.
+pub const MAX_TASKS_PER_ROW: u32 = 200;
+
+/// Bytes for which a row has room per task: a placement on a worker of its own, a checkpoint, and some failed and
+/// crashed runs. Checkpoints that do not fit are left out.
+const ROW_BYTES_PER_TASK: usize = 320;
+
+/// Returns how many tasks share a row, if the store accepts rows of up to `max_row_bytes`.
+#[must_use]
+pub fn tasks_per_row(max_row_bytes: usize) -> u32 {
+    let tasks = u32::try_from(max_row_bytes / ROW_BYTES_PER_TASK).unwrap_or(u32::MAX);
+    tasks.clamp(1, MAX_TASKS_PER_ROW)
+}
+
+/// Identifies one of the rows with a job's progress.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum ProgressRow {
+    /// The job's state and, unless the job is divided, all of its tasks.
+    Head,
+    /// Some of the tasks of one occurrence of a divided job.
+    Tasks {
+        /// Number of the occurrence.
+        occurrence: u32,
+        /// Position of the row among those of the occurrence. Tasks are counted through all steps.
+        part: u32,
+    },
+}
+
 /// State of a job as callers see it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -77,6 +110,12 @@
         }
     }
 
+    /// Counts the tasks by step that have not succeeded.
+    fn count_remaining(&mut self) {
+        let remaining = |tasks: &Vec<TaskProgress>| tasks.iter().filter(|t| !t.is_done).count();
+        self.remaining = self.steps.iter().map(|tasks| remaining(tasks) as u32).collect();
+    }
+
     /// Returns true if all tasks of a step have succeeded.
     #[must_use]
     pub fn is_step_done(&self, step: u16) -> bool {
@@ -99,6 +138,9 @@
     pub occurrences: BTreeMap<u32, Occurrence>,
     /// Number of the next occurrence to begin; earlier ones are in `occurrences` or have succeeded.
     pub next_occurrence: u32,
+    /// Tasks in each row of a job whose tasks are divided among several rows; `None` for one with a single row. Fixed
+    /// once the head is stored, since it decides in which row a task is.
+    pub tasks_per_row: Option<u32>,
 }
 
 /// Error for a stored progress that can't be used for its job.
@@ -115,49 +157,66 @@
     Mismatch,
 }
 
-/// Stored form of an occurrence.
-#[derive(Debug, Deserialize, Serialize)]
-struct StoredOccurrence {
-    /// One string per step with one character per task: `d` if it has succeeded, `r` if it has had a run, otherwise
-    /// `.`.
-    #[serde(rename = "t")]
-    tasks: Vec<String>,
-    /// Checkpoints as (step, index, text).
-    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
-    checkpoints: Vec<(u16, u16, String)>,
-    /// Failed runs as (step, index, run).
-    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
-    failed_runs: Vec<(u16, u16, u32)>,
-    /// Tasks as (step, index) by the worker of their newest run.
-    #[serde(rename = "w", default, skip_serializing_if = "BTreeMap::is_empty")]
-    placements: BTreeMap<String, Vec<(u16, u16)>>,
-    /// Crashed runs as (step, index, run) by worker.
-    #[serde(rename = "x", default, skip_serializing_if = "BTreeMap::is_empty")]
-    crashed_runs: BTreeMap<String, Vec<(u16, u16, u32)>>,
-    /// Runs in mass crashes as (step, index, run) by worker.
-    #[serde(rename = "m", default, skip_serializing_if = "BTreeMap::is_empty")]
-    mass_crashed_runs: BTreeMap<String, Vec<(u16, u16, u32)>>,
-    /// Newest runs as (step, index, run) by the start of the worker incarnation that has them, in milliseconds since
-    /// the Unix epoch.
-    #[serde(rename = "i", default, skip_serializing_if = "BTreeMap::is_empty")]
-    incarnations: BTreeMap<u64, Vec<(u16, u16, u32)>>,
-}
-
-#[derive(Debug, Deserialize, Serialize)]
-struct StoredProgress {
-    #[serde(rename = "s")]
-    state: JobState,
-    #[serde(rename = "n", default)]
-    next_occurrence: u32,
-    #[serde(rename = "o", default)]
-    occurrences: BTreeMap<u32, StoredOccurrence>,
-}
-
 impl Progress {
-    /// Creates the progress of a job that has just been accepted.
+    /// Creates the progress of a job that has just been accepted, with a single row.
     #[must_use]
     pub fn new() -> Self {
-        Self { state: JobState::Queued, occurrences: BTreeMap::new(), next_occurrence: 0 }
+        Self {
+            state: JobState::Queued,
+            occurrences: BTreeMap::new(),
+            next_occurrence: 0,
+            tasks_per_row: None,
+        }
+    }
+
+    /// Creates the progress of a job that has just been accepted. Its tasks are divided among several rows if there are
+    /// more than `tasks_per_row`.
+    #[must_use]
+    pub fn for_job(spec: &JobSpec, tasks_per_row: u32) -> Self {
+        Self { tasks_per_row: divided(spec, tasks_per_row), ..Self::new() }
+    }
+
+    /// Divides the tasks of a job with a single row among several rows if there are more than `tasks_per_row`. Returns
+    /// the rows with tasks that have been placed or have ended, which must be stored with the head.
+    pub fn divide(&mut self, spec: &JobSpec, tasks_per_row: u32) -> Vec<ProgressRow> {
+        self.tasks_per_row = self.tasks_per_row.or_else(|| divided(spec, tasks_per_row));
+        let Some(per_row) = self.tasks_per_row else { return Vec::new() };
+        let mut rows = BTreeSet::new();
+        for (number, occurrence) in &self.occurrences {
+            let tasks = occurrence.steps.iter().flatten().zip(0_u32..);
+            let begun = tasks.filter(|(task, _)| **task != TaskProgress::default());
+            rows.extend(begun.map(|(_, position)| ProgressRow::Tasks {
+                occurrence: *number,
+                part: position / per_row,
+            }));
+        }
+        rows.into_iter().collect()
+    }
+
+    /// Returns the row that a task is stored in.
+    #[must_use]
+    pub fn row_of(&self, key: &JobTaskId) -> ProgressRow {
+        let number = key.step.occurrence;
+        match (self.tasks_per_row, self.occurrences.get(&number)) {
+            (Some(per_row), Some(occurrence)) => {
+                let before = occurrence.steps.iter().take(usize::from(key.step.step));
+                let position = before.map(Vec::len).sum::<usize>() + usize::from(key.index);
+                ProgressRow::Tasks { occurrence: number, part: position as u32 / per_row }
+            }
+            _ => ProgressRow::Head,
+        }
+    }
+
+    /// Returns the rows of an occurrence of a divided job, whether they are stored or not; none for other jobs.
+    #[must_use]
+    pub fn rows_of(&self, number: u32) -> Vec<ProgressRow> {
+        let (Some(per_row), Some(occurrence)) = (self.tasks_per_row, self.occurrences.get(&number))
+        else {
+            return Vec::new();
+        };
+        let tasks: usize = occurrence.steps.iter().map(Vec::len).sum();
+        let parts = (tasks as u32).div_ceil(per_row);
+        (0..parts).map(|part| ProgressRow::Tasks { occurrence: number, part }).collect()
     }
 
     /// Begins the next occurrence and returns its number.
@@ -216,45 +275,6 @@
         }
         is_done
     }
-
-    /// Encodes the stored form. For a job that has ended, it contains no occurrences.
-    #[must_use]
-    pub fn encode(&self) -> Vec<u8> {
-        let occurrences = if self.state.is_final() {
-            BTreeMap::new()
-        } else {
-            self.occurrences.iter().map(|(number, o)| (*number, encode_occurrence(o))).collect()
-        };
-        let stored = StoredProgress {
-            state: self.state,
-            next_occurrence: self.next_occurrence,
-            occurrences,
-        };
-        serde_json::to_vec(&stored).unwrap_or_default()
-    }
-
-    /// Decodes the stored form.
-    ///
-    /// # Errors
-    ///
-    /// [`ProgressError`] if the row can't be decoded or does not match the steps of `spec`.
-    pub fn decode(spec: &JobSpec, row: &[u8]) -> Result<Self, ProgressError> {
-        let stored = decode_row(row)?;
-        let mut occurrences = BTreeMap::new();
-        for (number, o) in stored.occurrences {
-            occurrences.insert(number, decode_occurrence(spec, &o)?);
-        }
-        Ok(Self { state: stored.state, occurrences, next_occurrence: stored.next_occurrence })
-    }
-
-    /// Decodes only the state of the stored form.
-    ///
-    /// # Errors
-    ///
-    /// [`ProgressError::Malformed`] if the row is not in this program's format.
-    pub fn decode_state(row: &[u8]) -> Result<JobState, ProgressError> {
-        decode_row(row).map(|stored| stored.state)
-    }
 }
 
 impl Default for Progress {
@@ -263,121 +283,8 @@
     }
 }
 
-fn decode_row(row: &[u8]) -> Result<StoredProgress, ProgressError> {
-    serde_json::from_slice(row).map_err(|e| ProgressError::Malformed { cause: e.to_string() })
-}
-
-fn encode_occurrence(occurrence: &Occurrence) -> StoredOccurrence {
-    let mut stored = StoredOccurrence {
-        tasks: Vec::new(),
-        checkpoints: Vec::new(),
-        failed_runs: Vec::new(),
-        placements: BTreeMap::new(),
-        crashed_runs: BTreeMap::new(),
-        mass_crashed_runs: BTreeMap::new(),
-        incarnations: BTreeMap::new(),
-    };
-    for (step, list) in occurrence.steps.iter().enumerate() {
-        stored.tasks.push(list.iter().map(encode_task).collect());
-        for (index, task) in list.iter().enumerate().filter(|(_, task)| !task.is_done) {
-            let (step, index) = (step as u16, index as u16);
-            if !task.checkpoint.is_empty() {
-                stored.checkpoints.push((step, index, task.checkpoint.clone()));
-            }
-            stored.failed_runs.extend(task.failed_runs.iter().map(|run| (step, index, *run)));
-            for (run, worker) in &task.crashed_runs {
-                let runs = stored.crashed_runs.entry(worker.to_string()).or_default();
-                runs.push((step, index, *run));
-            }
-            for (run, worker) in &task.mass_crashed_runs {
-                let runs = stored.mass_crashed_runs.entry(worker.to_string()).or_default();
-                runs.push((step, index, *run));
-            }
-            let Some(worker) = task.worker.as_deref() else { continue };
-            if let Some(started) = task.worker_started_unix_ms {
-                let runs = stored.incarnations.entry(started).or_default();
-                runs.push((step, index, task.last_run));
-            }
-            match stored.placements.get_mut(worker) {
-                Some(tasks) => tasks.push((step, index)),
-                None => {
-                    stored.placements.insert(worker.to_owned(), vec![(step, index)]);
-                }
-            }
-        }
-    }
-    stored
-}
-
-fn encode_task(task: &TaskProgress) -> char {
-    match task {
-        task if task.is_done => 'd',
-        task if task.last_run > 0 => 'r',
-        _ => '.',
-    }
-}
-
-fn decode_occurrence(
-    spec: &JobSpec,
-    stored: &StoredOccurrence,
-) -> Result<Occurrence, ProgressError> {
-    let mut occurrence = Occurrence::new(spec);
-    if stored.tasks.len() != occurrence.steps.len() {
-        return Err(ProgressError::Mismatch);
-    }
-    for (step, text) in stored.tasks.iter().enumerate() {
-        if text.chars().count() != occurrence.steps[step].len() {
-            return Err(ProgressError::Mismatch);
-        }
-        for (task, c) in occurrence.steps[step].iter_mut().zip(text.chars()) {
-            task.is_done = c == 'd';
-            // The number of the run is stored for placed tasks only.
-            task.last_run = u32::from(c != '.');
-        }
-        let remaining = occurrence.steps[step].iter().filter(|task| !task.is_done).count();
-        occurrence.remaining[step] = remaining as u32;
-    }
-    for (step, index, text) in &stored.checkpoints {
-        stored_task(&mut occurrence, *step, *index)?.checkpoint.clone_from(text);
-    }
-    for (step, index, run) in &stored.failed_runs {
-        stored_task(&mut occurrence, *step, *index)?.failed_runs.insert(*run);
-    }
-    for (worker, runs) in &stored.crashed_runs {
-        let worker: Rc<str> = Rc::from(worker.as_str());
-        for (step, index, run) in runs {
-            let task = stored_task(&mut occurrence, *step, *index)?;
-            task.crashed_runs.insert(*run, Rc::clone(&worker));
-        }
-    }
-    for (worker, runs) in &stored.mass_crashed_runs {
-        let worker: Rc<str> = Rc::from(worker.as_str());
-        for (step, index, run) in runs {
-            let task = stored_task(&mut occurrence, *step, *index)?;
-            task.mass_crashed_runs.insert(*run, Rc::clone(&worker));
-        }
-    }
-    for (started, runs) in &stored.incarnations {
-        for (step, index, run) in runs {
-            let task = stored_task(&mut occurrence, *step, *index)?;
-            task.last_run = *run;
-            task.worker_started_unix_ms = Some(*started);
-        }
-    }
-    for (worker, tasks) in &stored.placements {
-        let worker: Rc<str> = Rc::from(worker.as_str());
-        for (step, index) in tasks {
-            stored_task(&mut occurrence, *step, *index)?.worker = Some(Rc::clone(&worker));
-        }
-    }
-    Ok(occurrence)
-}
-
-fn stored_task(
-    occurrence: &mut Occurrence,
-    step: u16,
-    index: u16,
-) -> Result<&mut TaskProgress, ProgressError> {
-    let tasks = occurrence.steps.get_mut(usize::from(step));
-    tasks.and_then(|tasks| tasks.get_mut(usize::from(index))).ok_or(ProgressError::Mismatch)
+/// Returns `tasks_per_row` if a job has more tasks than that in all its occurrences together.
+fn divided(spec: &JobSpec, tasks_per_row: u32) -> Option<u32> {
+    let tasks = u64::from(spec.tasks()) * u64::from(spec.occurrences());
+    (tasks > u64::from(tasks_per_row)).then_some(tasks_per_row)
 }
--- a/src/job/spec.rs
+++ b/src/job/spec.rs
@@ -200,6 +200,12 @@
         }
     }
 
+    /// Returns the number of tasks of one occurrence.
+    #[must_use]
+    pub fn tasks(&self) -> u32 {
+        self.steps.iter().map(|step| step.count).sum()
+    }
+
     /// Returns the number of occurrences; 1 for a job without a schedule.
     #[must_use]
     pub fn occurrences(&self) -> u32 {
--- a/src/ops/jobs/accept.rs
+++ b/src/ops/jobs/accept.rs
@@ -28,6 +28,13 @@
         /// Time after which the caller may retry.
         retry_after: Duration,
     },
+    /// The job's description is larger than a row of the store can be, so the job is not stored.
+    TooLarge {
+        /// Size of the description in bytes.
+        bytes: usize,
+        /// Largest possible size in bytes.
+        limit: usize,
+    },
     /// The store does not accept the job's row, so the job is not stored. A repetition has the same outcome.
     Rejected {
         /// Why.
@@ -65,14 +72,23 @@
         let Some(shard) = self.shard_of(id) else {
             return Submission::Refused { retry_after: REFUSED_RETRY_AFTER };
         };
-        let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
+        let tasks = spec.tasks();
         let stored =
             StoredJob { queue: queue.to_owned(), accepted_unix_ms: self.clock.unix_ms(), spec };
         let row = layout::job_row(shard, id);
+        let description = serde_json::to_vec(&stored).unwrap_or_default();
+        let (bytes, limit) = (description.len(), self.cfg.max_row_bytes);
+        if bytes > limit {
+            self.metrics.count("job.refused", 1);
+            event::JOB_REFUSED.emit(format_args!(
+                "job={id} queue={queue} cause=too-large bytes={bytes} limit={limit}"
+            ));
+            return Submission::TooLarge { bytes, limit };
+        }
         let commit = Commit {
             partition: layout::job_partition(shard, id),
             expected: vec![(row.clone(), 0)],
-            writes: vec![(row, serde_json::to_vec(&stored).unwrap_or_default())],
+            writes: vec![(row, description)],
             removes: Vec::new(),
         };
         let began = self.clock.boot();
@@ -94,6 +110,7 @@
                 event::JOB_REFUSED
                     .emit(format_args!("job={id} queue={queue} cause=store waited_ms={waited}"));
             }
+            Submission::TooLarge { .. } => {}
             Submission::Rejected { cause } => {
                 self.metrics.count("job.refused", 1);
                 event::JOB_REFUSED.emit(format_args!(
--- a/src/ops/jobs/layout.rs
+++ b/src/ops/jobs/layout.rs
@@ -5,10 +5,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::job::progress::ProgressRow;
 use crate::job::{JobId, JobSpec};
 use crate::port::RowKey;
 use crate::shard::ShardId;
-use crate::shard::scheduler::AcceptedJob;
+use crate::shard::scheduler::{AcceptedJob, RowId};
 
 /// Table with the number of shards; it has one row.
 pub const LAYOUT_TABLE: &str = "layout";
@@ -70,10 +71,25 @@
     RowKey::new(jobs_table(shard), format!("{id}{CANCEL_SUFFIX}"))
 }
 
-/// The row of a job's progress.
+/// A row with progress of a job. The head has the job's ID as its key, so that a look-up of the state reads it alone.
 #[must_use]
-pub fn progress_row(shard: ShardId, id: JobId) -> RowKey {
-    RowKey::new(progress_table(shard), id.to_string())
+pub fn progress_row(shard: ShardId, (id, row): RowId) -> RowKey {
+    let key = match row {
+        ProgressRow::Head => id.to_string(),
+        ProgressRow::Tasks { occurrence, part } => format!("{id}.{occurrence}.{part}"),
+    };
+    RowKey::new(progress_table(shard), key)
+}
+
+/// Parses a key of a table of progress; `None` if it has neither form.
+#[must_use]
+pub fn parse_progress_key(key: &str) -> Option<RowId> {
+    let Some((id, rest)) = key.split_once('.') else {
+        return Some((key.parse().ok()?, ProgressRow::Head));
+    };
+    let (occurrence, part) = rest.split_once('.')?;
+    let row = ProgressRow::Tasks { occurrence: occurrence.parse().ok()?, part: part.parse().ok()? };
+    Some((id.parse().ok()?, row))
 }
 
 /// Content of a job's row once the job has ended: the row only keeps the job from being accepted again.
--- a/src/ops/jobs/node.rs
+++ b/src/ops/jobs/node.rs
@@ -26,6 +26,8 @@
     pub cpu_share: f64,
     /// Lease of the runs on workers, and the delay of throttles.
     pub timing: Timing,
+    /// Size, in bytes, of the largest row that the store accepts.
+    pub max_row_bytes: usize,
     /// Time for which the state of an ended job is kept.
     pub keep_ended: Duration,
     /// Time limit of a caller's request that names none.
--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -15,7 +15,9 @@
 use crate::job::JobId;
 use crate::port::{Commit, CommitOutcome, RowKey, RowStore, StoreError, WorkerPort};
 use crate::shard::ownership::{OwnershipLease, silent_in_ms};
-use crate::shard::scheduler::{Command, CommandKind, CommandOutcome, RenewalFailure, StartOutcome};
+use crate::shard::scheduler::{
+    Command, CommandKind, CommandOutcome, RenewalFailure, RowId, StartOutcome,
+};
 use crate::shard::{OwnerRow, ShardId, ShardScheduler};
 use crate::telemetry::event::shard as event;
 
@@ -68,8 +70,8 @@
     /// Age of the jobs and cancellations that the scheduler has.
     jobs_freshness: Freshness,
     ownership_lease: Cell<OwnershipLease>,
-    /// Versions of the progress rows by job; a job without an entry has no row.
-    versions: RefCell<BTreeMap<JobId, u64>>,
+    /// Versions of the progress rows; one without an entry does not exist.
+    versions: RefCell<BTreeMap<RowId, u64>>,
     /// Version of the heartbeat row; 0 if there is none.
     heartbeat_version: Cell<u64>,
     /// Ended jobs whose descriptions are still stored.
--- a/src/ops/jobs/owner/ended.rs
+++ b/src/ops/jobs/owner/ended.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use crate::job::JobId;
+use crate::job::progress::ProgressRow;
 use crate::ops::jobs::layout;
 use crate::port::{Commit, CommitOutcome, RowKey, RowStore};
+use crate::shard::scheduler::RowId;
 
 use super::ShardOwner;
 
@@ -19,6 +21,9 @@
 /// Jobs in one transaction of at most 100 entries; dropping a description takes a write and a removal.
 const JOBS_PER_TRANSACTION: usize = 48;
 
+/// Removals in one transaction, which also has a condition.
+const REMOVALS_PER_TRANSACTION: usize = 90;
+
 /// Removes the rows of jobs that ended more than `keep_ended` ago.
 pub(super) async fn expire_jobs<P: RowStore>(owner: Rc<ShardOwner<P>>) {
     loop {
@@ -35,9 +40,7 @@
         if !due.is_empty() && remove_rows(&owner, &due).await {
             owner.expiring.borrow_mut().drain(..due.len());
             let mut versions = owner.versions.borrow_mut();
-            for id in &due {
-                versions.remove(id);
-            }
+            versions.retain(|(id, _), _| !due.contains(id));
         }
     }
 }
@@ -47,12 +50,25 @@
 async fn remove_rows<P: RowStore>(owner: &ShardOwner<P>, ids: &[JobId]) -> bool {
     let shard = owner.claimed.shard;
     let owner_row = RowKey::new(layout::OWNERS_TABLE, layout::OWNER_KEY);
-    let mut commits = vec![Commit {
-        partition: layout::shard_partition(shard),
-        expected: vec![(owner_row, owner.claimed.version)],
-        removes: ids.iter().map(|id| layout::progress_row(shard, *id)).collect(),
-        ..Commit::default()
-    }];
+    // The head goes last: without it, the other rows would be those of a job that has not begun.
+    let heads = ids.iter().map(|id| (*id, ProgressRow::Head));
+    let parts: Vec<RowId> = owner
+        .versions
+        .borrow()
+        .keys()
+        .filter(|(id, row)| *row != ProgressRow::Head && ids.contains(id))
+        .copied()
+        .chain(heads)
+        .collect();
+    let mut commits: Vec<Commit> = parts
+        .chunks(REMOVALS_PER_TRANSACTION)
+        .map(|rows| Commit {
+            partition: layout::shard_partition(shard),
+            expected: vec![(owner_row.clone(), owner.claimed.version)],
+            removes: rows.iter().map(|row| layout::progress_row(shard, *row)).collect(),
+            ..Commit::default()
+        })
+        .collect();
     for id in ids {
         commits.push(Commit {
             partition: layout::job_partition(shard, *id),
--- a/src/ops/jobs/owner/load.rs
+++ b/src/ops/jobs/owner/load.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::Notify;
 
+use crate::job::progress::{ProgressRow, StoredRows};
 use crate::job::{JobId, JobState, Progress};
 use crate::ops::jobs::freshness::Freshness;
 use crate::ops::jobs::layout::{self, HeartbeatRow, JobsKey, StoredJob};
@@ -36,19 +37,30 @@
     let now = node.clock.boot();
     let lapsed = claimed.predecessors_silent_at + lapse::longest_local_time(node.cfg.timing.lease);
     let mut scheduler = ShardScheduler::new(claimed.epoch, node.cfg.timing, now, lapsed);
+    scheduler.limit_rows(node.cfg.max_row_bytes);
     apply_operator_config(&node, &mut scheduler);
     let mut versions = BTreeMap::new();
-    let mut rows = BTreeMap::new();
+    let mut rows: BTreeMap<JobId, StoredRows> = BTreeMap::new();
     let mut expiring = VecDeque::new();
     for row in progress.rows {
-        let Ok(id) = row.id.key.parse::<JobId>() else { continue };
-        versions.insert(id, row.version);
+        let Some((id, part)) = layout::parse_progress_key(&row.id.key) else {
+            event::MALFORMED.emit(format_args!("row=progress key={:?}", row.id.key));
+            continue;
+        };
+        versions.insert((id, part), row.version);
         let value = row.value.unwrap_or_default();
+        let stored = rows.entry(id).or_default();
+        if part != ProgressRow::Head {
+            stored.parts.insert(part, value);
+            continue;
+        }
         if Progress::decode_state(&value).is_ok_and(JobState::is_final) {
             expiring.push_back((now, id));
         }
-        rows.insert(id, value);
+        stored.head = value;
     }
+    // The rows of a job's tasks are removed before its head.
+    rows.retain(|_, stored| !stored.head.is_empty());
     add_jobs(&mut scheduler, now, &jobs.rows, &rows);
     let suspects_lapsed = now + Duration::from_millis(predecessor.suspects_lapse_in_ms);
     scheduler.on_unreached_by_predecessor(&ids(&predecessor.suspects), suspects_lapsed);
@@ -130,7 +142,7 @@
     scheduler: &mut ShardScheduler,
     now: Duration,
     rows: &[Row],
-    progress: &BTreeMap<JobId, Vec<u8>>,
+    progress: &BTreeMap<JobId, StoredRows>,
 ) {
     let mut cancelled = Vec::new();
     for row in rows {
@@ -147,14 +159,14 @@
     }
 }
 
-fn add_job(scheduler: &mut ShardScheduler, id: JobId, value: &[u8], progress: Option<&Vec<u8>>) {
+fn add_job(scheduler: &mut ShardScheduler, id: JobId, value: &[u8], progress: Option<&StoredRows>) {
     let stored: StoredJob = match serde_json::from_slice(value) {
         Ok(stored) => stored,
         Err(e) => return event::MALFORMED.emit(format_args!("row=job job={id} cause={e}")),
     };
     let job = stored.into_accepted(id);
-    let Some(row) = progress else { return scheduler.on_job(job) };
-    if let Err(e) = scheduler.on_job_with_progress(job, row) {
+    let Some(rows) = progress else { return scheduler.on_job(job) };
+    if let Err(e) = scheduler.on_job_with_progress(job, rows) {
         event::MALFORMED.emit(format_args!("row=progress job={id} cause={e}"));
     }
 }
--- a/src/ops/jobs/owner/rows.rs
+++ b/src/ops/jobs/owner/rows.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use crate::job::JobId;
+use crate::job::progress::ProgressRow;
 use crate::ops::jobs::layout::{self, HeartbeatRow};
 use crate::port::{Commit, CommitOutcome, Row, RowKey, RowStore, StoreError, WorkerPort};
 use crate::shard::ownership::HEARTBEAT_PERIOD;
-use crate::shard::scheduler::{JobRow, RowBatch};
+use crate::shard::scheduler::{JobRow, RowBatch, RowId};
 use crate::telemetry::event::shard as event;
 
 use super::{ShardOwner, end_ownership};
@@ -23,9 +24,9 @@
 /// Pause after a write that was not applied or not answered.
 const WRITE_RETRY_PAUSE: Duration = Duration::from_millis(120);
 
-/// Jobs in one transaction. The store accepts 100 entries: each job takes two (a condition and a write), the owner row
+/// Rows in one transaction. The store accepts 100 entries: each row takes two (a condition and a write), the owner row
 /// and the heartbeat take three.
-const JOBS_PER_WRITE: usize = 48;
+const ROWS_PER_WRITE: usize = 48;
 
 /// Writes progress rows and heartbeats, one transaction at a time.
 pub(super) async fn write_rows<P: RowStore + WorkerPort>(owner: Rc<ShardOwner<P>>) {
@@ -35,9 +36,9 @@
         let owner = &writer.owner;
         let now = owner.node.clock.boot();
         let is_complete_due = now.saturating_sub(last_complete) >= COMPLETE_WRITE_PERIOD;
-        let batch = owner.scheduler.borrow_mut().take_rows(JOBS_PER_WRITE, !is_complete_due);
+        let batch = owner.scheduler.borrow_mut().take_rows(ROWS_PER_WRITE, !is_complete_due);
         // After a batch of the maximum size more rows may be waiting, so the next write is due at once.
-        if is_complete_due && batch.as_ref().is_none_or(|batch| batch.rows.len() < JOBS_PER_WRITE) {
+        if is_complete_due && batch.as_ref().is_none_or(|batch| batch.rows.len() < ROWS_PER_WRITE) {
             last_complete = now;
         }
         let is_heartbeat_due = writer.is_heartbeat_due(now);
@@ -117,10 +118,10 @@
         outcome.is_ok()
     }
 
-    /// Finds the rows that the store rejects, by dividing the batch until each of them is written alone, and ends their
-    /// jobs. The heartbeat goes first: the shard keeps its owner meanwhile, and if the store does not accept it either,
+    /// Finds the jobs with rows that the store rejects, by dividing the batch until the rows of each such job are written
+    /// alone, and ends these jobs. The heartbeat goes first: the shard keeps its owner meanwhile, and if the store does not accept it either,
     /// the cause is not in the rows.
-    async fn isolate_rejected(&mut self, rows: &BTreeMap<JobId, JobRow>) {
+    async fn isolate_rejected(&mut self, rows: &BTreeMap<RowId, JobRow>) {
         let mut groups = vec![rows.clone()];
         let mut is_heartbeat_due = true;
         while let Some(mut group) = groups.pop() {
@@ -131,32 +132,35 @@
             match self.commit(&group, false, now).await {
                 Ok(()) => {}
                 Err(WriteFailure::Other) => return,
-                Err(WriteFailure::Rejected { cause }) if group.len() == 1 => {
-                    for (id, row) in &group {
-                        self.reject_row(*id, row, &cause);
+                Err(WriteFailure::Rejected { cause }) => match middle_job(&group) {
+                    Some(middle) => {
+                        groups.push(group.split_off(&(middle, ProgressRow::Head)));
+                        groups.push(group);
                     }
-                }
-                Err(WriteFailure::Rejected { .. }) => {
-                    let middle = group.keys().nth(group.len() / 2).copied();
-                    groups.extend(middle.map(|middle| group.split_off(&middle)));
-                    groups.push(group);
-                }
+                    None => self.reject_rows(&group, &cause),
+                },
             }
             is_heartbeat_due = self.is_heartbeat_due(self.owner.node.clock.boot());
         }
     }
 
-    fn reject_row(&self, id: JobId, row: &JobRow, cause: &str) {
-        event::ROW_REJECTED
-            .emit(format_args!("job={id} bytes={} cause={cause}", row.progress.len()));
+    /// Ends the job that the rejected rows belong to.
+    fn reject_rows(&self, rows: &BTreeMap<RowId, JobRow>, cause: &str) {
+        let Some((id, _)) = rows.keys().next() else { return };
+        let bytes = rows.values().filter_map(|row| row.progress.as_ref()).map(Vec::len);
+        event::ROW_REJECTED.emit(format_args!(
+            "job={id} rows={} largest_bytes={} cause={cause}",
+            rows.len(),
+            bytes.max().unwrap_or(0)
+        ));
         self.owner.node.metrics.count("store.rejected", 1);
-        self.owner.scheduler.borrow_mut().on_row_rejected(self.owner.node.clock.boot(), id);
+        self.owner.scheduler.borrow_mut().on_row_rejected(self.owner.node.clock.boot(), *id);
     }
 
     /// Writes rows and, if wanted, a heartbeat in one transaction.
     async fn commit(
         &mut self,
-        rows: &BTreeMap<JobId, JobRow>,
+        rows: &BTreeMap<RowId, JobRow>,
         has_heartbeat: bool,
         sent: Duration,
     ) -> Result<(), WriteFailure> {
@@ -170,6 +174,16 @@
     }
 }
 
+/// Returns the job at which a group of rows is divided into two; `None` if all rows belong to one job. The rows of a job
+/// stay together, because those that replace an undivided head must be applied together.
+fn middle_job(rows: &BTreeMap<RowId, JobRow>) -> Option<JobId> {
+    let (first, _) = rows.keys().next()?;
+    let (last, _) = rows.keys().next_back()?;
+    let (middle, _) = rows.keys().nth(rows.len() / 2)?;
+    let next = rows.keys().map(|(id, _)| id).find(|id| *id > first)?;
+    Some(if middle > first { *middle } else { *next }).filter(|_| first != last)
+}
+
 fn export_load<P>(owner: &ShardOwner<P>) {
     let now = owner.node.clock.boot();
     owner.scheduler.borrow_mut().log_long_waits(now);
@@ -205,7 +219,7 @@
 /// Writes rows and a heartbeat in one transaction.
 async fn commit<P: RowStore>(
     owner: &ShardOwner<P>,
-    rows: &BTreeMap<JobId, JobRow>,
+    rows: &BTreeMap<RowId, JobRow>,
     heartbeat: Option<&HeartbeatRow>,
     sent: Duration,
 ) -> Result<(), WriteFailure> {
@@ -233,7 +247,7 @@
 
 fn on_applied<P>(
     owner: &ShardOwner<P>,
-    rows: &BTreeMap<JobId, JobRow>,
+    rows: &BTreeMap<RowId, JobRow>,
     heartbeat: Option<&HeartbeatRow>,
     sent: Duration,
     version: u64,
@@ -250,10 +264,14 @@
     owner.ownership_lease.set(lease);
     let mut versions = owner.versions.borrow_mut();
     for (id, row) in rows {
-        versions.insert(*id, version);
+        if row.progress.is_some() {
+            versions.insert(*id, version);
+        } else {
+            versions.remove(id);
+        }
         if row.has_ended {
-            owner.ended_jobs.borrow_mut().insert(*id);
-            owner.expiring.borrow_mut().push_back((sent, *id));
+            owner.ended_jobs.borrow_mut().insert(id.0);
+            owner.expiring.borrow_mut().push_back((sent, id.0));
         }
     }
 }
@@ -271,7 +289,7 @@
 
 fn transaction<P>(
     owner: &ShardOwner<P>,
-    rows: &BTreeMap<JobId, JobRow>,
+    rows: &BTreeMap<RowId, JobRow>,
     heartbeat: Option<&HeartbeatRow>,
 ) -> Commit {
     let shard = owner.claimed.shard;
@@ -284,8 +302,18 @@
     let versions = owner.versions.borrow();
     for (id, row) in rows {
         let key = layout::progress_row(shard, *id);
-        commit.expected.push((key.clone(), versions.get(id).copied().unwrap_or(0)));
-        commit.writes.push((key, row.progress.clone()));
+        let version = versions.get(id).copied().unwrap_or(0);
+        match &row.progress {
+            Some(progress) => {
+                commit.expected.push((key.clone(), version));
+                commit.writes.push((key, progress.clone()));
+            }
+            None if version > 0 => {
+                commit.expected.push((key.clone(), version));
+                commit.removes.push(key);
+            }
+            None => {}
+        }
     }
     if let Some(heartbeat) = heartbeat {
         let key = RowKey::new(layout::OWNERS_TABLE, layout::HEARTBEAT_KEY);
@@ -300,7 +328,7 @@
 /// effect, in which case the current versions are taken over.
 fn on_conflict<P>(
     owner: &ShardOwner<P>,
-    rows: &BTreeMap<JobId, JobRow>,
+    rows: &BTreeMap<RowId, JobRow>,
     has_heartbeat: bool,
     current: &[Row],
 ) {
@@ -319,9 +347,10 @@
     let table = layout::progress_table(owner.claimed.shard);
     let mut versions = owner.versions.borrow_mut();
     for id in rows.keys() {
-        let version = version_of(&id.to_string(), &table);
+        let key = layout::progress_row(owner.claimed.shard, *id).key;
+        let version = version_of(&key, &table);
         if versions.get(id).copied().unwrap_or(0) != version {
-            event::ROW_CONFLICT.emit(format_args!("job={id} version={version}"));
+            event::ROW_CONFLICT.emit(format_args!("row={key} version={version}"));
             versions.insert(*id, version);
         }
     }
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -26,6 +26,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::job::progress::{self, ProgressRow, StoredRows};
 use crate::job::{JobId, JobSpec, JobState, JobTaskId, Progress, StepId};
 use crate::telemetry::event::shard as event;
 
@@ -38,7 +39,8 @@
 
 pub use command::{Command, CommandKind, CommandOutcome, StartOutcome, StartRefusal};
 pub use renewals::RenewalFailure;
-pub use rows::{JobRow, RowBatch};
+use rows::HeadState;
+pub use rows::{JobRow, RowBatch, RowId};
 
 /// Durations from the platform's settings. The process caps the lease.
 #[derive(Clone, Copy, Debug)]
@@ -63,6 +65,8 @@
     progress: Progress,
     /// Failure domain in which the job's tasks are preferably placed; `None` until the first placement.
     home: Option<String>,
+    /// Whether the head of its progress is stored; meaningful for a divided job only.
+    head: rows::HeadState,
     /// Local time at which the first task of each unfinished step started.
     step_began: BTreeMap<StepId, Duration>,
     /// Workers on which a task failed, did not start, or was throttled for long; used last for the next run.
@@ -107,6 +111,8 @@
     crashes: crashes::Crashes,
     pressures: Pressures,
     rows: rows::PendingRows,
+    /// Largest row, in bytes, that the store accepts.
+    max_row_bytes: usize,
     commands: Vec<Command>,
     /// Set once a worker has refused a command because it had seen a higher epoch.
     is_fenced: bool,
@@ -150,6 +156,7 @@
             crashes: crashes::Crashes::default(),
             pressures: Pressures::default(),
             rows: rows::PendingRows::default(),
+            max_row_bytes: usize::MAX,
             commands: Vec::new(),
             is_fenced: false,
             is_start_allowed: true,
@@ -185,6 +192,12 @@
         self.is_start_allowed = is_allowed;
     }
 
+    /// Sets the size, in bytes, of the largest row that the store accepts. Applies to jobs that are added later; initially
+    /// there is no limit.
+    pub fn limit_rows(&mut self, max_row_bytes: usize) {
+        self.max_row_bytes = max_row_bytes;
+    }
+
     /// Replaces the operators' settings of the queues.
     pub fn on_queues(&mut self, queues: BTreeMap<String, QueuePolicy>) {
         self.times.retain(|queue, _| queues.contains_key(queue));
@@ -242,31 +255,49 @@
     /// Adds an accepted job that has no progress row yet.
     pub fn on_job(&mut self, job: AcceptedJob) {
         if !self.jobs.contains_key(&job.id) && !self.rows.has_ended(job.id) {
-            self.insert_job(job, Progress::new());
+            let per_row = progress::tasks_per_row(self.max_row_bytes);
+            let progress = Progress::for_job(&job.spec, per_row);
+            self.insert_job(job, progress, HeadState::Missing);
         }
     }
 
-    /// Adds a job that has a progress row, written by a previous owner. `row` is the content of that row.
+    /// Adds a job that has progress rows, written by a previous owner.
     ///
     /// # Errors
     ///
-    /// Returns an error if the row can't be decoded or does not match the job's steps.
+    /// Returns an error if a row can't be decoded or does not match the job's steps.
     pub fn on_job_with_progress(
         &mut self,
         job: AcceptedJob,
-        row: &[u8],
-    ) -> Result<(), crate::job::progress::ProgressError> {
-        let progress = Progress::decode(&job.spec, row)?;
+        rows: &StoredRows,
+    ) -> Result<(), progress::ProgressError> {
+        let mut progress = Progress::decode_rows(&job.spec, &rows.head, &rows.parts)?;
         if progress.state.is_final() {
             self.rows.record_ended(job.id);
         } else {
             self.inherited.add(job.id, &progress);
-            self.insert_job(job, progress);
+            let is_divided = progress.tasks_per_row.is_some();
+            let per_row = progress::tasks_per_row(self.max_row_bytes);
+            let id = job.id;
+            if !is_divided {
+                // Written by a version that keeps all tasks in one row, or the job has few tasks.
+                for row in progress.divide(&job.spec, per_row) {
+                    self.rows.mark_urgent((id, row));
+                }
+            }
+            let head = match (is_divided, progress.tasks_per_row) {
+                (false, Some(_)) => HeadState::Undivided,
+                _ => HeadState::Stored,
+            };
+            if head == HeadState::Undivided {
+                self.rows.mark_urgent((id, ProgressRow::Head));
+            }
+            self.insert_job(job, progress, head);
         }
         Ok(())
     }
 
-    fn insert_job(&mut self, job: AcceptedJob, progress: Progress) {
+    fn insert_job(&mut self, job: AcceptedJob, progress: Progress, head: HeadState) {
         let id = job.id;
         self.jobs.insert(
             id,
@@ -276,6 +307,7 @@
                 spec: job.spec,
                 progress,
                 home: None,
+                head,
                 step_began: BTreeMap::new(),
                 avoid: BTreeMap::new(),
             },
@@ -311,7 +343,7 @@
                 self.stop_run(now, &worker, &task, true);
             }
         }
-        self.rows.mark_urgent(id);
+        self.rows.mark_urgent((id, ProgressRow::Head));
     }
 
     fn runs_of(&self, id: JobId) -> Vec<(JobTaskId, Vec<WorkerId>)> {
@@ -463,7 +495,7 @@
             begun.push(job.progress.begin_occurrence(&job.spec));
         }
         if !begun.is_empty() && self.jobs.get(&id).is_some_and(|job| job.spec.schedule.is_some()) {
-            self.rows.mark(id);
+            self.rows.mark_head(id);
             self.queue_ready_tasks(id);
         }
     }
--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -296,7 +296,7 @@
             };
             if recorded.insert(run.number, worker_id.shared()).is_none() {
                 changed.insert(suspect);
-                self.rows.mark(run.task.step.job);
+                self.rows.mark((run.task.step.job, job.progress.row_of(&run.task)));
             }
             if !run.is_proven {
                 self.crashes.untried.extend(members.iter().copied());
@@ -402,9 +402,9 @@
                     if let Some(progress) = job.progress.task_mut(&member) {
                         progress.crashed_runs.clear();
                         progress.mass_crashed_runs.clear();
+                        self.rows.mark((task.step.job, job.progress.row_of(&member)));
                     }
                 }
-                self.rows.mark(task.step.job);
             }
             if !self.is_suspect(&task) {
                 self.crashes.suspects.remove(&task);
--- a/src/shard/scheduler/ends.rs
+++ b/src/shard/scheduler/ends.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::job::progress::Occurrence;
 use crate::job::{JobId, JobState, JobTaskId, StepId};
 use crate::shard::health::Restored;
 use crate::shard::report::{EndCause, EndReport};
@@ -28,7 +29,7 @@
             progress.last_run = progress.last_run.max(end.run);
             if !end.checkpoint.is_empty() && !progress.is_done && end.cause != EndCause::Done {
                 progress.checkpoint.clone_from(&end.checkpoint);
-                self.rows.mark(task.step.job);
+                self.rows.mark((task.step.job, job.progress.row_of(&task)));
             }
         }
         match end.cause {
@@ -77,7 +78,10 @@
         let mut has_changed = false;
         for index in members {
             let member = JobTaskId { step: task.step, index };
-            has_changed |= job.progress.set_done(&member);
+            if job.progress.set_done(&member) {
+                has_changed = true;
+                self.rows.mark((id, job.progress.row_of(&member)));
+            }
             job.avoid.remove(&member);
             self.waiting.remove(&member);
         }
@@ -89,7 +93,6 @@
             .occurrences
             .get(&task.step.occurrence)
             .is_some_and(|occurrence| occurrence.is_step_done(task.step.step));
-        self.rows.mark(id);
         self.stop_remaining_runs(now, task);
         if is_step_done {
             self.record_step_time(now, &task.step);
@@ -135,7 +138,7 @@
                 .sum();
         }
         job.avoid.entry(*task).or_default().push(worker_id.clone());
-        self.rows.mark(id);
+        self.rows.mark((id, job.progress.row_of(task)));
         event::TASK_FAILED.emit(format_args!(
             "job={id} task={task} worker={worker_id} failures={failures} attempts={attempts}"
         ));
@@ -156,8 +159,13 @@
         }
         let numbers: Vec<u32> = job.progress.occurrences.keys().copied().collect();
         for number in numbers {
+            let is_done = job.progress.occurrences.get(&number).is_some_and(Occurrence::is_done);
+            let rows = if is_done { job.progress.rows_of(number) } else { Vec::new() };
             if job.progress.remove_if_done(number) {
-                self.rows.mark(id);
+                self.rows.mark_head(id);
+                for row in rows {
+                    self.rows.mark((id, row));
+                }
             }
         }
         if job.progress.is_done(&job.spec) {
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -389,7 +389,9 @@
             progress.worker = Some(worker_id.shared());
             progress.worker_started_unix_ms = worker.incarnation_started_unix_ms;
         }
-        self.rows.plan_start(PlannedStart { worker: worker_id.clone(), task: *task, run: number });
+        let row = job.progress.row_of(task);
+        let worker = worker_id.clone();
+        self.rows.plan_start(PlannedStart { row, worker, task: *task, run: number });
     }
 
     /// Starts reserved runs once the progress rows that name their workers are stored. The worker may have become
@@ -424,7 +426,7 @@
     }
 
     /// Number of members of a gang; `None` if the step is no gang or is unknown.
-    fn gang_size(&self, key: &StepId) -> Option<u32> {
+    pub(super) fn gang_size(&self, key: &StepId) -> Option<u32> {
         let step = self.jobs.get(&key.job)?.spec.steps.get(usize::from(key.step))?;
         step.is_gang.then_some(step.count)
     }
@@ -569,7 +571,7 @@
         if job.progress.state == JobState::Queued {
             job.progress.state = JobState::Running;
             self.waiting.begin(task.step.job);
-            self.rows.mark(task.step.job);
+            self.rows.mark_head(task.step.job);
             event::JOB_STARTED.emit(format_args!("job={} task={task}", task.step.job));
         }
     }
--- a/src/shard/scheduler/rows.rs
+++ b/src/shard/scheduler/rows.rs
@@ -4,7 +4,8 @@
 use std::ops::Bound;
 use std::time::Duration;
 
-use crate::job::{JobId, JobState, JobTaskId};
+use crate::job::progress::ProgressRow;
+use crate::job::{JobId, JobState, JobTaskId, StepId};
 use crate::shard::worker::WorkerId;
 use crate::telemetry::event::shard as event;
 
@@ -13,28 +14,48 @@
 /// Number of ended jobs whose IDs are kept, so that a job whose row is read again is not restarted.
 const MAX_ENDED_JOBS_KEPT: usize = 20_000;
 
+/// Identifies a row with progress of a job.
+pub type RowId = (JobId, ProgressRow);
+
+/// Bytes of rows in one transaction, well below the store's limit of 1 MB, which includes their encoding and keys.
+const MAX_BATCH_BYTES: usize = 600_000;
+
 /// Rows to write in one transaction.
 #[derive(Debug)]
 pub struct RowBatch {
     /// Number of complete batches handed out so far. A batch is complete if it has all changed rows; an incomplete one
     /// repeats the previous number.
     pub number: u64,
-    /// Stored progress of each job in the batch.
-    pub rows: BTreeMap<JobId, JobRow>,
+    /// New contents of the rows in the batch.
+    pub rows: BTreeMap<RowId, JobRow>,
 }
 
-/// New content of a job's progress row.
+/// New content of a row with progress of a job.
 #[derive(Clone, Debug)]
 pub struct JobRow {
-    /// Progress as encoded by [`crate::job::Progress::encode`].
-    pub progress: Vec<u8>,
+    /// Progress as encoded by [`crate::job::Progress::encode_row`]; `None` to remove the row.
+    pub progress: Option<Vec<u8>>,
     /// True if the job has ended, so that its description may be deleted.
     pub has_ended: bool,
 }
 
+/// Whether the head of a divided job is stored as such. Its other rows mean nothing before that.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum HeadState {
+    /// No row of the job is stored. The head goes with the first of the others.
+    Missing,
+    /// A version that does not divide jobs has stored all tasks in the head. It is replaced once all other rows are
+    /// stored or are in the same transaction, and nothing is concluded from them before.
+    Undivided,
+    /// The head is stored; the other rows can be written in any order.
+    Stored,
+}
+
 /// Reserved run that starts once its worker is stored.
 #[derive(Clone, Debug)]
 pub(super) struct PlannedStart {
+    /// Row that names the worker.
+    pub(super) row: ProgressRow,
     pub(super) worker: WorkerId,
     pub(super) task: JobTaskId,
     pub(super) run: u32,
@@ -46,6 +67,8 @@
     number: u64,
     /// Jobs that end with this batch.
     ended: Vec<JobId>,
+    /// Divided jobs whose head the batch stores.
+    heads: Vec<JobId>,
     /// Runs whose workers the batch stores.
     planned: Vec<PlannedStart>,
 }
@@ -53,13 +76,15 @@
 /// Changes that are not stored yet.
 #[derive(Debug, Default)]
 pub(super) struct PendingRows {
-    dirty: BTreeSet<JobId>,
+    dirty: BTreeSet<RowId>,
     /// Subset of `dirty` that should be written soon: runs wait for it, or a job has ended.
-    urgent: BTreeSet<JobId>,
-    /// Last job of the last batch, after which the next batch begins, so that the order of IDs gives no job precedence.
-    last_taken: Option<JobId>,
-    /// Runs whose workers are not stored yet.
-    planned: BTreeMap<JobId, Vec<PlannedStart>>,
+    urgent: BTreeSet<RowId>,
+    /// Last row of the last batch, after which the next batch begins, so that the order of IDs gives no job precedence.
+    last_taken: Option<RowId>,
+    /// Runs whose workers are not stored yet, by the row that names the worker.
+    planned: BTreeMap<RowId, Vec<PlannedStart>>,
+    /// Stored members of gangs, by step and run, that wait until the workers of all members are stored.
+    partial_gangs: BTreeMap<(StepId, u32), Vec<PlannedStart>>,
     /// Number of complete batches handed out so far, see [`RowBatch::number`].
     complete_batches: u64,
     in_flight: Option<BatchInFlight>,
@@ -71,19 +96,25 @@
 }
 
 impl PendingRows {
-    pub(super) fn mark(&mut self, id: JobId) {
+    /// Marks a row as changed.
+    pub(super) fn mark(&mut self, id: RowId) {
         self.dirty.insert(id);
     }
 
+    /// Marks the head of a job as changed.
+    pub(super) fn mark_head(&mut self, id: JobId) {
+        self.mark((id, ProgressRow::Head));
+    }
+
     /// Marks a row as changed and to be written soon.
-    pub(super) fn mark_urgent(&mut self, id: JobId) {
+    pub(super) fn mark_urgent(&mut self, id: RowId) {
         self.dirty.insert(id);
         self.urgent.insert(id);
     }
 
     /// Schedules the start of a reserved run for when the row that names its worker is stored.
     pub(super) fn plan_start(&mut self, planned: PlannedStart) {
-        let id = planned.task.step.job;
+        let id = (planned.task.step.job, planned.row);
         self.mark_urgent(id);
         self.planned.entry(id).or_default().push(planned);
     }
@@ -106,8 +137,8 @@
         }
     }
 
-    /// Returns up to `most` changed jobs, urgent ones first, each group round robin.
-    fn next_jobs(&self, most: usize, is_urgent: bool) -> Vec<JobId> {
+    /// Returns up to `most` changed rows, urgent ones first, each group round robin.
+    fn next_rows(&self, most: usize, is_urgent: bool) -> Vec<RowId> {
         let urgent = round_robin(&self.urgent, self.last_taken);
         let others = round_robin(&self.dirty, self.last_taken);
         let others = others.filter(|id| !is_urgent && !self.urgent.contains(id));
@@ -137,9 +168,9 @@
         !self.rows.urgent.is_empty()
     }
 
-    /// Removes and returns the next rows to write, for at most `max_jobs` jobs, and only urgent ones if `is_urgent`.
-    /// Returns `None` if there is nothing to write or a batch is in flight.
-    pub fn take_rows(&mut self, max_jobs: usize, is_urgent: bool) -> Option<RowBatch> {
+    /// Removes and returns the next rows to write, `max_rows` at most, and only urgent ones if `is_urgent`. Returns
+    /// `None` if there is nothing to write or a batch is in flight.
+    pub fn take_rows(&mut self, max_rows: usize, is_urgent: bool) -> Option<RowBatch> {
         if self.rows.in_flight.is_some() {
             return None;
         }
@@ -147,31 +178,98 @@
         if due.is_empty() && (is_urgent || self.rows.ends.is_empty()) {
             return None;
         }
-        let ids = self.rows.next_jobs(max_jobs, is_urgent);
-        self.rows.last_taken = ids.last().copied();
-        // Ends may be acknowledged only with a batch that covers all jobs they may belong to.
-        if ids.len() == self.rows.dirty.len() {
-            self.rows.complete_batches += 1;
-        }
+        let ids = self.next_batch(max_rows, is_urgent);
+        let mut bytes = 0;
         let mut rows = BTreeMap::new();
-        let mut ended = Vec::new();
-        let mut planned = Vec::new();
+        let (mut ended, mut heads, mut planned) = (Vec::new(), Vec::new(), Vec::new());
         for id in ids {
+            let (job_id, row) = id;
+            // Rows that replace an undivided head stay together; they are not larger than that was.
+            let is_undivided =
+                self.jobs.get(&job_id).is_some_and(|job| job.head == HeadState::Undivided);
+            if bytes >= MAX_BATCH_BYTES && !(is_undivided && heads.contains(&job_id)) {
+                break;
+            }
+            self.rows.last_taken = Some(id);
             self.rows.dirty.remove(&id);
             self.rows.urgent.remove(&id);
-            planned.extend(self.rows.planned.remove(&id).unwrap_or_default());
-            let Some(job) = self.jobs.get(&id) else { continue };
+            let Some(job) = self.jobs.get(&job_id) else {
+                self.rows.planned.remove(&id);
+                continue;
+            };
             let has_ended = job.progress.state.is_final();
-            if has_ended {
-                ended.push(id);
+            if row == ProgressRow::Head {
+                heads.push(job_id);
+                if has_ended {
+                    ended.push(job_id);
+                }
+            } else if has_ended {
+                // The head says all; the other rows are removed with it later.
+                self.rows.planned.remove(&id);
+                continue;
+            }
+            if !is_undivided || heads.contains(&job_id) {
+                planned.extend(self.rows.planned.remove(&id).unwrap_or_default());
             }
-            rows.insert(id, JobRow { progress: job.progress.encode(), has_ended });
+            let encoded = job.progress.encode_row(row, self.max_row_bytes);
+            if let Some(encoded) = encoded.as_ref().filter(|row| row.dropped_checkpoints > 0) {
+                event::CHECKPOINTS_DROPPED.emit(format_args!(
+                    "job={job_id} dropped={} bytes={} limit={}",
+                    encoded.dropped_checkpoints,
+                    encoded.bytes.len(),
+                    self.max_row_bytes
+                ));
+            }
+            let progress = encoded.map(|encoded| encoded.bytes);
+            bytes += progress.as_ref().map_or(0, Vec::len);
+            rows.insert(id, JobRow { progress, has_ended });
+        }
+        // Ends may be acknowledged only with a batch that covers all rows they may belong to.
+        if self.rows.dirty.is_empty() {
+            self.rows.complete_batches += 1;
         }
         let number = self.rows.complete_batches;
-        self.rows.in_flight = Some(BatchInFlight { number, ended, planned });
+        self.rows.in_flight = Some(BatchInFlight { number, ended, heads, planned });
         Some(RowBatch { number, rows })
     }
 
+    /// Chooses the rows of the next batch, heads first.
+    ///
+    /// A changed head goes with the first of the other rows of its job, since it lists the occurrences that these
+    /// belong to. See [`HeadState`] for when it has to wait for them.
+    fn next_batch(&self, max_rows: usize, is_urgent: bool) -> BTreeSet<RowId> {
+        let mut batch = BTreeSet::new();
+        for id in self.rows.next_rows(max_rows, is_urgent) {
+            let head = (id.0, ProgressRow::Head);
+            let is_missing = self.jobs.get(&id.0).is_some_and(|job| job.head == HeadState::Missing);
+            let is_head_due = is_missing || self.rows.dirty.contains(&head);
+            let needs_head = is_head_due && id != head && !batch.contains(&head);
+            if batch.len() + usize::from(needs_head) >= max_rows.max(2) {
+                break;
+            }
+            if needs_head {
+                batch.insert(head);
+            }
+            batch.insert(id);
+        }
+        let is_undivided = |id: &JobId| {
+            self.jobs.get(id).is_some_and(|job| {
+                job.head == HeadState::Undivided && !job.progress.state.is_final()
+            })
+        };
+        let undivided: BTreeSet<JobId> =
+            batch.iter().map(|(id, _)| *id).filter(is_undivided).collect();
+        for id in undivided {
+            let head = (id, ProgressRow::Head);
+            let last = (id, ProgressRow::Tasks { occurrence: u32::MAX, part: u32::MAX });
+            // The head waits for all other rows of the job.
+            if self.rows.dirty.range(head..=last).any(|row| !batch.contains(row)) {
+                batch.remove(&head);
+            }
+        }
+        batch
+    }
+
     /// Records that the batch in flight was written.
     pub fn on_written(&mut self, now: Duration) {
         let Some(batch) = self.rows.in_flight.take() else { return };
@@ -182,11 +280,40 @@
                 worker.acked_end = worker.acked_end.max(end);
             }
         }
+        for id in batch.heads {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.head = HeadState::Stored;
+            }
+        }
         for id in batch.ended {
             self.jobs.remove(&id);
             self.rows.record_ended(id);
         }
-        self.start_planned(now, batch.planned);
+        let ready = self.whole_gangs(batch.planned);
+        self.start_planned(now, ready);
+    }
+
+    /// Returns the starts whose workers are stored, without gangs of which some members are still in rows to write.
+    fn whole_gangs(&mut self, stored: Vec<PlannedStart>) -> Vec<PlannedStart> {
+        let mut ready = Vec::new();
+        for planned in stored {
+            let step = planned.task.step;
+            let Some(size) = self.gang_size(&step) else {
+                ready.push(planned);
+                continue;
+            };
+            let key = (step, planned.run);
+            // An earlier run of the gang is not started any more.
+            self.rows.partial_gangs.retain(|other, _| other.0 != step || *other == key);
+            let members = self.rows.partial_gangs.entry(key).or_default();
+            members.push(planned);
+            if members.len() >= size as usize {
+                ready.extend(self.rows.partial_gangs.remove(&key).unwrap_or_default());
+            }
+        }
+        let jobs = &self.jobs;
+        self.rows.partial_gangs.retain(|(step, _), _| jobs.contains_key(&step.job));
+        ready
     }
 
     /// Ends a job as failed, because the store rejects its row. If it rejects the row of the ended job as well, the job
@@ -207,7 +334,7 @@
     pub fn on_write_failed(&mut self, batch: &RowBatch) {
         let Some(failed) = self.rows.in_flight.take() else { return };
         self.rows.dirty.extend(batch.rows.keys());
-        self.rows.urgent.extend(failed.ended);
+        self.rows.urgent.extend(failed.ended.into_iter().map(|id| (id, ProgressRow::Head)));
         for planned in failed.planned {
             self.rows.plan_start(planned);
         }
@@ -222,11 +349,11 @@
 }
 
 /// Iterates over all elements of a set, beginning after `last`.
-fn round_robin(jobs: &BTreeSet<JobId>, last: Option<JobId>) -> impl Iterator<Item = &JobId> {
+fn round_robin(rows: &BTreeSet<RowId>, last: Option<RowId>) -> impl Iterator<Item = &RowId> {
     let (behind, up_to) = match last {
         Some(last) => (Bound::Excluded(last), Some(Bound::Included(last))),
         None => (Bound::Unbounded, None),
     };
-    let first = up_to.map(|up_to| jobs.range((Bound::Unbounded, up_to)));
-    jobs.range((behind, Bound::Unbounded)).chain(first.into_iter().flatten())
+    let first = up_to.map(|up_to| rows.range((Bound::Unbounded, up_to)));
+    rows.range((behind, Bound::Unbounded)).chain(first.into_iter().flatten())
 }
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -102,6 +102,8 @@
 pub const BATCH_REJECTED: Event = Event::new(665, Level::Warn, "batch-rejected");
 /// The store rejects a job's row even alone, so the job ends as failed.
 pub const ROW_REJECTED: Event = Event::new(666, Level::Error, "row-rejected");
+/// Checkpoints were left out of a progress row, because it would have been larger than the store accepts.
+pub const CHECKPOINTS_DROPPED: Event = Event::new(667, Level::Warn, "checkpoints-dropped");
 
 /// All events of this module.
 pub const ALL: &[Event] = &[
@@ -153,4 +155,5 @@
     ROW_CONFLICT,
     BATCH_REJECTED,
     ROW_REJECTED,
+    CHECKPOINTS_DROPPED,
 ];
--- a/tests/testsuite/jobs/port.rs
+++ b/tests/testsuite/jobs/port.rs
@@ -19,10 +19,14 @@
 use plantainlever::shard::{ShardId, ShardMap, WorkerId};
 use plantainlever::telemetry::Metrics;
 
-use crate::shard::rig::{Answer, Fleet, QUEUE, policy, timing};
+use crate::shard::rig::{Answer, Fleet, QUEUE, ROW_BYTES, policy, timing};
 
 /// Latency of the store.
 const STORE_ANSWER: Duration = Duration::from_millis(2);
+/// Most entries in a transaction.
+const MAX_ENTRIES: usize = 100;
+/// Largest transaction, in bytes of its encoded values.
+const MAX_TRANSACTION_BYTES: usize = 1_000_000;
 /// Latency of a worker.
 const WORKER_ANSWER: Duration = Duration::from_millis(1);
 
@@ -217,7 +221,12 @@
                 && self.world.rejected_keys.borrow().contains(&key.key)
                 && Progress::decode_state(value) != Ok(JobState::Failed)
         };
-        if commit.writes.iter().any(is_rejected) {
+        let entries = commit.expected.len() + commit.writes.len() + commit.removes.len();
+        let sizes = || commit.writes.iter().map(|(_, value)| value.len());
+        let is_too_large = entries > MAX_ENTRIES
+            || sizes().any(|bytes| bytes > ROW_BYTES)
+            || sizes().sum::<usize>() * 4 / 3 > MAX_TRANSACTION_BYTES;
+        if is_too_large || commit.writes.iter().any(is_rejected) {
             return Err(StoreError::Rejected { cause: "status 400".to_owned() });
         }
         let outcome = self.world.apply(commit);
@@ -319,6 +328,7 @@
         vm: vm.to_owned(),
         cpu_share: 0.25,
         timing: timing(),
+        max_row_bytes: ROW_BYTES,
         keep_ended: Duration::from_secs(1),
         call_timeout: Duration::from_secs(3),
         max_operator_config_age: max_age,
--- a/tests/testsuite/operator_config/decisions.rs
+++ b/tests/testsuite/operator_config/decisions.rs
@@ -41,6 +41,7 @@
                 max_lease: Duration::from_secs(6),
                 throttle_delay: Duration::from_millis(100),
             },
+            max_row_bytes: 65_536,
             keep_ended: Duration::from_secs(60),
             call_timeout: Duration::from_secs(3),
             max_operator_config_age: APPLY_TIME,
--- a/tests/testsuite/shard.rs
+++ b/tests/testsuite/shard.rs
@@ -14,3 +14,4 @@
 pub mod rig;
 mod starvation;
 mod takeover;
+mod wide_jobs;
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use plantainlever::job::progress::{ProgressRow, StoredRows};
 use plantainlever::job::{JobId, JobSpec, JobState, JobTaskId, Progress, Resources, StepSpec};
 use plantainlever::shard::report::{EndCause, EndReport, RenewalReport, RunReport, WorkerListing};
 use plantainlever::shard::scheduler::{
@@ -17,6 +18,8 @@
 pub const POOL: &str = "pool";
 /// Length of the leases that the scheduler grants.
 pub const LEASE: Duration = Duration::from_secs(5);
+/// Size of the largest row that the store accepts.
+pub const ROW_BYTES: usize = 65_536;
 /// Longest lease that a worker accepts; a longer one is shortened.
 pub const MAX_LEASE: Duration = Duration::from_secs(6);
 /// Simulated time between two rounds.
@@ -412,7 +415,12 @@
 /// In-memory store.
 #[derive(Debug, Default)]
 pub struct Store {
+    /// Heads of the jobs' progress.
     pub rows: BTreeMap<JobId, Vec<u8>>,
+    /// Other rows of the jobs' progress.
+    pub parts: BTreeMap<JobId, BTreeMap<ProgressRow, Vec<u8>>>,
+    /// Size of the largest row that was written.
+    pub largest_row: usize,
     pub ended: BTreeSet<JobId>,
     pub jobs: BTreeMap<JobId, Rc<JobSpec>>,
     /// Writes are refused.
@@ -449,6 +457,7 @@
             is_list_down: false,
             delayed_answers: Vec::new(),
         };
+        rig.owner.limit_rows(ROW_BYTES);
         rig.owner.on_queues(BTreeMap::from([(QUEUE.to_owned(), policy())]));
         rig
     }
@@ -468,12 +477,17 @@
         let (suspects, suspects_lapsed) = &self.store.suspects;
         let suspects: Vec<WorkerId> = suspects.iter().map(|id| WorkerId::new(id)).collect();
         self.owner = ShardScheduler::new(epoch, timing(), self.fleet.now, lapsed);
+        self.owner.limit_rows(ROW_BYTES);
         self.delayed_answers.clear();
         self.owner.on_queues(BTreeMap::from([(QUEUE.to_owned(), policy())]));
         for (id, spec) in &self.store.jobs {
             let job = accepted(*id, Rc::clone(spec));
             match self.store.rows.get(id) {
-                Some(row) => self.owner.on_job_with_progress(job, row).unwrap(),
+                Some(head) => {
+                    let parts = self.store.parts.get(id).cloned().unwrap_or_default();
+                    let rows = StoredRows { head: head.clone(), parts };
+                    self.owner.on_job_with_progress(job, &rows).unwrap();
+                }
                 None => self.owner.on_job(job),
             }
         }
@@ -574,8 +588,21 @@
         if self.store.is_down {
             return self.owner.on_write_failed(&batch);
         }
-        for (id, row) in &batch.rows {
-            self.store.rows.insert(*id, row.progress.clone());
+        for ((id, row_id), row) in &batch.rows {
+            let size = row.progress.as_ref().map_or(0, Vec::len);
+            self.store.largest_row = self.store.largest_row.max(size);
+            let parts = self.store.parts.entry(*id).or_default();
+            match (row_id, row.progress.clone()) {
+                (ProgressRow::Head, progress) => {
+                    self.store.rows.insert(*id, progress.unwrap());
+                }
+                (_, Some(progress)) => {
+                    parts.insert(*row_id, progress);
+                }
+                (_, None) => {
+                    parts.remove(row_id);
+                }
+            }
             if row.has_ended {
                 self.store.ended.insert(*id);
                 self.store.jobs.remove(id);
--- a/tests/testsuite/shard/starvation.rs
+++ b/tests/testsuite/shard/starvation.rs
@@ -173,7 +173,7 @@
     let ended = Progress { state: JobState::Completed, ..Progress::new() }.encode();
     for id in (0..=20_000).rev() {
         let job = accepted(JobId(id), Rc::clone(&spec));
-        rig.owner.on_job_with_progress(job, &ended).unwrap();
+        rig.owner.on_job_with_progress(job, &ended.clone().into()).unwrap();
     }
     rig.owner.on_job(accepted(JobId(0), spec));
     assert_eq!(rig.owner.load(rig.fleet.now).jobs, 0);
