Don't convict a task by starts that were lost among many crashes

Cause: a start without an answer counted as a crash under its task as soon as its worker was back as another incarnation. While many workers crash, the start may as well have been sent to a worker that was down already.

In the new test, 7 of 60 workers crash before starts reach them, and each of the 7 jobs fails with the next crash.

Change: such a run is recorded apart if six or more workers crash or are silent within a second. It makes the task a suspect, which gets trials and no copies, but gives it up only together with three other crashes. So a task that crashes its workers is still stopped within the starts that callers allow, also if none of its starts is answered.

Measured: a_lost_start_among_many_crashes_does_not_convict failed before and passes, a_task_that_crashes_its_workers_amid_many_crashes_is_given_up passes with and without the change.

--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -79,6 +79,9 @@
     pub crashed_runs: BTreeMap<u32, Rc<str>>,
     /// The same for runs on workers that crashed together with many others, which need not be the task's fault.
     pub mass_crashed_runs: BTreeMap<u32, Rc<str>>,
+    /// The same for runs that got no answer to their start before many workers crashed: the worker need not have had
+    /// them.
+    pub doubtful_crashed_runs: BTreeMap<u32, Rc<str>>,
     /// Newest checkpoint; empty for none.
     pub checkpoint: String,
     /// Highest run number used, 0 for none. Never decreases.
@@ -92,6 +95,22 @@
     pub worker_started_unix_ms: Option<u64>,
 }
 
+impl TaskProgress {
+    /// Returns true if a worker has crashed, or may have, under the task.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        let crashes = [&self.crashed_runs, &self.mass_crashed_runs, &self.doubtful_crashed_runs];
+        crashes.iter().any(|runs| !runs.is_empty())
+    }
+
+    /// Forgets the crashes under the task.
+    pub fn clear_crashes(&mut self) {
+        self.crashed_runs.clear();
+        self.mass_crashed_runs.clear();
+        self.doubtful_crashed_runs.clear();
+    }
+}
+
 /// Progress of one occurrence of a job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Occurrence {
@@ -255,8 +274,7 @@
         task.is_done = true;
         task.checkpoint.clear();
         task.worker = None;
-        task.crashed_runs.clear();
-        task.mass_crashed_runs.clear();
+        task.clear_crashes();
         occurrence.remaining[step] -= 1;
         true
     }
--- a/src/job/progress/stored.rs
+++ b/src/job/progress/stored.rs
@@ -58,6 +58,9 @@
     /// Runs in mass crashes as (step, index, run) by worker.
     #[serde(rename = "m", default, skip_serializing_if = "BTreeMap::is_empty")]
     mass_crashed_runs: BTreeMap<String, Vec<(u16, u16, u32)>>,
+    /// Doubtful crashed runs as (step, index, run) by worker.
+    #[serde(rename = "u", default, skip_serializing_if = "BTreeMap::is_empty")]
+    doubtful_crashed_runs: BTreeMap<String, Vec<(u16, u16, u32)>>,
     /// Newest runs as (step, index, run) by the start of the worker incarnation that has them, in milliseconds since
     /// the Unix epoch.
     #[serde(rename = "i", default, skip_serializing_if = "BTreeMap::is_empty")]
@@ -294,6 +297,10 @@
         let runs = stored.mass_crashed_runs.entry(worker.to_string()).or_default();
         runs.push((step, index, *run));
     }
+    for (run, worker) in &task.doubtful_crashed_runs {
+        let runs = stored.doubtful_crashed_runs.entry(worker.to_string()).or_default();
+        runs.push((step, index, *run));
+    }
     let Some(worker) = task.worker.as_deref() else { return };
     if let Some(started) = task.worker_started_unix_ms {
         let runs = stored.incarnations.entry(started).or_default();
@@ -385,6 +392,13 @@
             task.mass_crashed_runs.insert(*run, Rc::clone(&worker));
         }
     }
+    for (worker, runs) in &stored.doubtful_crashed_runs {
+        let worker: Rc<str> = Rc::from(worker.as_str());
+        for (step, index, run) in runs {
+            let task = stored_task(occurrence, *step, *index)?;
+            task.doubtful_crashed_runs.insert(*run, Rc::clone(&worker));
+        }
+    }
     for (started, runs) in &stored.incarnations {
         for (step, index, run) in runs {
             let task = stored_task(occurrence, *step, *index)?;
--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -9,7 +9,9 @@
 //! What counts as a crash:
 //!
 //! - Another incarnation of a worker that had runs, whether the worker answered in between or its leases had lapsed. A
-//!   start without an answer counts as well, because the worker may have received it.
+//!   start without an answer counts as well, because the worker may have received it. While many workers crash, it is
+//!   as likely that the worker was lost before: such a crash makes the task a suspect, but does not convict it, unless
+//!   there are [`DOUBTFUL_CRASHES_LIMIT`] of them and others together.
 //! - Not a draining worker, which ends its runs as announced.
 //! - Not a worker that is unreachable, even if its leases lapse: it may be cut off and still be the same incarnation.
 //!   Its runs are kept until it answers again. A worker that never does so is not counted, because from here its crash
@@ -57,6 +59,13 @@
 /// crashes that can't be seen.
 const CRASHES_LIMIT: usize = 3;
 
+/// Crashes, doubtful ones among them, after which a task is given up. Callers allow two starts after the third crash.
+const DOUBTFUL_CRASHES_LIMIT: usize = 4;
+
+/// Workers that crash or are silent at about the same time from which a crash under a start without an answer is
+/// doubtful.
+const MIN_DOUBTFUL_CRASH: usize = 6;
+
 /// Time for which a run must have been active to be no suspect: tasks that crash their workers do so within this time
 /// after their start.
 const PROVEN_AFTER: Duration = Duration::from_secs(3);
@@ -95,6 +104,16 @@
     worker_started_unix_ms: Option<u64>,
     /// Whether the run had been active for [`PROVEN_AFTER`].
     is_proven: bool,
+    /// Whether the worker is known to have had the run.
+    is_certain: bool,
+}
+
+/// A crash, as it counts for the runs that were lost with the worker.
+#[derive(Clone, Copy, Debug)]
+struct CrashKind {
+    mass: MassCrash,
+    /// Whether so many workers crashed or are silent that a start without an answer may have come too late.
+    makes_starts_doubtful: bool,
 }
 
 /// Whether a worker crashed together with many others.
@@ -139,8 +158,8 @@
     }
 }
 
-/// Crashes that count against a task or gang, as (run, worker): all but its first one among mass crashes. Members of a
-/// gang on the same worker count once.
+/// Crashes that count against a task or gang, as (run, worker): all but its first one among mass crashes, and without
+/// doubtful ones. Members of a gang on the same worker count once.
 fn crashes_of(job: &Job, task: &JobTaskId) -> BTreeSet<(u32, Rc<str>)> {
     let members = members_of(job, task);
     let progress: Vec<_> = members.iter().filter_map(|member| job.progress.task(member)).collect();
@@ -153,6 +172,14 @@
         .collect()
 }
 
+/// Doubtful crashes of a task or gang.
+fn doubtful_crashes_of(job: &Job, task: &JobTaskId) -> BTreeSet<(u32, Rc<str>)> {
+    let members = members_of(job, task);
+    let progress = members.iter().filter_map(|member| job.progress.task(member));
+    let doubtful = progress.flat_map(|progress| &progress.doubtful_crashed_runs);
+    doubtful.map(|(run, worker)| (*run, Rc::clone(worker))).collect()
+}
+
 /// Returns true if a worker has a run that may still crash it.
 pub(super) fn has_unproven_run(worker: &Worker) -> bool {
     worker.runs.values().any(|run| !is_proven(run, worker))
@@ -176,6 +203,7 @@
             number: run.number,
             worker_started_unix_ms: worker.incarnation_started_unix_ms,
             is_proven: is_proven(run, worker),
+            is_certain: run.is_started,
         }));
         lost
     }
@@ -191,6 +219,7 @@
             number: run.number,
             worker_started_unix_ms: worker.incarnation_started_unix_ms,
             is_proven: is_proven(run, worker),
+            is_certain: run.is_started,
         };
         self.keep_unresolved(worker_id, lost);
     }
@@ -223,6 +252,7 @@
             number: progress.last_run,
             worker_started_unix_ms,
             is_proven: false,
+            is_certain: false,
         })
     }
 
@@ -260,7 +290,7 @@
     pub(super) fn record_crash(&mut self, worker_id: &WorkerId, seen: Duration, lost: &[LostRun]) {
         let Some(worker) = self.workers.get(worker_id) else { return };
         let is_draining = worker.listing.is_draining;
-        let mass = self.mass_crash(worker_id, worker, seen);
+        let CrashKind { mass, makes_starts_doubtful } = self.crash_kind(worker_id, worker, seen);
         if !is_draining {
             self.crashes.recent.insert(worker_id.clone(), seen);
         }
@@ -289,7 +319,9 @@
             let members = members_of(job, &run.task);
             suspects.insert(suspect);
             let Some(progress) = job.progress.task_mut(&run.task) else { continue };
-            let recorded = if is_mass_crash {
+            let recorded = if makes_starts_doubtful && !run.is_certain {
+                &mut progress.doubtful_crashed_runs
+            } else if is_mass_crash {
                 &mut progress.mass_crashed_runs
             } else {
                 &mut progress.crashed_runs
@@ -325,12 +357,13 @@
             return;
         }
         let crashes = crashes_of(job, suspect);
+        let doubtful = doubtful_crashes_of(job, suspect);
         let limit = if is_only_suspect { CLEAR_CRASHES_LIMIT } else { CRASHES_LIMIT };
-        if crashes.len() < limit {
+        if crashes.len() < limit && crashes.len() + doubtful.len() < DOUBTFUL_CRASHES_LIMIT {
             return;
         }
         event::TASK_GIVEN_UP.emit(format_args!(
-            "job={id} task={suspect} only_suspect={is_only_suspect} crashes={crashes:?}"
+            "job={id} task={suspect} only_suspect={is_only_suspect} crashes={crashes:?} doubtful={doubtful:?}"
         ));
         event::JOB_ENDED
             .emit(format_args!("job={id} state=failed task={suspect} crashes={}", crashes.len()));
@@ -339,7 +372,7 @@
 
     /// Returns whether so many workers were last heard of at about the same time as this one, and have crashed or are
     /// silent, that they may have a common cause.
-    fn mass_crash(&self, worker_id: &WorkerId, crashed: &Worker, seen: Duration) -> MassCrash {
+    fn crash_kind(&self, worker_id: &WorkerId, crashed: &Worker, seen: Duration) -> CrashKind {
         // By address, because the list may still contain the predecessor of a worker that came back with a new ID.
         let mut down: BTreeMap<SocketAddr, (bool, &Worker)> = BTreeMap::new();
         for (id, worker) in &self.workers {
@@ -356,13 +389,14 @@
         let fleet = count(&|_| true);
         let is_most = |(down, all): (usize, usize)| down >= MIN_MASS_CRASH && down * 3 >= all * 2;
         let is_many = fleet.0 >= MIN_FLEET_CRASH && fleet.0 * 8 >= fleet.1;
-        if is_most(domain) || is_most(rack) {
+        let mass = if is_most(domain) || is_most(rack) {
             MassCrash::OfPlace
         } else if is_many {
             MassCrash::OfFleet
         } else {
             MassCrash::None
-        }
+        };
+        CrashKind { mass, makes_starts_doubtful: fleet.0 >= MIN_DOUBTFUL_CRASH }
     }
 
     /// Returns true if a worker was last heard of at about `seen` and has crashed or been silent since.
@@ -400,8 +434,7 @@
             {
                 for member in members_of(job, &task) {
                     if let Some(progress) = job.progress.task_mut(&member) {
-                        progress.crashed_runs.clear();
-                        progress.mass_crashed_runs.clear();
+                        progress.clear_crashes();
                         self.rows.mark((task.step.job, job.progress.row_of(&member)));
                     }
                 }
@@ -436,7 +469,9 @@
         if !self.crashes.suspects.contains(task) || !self.is_open(task) {
             return false;
         }
-        self.jobs.get(&task.step.job).is_some_and(|job| !crashes_of(job, task).is_empty())
+        self.jobs.get(&task.step.job).is_some_and(|job| {
+            !crashes_of(job, task).is_empty() || !doubtful_crashes_of(job, task).is_empty()
+        })
     }
 
     /// Returns true if a suspect was placed on the worker and is not proven yet. The worker gets no other task
@@ -513,9 +548,7 @@
     for (occurrence, begun) in &progress.occurrences {
         for (step, tasks) in begun.steps.iter().enumerate() {
             let step = StepId { job: id, occurrence: *occurrence, step: step as u16 };
-            let indexes = tasks.iter().enumerate().filter(|(_, task)| {
-                !task.crashed_runs.is_empty() || !task.mass_crashed_runs.is_empty()
-            });
+            let indexes = tasks.iter().enumerate().filter(|(_, task)| task.has_crashed());
             crashed.extend(indexes.map(|(index, _)| JobTaskId { step, index: index as u16 }));
         }
     }
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -511,6 +511,7 @@
                 if current.phase == Phase::Starting {
                     current.phase = Phase::Active;
                 }
+                current.is_started = true;
                 current.phase_since = now;
                 current.advanced = now;
                 self.record_started(now, task);
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -300,6 +300,7 @@
         if run.number != listed.run {
             return;
         }
+        run.is_started = true;
         run.is_listed = true;
         if matches!(run.phase, Phase::Starting | Phase::InDoubt) && run.stop_queued_at.is_none() {
             run.phase = Phase::Active;
@@ -327,6 +328,7 @@
         let is_live = self.live.contains_key(&task);
         let mut run = new_run(listed.run, Phase::Active, now);
         run.is_adopted = true;
+        run.is_started = true;
         run.is_listed = true;
         let worker = self.workers.get(worker_id);
         let incarnation = worker.and_then(|worker| worker.incarnation_started_unix_ms);
@@ -597,6 +599,7 @@
         stop_answered: None,
         is_abandoned: false,
         is_adopted: false,
+        is_started: false,
         is_listed: false,
     }
 }
--- a/src/shard/scheduler/speculation.rs
+++ b/src/shard/scheduler/speculation.rs
@@ -33,7 +33,9 @@
         let is_single = self.live.get(task).is_some_and(|workers| workers.len() == 1);
         // A copy of a task that crashes its workers would crash one more.
         let progress = job.progress.task(task);
-        let has_crashed = progress.is_some_and(|progress| !progress.mass_crashed_runs.is_empty());
+        let has_crashed = progress.is_some_and(|progress| {
+            !progress.mass_crashed_runs.is_empty() || !progress.doubtful_crashed_runs.is_empty()
+        });
         if has_crashed || self.is_suspect(task) {
             return;
         }
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -106,6 +106,8 @@
     pub is_abandoned: bool,
     /// A previous owner started the run, so its lease may be one that a previous owner granted.
     pub is_adopted: bool,
+    /// The worker has answered the start or listed the run.
+    pub is_started: bool,
     /// The worker's newest incarnation has listed the run. Until then, an earlier or a later one may have it, since an
     /// answer to a start doesn't tell them apart.
     pub is_listed: bool,
--- a/tests/testsuite/shard/crashes.rs
+++ b/tests/testsuite/shard/crashes.rs
@@ -7,7 +7,7 @@
 use plantainlever::job::spec::Schedule;
 use plantainlever::job::{JobId, JobSpec, JobState, JobTaskId, StepId, StepSpec};
 
-use super::rig::{Fleet, LEASE, RESTART_TIME, Rig, spec, step, worker_id};
+use super::rig::{Fleet, LEASE, RESTART_TIME, Rig, TICK, spec, step, worker_id};
 
 fn task(job: JobId, step: u16, index: u16) -> JobTaskId {
     JobTaskId { step: StepId { job, occurrence: 0, step }, index }
@@ -447,3 +447,59 @@
     assert_eq!(rig.stored_state(gang), Some(JobState::Failed));
     assert!(starts_after_third_crash(&rig, task(gang, 0, 0)) < 3);
 }
+
+/// Guards against a sound job that is shown as failed: a start that was lost when many workers crashed at once counted
+/// as a crash under its task, and one further crash was enough to give the task up.
+#[test]
+fn a_lost_start_among_many_crashes_does_not_convict() {
+    let mut rig = Rig::new(Fleet::new(60, 1_000));
+    rig.run(Duration::from_secs(1));
+    for worker in rig.fleet.workers.values_mut() {
+        worker.start_delay = Some(Duration::from_secs(600));
+    }
+    let ids: Vec<JobId> = (0..7).map(|id| rig.submit(id, spec(vec![step(1, 1_000)]))).collect();
+    for id in &ids {
+        rig.fleet.durations.insert(*id, Duration::from_secs(40));
+    }
+    // The workers crash before the starts reach them, 7 of 60 at about the same time.
+    rig.run(TICK * 2);
+    let lost: Vec<_> =
+        rig.fleet.workers.values().filter(|worker| !worker.late.is_empty()).collect();
+    let lost: Vec<_> = lost.iter().map(|worker| worker.listing.id.clone()).collect();
+    assert_eq!(lost.len(), 7);
+    for worker in rig.fleet.workers.values_mut() {
+        worker.start_delay = None;
+    }
+    for worker in &lost {
+        rig.fleet.crash(worker);
+    }
+    rig.run(RESTART_TIME + Duration::from_secs(7));
+    // A worker crashes under each of the tasks, one after the other.
+    for id in &ids {
+        let (task, _, worker) = rig.starts_of(*id).pop().unwrap();
+        assert!(rig.fleet.workers[&worker].runs.contains_key(&task));
+        rig.fleet.crash(&worker);
+        rig.run(RESTART_TIME + Duration::from_secs(1));
+    }
+    rig.run(Duration::from_secs(60));
+    for id in &ids {
+        assert_eq!(rig.stored_state(*id), Some(JobState::Completed), "{id}");
+    }
+    rig.assert_no_breach();
+}
+
+/// Guards against a task that crashes its workers and is started without end because none of its starts is answered
+/// and other workers crash at the same time.
+#[test]
+fn a_task_that_crashes_its_workers_amid_many_crashes_is_given_up() {
+    let mut rig = Rig::new(Fleet::new(60, 1_000));
+    rig.run(Duration::from_secs(1));
+    let deadly: Vec<_> =
+        (0..7).map(|id| submit_deadly(&mut rig, id, vec![step(1, 1_000)])).collect();
+    rig.run(Duration::from_secs(60));
+    for (id, task) in deadly {
+        assert_eq!(rig.stored_state(id), Some(JobState::Failed), "{id}");
+        assert!(starts_after_third_crash(&rig, task) < 3, "{:?}", rig.fleet.crashes);
+    }
+    rig.assert_no_breach();
+}
--- a/tests/testsuite/shard/interference.rs
+++ b/tests/testsuite/shard/interference.rs
@@ -40,6 +40,7 @@
         stop_answered: None,
         is_abandoned: false,
         is_adopted: false,
+        is_started: true,
         is_listed: true,
     }
 }
--- a/tests/testsuite/shard/progress.rs
+++ b/tests/testsuite/shard/progress.rs
@@ -32,6 +32,9 @@
                 held.mass_crashed_runs = (0..u.int_in_range(0..=2)?)
                     .map(|run| (run * 10_000 + 2, Rc::from(format!("w{run}"))))
                     .collect();
+                held.doubtful_crashed_runs = (0..u.int_in_range(0..=2)?)
+                    .map(|run| (run * 10_000 + 3, Rc::from(format!("w{run}"))))
+                    .collect();
                 if u.arbitrary()? {
                     held.worker = Some(Rc::from(format!("w{}", index % 3)));
                     held.worker_started_unix_ms = Some(1_760_000_000_000 + u64::from(index % 4));
@@ -55,6 +58,7 @@
                     assert_eq!((&a.failed_runs, &a.checkpoint), (&b.failed_runs, &b.checkpoint));
                     assert_eq!(a.crashed_runs, b.crashed_runs);
                     assert_eq!(a.mass_crashed_runs, b.mass_crashed_runs);
+                    assert_eq!(a.doubtful_crashed_runs, b.doubtful_crashed_runs);
                     assert_eq!(a.worker, b.worker);
                     assert_eq!(a.worker_started_unix_ms, b.worker_started_unix_ms);
                     assert_eq!(a.last_run, b.last_run);
