Don't take a crash among many for a clear one

Cause: two crashes convict a task that was the only suspect of the second one. Most workers with one fresh run have one suspect, so two such moments were enough; it did not matter that dozens of other workers crashed in the same second.

In the new test 7 of 60 workers crash twice, and the 7 jobs fail.

Change: if six or more workers crash or are silent within a second, the crash counts, but the task is given up after three crashes instead of two.

Measured: two_crashes_among_many_do_not_convict failed before and passes.

--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -25,7 +25,7 @@
 //! soon after its start. If the worker had no such run, all of its runs are recorded.
 //!
 //! A task is given up, and its job fails, after [`CLEAR_CRASHES_LIMIT`] crashes if it was the only suspect of the last
-//! one, and after [`CRASHES_LIMIT`] in any case. A gang is one suspect: its members share their runs, and a crash
+//! one and few other workers crashed at that time, and after [`CRASHES_LIMIT`] in any case. A gang is one suspect: its members share their runs, and a crash
 //! counts once per worker. A task of any occurrence fails the whole job. Success clears a suspect, as does being active
 //! for [`PROVEN_AFTER`] if it is a long-running task, which would otherwise collect unrelated crashes.
 //!
@@ -52,7 +52,8 @@
 
 use super::{Job, ShardScheduler};
 
-/// Crashes after which a task is given up if no other task can have caused the last one.
+/// Crashes after which a task is given up if no other task can have caused the last one, nor what made other workers
+/// crash at that time.
 const CLEAR_CRASHES_LIMIT: usize = 2;
 
 /// Crashes after which a task is given up in any case. Callers allow two starts more; they are left as a reserve for
@@ -62,9 +63,9 @@
 /// Crashes, doubtful ones among them, after which a task is given up. Callers allow two starts after the third crash.
 const DOUBTFUL_CRASHES_LIMIT: usize = 4;
 
-/// Workers that crash or are silent at about the same time from which a crash under a start without an answer is
-/// doubtful.
-const MIN_DOUBTFUL_CRASH: usize = 6;
+/// Workers that crash or are silent at about the same time from which a crash is one among many: it is doubtful for a
+/// start without an answer, and it is not clear for the only suspect.
+const MIN_CRASHES_AMONG_MANY: usize = 6;
 
 /// Time for which a run must have been active to be no suspect: tasks that crash their workers do so within this time
 /// after their start.
@@ -112,8 +113,8 @@
 #[derive(Clone, Copy, Debug)]
 struct CrashKind {
     mass: MassCrash,
-    /// Whether so many workers crashed or are silent that a start without an answer may have come too late.
-    makes_starts_doubtful: bool,
+    /// Whether so many workers crashed or are silent that the crash says little about the runs that were lost.
+    is_among_many: bool,
 }
 
 /// Whether a worker crashed together with many others.
@@ -290,7 +291,7 @@
     pub(super) fn record_crash(&mut self, worker_id: &WorkerId, seen: Duration, lost: &[LostRun]) {
         let Some(worker) = self.workers.get(worker_id) else { return };
         let is_draining = worker.listing.is_draining;
-        let CrashKind { mass, makes_starts_doubtful } = self.crash_kind(worker_id, worker, seen);
+        let CrashKind { mass, is_among_many } = self.crash_kind(worker_id, worker, seen);
         if !is_draining {
             self.crashes.recent.insert(worker_id.clone(), seen);
         }
@@ -319,7 +320,7 @@
             let members = members_of(job, &run.task);
             suspects.insert(suspect);
             let Some(progress) = job.progress.task_mut(&run.task) else { continue };
-            let recorded = if makes_starts_doubtful && !run.is_certain {
+            let recorded = if is_among_many && !run.is_certain {
                 &mut progress.doubtful_crashed_runs
             } else if is_mass_crash {
                 &mut progress.mass_crashed_runs
@@ -340,7 +341,8 @@
             }
         }
         for suspect in changed {
-            self.give_up_if_due(&suspect, suspects.len() == 1 && !is_mass_crash);
+            let is_clear = suspects.len() == 1 && !is_mass_crash && !is_among_many;
+            self.give_up_if_due(&suspect, is_clear);
         }
     }
 
@@ -350,7 +352,7 @@
         is_open && !job.progress.state.is_final()
     }
 
-    fn give_up_if_due(&mut self, suspect: &JobTaskId, is_only_suspect: bool) {
+    fn give_up_if_due(&mut self, suspect: &JobTaskId, is_clear: bool) {
         let id = suspect.step.job;
         let Some(job) = self.jobs.get(&id) else { return };
         if job.progress.state.is_final() {
@@ -358,12 +360,12 @@
         }
         let crashes = crashes_of(job, suspect);
         let doubtful = doubtful_crashes_of(job, suspect);
-        let limit = if is_only_suspect { CLEAR_CRASHES_LIMIT } else { CRASHES_LIMIT };
+        let limit = if is_clear { CLEAR_CRASHES_LIMIT } else { CRASHES_LIMIT };
         if crashes.len() < limit && crashes.len() + doubtful.len() < DOUBTFUL_CRASHES_LIMIT {
             return;
         }
         event::TASK_GIVEN_UP.emit(format_args!(
-            "job={id} task={suspect} only_suspect={is_only_suspect} crashes={crashes:?} doubtful={doubtful:?}"
+            "job={id} task={suspect} only_suspect={is_clear} crashes={crashes:?} doubtful={doubtful:?}"
         ));
         event::JOB_ENDED
             .emit(format_args!("job={id} state=failed task={suspect} crashes={}", crashes.len()));
@@ -396,7 +398,7 @@
         } else {
             MassCrash::None
         };
-        CrashKind { mass, makes_starts_doubtful: fleet.0 >= MIN_DOUBTFUL_CRASH }
+        CrashKind { mass, is_among_many: fleet.0 >= MIN_CRASHES_AMONG_MANY }
     }
 
     /// Returns true if a worker was last heard of at about `seen` and has crashed or been silent since.
--- a/tests/testsuite/shard/crashes.rs
+++ b/tests/testsuite/shard/crashes.rs
@@ -503,3 +503,30 @@
     }
     rig.assert_no_breach();
 }
+
+/// Guards against sound jobs that are shown as failed because many workers crash at once, twice: each task was the only
+/// one on its worker both times, but so were those on the other workers.
+#[test]
+fn two_crashes_among_many_do_not_convict() {
+    let mut rig = Rig::new(Fleet::new(60, 1_000));
+    rig.run(Duration::from_secs(1));
+    let ids: Vec<JobId> = (0..7).map(|id| rig.submit(id, spec(vec![step(1, 1_000)]))).collect();
+    for id in &ids {
+        rig.fleet.durations.insert(*id, Duration::from_secs(10));
+    }
+    for _ in 0..2 {
+        rig.run(Duration::from_millis(1_500));
+        let used = rig.fleet.workers.iter().filter(|(_, worker)| !worker.runs.is_empty());
+        let used: Vec<_> = used.map(|(id, _)| id.clone()).collect();
+        assert_eq!(used.len(), 7);
+        for worker in &used {
+            rig.fleet.crash(worker);
+        }
+        rig.run(RESTART_TIME);
+    }
+    rig.run(Duration::from_secs(20));
+    for id in &ids {
+        assert_eq!(rig.stored_state(*id), Some(JobState::Completed), "{id}");
+    }
+    rig.assert_no_breach();
+}
