Ask whether a task is a suspect without collecting its crashes

With hundreds of suspects, each pass of the owner built sets of crashes for each of them, and twice as many since doubtful crashes are recorded. No decision changes.

--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -173,6 +173,30 @@
         .collect()
 }
 
+/// Returns true if a crash counts against a task or gang, or a doubtful one makes it a suspect. The same as a result of
+/// [`crashes_of`] or [`doubtful_crashes_of`] that is not empty, but without collecting them: this is asked for each
+/// suspect in each pass.
+fn has_counted_crash(job: &Job, task: &JobTaskId) -> bool {
+    let step = job.spec.steps.get(usize::from(task.step.step));
+    let members = match step.filter(|step| step.is_gang) {
+        Some(step) => 0..step.count as u16,
+        None => task.index..task.index + 1,
+    };
+    let mut first_mass_crash = None;
+    for index in members {
+        let Some(progress) = job.progress.task(&JobTaskId { index, ..*task }) else { continue };
+        if !progress.crashed_runs.is_empty() || !progress.doubtful_crashed_runs.is_empty() {
+            return true;
+        }
+        for run in progress.mass_crashed_runs.keys() {
+            if *first_mass_crash.get_or_insert(*run) != *run {
+                return true;
+            }
+        }
+    }
+    false
+}
+
 /// Doubtful crashes of a task or gang.
 fn doubtful_crashes_of(job: &Job, task: &JobTaskId) -> BTreeSet<(u32, Rc<str>)> {
     let members = members_of(job, task);
@@ -471,9 +495,7 @@
         if !self.crashes.suspects.contains(task) || !self.is_open(task) {
             return false;
         }
-        self.jobs.get(&task.step.job).is_some_and(|job| {
-            !crashes_of(job, task).is_empty() || !doubtful_crashes_of(job, task).is_empty()
-        })
+        self.jobs.get(&task.step.job).is_some_and(|job| has_counted_crash(job, task))
     }
 
     /// Returns true if a suspect was placed on the worker and is not proven yet. The worker gets no other task
