Let the soak cut an owner off beyond its leases, and submit wide jobs

Change: two optional faults. The store of the soak rejects rows over 65,536 bytes and transactions of over 100 entries.

--- a/crates/plantainlever-test-support/src/soak.rs
+++ b/crates/plantainlever-test-support/src/soak.rs
@@ -5,7 +5,8 @@
 //! directions, or delayed; open connections that go silent while new ones work; processes that are killed, paused,
 //! stopped gracefully and restarted; a store that refuses requests, is silent or slow, loses answers, applies writes
 //! late or compacts its change history; workers that are lost, drain, fail every run or execute commands late; tasks
-//! that crash their workers, and capacities of workers that change. Faults overlap, and routes are added and removed
+//! that crash their workers, and capacities of workers that change; an owner that is cut off for longer than its leases
+//! last, and jobs whose progress takes several rows. Faults overlap, and routes are added and removed
 //! meanwhile. The stand-ins check each start of a task, and the callers check the job states in the answers. After the
 //! last fault every accepted job must end.
 
@@ -15,6 +16,7 @@
 pub mod crash;
 mod faults;
 mod node;
+mod owner_cut;
 mod routes;
 pub mod serve;
 pub mod world;
@@ -70,14 +72,23 @@
     pub crashing_tasks: bool,
     /// The capacities of the workers change.
     pub capacity_changes: bool,
+    /// The owner of the shard is cut off with half of the workers, for longer than its leases last.
+    pub owner_cut: bool,
+    /// A caller submits jobs whose progress takes several rows.
+    pub wide_jobs: bool,
 }
 
 impl OptionalFaults {
     /// None of them.
-    pub const NONE: Self = Self { crashing_tasks: false, capacity_changes: false };
+    pub const NONE: Self =
+        Self { crashing_tasks: false, capacity_changes: false, owner_cut: false, wide_jobs: false };
 
-    /// All of them.
-    pub const ALL: Self = Self { crashing_tasks: true, capacity_changes: true };
+    /// Those that concern single tasks and workers.
+    pub const TASKS_AND_WORKERS: Self =
+        Self { crashing_tasks: true, capacity_changes: true, ..Self::NONE };
+
+    /// Those that concern the owner and its rows.
+    pub const OWNER_AND_ROWS: Self = Self { owner_cut: true, wide_jobs: true, ..Self::NONE };
 
     /// Those of a run with this seed.
     #[must_use]
@@ -86,6 +97,8 @@
         Self {
             crashing_tasks: rng.random_bool(OPTIONAL_FAULT_PROBABILITY),
             capacity_changes: rng.random_bool(OPTIONAL_FAULT_PROBABILITY),
+            owner_cut: rng.random_bool(OPTIONAL_FAULT_PROBABILITY),
+            wide_jobs: rng.random_bool(OPTIONAL_FAULT_PROBABILITY),
         }
     }
 }
--- a/crates/plantainlever-test-support/src/soak/caller.rs
+++ b/crates/plantainlever-test-support/src/soak/caller.rs
@@ -21,6 +21,9 @@
 /// Timeout of one request, and the deadline that a submission carries.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Number of wide jobs in a run that has any.
+const WIDE_JOBS: usize = 2;
+
 /// Deadline of a request for a number of waiting jobs.
 const COUNT_DEADLINE: Duration = Duration::from_millis(700);
 
@@ -137,9 +140,17 @@
                 optional_faults.crashing_tasks.then(|| CrashingTasks::new(seed, number as u64));
             std::thread::spawn(move || {
                 let mut jobs = Vec::new();
+                let mut wide_jobs_left =
+                    if optional_faults.wide_jobs && number == 0 { WIDE_JOBS } else { 0 };
                 while !stop.load(Ordering::SeqCst) {
                     let crashing_tasks = crashing_tasks.as_mut();
                     jobs.push(submit_random_job(&world, &fronts, &mut rng, crashing_tasks));
+                    // The processes are not ready to accept jobs before the first one is accepted.
+                    let is_ready = jobs.iter().any(|job: &Job| job.outcome == Outcome::Accepted);
+                    if is_ready && wide_jobs_left > 0 {
+                        wide_jobs_left -= 1;
+                        jobs.push(submit_wide_job(&world, &fronts, &mut rng));
+                    }
                     std::thread::sleep(Duration::from_millis(rng.random_range(50..400)));
                 }
                 jobs
@@ -148,6 +159,20 @@
         .collect()
 }
 
+/// Submits a job whose progress takes several rows.
+fn submit_wide_job(world: &SharedWorld, fronts: &[SocketAddr], rng: &mut StdRng) -> Job {
+    let id = format!("{:016x}", rng.random::<u64>());
+    let payload = Payload {
+        cpu: 10,
+        ms: rng.random_range(200..2_000),
+        counts: vec![300, 300],
+        crashing_task: None,
+    };
+    lock(world).submitted.insert(id.clone(), payload.clone());
+    let outcome = submit(fronts, &id, &payload, rng);
+    Job { id, outcome, is_cancel_requested: false }
+}
+
 /// Submits a random job, and cancels or queries it with some probability.
 fn submit_random_job(
     world: &SharedWorld,
--- a/crates/plantainlever-test-support/src/soak/faults.rs
+++ b/crates/plantainlever-test-support/src/soak/faults.rs
@@ -8,6 +8,7 @@
 use crate::link::Link;
 
 use super::capacity::{self, CapacityChanges};
+use super::owner_cut::OwnerCut;
 use super::serve::lock;
 use super::world::{StoreMode, WorkerMode};
 use super::{OptionalFaults, SoakCluster, publish_workers};
@@ -43,6 +44,7 @@
     let mut loss_rng = StdRng::seed_from_u64(seed ^ CONNECTION_LOSS_SALT);
     let mut next_loss = start;
     let mut capacity_changes = optional_faults.capacity_changes.then(|| CapacityChanges::new(seed));
+    let mut owner_cut = optional_faults.owner_cut.then(OwnerCut::new);
     let mut active_faults: Vec<(Instant, FaultyComponent)> = Vec::new();
     let mut next = start;
     let mut descriptions = Vec::new();
@@ -54,8 +56,11 @@
         for (_, component) in &active_faults {
             record_disruption(cluster, component);
         }
-        let change = capacity_changes.as_mut().and_then(|it| it.change_if_due(cluster));
-        if let Some(change) = change {
+        let changes = [
+            capacity_changes.as_mut().and_then(|it| it.change_if_due(cluster)),
+            owner_cut.as_mut().and_then(|it| it.change_if_due(cluster)),
+        ];
+        for change in changes.into_iter().flatten() {
             descriptions.push(format!("{:.1} s: {change}", start.elapsed().as_secs_f64()));
         }
         if now >= next_loss {
--- a/crates/plantainlever-test-support/src/soak/serve.rs
+++ b/crates/plantainlever-test-support/src/soak/serve.rs
@@ -123,6 +123,12 @@
     entry[field].as_str().unwrap_or_default().to_owned()
 }
 
+/// Largest value of a row, in bytes of its encoding: 65,536 bytes in base64.
+const MAX_ENCODED_ROW_BYTES: usize = 65_536 / 3 * 4 + 4;
+
+/// Most entries of a transaction.
+const MAX_ENTRIES: usize = 100;
+
 /// Applies a transaction if its conditions hold; otherwise answers 412 with the current rows of the conditions.
 fn transact(world: &mut World, body: &Value) -> (u16, Value) {
     let entries = |field: &str| body[field].as_array().cloned().unwrap_or_default();
@@ -133,6 +139,12 @@
         world.rows.get(&id(entry)).filter(|row| row.1.is_some()).map_or(0, |row| row.0)
     };
     let conditions = entries("expected-rev");
+    let writes = entries("writes");
+    let is_too_large =
+        writes.iter().any(|entry| string_field(entry, "value").len() > MAX_ENCODED_ROW_BYTES);
+    if is_too_large || conditions.len() + writes.len() + entries("remove").len() > MAX_ENTRIES {
+        return (400, Value::Null);
+    }
     if conditions.iter().any(|entry| Some(current(world, entry)) != entry["ver"].as_u64()) {
         let rows = conditions.iter().filter(|entry| current(world, entry) > 0);
         let rows: Vec<Value> = rows
@@ -145,7 +157,7 @@
         return (412, json!({ "ver": world.version, "rows": rows }));
     }
     world.version += 1;
-    for entry in entries("writes") {
+    for entry in writes {
         world.rows.insert(id(&entry), (world.version, Some(string_field(&entry, "value"))));
     }
     for entry in entries("remove") {
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -38,6 +38,15 @@
 /// that has shrunk.
 #[test]
 fn soak_with_crashing_tasks_and_changing_capacities_has_no_breaches() {
-    let report = assert_no_breaches(60, OptionalFaults::ALL, Duration::from_secs(15));
+    let report = assert_no_breaches(60, OptionalFaults::TASKS_AND_WORKERS, Duration::from_secs(15));
     assert!(report.crashes > 0, "{report:?}");
 }
+
+/// Guards against tasks that run twice after the owner was cut off with some workers, and against a wide job that stops
+/// its shard.
+#[test]
+fn soak_with_a_cut_off_owner_and_wide_jobs_has_no_breaches() {
+    let report = assert_no_breaches(70, OptionalFaults::OWNER_AND_ROWS, Duration::from_secs(20));
+    // Two wide jobs of 600 tasks each.
+    assert!(report.starts > 1_200, "{report:?}");
+}
