Take rows in turn again, and name the job in P0664

A review of the diff found that a batch was sorted by ID since wide jobs are divided, so that the next one began after its highest ID: with an urgent row of a high ID in each batch, other rows would wait while those of low IDs change.

Change: the batch keeps the order of next_rows, as before the division. A row that does not fit into the bytes of a batch is left for the next one. P0664 has job=ID again, as every line that touches a job.

--- a/src/ops/jobs/owner/rows.rs
+++ b/src/ops/jobs/owner/rows.rs
@@ -350,7 +350,7 @@
         let key = layout::progress_row(owner.claimed.shard, *id).key;
         let version = version_of(&key, &table);
         if versions.get(id).copied().unwrap_or(0) != version {
-            event::ROW_CONFLICT.emit(format_args!("row={key} version={version}"));
+            event::ROW_CONFLICT.emit(format_args!("job={} row={key} version={version}", id.0));
             versions.insert(*id, version);
         }
     }
--- a/src/shard/scheduler/rows.rs
+++ b/src/shard/scheduler/rows.rs
@@ -179,16 +179,17 @@
             return None;
         }
         let ids = self.next_batch(max_rows, is_urgent);
+        let has_head = |id: JobId| ids.contains(&(id, ProgressRow::Head));
         let mut bytes = 0;
         let mut rows = BTreeMap::new();
         let (mut ended, mut heads, mut planned) = (Vec::new(), Vec::new(), Vec::new());
-        for id in ids {
+        for id in ids.iter().copied() {
             let (job_id, row) = id;
             // Rows that replace an undivided head stay together; they are not larger than that was.
             let is_undivided =
                 self.jobs.get(&job_id).is_some_and(|job| job.head == HeadState::Undivided);
-            if bytes >= MAX_BATCH_BYTES && !(is_undivided && heads.contains(&job_id)) {
-                break;
+            if bytes >= MAX_BATCH_BYTES && !(is_undivided && has_head(job_id)) {
+                continue;
             }
             self.rows.last_taken = Some(id);
             self.rows.dirty.remove(&id);
@@ -208,7 +209,7 @@
                 self.rows.planned.remove(&id);
                 continue;
             }
-            if !is_undivided || heads.contains(&job_id) {
+            if !is_undivided || has_head(job_id) {
                 planned.extend(self.rows.planned.remove(&id).unwrap_or_default());
             }
             let encoded = job.progress.encode_row(row, self.max_row_bytes);
@@ -233,24 +234,27 @@
         Some(RowBatch { number, rows })
     }
 
-    /// Chooses the rows of the next batch, heads first.
+    /// Chooses the rows of the next batch, in the order of [`PendingRows::next_rows`].
     ///
     /// A changed head goes with the first of the other rows of its job, since it lists the occurrences that these
     /// belong to. See [`HeadState`] for when it has to wait for them.
-    fn next_batch(&self, max_rows: usize, is_urgent: bool) -> BTreeSet<RowId> {
-        let mut batch = BTreeSet::new();
+    fn next_batch(&self, max_rows: usize, is_urgent: bool) -> Vec<RowId> {
+        let mut batch = Vec::new();
         for id in self.rows.next_rows(max_rows, is_urgent) {
             let head = (id.0, ProgressRow::Head);
             let is_missing = self.jobs.get(&id.0).is_some_and(|job| job.head == HeadState::Missing);
             let is_head_due = is_missing || self.rows.dirty.contains(&head);
             let needs_head = is_head_due && id != head && !batch.contains(&head);
+            if batch.contains(&id) {
+                continue;
+            }
             if batch.len() + usize::from(needs_head) >= max_rows.max(2) {
                 break;
             }
             if needs_head {
-                batch.insert(head);
+                batch.push(head);
             }
-            batch.insert(id);
+            batch.push(id);
         }
         let is_undivided = |id: &JobId| {
             self.jobs.get(id).is_some_and(|job| {
@@ -264,7 +268,7 @@
             let last = (id, ProgressRow::Tasks { occurrence: u32::MAX, part: u32::MAX });
             // The head waits for all other rows of the job.
             if self.rows.dirty.range(head..=last).any(|row| !batch.contains(row)) {
-                batch.remove(&head);
+                batch.retain(|row| *row != head);
             }
         }
         batch
