Log how long a lost task waited for its lease and for a worker

Callers saw tasks of dead workers that did not run again in time, and the logs could not tell a lease that lapses late from a task that is free and waits for room. P0613 now says how long ago the worker last answered, and P0671 for how long the task had been free. The new test fails without the fields.

--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -189,14 +189,15 @@
         }
     }
 
-    /// Removes a task, if it waits.
-    pub fn remove(&mut self, task: &JobTaskId) {
-        let Some(rank) = self.ranks.get(&task.step).copied() else { return };
-        let Some(step) = self.steps.get_mut(&(rank, task.step)) else { return };
-        step.tasks.remove(&task.index);
+    /// Removes and returns a task, if it waits.
+    pub fn remove(&mut self, task: &JobTaskId) -> Option<WaitingTask> {
+        let rank = self.ranks.get(&task.step).copied()?;
+        let step = self.steps.get_mut(&(rank, task.step))?;
+        let waiting = step.tasks.remove(&task.index);
         if step.tasks.is_empty() {
             self.remove_step(&task.step);
         }
+        waiting
     }
 
     /// Removes all waiting tasks of a step.
--- a/src/shard/scheduler/handover.rs
+++ b/src/shard/scheduler/handover.rs
@@ -185,14 +185,15 @@
         let worker = self.workers.get(&planned.worker);
         let incarnation = worker.and_then(|worker| worker.incarnation_started_unix_ms);
         event.emit(format_args!(
-            "task={} run={} after={} worker={} incarnation={} epoch={} row_version={}",
+            "task={} run={} after={} worker={} incarnation={} epoch={} row_version={} waited_ms={}",
             planned.task,
             planned.run,
             planned.earlier_run,
             planned.worker,
             Incarnation(incarnation),
             self.epoch,
-            self.start_log.rows_version
+            self.start_log.rows_version,
+            planned.waited.as_millis()
         ));
     }
 
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -436,7 +436,8 @@
         worker.health.begin_probe(*task, number);
         let mut earlier_run = 0;
         self.live.entry(*task).or_default().push(worker_id.clone());
-        self.waiting.remove(task);
+        let waiting = self.waiting.remove(task);
+        let waited = waiting.map_or(Duration::ZERO, |waiting| now.saturating_sub(waiting.since));
         if let Some(progress) = job.progress.task_mut(task) {
             earlier_run = std::mem::replace(&mut progress.last_run, number);
             progress.worker = Some(worker_id.shared());
@@ -444,7 +445,8 @@
         }
         let row = job.progress.row_of(task);
         let worker = worker_id.clone();
-        self.rows.plan_start(PlannedStart { row, worker, task: *task, run: number, earlier_run });
+        let task = *task;
+        self.rows.plan_start(PlannedStart { row, worker, task, run: number, earlier_run, waited });
     }
 
     /// Starts reserved runs once the progress rows that name their workers are stored. The worker may have become
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -531,7 +531,12 @@
             }
         }
         for (worker_id, task) in lapsed {
-            event::RUN_GONE.emit(format_args!("task={task} worker={worker_id} cause=lease-lapsed"));
+            let answered = self.workers.get(&worker_id).and_then(|worker| worker.answered);
+            event::RUN_GONE.emit(format_args!(
+                "task={task} worker={worker_id} cause=lease-lapsed answered_ms_ago={}",
+                answered
+                    .map_or("-".to_owned(), |at| now.saturating_sub(at).as_millis().to_string())
+            ));
             self.keep_lapsed_run(&worker_id, &task);
             self.drop_run(&worker_id, &task);
         }
--- a/src/shard/scheduler/rows.rs
+++ b/src/shard/scheduler/rows.rs
@@ -61,6 +61,8 @@
     pub(super) run: u32,
     /// Number of the task's last run before this one; 0 if there was none.
     pub(super) earlier_run: u32,
+    /// Time for which the task had waited for a worker, for the log.
+    pub(super) waited: Duration,
 }
 
 /// Batch that is being written.
--- a/tests/testsuite/shard/takeover_log.rs
+++ b/tests/testsuite/shard/takeover_log.rs
@@ -109,6 +109,32 @@
     assert_eq!((field(lapsed, "from"), field(lapsed, "epoch")), ("heartbeat-suspects", "3"));
 }
 
+/// Guards against a late start whose cause can't be found in the logs: the end of a lease, or a wait for room after it.
+#[test]
+fn a_late_start_is_logged_with_its_waits() {
+    let mut rig = Rig::new(Fleet::new(2, 4_000));
+    let id = rig.submit(7, spec(vec![step(8, 1_000)]));
+    rig.fleet.durations.insert(id, RUN_TIME);
+    rig.run(Duration::from_secs(1));
+    rig.fleet.get(1).is_cut = true;
+    let lines = log_lines_of(|| {
+        rig.run(Duration::from_secs(12));
+        rig.fleet.add(listing(2, 4_000));
+        rig.run(Duration::from_secs(2));
+    });
+    let lapsed = lines_of_event(&lines, "P0613");
+    assert_eq!(lapsed.len(), 4, "{lapsed:?}");
+    let started = lines_of_event(&lines, "P0671");
+    assert_eq!(started.len(), 4, "{started:?}");
+    for (lapsed, started) in lapsed.iter().zip(&started) {
+        let (answered, waited) = (number(lapsed, "answered_ms_ago"), number(started, "waited_ms"));
+        let total = answered + waited;
+        // The worker last answered up to a second before the cut.
+        assert!((12_000..=14_000).contains(&total), "{lapsed}\n{started}");
+        assert!(waited >= 3_000, "{started}");
+    }
+}
+
 /// Guards against an owner whose last lease on a silent worker can't be told from its lines.
 #[test]
 fn a_silent_worker_is_logged_with_its_newest_lease() {
