--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -41,6 +41,18 @@
     },
 }
 
+impl ProgressRow {
+    /// Returns the row with the task at a position among those of an occurrence, counted through all steps.
+    /// `tasks_per_row` is `None` for a job with a single row.
+    #[must_use]
+    pub fn of_position(occurrence: u32, position: u32, tasks_per_row: Option<u32>) -> Self {
+        match tasks_per_row {
+            Some(per_row) => Self::Tasks { occurrence, part: position / per_row },
+            None => Self::Head,
+        }
+    }
+}
+
 /// State of a job as callers see it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -89,6 +101,8 @@
     /// Worker that has, or may have, the newest run. It is stored before the run starts, so that a new owner knows
     /// which worker may have a run that is not listed.
     pub worker: Option<Rc<str>>,
+    /// The start of the newest run has no answer, so that it may still be carried out. Meaningless without `worker`.
+    pub is_start_unanswered: bool,
     /// Start of the incarnation of `worker` that has the run, in milliseconds since the Unix epoch; `None` if the
     /// worker does not report it. A later incarnation shows a new owner that the run is gone. Meaningless without
     /// `worker`.
@@ -216,14 +230,10 @@
     #[must_use]
     pub fn row_of(&self, key: &JobTaskId) -> ProgressRow {
         let number = key.step.occurrence;
-        match (self.tasks_per_row, self.occurrences.get(&number)) {
-            (Some(per_row), Some(occurrence)) => {
-                let before = occurrence.steps.iter().take(usize::from(key.step.step));
-                let position = before.map(Vec::len).sum::<usize>() + usize::from(key.index);
-                ProgressRow::Tasks { occurrence: number, part: position as u32 / per_row }
-            }
-            _ => ProgressRow::Head,
-        }
+        let Some(occurrence) = self.occurrences.get(&number) else { return ProgressRow::Head };
+        let before = occurrence.steps.iter().take(usize::from(key.step.step));
+        let position = before.map(Vec::len).sum::<usize>() + usize::from(key.index);
+        ProgressRow::of_position(number, position as u32, self.tasks_per_row)
     }
 
     /// Returns the rows of an occurrence of a divided job, whether they are stored or not; none for other jobs.
--- a/src/job/progress/stored.rs
+++ b/src/job/progress/stored.rs
@@ -39,8 +39,8 @@
 /// Stored form of an occurrence, or of some of its tasks.
 #[derive(Debug, Default, Deserialize, Serialize)]
 struct StoredOccurrence {
-    /// One character per task: `d` if it has succeeded, `r` if it has had a run, otherwise `.`. One string per step, or
-    /// a single one in a row of a divided job.
+    /// One character per task: `d` if it has succeeded, `s` if its newest run is placed and its start has no answer, `r` if
+    /// it has had another run, otherwise `.`. One string per step, or a single one in a row of a divided job.
     #[serde(rename = "t")]
     tasks: Vec<String>,
     /// Checkpoints as (step, index, text).
@@ -317,6 +317,7 @@
 fn encode_task(task: &TaskProgress) -> char {
     match task {
         task if task.is_done => 'd',
+        task if task.worker.is_some() && task.is_start_unanswered => 's',
         task if task.last_run > 0 => 'r',
         _ => '.',
     }
@@ -361,6 +362,7 @@
     for c in text.chars() {
         let task = tasks.next().ok_or(ProgressError::Mismatch)?;
         task.is_done = c == 'd';
+        task.is_start_unanswered = c == 's';
         // The number of the run is stored for placed tasks only.
         task.last_run = u32::from(c != '.');
     }
--- a/src/ops/jobs/layout.rs
+++ b/src/ops/jobs/layout.rs
@@ -144,10 +144,23 @@
     pub beat: u64,
     /// Jobs without a schedule of which no task has started, by queue.
     pub pending: BTreeMap<String, u64>,
-    /// Workers with runs of earlier owners that this owner has not reached, so it has granted no lease there.
+    /// Workers that get no lease until a heartbeat without their name is stored: with runs of earlier owners that this
+    /// owner has not reached, or with runs of its own that do not answer.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<String>,
     /// Longest time, from the heartbeat on, until the leases on `suspects` have lapsed.
     #[serde(default)]
     pub suspects_lapse_in_ms: u64,
+    /// The same for each of `suspects`, in their order; empty in a row of a version that does not tell them apart.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspect_lapses_in_ms: Vec<u64>,
+    /// Workers that may hold leases of unknown length, with the time from the heartbeat on until these have lapsed.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub unknown_leases_ms: BTreeMap<String, u64>,
+    /// Tasks whose newest start had no answer.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unanswered_starts: Vec<String>,
+    /// Latest reading that the store's clock can have had when the heartbeat was sent; `None` if it was not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sent_store_ms: Option<u64>,
 }
--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -15,7 +15,7 @@
 
 use crate::job::JobId;
 use crate::port::{Commit, CommitOutcome, Row, RowKey, RowStore, StoreError, WorkerPort};
-use crate::shard::ownership::{OWNERSHIP_LEASE_DURATION, OwnershipLease, silent_in_ms};
+use crate::shard::ownership::{LeaseEnds, OWNERSHIP_LEASE_DURATION, OwnershipLease, ms_until};
 use crate::shard::scheduler::{
     Command, CommandKind, CommandOutcome, RenewalFailure, RowId, StartOutcome,
 };
@@ -57,8 +57,10 @@
     pub version: u64,
     /// Local time just before the claim was sent; the ownership lease counts from it.
     pub sent: Duration,
-    /// Local time from which no previous owner sends commands.
-    pub predecessors_silent_at: Duration,
+    /// Latest reading that the store's clock can have had at `sent`; `None` if it was not known.
+    pub sent_store_ms: Option<u64>,
+    /// When the leases of previous owners have lapsed.
+    pub lease_ends: LeaseEnds,
 }
 
 /// Newest stored write that extended the ownership lease, for the log.
@@ -83,6 +85,9 @@
     jobs_freshness: Freshness,
     ownership_lease: Cell<OwnershipLease>,
     lease_renewal: Cell<LeaseRenewal>,
+    /// Latest reading that the store's clock can have had when the newest stored write was sent that extended the
+    /// ownership lease; `None` if it was not known.
+    renewed_store_ms: Cell<Option<u64>>,
     /// Version of the owner row, as far as it is known; the owner's writes in the shard's partition are conditional on
     /// it.
     owner_version: Cell<u64>,
@@ -391,14 +396,17 @@
 async fn release<P: RowStore>(owner: &ShardOwner<P>) {
     let until = owner.node.clock.boot() + RELEASE_TIMEOUT;
     let key = RowKey::new(layout::OWNERS_TABLE, layout::OWNER_KEY);
+    let now = owner.node.clock.boot();
+    let renewed = owner.ownership_lease.get().renewed();
+    let LeaseEnds { silent_at, lapsed_at, .. } = owner.claimed.lease_ends;
     let row = OwnerRow {
         epoch: owner.claimed.epoch,
         vm: String::new(),
         started_unix_ms: owner.node.started_unix_ms,
-        earlier_silent_in_ms: Some(silent_in_ms(
-            owner.claimed.predecessors_silent_at,
-            owner.node.clock.boot(),
-        )),
+        earlier_silent_in_ms: Some(ms_until(silent_at, now)),
+        lease_limit_ms: Some(ms_until(OWNERSHIP_LEASE_DURATION, Duration::ZERO)),
+        earlier_lapsed_in_ms: Some(ms_until(lapsed_at, renewed)),
+        sent_store_ms: owner.renewed_store_ms.get(),
     };
     let mut commit = Commit {
         partition: layout::shard_partition(owner.claimed.shard),
--- a/src/ops/jobs/owner/load.rs
+++ b/src/ops/jobs/owner/load.rs
@@ -8,13 +8,13 @@
 use tokio::sync::Notify;
 
 use crate::job::progress::{ProgressRow, StoredRows};
-use crate::job::{JobId, JobState, Progress};
+use crate::job::{JobId, JobState, JobTaskId, Progress};
 use crate::ops::jobs::freshness::Freshness;
 use crate::ops::jobs::layout::{self, HeartbeatRow, JobsKey, StoredJob};
 use crate::ops::jobs::node::Node;
 use crate::port::{Row, RowList, RowStore, WorkerPort};
-use crate::shard::lapse;
-use crate::shard::ownership::OwnershipLease;
+use crate::shard::ownership::{LeaseEnds, OwnershipLease};
+use crate::shard::scheduler::UnansweredStarts;
 use crate::shard::{ShardId, ShardScheduler, WorkerId};
 use crate::telemetry::event::shard as event;
 
@@ -39,13 +39,17 @@
     let predecessor = predecessor_heartbeat(&owners);
     let now = node.clock.boot();
     let timing = node.cfg.timing;
-    // Not the lease that owners grant: a worker that has restarted counts the expiry of a command that was made for its
-    // earlier incarnation as the longest lease that it accepts.
-    let lapsed = claimed.predecessors_silent_at
-        + lapse::longest_local_time(timing.max_lease, timing.kill_time);
-    let mut scheduler = ShardScheduler::new(claimed.epoch, timing, now, lapsed);
+    let ends = claimed.lease_ends;
+    let mut scheduler = ShardScheduler::new(claimed.epoch, timing, now, ends.lapsed_at);
+    scheduler.limit_leases(OwnershipLease::new(claimed.sent).ends_at());
     scheduler.limit_rows(node.cfg.max_row_bytes);
     apply_operator_config(&node, &mut scheduler);
+    let heartbeat_version = heartbeat_row(&owners).map_or(0, |row| row.version);
+    let mut unanswered = UnansweredStarts {
+        named: tasks(&predecessor.unanswered_starts),
+        recent_rows: BTreeSet::new(),
+        lapsed: ends.unanswered_lapsed_at,
+    };
     let mut versions = BTreeMap::new();
     let mut rows: BTreeMap<JobId, StoredRows> = BTreeMap::new();
     let mut expiring = VecDeque::new();
@@ -55,6 +59,9 @@
             continue;
         };
         versions.insert((id, part), row.version);
+        if row.version >= heartbeat_version {
+            unanswered.recent_rows.insert((id, part));
+        }
         let value = row.value.unwrap_or_default();
         let stored = rows.entry(id).or_default();
         if part != ProgressRow::Head {
@@ -68,12 +75,11 @@
     }
     // The rows of a job's tasks are removed before its head.
     rows.retain(|_, stored| !stored.head.is_empty());
+    scheduler.on_unanswered_starts(unanswered);
     add_jobs(&mut scheduler, now, &jobs.rows, &rows);
     let ended_jobs = described_jobs(&jobs, &expiring);
-    let suspects_lapsed = now + Duration::from_millis(predecessor.suspects_lapse_in_ms);
-    scheduler.on_unreached_by_predecessor(&ids(&predecessor.suspects), suspects_lapsed);
-    let heartbeat_version = heartbeat_row(&owners).map_or(0, |row| row.version);
-    log_takeover(&claimed, &predecessor, heartbeat_version, &scheduler, now, lapsed);
+    apply_lease_report(&mut scheduler, &predecessor, &ends);
+    log_takeover(&claimed, &predecessor, heartbeat_version, &scheduler, now);
     let jobs_freshness = Freshness::new(node.cfg.max_jobs_age);
     jobs_freshness.confirm(jobs_sent);
     let owner = ShardOwner {
@@ -86,6 +92,7 @@
             beat: 0,
             sent: claimed.sent,
         }),
+        renewed_store_ms: Cell::new(claimed.sent_store_ms),
         owner_version: Cell::new(claimed.version),
         claimed,
         scheduler: RefCell::new(scheduler),
@@ -101,6 +108,27 @@
     Some((owner, jobs.version))
 }
 
+/// Gives to the scheduler what the predecessor's heartbeat tells of leases on workers.
+fn apply_lease_report(scheduler: &mut ShardScheduler, heartbeat: &HeartbeatRow, ends: &LeaseEnds) {
+    let sent = ends.heartbeat_sent_at;
+    let lapses = heartbeat.suspect_lapses_in_ms.iter().map(Some).chain(std::iter::repeat(None));
+    for (name, lapse_in_ms) in heartbeat.suspects.iter().zip(lapses) {
+        let lapse_in_ms = *lapse_in_ms.unwrap_or(&heartbeat.suspects_lapse_in_ms);
+        let lapsed = sent + Duration::from_millis(lapse_in_ms);
+        scheduler.on_unreached_by_predecessor(&[WorkerId::new(name)], lapsed);
+    }
+    for (name, lapse_in_ms) in &heartbeat.unknown_leases_ms {
+        let lapsed = sent + Duration::from_millis(*lapse_in_ms);
+        let lapsed = lapsed.min(ends.unanswered_lapsed_at);
+        scheduler.on_unknown_leases(&WorkerId::new(name), lapsed);
+    }
+}
+
+/// Parses the names of tasks in a heartbeat. One that can't be parsed names no task of this version.
+fn tasks(names: &[String]) -> BTreeSet<JobTaskId> {
+    names.iter().filter_map(|name| name.parse().ok()).collect()
+}
+
 /// Logs what the new owner knows of its predecessor and when it starts the tasks of workers that do not answer.
 fn log_takeover(
     claimed: &Claimed,
@@ -108,21 +136,26 @@
     heartbeat_version: u64,
     scheduler: &ShardScheduler,
     now: Duration,
-    lapsed: Duration,
 ) {
+    let ends = &claimed.lease_ends;
+    let ms = |at: Duration| at.saturating_sub(now).as_millis();
     let (workers, tasks) = scheduler.recorded_workers_and_tasks();
     let suspects = &predecessor.suspects;
     event::TAKEOVER_BEGUN.emit(format_args!(
-        "shard={} epoch={} owner_version={} heartbeat_version={heartbeat_version} beat={} silent_in_ms={} lapsed_in_ms={} workers={workers} tasks={tasks} suspects={} suspects_lapsed_in_ms={} named={}",
+        "shard={} epoch={} owner_version={} heartbeat_version={heartbeat_version} beat={} silent_in_ms={} lapsed_in_ms={} workers={workers} tasks={tasks} suspects={} suspects_lapsed_in_ms={} named={} heartbeat_ms_ago={} unanswered_starts={} unanswered_lapsed_in_ms={} unknown_leases={}",
         claimed.shard.0,
         claimed.epoch,
         claimed.version,
         predecessor.beat,
-        claimed.predecessors_silent_at.saturating_sub(now).as_millis(),
-        lapsed.saturating_sub(now).as_millis(),
+        ms(ends.silent_at),
+        ms(ends.lapsed_at),
         suspects.len(),
         predecessor.suspects_lapse_in_ms,
-        suspects[..suspects.len().min(MAX_NAMED_SUSPECTS)].join(",")
+        suspects[..suspects.len().min(MAX_NAMED_SUSPECTS)].join(","),
+        now.saturating_sub(ends.heartbeat_sent_at).as_millis(),
+        scheduler.unanswered_start_count(),
+        ms(ends.unanswered_lapsed_at),
+        predecessor.unknown_leases_ms.len()
     ));
 }
 
@@ -170,10 +203,6 @@
         .collect()
 }
 
-fn ids(names: &[String]) -> Vec<WorkerId> {
-    names.iter().map(|id| WorkerId::new(id)).collect()
-}
-
 fn heartbeat_row(owners: &RowList) -> Option<&Row> {
     owners.rows.iter().find(|row| row.id.key == layout::HEARTBEAT_KEY)
 }
--- a/src/ops/jobs/owner/rows.rs
+++ b/src/ops/jobs/owner/rows.rs
@@ -8,7 +8,8 @@
 use crate::job::progress::ProgressRow;
 use crate::ops::jobs::layout::{self, HeartbeatRow};
 use crate::port::{Commit, CommitOutcome, Row, RowKey, RowStore, StoreError, WorkerPort};
-use crate::shard::ownership::HEARTBEAT_PERIOD;
+use crate::shard::WorkerId;
+use crate::shard::ownership::{HEARTBEAT_PERIOD, ms_until};
 use crate::shard::scheduler::{JobRow, RowBatch, RowId};
 use crate::telemetry::event::shard as event;
 
@@ -24,6 +25,9 @@
 /// Pause after a write that was not applied or not answered.
 const WRITE_RETRY_PAUSE: Duration = Duration::from_millis(120);
 
+/// Shortest time between two heartbeats, for those that the scheduler asks for.
+const MIN_HEARTBEAT_GAP: Duration = Duration::from_millis(200);
+
 /// Rows in one transaction. The store accepts 100 entries: each row takes two (a condition and a write), the owner row
 /// and the heartbeat take three.
 const ROWS_PER_WRITE: usize = 48;
@@ -86,7 +90,12 @@
 
 impl<P: RowStore> RowWriter<P> {
     fn is_heartbeat_due(&self, now: Duration) -> bool {
-        self.last_heartbeat.is_none_or(|at| now.saturating_sub(at) >= HEARTBEAT_PERIOD)
+        let age = self.last_heartbeat.map(|at| now.saturating_sub(at));
+        age.is_none_or(|age| {
+            let confirmed = self.owner.ownership_lease.get().confirmed();
+            let is_needed = || self.owner.scheduler.borrow().needs_heartbeat(now, confirmed);
+            age >= HEARTBEAT_PERIOD || age >= MIN_HEARTBEAT_GAP && is_needed()
+        })
     }
 
     /// Writes a batch, together with a heartbeat if one is due, and gives the outcome to the scheduler. Returns false
@@ -165,7 +174,7 @@
         sent: Duration,
     ) -> Result<(), WriteFailure> {
         self.beat += u64::from(has_heartbeat);
-        let heartbeat = has_heartbeat.then(|| heartbeat(&self.owner, self.beat));
+        let heartbeat = has_heartbeat.then(|| heartbeat(&self.owner, self.beat, sent));
         let outcome = commit(&self.owner, rows, heartbeat.as_ref(), sent).await;
         if has_heartbeat && outcome.is_ok() {
             self.last_heartbeat = Some(sent);
@@ -257,7 +266,10 @@
         Some(heartbeat) => {
             lease.renew(sent);
             owner.heartbeat_version.set(version);
-            owner.scheduler.borrow_mut().on_heartbeat_stored(&heartbeat.suspects);
+            owner.renewed_store_ms.set(heartbeat.sent_store_ms);
+            let mut scheduler = owner.scheduler.borrow_mut();
+            scheduler.on_heartbeat_stored(&heartbeat.suspects);
+            scheduler.limit_leases(lease.ends_at());
         }
         None => lease.confirm(sent),
     }
@@ -277,14 +289,27 @@
     }
 }
 
-fn heartbeat<P>(owner: &ShardOwner<P>, beat: u64) -> HeartbeatRow {
+/// Creates the heartbeat that is sent at `sent` or later.
+fn heartbeat<P: RowStore>(owner: &ShardOwner<P>, beat: u64, sent: Duration) -> HeartbeatRow {
     let scheduler = owner.scheduler.borrow();
-    let (suspects, lapse_in) = scheduler.unreached_workers(owner.node.clock.boot());
+    let now = owner.node.clock.boot();
+    let report = scheduler.lease_report(now);
+    let ceil_ms = |left: &Duration| ms_until(*left, Duration::ZERO);
+    let name = |id: &WorkerId| id.as_str().to_owned();
+    let lapses: Vec<u64> = report.silent.iter().map(|(_, left)| ceil_ms(left)).collect();
     HeartbeatRow {
         beat,
         pending: scheduler.pending(),
-        suspects,
-        suspects_lapse_in_ms: u64::try_from(lapse_in.as_millis()).unwrap_or(u64::MAX),
+        suspects: report.silent.iter().map(|(id, _)| name(id)).collect(),
+        suspects_lapse_in_ms: lapses.iter().max().copied().unwrap_or(0),
+        suspect_lapses_in_ms: lapses,
+        unknown_leases_ms: report
+            .unknown
+            .iter()
+            .map(|(id, left)| (name(id), ceil_ms(left)))
+            .collect(),
+        unanswered_starts: report.unanswered_starts.iter().map(ToString::to_string).collect(),
+        sent_store_ms: owner.node.port.clock().map(|clock| clock.at_most_ms(now.max(sent))),
     }
 }
 
--- a/src/ops/jobs/watch.rs
+++ b/src/ops/jobs/watch.rs
@@ -4,11 +4,14 @@
 use std::time::Duration;
 
 use crate::port::{Commit, CommitOutcome, RowKey, RowStore, WorkerPort};
-use crate::shard::ownership::{ClaimDecision, ClaimReason, OwnerObserver, silent_in_ms};
+use crate::shard::ownership::{
+    ClaimDecision, ClaimReason, LeaseEnds, OWNERSHIP_LEASE_DURATION, OwnerObserver, Predecessor,
+    ms_until,
+};
 use crate::shard::{OwnerRow, ShardId, ShardMap};
 use crate::telemetry::event::shard as event;
 
-use super::layout;
+use super::layout::{self, HeartbeatRow};
 use super::node::Node;
 use super::owner::{self, Claimed};
 
@@ -102,11 +105,13 @@
     let stagger = MAX_CLAIM_STAGGER.mul_f64(stagger_fraction(&node.cfg.vm, shard));
     let check_period = if is_small_vm { SMALL_VM_CHECK_PERIOD } else { CHECK_PERIOD };
     let mut observer = OwnerObserver::new(&node.cfg.vm, stagger);
+    let mut last_epoch = 0;
     // All processes start together, so the first checks are staggered too.
     tokio::time::sleep(stagger).await;
     while !node.is_stopping() {
-        match check_owner(&node, shard, &mut observer).await {
+        match check_owner(&node, shard, &mut observer, last_epoch).await {
             Ok(Some(claimed)) => {
+                last_epoch = claimed.epoch;
                 owner::run(Rc::clone(&node), claimed).await;
                 node.set_owned_shards(node.owned_shards() - 1);
                 observer.reset();
@@ -126,10 +131,13 @@
     f64::from(map.of_worker(&format!("{vm}/{}", shard.0)).0) / 1_000.0
 }
 
+/// Checks the owner of a shard and claims it if it has none. `last_epoch` is the epoch of the last claim of this process
+/// that was answered; 0 if there was none.
 async fn check_owner<P: RowStore + WorkerPort>(
     node: &Node<P>,
     shard: ShardId,
     observer: &mut OwnerObserver,
+    last_epoch: u64,
 ) -> Result<Option<Claimed>, ()> {
     let sent = node.clock.boot();
     let list = node.port.read(layout::OWNERS_TABLE, &layout::shard_partition(shard), "", "").await;
@@ -161,8 +169,20 @@
         tokio::time::sleep(CLAIM_DELAY_PER_OWNED_SHARD * node.owned_shards() + small_vm_delay)
             .await;
     }
+    let is_unanswered_claim = owner.as_ref().is_some_and(|owner| {
+        owner.vm == node.cfg.vm
+            && owner.started_unix_ms == node.started_unix_ms
+            && owner.epoch > last_epoch
+    });
+    let heartbeat: Option<HeartbeatRow> =
+        heartbeat.and_then(|row| serde_json::from_slice(row.value.as_deref()?).ok());
     let seen = SeenRows {
-        owner: owner.as_ref(),
+        predecessor: Predecessor {
+            row: owner.as_ref(),
+            heartbeat_sent_store_ms: heartbeat.and_then(|heartbeat| heartbeat.sent_store_ms),
+            seen: observer.heartbeat_seen().unwrap_or(now),
+            is_unanswered_claim,
+        },
         owner_version: row.map_or(0, |row| row.version),
         heartbeat_version,
     };
@@ -171,7 +191,7 @@
 
 /// Rows of a shard's owner, as read before a claim.
 struct SeenRows<'a> {
-    owner: Option<&'a OwnerRow>,
+    predecessor: Predecessor<'a>,
     /// Version of the owner row; 0 if there is none.
     owner_version: u64,
     /// Version of the heartbeat row; 0 if there is none.
@@ -184,15 +204,21 @@
     reason: ClaimReason,
     seen: SeenRows<'_>,
 ) -> Result<Option<Claimed>, ()> {
-    let predecessor = seen.owner;
+    let predecessor = seen.predecessor.row;
     let epoch = predecessor.map_or(0, |row| row.epoch) + 1;
     let sent = node.clock.boot();
-    let predecessors_silent_at = reason.predecessors_silent_at(sent);
+    let store_clock = node.port.clock();
+    let lease_ends =
+        LeaseEnds::before_claim(reason, seen.predecessor, store_clock, &node.cfg.timing, sent);
+    let sent_store_ms = store_clock.map(|clock| clock.at_most_ms(sent));
     let row = OwnerRow {
         epoch,
         vm: node.cfg.vm.clone(),
         started_unix_ms: node.started_unix_ms,
-        earlier_silent_in_ms: Some(silent_in_ms(predecessors_silent_at, sent)),
+        earlier_silent_in_ms: Some(ms_until(lease_ends.silent_at, sent)),
+        lease_limit_ms: Some(ms_until(OWNERSHIP_LEASE_DURATION, Duration::ZERO)),
+        earlier_lapsed_in_ms: Some(ms_until(lease_ends.lapsed_at, sent)),
+        sent_store_ms,
     };
     let key = RowKey::new(layout::OWNERS_TABLE, layout::OWNER_KEY);
     let heartbeat = RowKey::new(layout::OWNERS_TABLE, layout::HEARTBEAT_KEY);
@@ -218,10 +244,10 @@
                         sent.saturating_sub(since).as_millis().to_string(),
                     _ => "-".to_owned(),
                 },
-                predecessors_silent_at.saturating_sub(node.clock.boot()).as_millis()
+                lease_ends.silent_at.saturating_sub(node.clock.boot()).as_millis()
             ));
             node.set_owned_shards(node.owned_shards() + 1);
-            Ok(Some(Claimed { shard, epoch, version, sent, predecessors_silent_at }))
+            Ok(Some(Claimed { shard, epoch, version, sent, sent_store_ms, lease_ends }))
         }
         // Another process claimed the shard first, the owner has sent a heartbeat, or an earlier claim of this process
         // whose answer was lost took effect. The next check shows which.
--- a/src/port.rs
+++ b/src/port.rs
@@ -8,6 +8,7 @@
 
 use thiserror::Error;
 
+use crate::shard::ownership::StoreClock;
 use crate::shard::scheduler::{Command, CommandOutcome, RenewalFailure, StartOutcome};
 use crate::shard::{RenewalReport, WorkerListing};
 
@@ -123,6 +124,11 @@
     /// Applies a transaction if all its conditions hold.
     fn commit(&self, commit: &Commit) -> impl Future<Output = Result<CommitOutcome, StoreError>>;
 
+    /// Returns the newest reading of the store's clock; `None` before the first answer, or if the store has no clock.
+    fn clock(&self) -> Option<StoreClock> {
+        None
+    }
+
     /// Waits up to `wait` for changes of a table after a version, in all its partitions. Removed rows have no value.
     fn changes(
         &self,
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -14,6 +14,7 @@
 pub mod ownership;
 pub mod pick;
 pub mod queue;
+pub mod recovery;
 pub mod report;
 pub mod scheduler;
 pub mod times;
--- a/src/shard/lapse.rs
+++ b/src/shard/lapse.rs
@@ -33,7 +33,7 @@
     #[must_use]
     pub fn at_least_ms(&self, now: Duration) -> u64 {
         let elapsed = now.saturating_sub(self.received);
-        let slow = elapsed * 1_000 / MAX_LOCAL_MS_PER_WORKER_SECOND;
+        let slow = shortest_local_time(elapsed);
         self.reading_ms + u64::try_from(slow.as_millis()).unwrap_or(u64::MAX)
     }
 
@@ -60,6 +60,12 @@
     length * MAX_LOCAL_MS_PER_WORKER_SECOND / 1_000 + kill_time
 }
 
+/// Returns the shortest local time that `length` on another steady clock can take.
+#[must_use]
+pub fn shortest_local_time(length: Duration) -> Duration {
+    length * 1_000 / MAX_LOCAL_MS_PER_WORKER_SECOND
+}
+
 /// Latest end of the leases on a worker, as far as it is known.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LeaseEnd {
@@ -107,6 +113,20 @@
         Some(expiry_ms)
     }
 
+    /// Returns the expiry for a start: that of the newest lease if it has at least `min_left` left, so that starts sent to
+    /// a worker whose silence is not noticed yet don't delay the end of its leases; otherwise that of a new lease.
+    pub fn grant_for_start(
+        &mut self,
+        now: Duration,
+        length: Duration,
+        min_left: Duration,
+    ) -> Option<u64> {
+        if self.expiry_ms >= self.clock?.expiry_ms(now, min_left) {
+            return Some(self.expiry_ms);
+        }
+        self.grant(now, length)
+    }
+
     /// Forgets the clock, because another incarnation of the worker has replaced the one that it belongs to.
     ///
     /// Commands that were sent to the worker before `now` may still be carried out by the new incarnation. An expiry on
--- a/src/shard/ownership.rs
+++ b/src/shard/ownership.rs
@@ -5,11 +5,18 @@
 //! owner's heartbeat row has not changed for [`HEARTBEAT_TIMEOUT`]. An owner must not send commands once its newest
 //! stored heartbeat is older than [`OWNERSHIP_LEASE_DURATION`]. Until then it renews the workers' leases even
 //! while the store is down, because no process can claim the shard without the store.
+//!
+//! No lease that an owner grants lasts longer than its ownership lease. A successor that can't reach a worker therefore
+//! waits for one interval from the last heartbeat, and not for two in a row. The exceptions are named in the rows:
+//! [`LeaseEnds`] says which.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use super::lapse::{self, longest_local_time};
+use super::scheduler::Timing;
+
 /// Time without a heartbeat after which an owner counts as dead: more than two heartbeat periods and a slow answer of
 /// the store.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -17,22 +24,22 @@
 /// Time between heartbeats of an owner.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(700);
 
-/// Time after its newest stored heartbeat was sent for which an owner may send commands. It bridges the usual outages of
-/// a few seconds; in return, a new owner waits as long for workers that do not answer.
+/// Time after its newest stored heartbeat was sent for which an owner may send commands, and at which all leases that it
+/// has granted expire. It bridges the usual outages of a few seconds; in return, a new owner waits as long for workers
+/// that do not answer.
 ///
 /// Both sides count from the same write, the heartbeat, so that no period or latency enters the comparison:
 ///
-/// - The last command of the owner leaves before `heartbeat sent + OWNERSHIP_LEASE_DURATION`, also after a suspension,
-///   because the permission is checked by the boot clock just before the command is sent. It carries an expiry of the
-///   lease on the worker's clock, so a late arrival does not prolong it. A worker whose clock is 2% slow keeps its runs
-///   for up to `lease / 0.98`, and takes up to `kill_time` to end them.
-/// - A successor starts the worker's tasks from `heartbeat seen + OWNERSHIP_LEASE_DURATION +
-///   longest_local_time(max_lease)` on, where `longest_local_time` is `1.025 * max_lease + kill_time`. A heartbeat is seen
-///   after it was sent.
+/// - A lease is granted for at most `heartbeat sent + OWNERSHIP_LEASE_DURATION - now`, as an expiry on the worker's clock,
+///   so a late arrival does not prolong it. A worker whose clock is 2% slow keeps its runs for up to `1 / 0.98` of that,
+///   and takes up to `kill_time` to end them.
+/// - A successor starts the worker's tasks from `heartbeat sent + longest_local_time(OWNERSHIP_LEASE_DURATION)` on, where
+///   `longest_local_time` is `1.025 * length + kill_time`. It knows the latest time at which the heartbeat can have been
+///   sent: when it first saw it, or earlier, by the store's clock.
 pub const OWNERSHIP_LEASE_DURATION: Duration = Duration::from_secs(7);
 
 /// Stored row that names the owner of a shard.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct OwnerRow {
     /// Raised by each claim. Commands carry it, and workers refuse commands with an epoch lower than the highest they
     /// have seen.
@@ -45,6 +52,18 @@
     /// more; `None` in a row of a version that does not store it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub earlier_silent_in_ms: Option<u64>,
+    /// Time in milliseconds, from its claim or a stored heartbeat on, at which all leases expire that this owner grants;
+    /// `None` in a row of a version that grants longer ones.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease_limit_ms: Option<u64>,
+    /// Longest time, in milliseconds from `sent_store_ms` on, until all leases of owners before this one have lapsed;
+    /// `None` in a row of a version that does not store it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub earlier_lapsed_in_ms: Option<u64>,
+    /// Latest reading that the store's clock can have had when the claim was sent; in the row of a released shard, when
+    /// the last write was sent that extended the ownership lease. `None` if the store's clock was not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sent_store_ms: Option<u64>,
 }
 
 impl OwnerRow {
@@ -56,10 +75,135 @@
     }
 }
 
-/// Returns the time from `now` until `silent_at` in milliseconds, for [`OwnerRow::earlier_silent_in_ms`].
+/// Returns the time from `now` until `at` in milliseconds, rounded up, as stored in rows.
 #[must_use]
-pub fn silent_in_ms(silent_at: Duration, now: Duration) -> u64 {
-    u64::try_from(silent_at.saturating_sub(now).as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
+pub fn ms_until(at: Duration, now: Duration) -> u64 {
+    ceil_ms(at.saturating_sub(now))
+}
+
+/// Reading of the store's steady clock, by which processes compare times of their writes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoreClock {
+    reading_ms: u64,
+    /// Local time at which the call was sent whose answer has the reading.
+    sent: Duration,
+    /// Local time at which the answer arrived.
+    received: Duration,
+}
+
+impl StoreClock {
+    /// Records a reading, in milliseconds, from the answer to a call that was sent at `sent`.
+    #[must_use]
+    pub fn new(reading_ms: u64, sent: Duration, received: Duration) -> Self {
+        Self { reading_ms, sent, received }
+    }
+
+    /// Returns the highest reading that the clock can have at the local time `now`.
+    #[must_use]
+    pub fn at_most_ms(&self, now: Duration) -> u64 {
+        self.reading_ms + ceil_ms(longest_local_time(now.saturating_sub(self.sent), Duration::ZERO))
+    }
+
+    /// Returns the reading that says more of the clock at the local time `now`: the one with the shorter round trip, until
+    /// the drift of the clocks since then outweighs it.
+    #[must_use]
+    pub fn more_precise(self, other: Self, now: Duration) -> Self {
+        let width = |clock: &Self| {
+            let (sent, received) =
+                (now.saturating_sub(clock.sent), now.saturating_sub(clock.received));
+            longest_local_time(sent, Duration::ZERO) - lapse::shortest_local_time(received)
+        };
+        if width(&self) < width(&other) { self } else { other }
+    }
+
+    /// Returns the latest local time at which the clock can have had the reading `at_ms`, as known at `now`.
+    #[must_use]
+    pub fn latest_local_time_of(&self, at_ms: u64, now: Duration) -> Duration {
+        let reached = Duration::from_millis(self.reading_ms)
+            + lapse::shortest_local_time(now.saturating_sub(self.received));
+        let elapsed = reached.saturating_sub(Duration::from_millis(at_ms));
+        now.saturating_sub(lapse::shortest_local_time(elapsed))
+    }
+}
+
+/// When the leases have lapsed that owners before a claim may have granted, as local times.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LeaseEnds {
+    /// No owner before the claim sends commands any more.
+    pub silent_at: Duration,
+    /// All leases have lapsed whose expiry a worker counts on the clock that the owner meant.
+    pub lapsed_at: Duration,
+    /// All other leases have lapsed as well. A start that got no answer may be carried out by a later incarnation of its
+    /// worker, which takes the expiry for the longest lease that it accepts.
+    pub unanswered_lapsed_at: Duration,
+    /// Latest time at which the newest heartbeat before the claim can have been sent.
+    pub heartbeat_sent_at: Duration,
+}
+
+/// What a claimant knows of the owner before it.
+#[derive(Clone, Copy, Debug)]
+pub struct Predecessor<'a> {
+    /// The owner row; `None` if the shard has not had an owner yet.
+    pub row: Option<&'a OwnerRow>,
+    /// `sent_store_ms` of the heartbeat row, which this owner or one before it has written.
+    pub heartbeat_sent_store_ms: Option<u64>,
+    /// Local time at which the newest heartbeat of this owner was first seen, or the owner row without one.
+    pub seen: Duration,
+    /// The owner row is a claim of this process whose answer was lost, so that it has granted no lease.
+    pub is_unanswered_claim: bool,
+}
+
+impl LeaseEnds {
+    /// Returns the ends for a claim that is sent at `now`, for `reason`.
+    #[must_use]
+    pub fn before_claim(
+        reason: ClaimReason,
+        predecessor: Predecessor<'_>,
+        store_clock: Option<StoreClock>,
+        timing: &Timing,
+        now: Duration,
+    ) -> Self {
+        let Predecessor { row, heartbeat_sent_store_ms, seen, is_unanswered_claim } = predecessor;
+        let row_sent_ms = row.and_then(|row| row.sent_store_ms);
+        let local_time_of = |sent_ms: Option<u64>| {
+            let (clock, sent_ms) = store_clock.zip(sent_ms)?;
+            Some(clock.latest_local_time_of(sent_ms, now))
+        };
+        // The row was there when the heartbeat was seen, so that its claim was sent before.
+        let row_sent_at = local_time_of(row_sent_ms).unwrap_or(seen).min(seen);
+        let heartbeat_sent_at = local_time_of(heartbeat_sent_store_ms).unwrap_or(seen).min(seen);
+        // Without the time of the claim, the heartbeat may be older than the claim.
+        let newest_ms = row_sent_ms.map(|sent| sent.max(heartbeat_sent_store_ms.unwrap_or(0)));
+        let renewed_at = local_time_of(newest_ms).unwrap_or(seen).min(seen);
+        let silent_at = match reason {
+            ClaimReason::Silent { since } => {
+                ClaimReason::Silent { since: since.min(renewed_at) }.predecessors_silent_at(now)
+            }
+            _ => reason.predecessors_silent_at(now),
+        };
+        let longest = silent_at + longest_local_time(timing.max_lease, timing.kill_time);
+        let earlier = row.and_then(|row| row.earlier_lapsed_in_ms).map(Duration::from_millis);
+        let limit = row.and_then(|row| row.lease_limit_ms).map(Duration::from_millis);
+        let lapsed_at = match (limit, earlier) {
+            _ if reason == ClaimReason::New => now,
+            (Some(limit), Some(earlier)) => {
+                let own = renewed_at + longest_local_time(limit, timing.kill_time);
+                let own = if is_unanswered_claim { now } else { own };
+                own.max(row_sent_at + earlier).max(now)
+            }
+            _ => longest,
+        };
+        Self {
+            silent_at,
+            lapsed_at,
+            unanswered_lapsed_at: longest.max(lapsed_at),
+            heartbeat_sent_at,
+        }
+    }
+}
+
+fn ceil_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
 }
 
 /// Observes the owner of a shard that this process does not own, and decides when to claim the shard.
@@ -166,6 +310,12 @@
         ClaimDecision::No
     }
 
+    /// Returns the local time at which the newest heartbeat of the current owner was first seen.
+    #[must_use]
+    pub fn heartbeat_seen(&self) -> Option<Duration> {
+        self.heartbeat.map(|(.., since)| since)
+    }
+
     /// Discards the observed heartbeat, for example after a time in which the store could not be read.
     pub fn reset(&mut self) {
         self.heartbeat = None;
@@ -208,6 +358,18 @@
         self.confirmed
     }
 
+    /// Returns the local time at which the claim or the newest stored heartbeat was sent.
+    #[must_use]
+    pub fn renewed(&self) -> Duration {
+        self.renewed
+    }
+
+    /// Returns the local time at which the permission, and every lease granted under it, ends.
+    #[must_use]
+    pub fn ends_at(&self) -> Duration {
+        self.renewed + OWNERSHIP_LEASE_DURATION
+    }
+
     /// Returns true if commands may be sent at `now`.
     #[must_use]
     pub fn is_valid(&self, now: Duration) -> bool {
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -40,6 +40,7 @@
 use super::worker::{Phase, Worker, WorkerId};
 
 pub use command::{Command, CommandKind, CommandOutcome, StartOutcome, StartRefusal};
+pub use inherited::{LeaseReport, UnansweredStarts};
 pub use renewals::RenewalFailure;
 use rows::HeadState;
 pub use rows::{JobRow, RowBatch, RowId};
@@ -116,6 +117,8 @@
     pressures: Pressures,
     rows: rows::PendingRows,
     start_log: handover::StartLog,
+    /// Local time up to which leases may be granted: the end of the ownership lease.
+    leases_until: Duration,
     /// Largest row, in bytes, that the store accepts.
     max_row_bytes: usize,
     commands: Vec<Command>,
@@ -162,6 +165,7 @@
             pressures: Pressures::default(),
             rows: rows::PendingRows::default(),
             start_log: handover::StartLog::default(),
+            leases_until: Duration::MAX,
             max_row_bytes: usize::MAX,
             commands: Vec::new(),
             is_fenced: false,
@@ -198,6 +202,17 @@
         self.is_start_allowed = is_allowed;
     }
 
+    /// Sets the local time at which the ownership lease ends. No lease on a worker is granted beyond it, because a
+    /// successor relies on that. Initially there is no limit.
+    pub fn limit_leases(&mut self, until: Duration) {
+        self.leases_until = until;
+    }
+
+    /// Returns the length of a lease that is granted at `now`; zero if none may be granted.
+    fn lease_length(&self, now: Duration) -> Duration {
+        self.timing.lease.min(self.leases_until.saturating_sub(now))
+    }
+
     /// Sets the size, in bytes, of the largest row that the store accepts. Applies to jobs that are added later; initially
     /// there is no limit.
     pub fn limit_rows(&mut self, max_row_bytes: usize) {
@@ -281,7 +296,7 @@
         if progress.state.is_final() {
             self.rows.record_ended(job.id);
         } else {
-            self.inherited.add(job.id, &progress);
+            self.inherited.add(job.id, &mut progress);
             let is_divided = progress.tasks_per_row.is_some();
             let per_row = progress::tasks_per_row(self.max_row_bytes);
             let id = job.id;
--- a/src/shard/scheduler/handover.rs
+++ b/src/shard/scheduler/handover.rs
@@ -83,6 +83,12 @@
         (self.inherited.len(), self.inherited.task_count())
     }
 
+    /// Returns the number of recorded tasks whose newest start may have got no answer.
+    #[must_use]
+    pub fn unanswered_start_count(&self) -> usize {
+        self.inherited.unanswered_count()
+    }
+
     /// Sets the version of the rows that were just stored, for the log. Starts that [`Self::on_written`] queues carry
     /// it.
     pub fn set_rows_version(&mut self, version: u64) {
--- a/src/shard/scheduler/inherited.rs
+++ b/src/shard/scheduler/inherited.rs
@@ -3,23 +3,57 @@
 //! An owner may be lost together with some of its workers, or while some are cut off. A task whose recorded worker has
 //! not answered may still run there, so it waits until the worker answers or until every lease that a previous owner
 //! granted has lapsed. All other tasks are scheduled at once.
+//!
+//! A previous owner knows more than its rows of progress say, and its heartbeat tells the difference: the workers that did
+//! not answer it, whose leases end earlier; those that may hold longer leases; and the starts without an answer, which a
+//! later incarnation of a worker may still carry out. See [`LeaseReport`].
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::job::progress::ProgressRow;
 use crate::job::{JobId, JobTaskId, Progress, StepId};
-use crate::shard::worker::WorkerId;
+use crate::shard::lapse::LeaseEnd;
+use crate::shard::worker::{Worker, WorkerId};
 use crate::telemetry::event::shard as event;
 
-use super::ShardScheduler;
 use super::handover::ReleaseCause;
+use super::renewals::max_wait;
+use super::{RowId, ShardScheduler};
 
 /// Time after the shard's rows were read within which workers are expected to answer. Only workers that are silent for
 /// longer are named in the heartbeat, because a worker named there gets no lease until a stored heartbeat no longer
 /// names it.
 const ANSWER_GRACE_PERIOD: Duration = Duration::from_millis(1_500);
 
+/// Time after which an answer to a renewal is late, beyond the time for which the worker may hold it back. The worker is
+/// then named in the heartbeat, so that a successor knows from when on it got no lease.
+const LATE_ANSWER_AFTER: Duration = Duration::from_millis(400);
+
+/// What a heartbeat tells a successor of leases that differ from the ones that it assumes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LeaseReport {
+    /// Workers that do not answer, with the time until their leases have lapsed. They get no lease until a heartbeat
+    /// without their name is stored.
+    pub silent: Vec<(WorkerId, Duration)>,
+    /// Workers that have restarted and may hold leases of unknown length, with the time until these have lapsed.
+    pub unknown: Vec<(WorkerId, Duration)>,
+    /// Tasks whose newest start has no answer.
+    pub unanswered_starts: BTreeSet<JobTaskId>,
+}
+
+/// Recorded tasks whose newest start may have got no answer.
+#[derive(Clone, Debug, Default)]
+pub struct UnansweredStarts {
+    /// Tasks that the predecessor's heartbeat names.
+    pub named: BTreeSet<JobTaskId>,
+    /// Rows that were stored with that heartbeat or after it. They tell of each task whether its start was answered.
+    pub recent_rows: BTreeSet<RowId>,
+    /// Local time by which all leases have lapsed that a start without an answer may have granted.
+    pub lapsed: Duration,
+}
+
 /// Tasks by the worker that a previous owner recorded, for workers that have not answered yet.
 #[derive(Debug)]
 pub(super) struct Inherited {
@@ -30,6 +64,7 @@
     workers: BTreeMap<WorkerId, InheritedWorker>,
     /// Worker of each task in `workers`, until a run of the task is found.
     tasks: BTreeMap<JobTaskId, WorkerId>,
+    unanswered: UnansweredStarts,
     /// Workers that the newest stored heartbeat, or a later one whose outcome is unknown, names as unreached. A
     /// successor relies on this owner having granted them no lease.
     pub(super) reported_unreached: BTreeSet<WorkerId>,
@@ -39,7 +74,9 @@
 #[derive(Debug)]
 struct InheritedWorker {
     tasks: Vec<JobTaskId>,
-    /// Local time at which no lease of a previous owner is left on the worker.
+    /// Tasks among them whose newest start may have got no answer.
+    unanswered: BTreeSet<JobTaskId>,
+    /// Local time at which no lease of a previous owner is left on the worker, except by starts without an answer.
     lapsed: Duration,
 }
 
@@ -50,23 +87,37 @@
             predecessor_lapsed,
             workers: BTreeMap::new(),
             tasks: BTreeMap::new(),
+            unanswered: UnansweredStarts::default(),
             reported_unreached: BTreeSet::new(),
             is_done: false,
         }
     }
 
     /// Adds the tasks of a job that have a recorded worker.
-    pub(super) fn add(&mut self, job: JobId, progress: &Progress) {
-        for (occurrence, begun) in &progress.occurrences {
-            for (step, tasks) in begun.steps.iter().enumerate() {
-                for (index, task) in tasks.iter().enumerate() {
+    pub(super) fn add(&mut self, job: JobId, progress: &mut Progress) {
+        let per_row = progress.tasks_per_row;
+        for (occurrence, begun) in &mut progress.occurrences {
+            let mut position = 0;
+            for (step, tasks) in begun.steps.iter_mut().enumerate() {
+                for (index, task) in tasks.iter_mut().enumerate() {
+                    let row = ProgressRow::of_position(*occurrence, position, per_row);
+                    position += 1;
                     let Some(worker) = &task.worker else { continue };
                     let step = StepId { job, occurrence: *occurrence, step: step as u16 };
                     let key = JobTaskId { step, index: index as u16 };
                     let id = WorkerId::from(Rc::clone(worker));
-                    let lapsed = self.predecessor_lapsed;
-                    let recorded = InheritedWorker { tasks: Vec::new(), lapsed };
-                    self.workers.entry(id.clone()).or_insert(recorded).tasks.push(key);
+                    let recorded = self.workers.entry(id.clone()).or_insert(InheritedWorker {
+                        tasks: Vec::new(),
+                        unanswered: BTreeSet::new(),
+                        lapsed: self.predecessor_lapsed,
+                    });
+                    recorded.tasks.push(key);
+                    let is_recent = self.unanswered.recent_rows.contains(&(job, row));
+                    task.is_start_unanswered = self.unanswered.named.contains(&key)
+                        || is_recent && task.is_start_unanswered;
+                    if task.is_start_unanswered {
+                        recorded.unanswered.insert(key);
+                    }
                     self.tasks.insert(key, id);
                 }
             }
@@ -86,6 +137,10 @@
         self.workers.len()
     }
 
+    pub(super) fn unanswered_count(&self) -> usize {
+        self.workers.values().map(|recorded| recorded.unanswered.len()).sum()
+    }
+
     /// Number of recorded tasks of which no run was found.
     pub(super) fn task_count(&self) -> usize {
         self.tasks.len()
@@ -96,6 +151,27 @@
         self.tasks.remove(task);
     }
 
+    /// Removes the tasks of a worker on which no lease of a previous owner is left at `now`, and returns those of which no
+    /// run was found.
+    fn remove_lapsed(&mut self, worker: &WorkerId, now: Duration) -> Vec<JobTaskId> {
+        let Some(recorded) = self.workers.get_mut(worker) else { return Vec::new() };
+        if now < recorded.lapsed {
+            return Vec::new();
+        }
+        if now >= self.unanswered.lapsed {
+            recorded.unanswered.clear();
+        }
+        let unanswered = &recorded.unanswered;
+        let (kept, mut left) =
+            std::mem::take(&mut recorded.tasks).into_iter().partition(|t| unanswered.contains(t));
+        recorded.tasks = kept;
+        if recorded.tasks.is_empty() {
+            self.workers.remove(worker);
+        }
+        left.retain(|task| self.tasks.remove(task).is_some());
+        left
+    }
+
     /// Removes a worker and returns those of its tasks of which no run was found.
     fn remove(&mut self, worker: &WorkerId) -> Vec<JobTaskId> {
         let Some(recorded) = self.workers.remove(worker) else { return Vec::new() };
@@ -106,6 +182,86 @@
 }
 
 impl ShardScheduler {
+    /// Sets which starts of the predecessor may have got no answer. Applies to jobs that are added later.
+    pub fn on_unanswered_starts(&mut self, unanswered: UnansweredStarts) {
+        self.inherited.unanswered = unanswered;
+    }
+
+    /// Extends the wait for a worker on which the predecessor knew of leases of unknown length.
+    pub fn on_unknown_leases(&mut self, worker: &WorkerId, lapsed: Duration) {
+        if let Some(recorded) = self.inherited.workers.get_mut(worker) {
+            recorded.lapsed = recorded.lapsed.max(lapsed);
+        }
+    }
+
+    /// Returns what the heartbeat tells of the leases of this owner and of those before it.
+    #[must_use]
+    pub fn lease_report(&self, now: Duration) -> LeaseReport {
+        let mut report = LeaseReport::default();
+        let is_grace_over = now.saturating_sub(self.inherited.claimed) >= ANSWER_GRACE_PERIOD;
+        for (id, recorded) in &self.inherited.workers {
+            let own = self.workers.get(id).and_then(|worker| self.lapsed_at(worker));
+            if is_grace_over {
+                let lapsed = own.map_or(recorded.lapsed, |own| own.max(recorded.lapsed));
+                report.silent.push((id.clone(), lapsed.saturating_sub(now)));
+            }
+            report.unanswered_starts.extend(&recorded.unanswered);
+        }
+        for (id, worker) in &self.workers {
+            let is_inherited = self.inherited.workers.contains_key(id);
+            if !is_inherited && self.is_late(worker, now) {
+                let lapsed = self.lapsed_at(worker).unwrap_or(now);
+                report.silent.push((id.clone(), lapsed.saturating_sub(now)));
+            }
+            if let LeaseEnd::UnknownBy(end) = worker.lease.end(self.timing.kill_time)
+                && end > now
+                && !worker.runs.is_empty()
+            {
+                report.unknown.push((id.clone(), end - now));
+            }
+            let unanswered = worker.runs.iter().filter(|(_, run)| !run.is_started);
+            report.unanswered_starts.extend(unanswered.map(|(task, _)| *task));
+        }
+        report
+    }
+
+    /// Returns true if a heartbeat is due early: it would name other silent workers than the last one, which either get
+    /// no lease for that reason or are not known to get none, or it would confirm that a lease has lapsed.
+    #[must_use]
+    pub fn needs_heartbeat(&self, now: Duration, confirmed: Duration) -> bool {
+        let kill_time = self.timing.kill_time;
+        self.workers.iter().any(|(id, worker)| {
+            let is_named = self.inherited.reported_unreached.contains(id);
+            let is_late = self.is_late(worker, now);
+            let is_silent = !worker.runs.is_empty() && worker.unanswered_renewals > 0;
+            let is_unconfirmed = || {
+                worker.lease.has_ended(now, kill_time)
+                    && !worker.lease.has_ended(now.min(confirmed), kill_time)
+            };
+            let has_returned = is_named && !is_late && !self.inherited.is_unreached(id);
+            has_returned || is_late && !is_named || is_silent && is_unconfirmed()
+        })
+    }
+
+    /// Returns true if a worker with runs has not answered in time.
+    fn is_late(&self, worker: &Worker, now: Duration) -> bool {
+        let is_overdue = worker.answered.is_some_and(|answered| {
+            now.saturating_sub(answered) >= max_wait(worker) + LATE_ANSWER_AFTER
+        });
+        !worker.runs.is_empty() && (worker.unanswered_renewals > 0 || is_overdue)
+    }
+
+    /// Returns the local time at which all leases on a worker have lapsed, as far as their ends are known, with those that
+    /// earlier owners granted to runs that this one has adopted; `None` without a lease.
+    fn lapsed_at(&self, worker: &Worker) -> Option<Duration> {
+        let own = match worker.lease.end(self.timing.kill_time) {
+            LeaseEnd::None => None,
+            LeaseEnd::By(end) | LeaseEnd::UnknownBy(end) => Some(end),
+        };
+        let has_adopted = worker.runs.values().any(|run| run.is_adopted);
+        own.max(has_adopted.then_some(self.inherited.predecessor_lapsed))
+    }
+
     /// Shortens the wait for workers that the predecessor could not reach either. It granted no lease there, so all
     /// leases on them have lapsed by `lapsed`. The stored heartbeat names them until this owner has stored one, so it
     /// grants them no lease either.
@@ -156,7 +312,11 @@
 
     /// Releases the tasks of workers on which no lease of a previous owner is left.
     pub(super) fn resolve_inherited(&mut self, now: Duration) {
-        let has_lapsed = |recorded: &InheritedWorker| now >= recorded.lapsed;
+        let unanswered_lapsed = self.inherited.unanswered.lapsed;
+        let has_lapsed = |recorded: &InheritedWorker| {
+            let is_any_answered = recorded.tasks.len() > recorded.unanswered.len();
+            now >= recorded.lapsed && (is_any_answered || now >= unanswered_lapsed)
+        };
         let lapsed: Vec<(WorkerId, Duration)> = self
             .inherited
             .workers
@@ -165,11 +325,12 @@
             .map(|(id, recorded)| (id.clone(), recorded.lapsed))
             .collect();
         for (id, lapsed) in lapsed {
-            let left = self.inherited.remove(&id);
+            let left = self.inherited.remove_lapsed(&id, now);
             self.log_lapsed(now, &id, lapsed, &left);
             for task in &left {
                 self.keep_inherited_run(&id, task);
             }
+            self.mark_lapsed(&left);
             self.release_inherited(left);
         }
         if self.inherited.workers.is_empty() && !self.inherited.is_done {
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -442,6 +442,7 @@
             earlier_run = std::mem::replace(&mut progress.last_run, number);
             progress.worker = Some(worker_id.shared());
             progress.worker_started_unix_ms = worker.incarnation_started_unix_ms;
+            progress.is_start_unanswered = true;
         }
         let row = job.progress.row_of(task);
         let worker = worker_id.clone();
@@ -494,8 +495,10 @@
                 Some(UnusableCause::Probation) => self.is_probe(worker, planned),
                 Some(_) => false,
             };
+            // A worker that a heartbeat names since the reservation gets no lease.
+            let is_named = self.inherited.reported_unreached.contains(&planned.worker);
             // The run itself is committed, and so are runs that were reserved after it.
-            is_admitted && worker.has_room_for(&Resources::default())
+            is_admitted && !is_named && worker.has_room_for(&Resources::default())
         });
         let job = self.jobs.get(&planned.task.step.job);
         self.is_start_allowed && is_usable && job.is_some_and(|job| !job.progress.state.is_final())
@@ -512,10 +515,14 @@
 
     fn send_start(&mut self, now: Duration, planned: &PlannedStart) {
         let PlannedStart { worker: worker_id, task, run, .. } = planned;
-        let lease = self.timing.lease;
+        let lease = self.lease_length(now);
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        let Some(expiry_ms) = worker.lease.grant(now, lease) else { return };
+        let expiry_ms = worker.lease.grant_for_start(now, lease, lease / 2);
+        let Some(expiry_ms) = expiry_ms.filter(|_| !lease.is_zero()) else {
+            self.drop_run(worker_id, task);
+            return;
+        };
         if let Some(current) = worker.runs.get_mut(task) {
             current.phase = Phase::Starting;
             current.phase_since = now;
@@ -571,6 +578,7 @@
                 current.is_started = true;
                 current.phase_since = now;
                 current.advanced = now;
+                self.record_start_answered(task, run);
                 self.record_started(now, task);
             }
             StartOutcome::Unknown => {
@@ -622,6 +630,16 @@
         self.drop_run(worker_id, task);
     }
 
+    /// Records that a worker has the newest run of a task.
+    pub(super) fn record_start_answered(&mut self, task: &JobTaskId, run: u32) {
+        let job = self.jobs.get_mut(&task.step.job);
+        if let Some(progress) = job.and_then(|job| job.progress.task_mut(task))
+            && progress.last_run == run
+        {
+            progress.is_start_unanswered = false;
+        }
+    }
+
     /// Records that a task of the job has started; the first one moves the job to [`JobState::Running`].
     fn record_started(&mut self, now: Duration, task: &JobTaskId) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -79,6 +79,7 @@
 impl ShardScheduler {
     /// Queues the renewals that are due.
     pub(super) fn request_renewals(&mut self, now: Duration) {
+        let lease = self.lease_length(now);
         for (id, worker) in &mut self.workers {
             if worker.is_renewal_in_flight || now < worker.next_renewal {
                 continue;
@@ -91,13 +92,14 @@
             // The first renewal only reads the worker's clock. A worker that does not answer gets no lease extension,
             // because a renewal that arrives late would keep runs alive whose tasks are to start elsewhere. A worker
             // that the heartbeat names as unreached gets none either, because a successor relies on that.
-            let may_grant =
-                worker.unanswered_renewals == 0 && !self.inherited.reported_unreached.contains(id);
-            let expiry_ms =
-                if may_grant { worker.lease.grant(now, self.timing.lease) } else { None };
+            let may_grant = worker.unanswered_renewals == 0
+                && !self.inherited.reported_unreached.contains(id)
+                && !lease.is_zero();
+            let expiry_ms = if may_grant { worker.lease.grant(now, lease) } else { None };
             // A worker that did not answer should answer at once, so that its return is detected early.
             let may_wait = worker.has_listed_runs && worker.unanswered_renewals == 0;
-            let wait = if may_wait { max_wait(worker) } else { Duration::ZERO };
+            // While heartbeats fail, leases become short, and their renewals more frequent.
+            let wait = if may_wait { max_wait(worker).min(lease / 4) } else { Duration::ZERO };
             // A worker that did not answer may have restarted, which also restarts the numbers of its ends.
             let acked_end = if worker.unanswered_renewals == 0 { worker.acked_end } else { 0 };
             let kind = CommandKind::Renew { expiry_ms, acked_end, wait };
@@ -331,7 +333,7 @@
         if run.number != listed.run {
             return None;
         }
-        run.is_started = true;
+        let was_started = std::mem::replace(&mut run.is_started, true);
         run.is_listed = true;
         if matches!(run.phase, Phase::Starting | Phase::InDoubt) && run.stop_queued_at.is_none() {
             run.phase = Phase::Active;
@@ -342,6 +344,9 @@
             run.advanced = now;
         }
         run.load = listed.load;
+        if !was_started {
+            self.record_start_answered(&task, listed.run);
+        }
         if listed.checkpoint.is_empty() {
             return None;
         }
@@ -378,6 +383,7 @@
                 if !is_live {
                     progress.worker = Some(worker_id.shared());
                     progress.worker_started_unix_ms = incarnation;
+                    progress.is_start_unanswered = false;
                 }
                 if !listed.checkpoint.is_empty() {
                     progress.checkpoint.clone_from(&listed.checkpoint);
@@ -539,6 +545,7 @@
             ));
             self.keep_lapsed_run(&worker_id, &task);
             self.drop_run(&worker_id, &task);
+            self.mark_lapsed(&[task]);
         }
         for id in gone {
             event::WORKER_GONE.emit(format_args!("worker={id}"));
@@ -610,7 +617,7 @@
 const UNLISTED_RETENTION: Duration = Duration::from_secs(4);
 
 /// Longest time for which a worker may hold back its answer to a renewal.
-fn max_wait(worker: &Worker) -> Duration {
+pub(super) fn max_wait(worker: &Worker) -> Duration {
     if worker.runs.is_empty() {
         return MAX_WAIT_IDLE;
     }
--- a/src/shard/scheduler/rows.rs
+++ b/src/shard/scheduler/rows.rs
@@ -166,6 +166,15 @@
 }
 
 impl ShardScheduler {
+    /// Lets the rows of tasks be written whose leases have lapsed, so that the next owner does not wait for them again.
+    pub(super) fn mark_lapsed(&mut self, tasks: &[JobTaskId]) {
+        for task in tasks {
+            if let Some(job) = self.jobs.get(&task.step.job) {
+                self.rows.mark((task.step.job, job.progress.row_of(task)));
+            }
+        }
+    }
+
     /// Returns true if a run waits for a row or the end of a job is not stored.
     #[must_use]
     pub fn has_urgent_rows(&self) -> bool {
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -116,6 +116,8 @@
 pub const START_DETAIL: Event = Event::new(672, Level::Debug, "start-detail");
 /// Starts that P0671 covers were not logged, because there were too many.
 pub const STARTS_LEFT_OUT: Event = Event::new(673, Level::Info, "starts-left-out");
+/// The platform's settings don't allow that tasks of a lost worker run again in time and never twice.
+pub const RECOVERY_LIMIT: Event = Event::new(674, Level::Warn, "recovery-limit");
 
 /// All events of this module.
 pub const ALL: &[Event] = &[
@@ -174,4 +176,5 @@
     START_LOGGED,
     START_DETAIL,
     STARTS_LEFT_OUT,
+    RECOVERY_LIMIT,
 ];
--- a/tests/testsuite/jobs/takeover_log.rs
+++ b/tests/testsuite/jobs/takeover_log.rs
@@ -66,9 +66,13 @@
     let seen_ms_ago = number(&claim, "heartbeat_seen_ms_ago");
     assert!(seen_ms_ago >= 2_000, "{claim}");
     assert!(number(&claim, "silent_in_ms") <= 7_000 - seen_ms_ago, "{claim}");
-    // A lease of at most 6 s lapses 6.45 s after the predecessor is silent: 1.025 * 6 s + 0.3 s.
+    // Leases end with the predecessor's permission of 7 s: 1.025 * 7 s + 0.3 s after the heartbeat.
     let after = number(&begun, "lapsed_in_ms") - number(&begun, "silent_in_ms");
+    assert!((474..=476).contains(&after), "{begun}");
+    // A lease of unknown length lapses 6.45 s after the predecessor is silent: 1.025 * 6 s + 0.3 s.
+    let after = number(&begun, "unanswered_lapsed_in_ms") - number(&begun, "silent_in_ms");
     assert!((6_449..=6_450).contains(&after), "{begun}");
+    assert_eq!(number(&begun, "unanswered_starts"), 0, "{begun}");
     assert_eq!((number(&begun, "tasks"), number(&begun, "suspects")), (3, 0));
 
     let adopted = lines_of_event(&lines, "P0670");
--- a/tests/testsuite/shard/lapse.rs
+++ b/tests/testsuite/shard/lapse.rs
@@ -3,11 +3,17 @@
 use std::time::Duration;
 
 use arbtest::arbtest;
+use plantainlever::shard::OwnerRow;
 use plantainlever::shard::lapse::{WorkerClock, longest_local_time};
-use plantainlever::shard::ownership::{ClaimReason, OwnershipLease};
+use plantainlever::shard::ownership::{
+    ClaimReason, HEARTBEAT_TIMEOUT, LeaseEnds, OWNERSHIP_LEASE_DURATION, OwnershipLease,
+    Predecessor, StoreClock,
+};
+use plantainlever::shard::recovery::RecoveryTimes;
+use plantainlever::shard::scheduler::Timing;
 
-/// Length of the leases that the owner grants.
-const LEASE: Duration = Duration::from_secs(5);
+/// Length of the leases that the owner grants: longer than its permission, which then bounds them.
+const LEASE: Duration = Duration::from_secs(8);
 
 /// Longest time that a worker takes to end runs: the platform's `stop-ms`.
 const KILL_TIME: Duration = Duration::from_millis(400);
@@ -53,15 +59,19 @@
     );
 }
 
-/// Delays and rates that separate the last command of an owner from the first start by its successor.
+/// Delays and rates that separate the last lease of an owner from the first start by its successor.
 #[derive(Clone, Copy, Debug)]
 struct Terms {
     /// Time from sending the owner's last heartbeat to the successor's first read of it.
     heartbeat_latency: Duration,
     /// Time from that heartbeat to the owner's last write of other rows.
     other_writes: Duration,
-    /// Time for which the owner is suspended between the choice of the last renewal and its arrival.
+    /// Time from that heartbeat to the grant of the lease, within the owner's permission.
+    granted: Duration,
+    /// Time for which the owner is suspended between the grant and its arrival.
     suspended: Duration,
+    /// Round trip of the owner's and of the successor's newest reading of the store's clock; `None` without that clock.
+    store_clock: Option<Duration>,
     /// Rate of the worker's clock, per mille.
     rate_per_mille: u32,
     /// Time from the expiry of the lease to the end of the runs.
@@ -72,34 +82,68 @@
 const BOUND: Terms = Terms {
     heartbeat_latency: Duration::ZERO,
     other_writes: Duration::from_secs(7),
+    granted: Duration::from_secs(7),
     suspended: Duration::from_secs(60),
+    store_clock: None,
     rate_per_mille: 980,
     kill_delay: KILL_TIME,
 };
 
-/// Returns true if a run that the owner's last renewal keeps alive has ended when the successor starts its task again.
+/// Reading of the store's clock at the local time zero.
+const STORE_ORIGIN: Duration = Duration::from_secs(5_000);
+
+/// Returns a reading of the store's clock from a call that was answered at `received` after a round trip of `length`. The
+/// store acts at its end or, if `is_early`, at its beginning.
+fn store_reading(received: Duration, length: Duration, is_early: bool) -> StoreClock {
+    let sent = received - length;
+    let read = if is_early { sent } else { received };
+    StoreClock::new((STORE_ORIGIN + read).as_millis() as u64, sent, received)
+}
+
+/// Returns true if a run that the owner's last lease keeps alive has ended when the successor starts its task again.
 fn has_ended_before_the_next_start(terms: Terms) -> bool {
+    let timing = Timing {
+        lease: LEASE,
+        max_lease: LEASE,
+        kill_time: KILL_TIME,
+        throttle_delay: Duration::ZERO,
+    };
     let heartbeat = Duration::from_secs(100);
     let mut ownership = OwnershipLease::new(heartbeat);
     ownership.confirm(heartbeat + terms.other_writes);
-    let mut last = heartbeat;
-    while ownership.is_valid(last + Duration::from_millis(1)) {
-        last += Duration::from_millis(1);
-    }
+    let granted = (heartbeat + terms.granted).min(ownership.ends_at() - Duration::from_millis(1));
+    assert!(ownership.is_valid(granted));
     // The worker reads its clock and answers at once, so the owner knows the clock as well as it can.
-    let expiry_ms = WorkerClock::new(0, last).expiry_ms(last, LEASE);
+    let length = LEASE.min(ownership.ends_at() - granted);
+    let expiry_ms = WorkerClock::new(0, granted).expiry_ms(granted, length);
     let on_worker = Duration::from_millis(expiry_ms);
-    let arrives = last + terms.suspended;
-    let expires = last + on_worker * 1_000 / terms.rate_per_mille;
-    let ends = if arrives < expires { expires + terms.kill_delay } else { last };
-    let since = heartbeat + terms.heartbeat_latency;
-    let silent = ClaimReason::Silent { since }.predecessors_silent_at(since);
-    ends <= silent + longest_local_time(LEASE, KILL_TIME)
+    let arrives = granted + terms.suspended;
+    let expires = granted + on_worker * 1_000 / terms.rate_per_mille;
+    let ends = if arrives < expires { expires + terms.kill_delay } else { granted };
+    let seen = heartbeat + terms.heartbeat_latency;
+    let claimed = seen + HEARTBEAT_TIMEOUT;
+    let sent_store_ms =
+        terms.store_clock.map(|trip| store_reading(heartbeat, trip, true).at_most_ms(heartbeat));
+    let row = OwnerRow {
+        lease_limit_ms: Some(OWNERSHIP_LEASE_DURATION.as_millis() as u64),
+        earlier_lapsed_in_ms: Some(0),
+        sent_store_ms,
+        ..OwnerRow::default()
+    };
+    let predecessor = Predecessor {
+        row: Some(&row),
+        heartbeat_sent_store_ms: sent_store_ms,
+        seen,
+        is_unanswered_claim: false,
+    };
+    let store_clock = terms.store_clock.map(|trip| store_reading(claimed, trip, false));
+    let reason = ClaimReason::Silent { since: seen };
+    ends <= LeaseEnds::before_claim(reason, predecessor, store_clock, &timing, claimed).lapsed_at
 }
 
 /// Guards against two runs of a task after a change of owner, for every delay within its bound.
 #[test]
-fn the_last_renewal_of_an_owner_ends_before_the_first_start_of_its_successor() {
+fn the_last_lease_of_an_owner_ends_before_the_first_start_of_its_successor() {
     assert!(has_ended_before_the_next_start(Terms { suspended: Duration::ZERO, ..BOUND }));
     arbtest(|u| {
         let mut up_to = |bound: Duration| -> arbtest::arbitrary::Result<Duration> {
@@ -108,10 +152,14 @@
         let terms = Terms {
             heartbeat_latency: up_to(Duration::from_secs(5))?,
             other_writes: up_to(BOUND.other_writes)?,
+            granted: up_to(BOUND.granted)?,
             suspended: up_to(BOUND.suspended)?,
             kill_delay: up_to(BOUND.kill_delay)?,
+            store_clock: Some(up_to(Duration::from_secs(2))?),
             rate_per_mille: u.int_in_range(BOUND.rate_per_mille..=1_000)?,
         };
+        let store_clock = terms.store_clock.filter(|_| terms.granted.as_millis() % 2 == 0);
+        let terms = Terms { store_clock, ..terms };
         assert!(has_ended_before_the_next_start(terms), "{terms:?}");
         Ok(())
     });
@@ -120,8 +168,67 @@
 /// Guards against a wait that leaves out a delay: each one that is beyond its bound must show.
 #[test]
 fn a_delay_beyond_its_bound_makes_runs_overlap() {
-    let terms = Terms { suspended: Duration::ZERO, ..BOUND };
+    let terms = Terms { suspended: Duration::ZERO, granted: Duration::ZERO, ..BOUND };
     assert!(!has_ended_before_the_next_start(Terms { rate_per_mille: 970, ..terms }));
     let kill_delay = BOUND.kill_delay + Duration::from_millis(50);
     assert!(!has_ended_before_the_next_start(Terms { kill_delay, ..terms }));
 }
+
+/// Guards against a wait in series: a successor waits for the end of the permission and for a lease after it.
+#[test]
+fn leases_have_lapsed_little_later_than_the_permission_of_their_owner() {
+    let row = OwnerRow {
+        lease_limit_ms: Some(OWNERSHIP_LEASE_DURATION.as_millis() as u64),
+        earlier_lapsed_in_ms: Some(0),
+        ..OwnerRow::default()
+    };
+    let seen = Duration::from_secs(100);
+    let predecessor = Predecessor {
+        row: Some(&row),
+        heartbeat_sent_store_ms: None,
+        seen,
+        is_unanswered_claim: false,
+    };
+    let max_lease = Duration::from_secs(10);
+    let timing = Timing {
+        lease: max_lease,
+        max_lease,
+        kill_time: KILL_TIME,
+        throttle_delay: Duration::ZERO,
+    };
+    let reason = ClaimReason::Silent { since: seen };
+    let ends = LeaseEnds::before_claim(reason, predecessor, None, &timing, seen);
+    assert_eq!(ends.lapsed_at, seen + longest_local_time(OWNERSHIP_LEASE_DURATION, KILL_TIME));
+    assert_eq!(
+        ends.unanswered_lapsed_at,
+        ends.silent_at + longest_local_time(max_lease, KILL_TIME)
+    );
+    // A version that grants longer leases does not say for how long.
+    let row = OwnerRow::default();
+    let predecessor = Predecessor { row: Some(&row), ..predecessor };
+    let ends = LeaseEnds::before_claim(reason, predecessor, None, &timing, seen);
+    assert_eq!(ends.lapsed_at, ends.unanswered_lapsed_at);
+}
+
+/// Guards against a wait that a change lengthens beyond what callers are promised, on either deployment, and against
+/// settings that allow no better and are not reported.
+#[test]
+fn the_waits_for_leases_are_within_the_limit_of_callers() {
+    let timing = |hold_max_ms, stop_ms| {
+        let max_lease = Duration::from_millis(hold_max_ms);
+        Timing {
+            lease: max_lease.min(OWNERSHIP_LEASE_DURATION),
+            max_lease,
+            kill_time: Duration::from_millis(stop_ms),
+            throttle_delay: Duration::ZERO,
+        }
+    };
+    for timing in [timing(6_000, 400), timing(10_000, 250)] {
+        let times = RecoveryTimes::new(&timing);
+        assert!(times.are_within_limit(), "{times:?}");
+        // The waits that the limit bounds are those that keep two runs apart.
+        assert!(times.owner_lost > longest_local_time(OWNERSHIP_LEASE_DURATION, timing.kill_time));
+        assert!(times.owner_alive > longest_local_time(timing.lease, timing.kill_time));
+    }
+    assert!(!RecoveryTimes::new(&timing(6_000, 3_000)).are_within_limit());
+}
--- a/tests/testsuite/shard/owner_chains.rs
+++ b/tests/testsuite/shard/owner_chains.rs
@@ -8,6 +8,7 @@
 mod port;
 mod process;
 mod random;
+mod recovery;
 mod scenario;
 mod workers;
 mod world;
--- a/tests/testsuite/shard/owner_chains/port.rs
+++ b/tests/testsuite/shard/owner_chains/port.rs
@@ -1,5 +1,6 @@
 //! Store and workers as the processes of a simulation reach them.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use plantainlever::ops::jobs::layout;
 use plantainlever::port::{Commit, CommitOutcome, RowList, RowStore, StoreError, WorkerPort};
 use plantainlever::shard::ShardId;
+use plantainlever::shard::ownership::StoreClock;
 use plantainlever::shard::report::{RenewalReport, WorkerListing};
 use plantainlever::shard::scheduler::{
     Command, CommandKind, CommandOutcome, RenewalFailure, StartOutcome, StartRefusal,
@@ -29,6 +31,8 @@
 pub struct Port {
     pub world: Rc<World>,
     pub vm: String,
+    /// Newest reading of the store's clock.
+    pub clock: Cell<Option<StoreClock>>,
 }
 
 impl Port {
@@ -60,8 +64,15 @@
         limit: Duration,
         action: impl Future<Output = T> + 'static,
     ) -> Result<T, StoreError> {
-        let answer = self.call(STORE, limit, async { Some(action.await) }).await;
-        answer.ok_or_else(|| StoreError::NoAnswer { cause: "no answer".to_owned() })
+        let (sent, world) = (self.world.now(), Rc::clone(&self.world));
+        let action = async move { Some((action.await, world.clock_ms())) };
+        let answer = self.call(STORE, limit, action).await;
+        let (answer, reading_ms) =
+            answer.ok_or_else(|| StoreError::NoAnswer { cause: "no answer".to_owned() })?;
+        if let Some(reading_ms) = reading_ms {
+            self.clock.set(Some(StoreClock::new(reading_ms, sent, self.world.now())));
+        }
+        Ok(answer)
     }
 
     async fn command(&self, epoch: u64, command: &Command) -> Option<Answer> {
@@ -124,6 +135,10 @@
         self.call_store(STORE_TIMEOUT, async move { world.apply(&vm, &commit) }).await
     }
 
+    fn clock(&self) -> Option<StoreClock> {
+        self.clock.get()
+    }
+
     async fn changes(
         &self,
         table: &str,
--- a/tests/testsuite/shard/owner_chains/process.rs
+++ b/tests/testsuite/shard/owner_chains/process.rs
@@ -10,14 +10,14 @@
 
 use plantainlever::clock::Clock;
 use plantainlever::ops::jobs::{Node, NodeSettings, OperatorConfig, watch};
-use plantainlever::shard::{ShardId, ShardMap};
+use plantainlever::shard::{ShardId, ShardMap, Timing};
 use plantainlever::telemetry::Metrics;
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep};
 
 use super::port::{Port, STORE_TIMEOUT};
 use super::world::World;
-use crate::shard::rig::{QUEUE, policy, timing};
+use crate::shard::rig::{QUEUE, policy};
 
 /// Size of the largest row, so small that a job of a few dozen tasks takes several rows.
 const ROW_BYTES: usize = 4_096;
@@ -98,11 +98,11 @@
 }
 
 impl Process {
-    pub fn start(world: &Rc<World>, vm: &str) -> Self {
+    pub fn start(world: &Rc<World>, vm: &str, timing: Timing) -> Self {
         let cfg = NodeSettings {
             vm: vm.to_owned(),
             cpu_share: 1.0,
-            timing: timing(),
+            timing,
             max_row_bytes: ROW_BYTES,
             keep_ended: Duration::from_secs(1_000),
             call_timeout: Duration::from_secs(3),
@@ -110,7 +110,7 @@
             max_worker_list_age: MAX_AGE,
             max_jobs_age: MAX_AGE,
         };
-        let port = Port { world: Rc::clone(world), vm: vm.to_owned() };
+        let port = Port { world: Rc::clone(world), vm: vm.to_owned(), clock: Cell::default() };
         let clock = Arc::new(SimClock { began: world.began });
         let node = Rc::new(Node::new(cfg, clock, port, Metrics::disabled()));
         node.set_map(ShardMap { shards: 1 });
--- a/tests/testsuite/shard/owner_chains/scenario.rs
+++ b/tests/testsuite/shard/owner_chains/scenario.rs
@@ -14,7 +14,7 @@
 use super::random::Random;
 use super::workers::Workers;
 use super::world::{STORE, World};
-use crate::shard::rig::{QUEUE, step};
+use crate::shard::rig::{QUEUE, step, timing};
 
 /// Processors of a worker.
 const WORKER_CPU_MILLIS: u64 = 4_000;
@@ -52,11 +52,11 @@
 async fn run(seed: u64, tasks: &Rc<LocalSet>) -> Result<Summary, String> {
     let mut random = Random::new(seed);
     let count = 3 + random.below(4) as u32;
-    let workers = Workers::new(count, WORKER_CPU_MILLIS, Random::new(random.next()));
+    let workers = Workers::new(count, WORKER_CPU_MILLIS, timing(), Random::new(random.next()));
     let world = World::new(tasks, workers, Random::new(random.next()));
     let processes = 2 + random.index(3);
     let vms: Vec<String> = (0..processes).map(|index| format!("p{index}")).collect();
-    let processes = vms.iter().map(|vm| Process::start(&world, vm)).collect();
+    let processes = vms.iter().map(|vm| Process::start(&world, vm, timing())).collect();
     let events = plan(&mut random);
     let (restarts, log) = (Vec::new(), Vec::new());
     let mut simulation = Simulation { world, random, processes, vms, restarts, log };
@@ -170,7 +170,7 @@
                 // A VM runs one process at a time.
                 last.kill();
                 self.log.push(format!("{now:?} {} starts", last.vm));
-                self.processes.push(Process::start(&self.world, &last.vm));
+                self.processes.push(Process::start(&self.world, &last.vm, timing()));
             }
             if now >= until {
                 return Ok(());
@@ -378,22 +378,11 @@
     fn submit(&mut self, number: u64) -> String {
         let id = JobId(number);
         let (spec, length) = job(&mut self.random);
-        self.world.workers.borrow_mut().lengths.insert(id, length);
-        let stored = StoredJob { queue: QUEUE.to_owned(), accepted_unix_ms: 1_000_000, spec };
-        let shard = ShardId(0);
-        let key = layout::job_row(shard, id);
-        let commit = Commit {
-            partition: layout::job_partition(shard, id),
-            expected: vec![(key.clone(), 0)],
-            writes: vec![(key, serde_json::to_vec(&stored).unwrap())],
-            ..Commit::default()
-        };
-        self.world.apply("caller", &commit);
-        let steps = stored.spec.steps.iter().map(|step| {
+        let steps = spec.steps.iter().map(|step| {
             (step.count, step.resources.cpu_millis, step.is_gang, step.is_long_running)
         });
         let detail = format!("{:?} for {length:?}", steps.collect::<Vec<_>>());
-        self.world.jobs.borrow_mut().insert(id, stored.spec);
+        submit(&self.world, id, spec, length);
         detail
     }
 
@@ -409,6 +398,22 @@
     }
 }
 
+/// Stores a job as it is accepted. Its tasks take `length`, or run until they are stopped.
+pub fn submit(world: &World, id: JobId, spec: JobSpec, length: Option<Duration>) {
+    world.workers.borrow_mut().lengths.insert(id, length);
+    let stored = StoredJob { queue: QUEUE.to_owned(), accepted_unix_ms: 1_000_000, spec };
+    let shard = ShardId(0);
+    let key = layout::job_row(shard, id);
+    let commit = Commit {
+        partition: layout::job_partition(shard, id),
+        expected: vec![(key.clone(), 0)],
+        writes: vec![(key, serde_json::to_vec(&stored).unwrap())],
+        ..Commit::default()
+    };
+    world.apply("caller", &commit);
+    world.jobs.borrow_mut().insert(id, stored.spec);
+}
+
 /// Describes a random job, with the length of its tasks.
 fn job(random: &mut Random) -> (JobSpec, Option<Duration>) {
     let short = Some(random.between(100, 3_000));
--- a/tests/testsuite/shard/owner_chains/workers.rs
+++ b/tests/testsuite/shard/owner_chains/workers.rs
@@ -7,13 +7,11 @@
 use plantainlever::job::{JobId, JobTaskId, Resources};
 use plantainlever::shard::WorkerId;
 use plantainlever::shard::report::{EndCause, EndReport, RenewalReport, RunReport, WorkerListing};
-use plantainlever::shard::scheduler::{Command, CommandKind, StartRefusal};
+use plantainlever::shard::scheduler::{Command, CommandKind, StartRefusal, Timing};
 
 use super::random::Random;
-use crate::shard::rig::{Answer, MAX_LEASE, listing};
+use crate::shard::rig::{Answer, listing};
 
-/// Longest time from the expiry of a lease to the kill of its runs.
-const MAX_KILL_DELAY_MS: u64 = 300;
 /// Rate of the slowest clock, in thousandths.
 const SLOWEST_RATE: u64 = 980;
 /// Longest time from a stop command to the end of the run.
@@ -82,7 +80,7 @@
 }
 
 impl SimWorker {
-    fn new(listing: WorkerListing, random: &mut Random) -> Self {
+    fn new(listing: WorkerListing, kill_time: Duration, random: &mut Random) -> Self {
         let born = listing.incarnation_started_unix_ms.unwrap_or(1);
         let mut worker = Self {
             listing,
@@ -103,17 +101,18 @@
             over: BTreeMap::new(),
             delivered: BTreeSet::new(),
         };
-        worker.begin_incarnation(Duration::ZERO, random);
+        worker.begin_incarnation(Duration::ZERO, kill_time, random);
         worker
     }
 
-    fn begin_incarnation(&mut self, now: Duration, random: &mut Random) {
+    fn begin_incarnation(&mut self, now: Duration, kill_time: Duration, random: &mut Random) {
         let origin = [0, random.below(3_000), random.below(2_000_000)][random.index(3)];
         self.clock = (origin, now);
         // The bounds count most: leases that last longest show whose sums are too short.
         let is_latest = random.one_in(2);
         self.rate = if is_latest { SLOWEST_RATE } else { SLOWEST_RATE + random.below(21) };
-        let kill_ms = if is_latest { MAX_KILL_DELAY_MS } else { random.below(MAX_KILL_DELAY_MS) };
+        let longest_ms = kill_time.as_millis() as u64;
+        let kill_ms = if is_latest { longest_ms } else { random.below(longest_ms) };
         self.kill_delay = Duration::from_millis(kill_ms);
         (self.epoch, self.expiry_ms, self.next_end) = (0, 0, 1);
         self.ended.clear();
@@ -171,16 +170,19 @@
     /// Breached invariant and the task.
     pub breaches: Vec<(String, JobTaskId)>,
     pub random: Random,
+    /// Longest lease, and longest time from its expiry to the kill of its runs.
+    timing: Timing,
     next_worker: u32,
     next_born: u64,
 }
 
 impl Workers {
-    pub fn new(count: u32, cpu_millis: u64, mut random: Random) -> Self {
+    pub fn new(count: u32, cpu_millis: u64, timing: Timing, mut random: Random) -> Self {
         let mut workers = BTreeMap::new();
         for index in 0..count {
             let listing = listing(index, cpu_millis);
-            workers.insert(listing.id.clone(), SimWorker::new(listing, &mut random));
+            let worker = SimWorker::new(listing, timing.kill_time, &mut random);
+            workers.insert(worker.listing.id.clone(), worker);
         }
         Self {
             workers,
@@ -189,6 +191,7 @@
             acked_done: BTreeMap::new(),
             breaches: Vec::new(),
             random,
+            timing,
             next_worker: count,
             next_born: 2,
         }
@@ -241,7 +244,7 @@
         };
         self.next_worker += 1;
         self.next_born += 1;
-        let mut worker = SimWorker::new(new.clone(), &mut self.random);
+        let mut worker = SimWorker::new(new.clone(), self.timing.kill_time, &mut self.random);
         worker.shown.push((now, worker.born));
         worker.clock.1 = now;
         self.workers.insert(new.id, worker);
@@ -264,7 +267,7 @@
                 worker.down_until = None;
                 worker.born = self.next_born;
                 self.next_born += 1;
-                worker.begin_incarnation(at, &mut self.random);
+                worker.begin_incarnation(at, self.timing.kill_time, &mut self.random);
                 let delay = Duration::from_millis(self.random.below(MAX_LIST_DELAY_MS));
                 // The entry is written by the worker itself, so it can be there before any answer.
                 let delay = if self.random.one_in(3) { Duration::ZERO } else { delay };
@@ -347,7 +350,7 @@
         }
         worker.epoch = order.epoch;
         let clock_ms = worker.clock_ms(now);
-        let longest_ms = clock_ms + MAX_LEASE.as_millis() as u64;
+        let longest_ms = clock_ms + self.timing.max_lease.as_millis() as u64;
         match &order.command.kind {
             CommandKind::Renew { expiry_ms, acked_end, .. } => {
                 let expiry_ms = expiry_ms.unwrap_or(0).min(longest_ms);
--- a/tests/testsuite/shard/owner_chains/world.rs
+++ b/tests/testsuite/shard/owner_chains/world.rs
@@ -19,6 +19,8 @@
 
 /// The store's end of a connection.
 pub const STORE: &str = "store";
+/// Reading of the store's clock at the start of a simulation.
+const STORE_CLOCK_ORIGIN_MS: u64 = 86_400_000;
 /// Longest time for which a message waits for the end of a cut; longer cuts break the connection.
 const MAX_RESEND: Duration = Duration::from_secs(3);
 /// Version and content of a row; `None` for a removed row.
@@ -46,6 +48,10 @@
     cuts: RefCell<BTreeMap<(String, String), Duration>>,
     /// Transactions reach the store late until this time.
     pub store_slow_until: Cell<Duration>,
+    /// Messages are neither lost nor late except by the faults of the simulation.
+    pub is_calm: Cell<bool>,
+    /// The store's answers have a reading of its clock.
+    pub has_clock: Cell<bool>,
     /// Changes of the shard's partition and reads of its progress, in order.
     accesses: RefCell<Vec<Access>>,
     pub jobs: RefCell<BTreeMap<JobId, JobSpec>>,
@@ -62,6 +68,8 @@
             random: RefCell::new(random),
             cuts: RefCell::default(),
             store_slow_until: Cell::default(),
+            is_calm: Cell::default(),
+            has_clock: Cell::new(true),
             accesses: RefCell::default(),
             jobs: RefCell::default(),
         })
@@ -71,6 +79,12 @@
         self.began.elapsed()
     }
 
+    /// Returns a reading of the store's clock, which is half a percent slow.
+    pub fn clock_ms(&self) -> Option<u64> {
+        let elapsed_ms = self.now().as_millis() as u64 * 995 / 1_000;
+        self.has_clock.get().then_some(STORE_CLOCK_ORIGIN_MS + elapsed_ms)
+    }
+
     /// Runs a future that outlives the process which causes it.
     pub fn spawn(&self, future: impl Future<Output = ()> + 'static) {
         if let Some(tasks) = self.tasks.upgrade() {
@@ -107,6 +121,9 @@
         if is_slow && random.one_in(2) {
             return Some(random.between(1, 2_500));
         }
+        if self.is_calm.get() {
+            return Some(random.between(1, 8));
+        }
         if random.one_in(400) {
             return None;
         }
--- a/tests/testsuite/shard/ownership.rs
+++ b/tests/testsuite/shard/ownership.rs
@@ -11,7 +11,13 @@
 const STAGGER: Duration = Duration::from_millis(100);
 
 fn row(vm: &str) -> OwnerRow {
-    OwnerRow { epoch: 4, vm: vm.to_owned(), started_unix_ms: 5, earlier_silent_in_ms: Some(300) }
+    OwnerRow {
+        epoch: 4,
+        vm: vm.to_owned(),
+        started_unix_ms: 5,
+        earlier_silent_in_ms: Some(300),
+        ..OwnerRow::default()
+    }
 }
 
 fn at(ms: u64) -> Duration {
