Let a job with suspects run beside trials of other jobs

Change: a job of which nothing runs waits for 1.5 s; then one of its suspects starts on a worker that goes on taking other tasks. It still counts as a trial of its job, so a job whose tasks crash their workers takes down one at a time as before.

Result: the new test (eight jobs, twelve workers, two on trial) fails without the change and passes with it; shard::many_suspects and shard::crashes pass unchanged.

--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -42,6 +42,7 @@
 use crate::shard::worker::{Phase, Run, Worker, WorkerId};
 use crate::telemetry::event::shard as event;
 
+use super::trials::Trial;
 use super::{Job, ShardScheduler};
 
 /// Crashes after which a task is given up if no other task can have caused the last one, nor what made other workers
@@ -117,7 +118,7 @@
     /// previous owner recorded. Subset of `suspects`.
     pub(super) untried: BTreeSet<JobTaskId>,
     /// Newest run of each suspect that was placed as a trial and has not passed it.
-    pub(super) trials: BTreeMap<JobTaskId, u32>,
+    pub(super) trials: BTreeMap<JobTaskId, (u32, Trial)>,
     /// Suspects of each job that were cleared by trials since a worker last crashed under the job.
     pub(super) cleared: BTreeMap<JobId, usize>,
     /// Runs whose leases lapsed on a worker that did not answer. Whether it has crashed is known once it answers again.
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -24,7 +24,7 @@
 use super::pass::{Admission, Pass};
 use super::renewals::{new_run, set_step_attributes};
 use super::rows::PlannedStart;
-use super::trials::TrialRoom;
+use super::trials::{Trial, TrialRoom};
 use super::{CommandKind, ShardScheduler, StartOutcome, StartRefusal};
 
 /// Deducted from the score of a worker on probation, so that tasks run there only if no other worker takes them.
@@ -53,16 +53,6 @@
     trial_room: Option<TrialRoom>,
 }
 
-impl StepWorkers {
-    /// Counts a suspect that was placed, on a worker that was not on trial if `is_new_worker`.
-    fn count_trial(&mut self, is_new_worker: bool) {
-        if let Some(room) = &mut self.trial_room {
-            room.suspects -= 1;
-            room.workers -= usize::from(is_new_worker);
-        }
-    }
-}
-
 impl ShardScheduler {
     /// Runs a placement pass if one is due.
     pub(super) fn place(&mut self, now: Duration) {
@@ -168,7 +158,9 @@
         for index in tasks {
             let task = JobTaskId { step: *key, index: *index };
             let needs_trial = self.needs_trial(&task);
-            let Some(best) = self.workers_for(&mut workers, key, needs_trial) else { continue };
+            let Some((best, trial)) = self.workers_for(&mut workers, key, needs_trial) else {
+                continue;
+            };
             let Some((worker, position)) = self.pop_best(pass, best, &task) else {
                 outcome = if best.is_empty() {
                     StepOutcome::NoWorker
@@ -180,12 +172,16 @@
             let run = self.next_run(self.last_run(&task));
             self.reserve(now, &worker, &task, run);
             pass.invalidate(position);
-            if needs_trial {
-                self.begin_trial(&task, run);
-                workers.count_trial(on_trial.insert(position));
+            if let Some(trial) = trial {
+                self.begin_trial(&task, run, trial);
+                let is_new_worker = trial == Trial::Isolated && on_trial.insert(position);
+                if let Some(room) = &mut workers.trial_room {
+                    room.count(is_new_worker);
+                }
             }
             let again = self.score_of(pass, key, step, tier, position);
-            let best = if needs_trial { &mut workers.on_trial } else { &mut workers.best };
+            let is_isolated = trial == Some(Trial::Isolated);
+            let best = if is_isolated { &mut workers.on_trial } else { &mut workers.best };
             best.extend(again.map(|score| (score, position)));
         }
         // Only suspects of this step share a worker on trial.
@@ -195,27 +191,23 @@
         outcome
     }
 
-    /// Returns the workers for the next task of a step, which for a trial are first those that are on trial already.
-    /// `None` if the task must wait for trials.
+    /// Returns the workers for the next task of a step, which for a trial are first those that are on trial already, and
+    /// how it is tried. `None` if the task must wait for trials.
     fn workers_for<'a>(
         &self,
         workers: &'a mut StepWorkers,
         key: &StepId,
         needs_trial: bool,
-    ) -> Option<&'a mut BinaryHeap<(i64, usize)>> {
+    ) -> Option<(&'a mut BinaryHeap<(i64, usize)>, Option<Trial>)> {
         if !needs_trial {
-            return Some(&mut workers.best);
+            return Some((&mut workers.best, None));
         }
-        let room = workers.trial_room.get_or_insert_with(|| self.trial_room(key.job));
-        if room.suspects == 0 {
-            None
-        } else if !workers.on_trial.is_empty() {
-            Some(&mut workers.on_trial)
-        } else if room.workers > 0 {
-            Some(&mut workers.best)
-        } else {
-            None
+        let room = workers.trial_room.get_or_insert_with(|| self.trial_room(key));
+        if room.suspects > 0 && !workers.on_trial.is_empty() {
+            return Some((&mut workers.on_trial, Some(Trial::Isolated)));
         }
+        let trial = room.next()?;
+        Some((&mut workers.best, Some(trial)))
     }
 
     /// Removes the best worker for a task from `best` and returns it. Workers that already have a run of the task are
@@ -362,10 +354,12 @@
             return false;
         }
         let first = JobTaskId { step: *key, index: 0 };
-        let needs_trial = self.needs_trial(&first);
-        if needs_trial && !self.trial_room(key.job).has_room_for_gang() {
-            return true;
-        }
+        let trial = if self.needs_trial(&first) {
+            let Some(trial) = self.trial_room(key).next_gang() else { return true };
+            Some(trial)
+        } else {
+            None
+        };
         let is_coupled = step.is_tightly_coupled;
         let last_run =
             tasks.iter().map(|index| self.last_run(&JobTaskId { step: *key, index: *index })).max();
@@ -390,8 +384,10 @@
             if placed.len() == tasks.len() {
                 for (_, task, position) in placed {
                     pass.invalidate(position);
-                    if needs_trial {
-                        self.begin_trial(&task, run);
+                    if let Some(trial) = trial {
+                        self.begin_trial(&task, run, trial);
+                    }
+                    if trial == Some(Trial::Isolated) {
                         pass.admission[position] = Admission::None;
                     }
                 }
--- a/src/shard/scheduler/trials.rs
+++ b/src/shard/scheduler/trials.rs
@@ -13,7 +13,8 @@
 //! one suspect, and is tried while no other suspect of its job is.
 //!
 //! At most one in [`WORKERS_PER_TRIAL`] workers is on trial, which bounds what suspects can take down together; the
-//! others wait. A job leaves one of these to others. A shard with fewer workers has no trials, since each would take
+//! others wait. A job of which nothing runs waits for [`TRIAL_PATIENCE`] at most; then one of its suspects starts on a
+//! worker that goes on taking other tasks. A job leaves one of the workers on trial to others. A shard with fewer workers has no trials, since each would take
 //! too large a part of it out of use: there, suspects are placed like other tasks.
 
 use std::collections::BTreeSet;
@@ -29,7 +30,8 @@
 const WORKERS_PER_TRIAL: usize = 6;
 
 /// Time after which a long-running task waits for no trial any more: neither a suspect for one of its own, nor another
-/// task for the end of one. Isolation must not keep a service from resources that are free.
+/// task for the end of one. Isolation must not keep a service from resources that are free. A suspect of a job of which
+/// nothing runs waits no longer for a worker of its own.
 const TRIAL_PATIENCE: Duration = Duration::from_millis(1_500);
 
 /// Smallest number of workers that may be on trial in a shard with trials, so that one suspect does not block all
@@ -45,12 +47,40 @@
     pub(super) workers: usize,
     /// No suspect of the job is on trial.
     is_idle: bool,
+    /// Nothing of the job runs, and it has waited for [`TRIAL_PATIENCE`].
+    is_stalled: bool,
+}
+
+/// How the next suspect of a job may start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Trial {
+    /// On a worker that gets no other task meanwhile.
+    Isolated,
+    /// On any worker.
+    Shared,
 }
 
 impl TrialRoom {
-    /// Returns true if a gang may be put on trial.
-    pub(super) fn has_room_for_gang(&self) -> bool {
-        self.is_idle && self.workers > 0
+    /// Returns how the next suspect may start on a worker that is not on trial; `None` if it must wait.
+    pub(super) fn next(&self) -> Option<Trial> {
+        match self {
+            Self { suspects: 0, .. } => None,
+            Self { workers: 1.., .. } => Some(Trial::Isolated),
+            Self { is_stalled: true, .. } => Some(Trial::Shared),
+            _ => None,
+        }
+    }
+
+    /// Returns how a gang may start; `None` if it must wait.
+    pub(super) fn next_gang(&self) -> Option<Trial> {
+        self.next().filter(|_| self.is_idle)
+    }
+
+    /// Counts a suspect that was placed, on a worker that was not on trial if `is_new_worker`.
+    pub(super) fn count(&mut self, is_new_worker: bool) {
+        self.suspects -= 1;
+        self.workers = self.workers.saturating_sub(usize::from(is_new_worker));
+        self.is_stalled = false;
     }
 }
 
@@ -60,15 +90,15 @@
     pub(super) fn is_on_trial(&self, worker: &Worker) -> bool {
         let is_trial = |(task, run): (&JobTaskId, &Run)| {
             !is_proven(run, worker)
-                && self.crashes.trials.get(task) == Some(&run.number)
+                && self.crashes.trials.get(task) == Some(&(run.number, Trial::Isolated))
                 && self.is_suspect(task)
         };
         !self.crashes.trials.is_empty() && worker.runs.iter().any(is_trial)
     }
 
     /// Records that a run was placed as a trial.
-    pub(super) fn begin_trial(&mut self, task: &JobTaskId, run: u32) {
-        self.crashes.trials.insert(*task, run);
+    pub(super) fn begin_trial(&mut self, task: &JobTaskId, run: u32, trial: Trial) {
+        self.crashes.trials.insert(*task, (run, trial));
     }
 
     /// Returns true if a task of a long-running step has waited for so long that trials no longer matter to it.
@@ -78,7 +108,8 @@
 
     /// Returns how many suspects of a job may start, and on how many workers. Suspects that run without a trial count as
     /// well, since they may crash their workers.
-    pub(super) fn trial_room(&self, id: JobId) -> TrialRoom {
+    pub(super) fn trial_room(&self, key: &StepId) -> TrialRoom {
+        let id = key.job;
         let (mut all, mut of_job) = (BTreeSet::<&WorkerId>::new(), BTreeSet::new());
         let mut suspects = BTreeSet::new();
         for suspect in self.crashes.suspects.iter().filter(|suspect| self.is_suspect(suspect)) {
@@ -102,6 +133,8 @@
             suspects: (cleared + 1).saturating_sub(suspects.len()),
             workers: free.min(most.saturating_sub(1 + of_job.len())),
             is_idle: suspects.is_empty(),
+            is_stalled: self.waiting.longest_wait(key, self.now) >= TRIAL_PATIENCE
+                && self.runs_of(id).is_empty(),
         }
     }
 
@@ -127,7 +160,7 @@
     /// Counts the trials that have ended without a crash: the task has succeeded, or its run is proven.
     pub(super) fn end_passed_trials(&mut self) {
         let mut passed = Vec::new();
-        for (task, number) in &self.crashes.trials {
+        for (task, (number, _)) in &self.crashes.trials {
             let Some(job) = self.jobs.get(&task.step.job) else { continue };
             let is_done = job.progress.task(task).is_some_and(|progress| progress.is_done);
             let mut runs = self.runs_of_task(task);
--- a/tests/testsuite/shard/many_suspects.rs
+++ b/tests/testsuite/shard/many_suspects.rs
@@ -148,3 +148,25 @@
         rig.assert_no_breach();
     }
 }
+
+/// Guards against jobs of which nothing runs beside free workers: all workers that may be on trial hold suspects of others.
+#[test]
+fn each_job_with_suspects_has_a_run_soon() {
+    let mut rig = Rig::new(Fleet::new(12, 4_000));
+    rig.run(Duration::from_secs(1));
+    let ids: Vec<JobId> = (1..=8).map(|id| rig.submit(id, spec(vec![step(1, 1_000)]))).collect();
+    for id in &ids {
+        rig.fleet.durations.insert(*id, Duration::from_secs(60));
+    }
+    rig.run(Duration::from_secs(1));
+    let used: Vec<WorkerId> = rig.fleet.starts.iter().map(|(.., worker)| worker.clone()).collect();
+    for worker in used.iter().collect::<BTreeSet<_>>() {
+        rig.fleet.crash(worker);
+    }
+    rig.run(RESTART_TIME);
+    rig.run(Duration::from_secs(3));
+    let runs = rig.fleet.workers.values().flat_map(|worker| worker.runs.keys());
+    let running: BTreeSet<JobId> = runs.map(|task| task.step.job).collect();
+    assert_eq!(running, ids.into_iter().collect::<BTreeSet<_>>());
+    rig.assert_no_breach();
+}
