Test the names of silent workers and the expiry of starts

The shard rig writes the same lease report as the owner; unreached_workers, which nothing else used any more, is gone.

--- a/src/shard/scheduler/inherited.rs
+++ b/src/shard/scheduler/inherited.rs
@@ -274,18 +274,6 @@
         }
     }
 
-    /// Returns the workers with recorded tasks that have not answered, for the heartbeat, and the longest time until
-    /// the leases there have lapsed. Empty during `ANSWER_GRACE_PERIOD`.
-    #[must_use]
-    pub fn unreached_workers(&self, now: Duration) -> (Vec<String>, Duration) {
-        if now.saturating_sub(self.inherited.claimed) < ANSWER_GRACE_PERIOD {
-            return (Vec::new(), Duration::ZERO);
-        }
-        let ids = self.inherited.workers.keys().map(|id| id.as_str().to_owned()).collect();
-        let lapsed = self.inherited.workers.values().map(|recorded| recorded.lapsed).max();
-        (ids, lapsed.unwrap_or_default().saturating_sub(now))
-    }
-
     /// Records that a heartbeat that names these workers is about to be written. It may take effect from now on.
     pub fn on_heartbeat_sent(&mut self, workers: &[String]) {
         self.inherited.reported_unreached.extend(workers.iter().map(|id| WorkerId::new(id)));
--- a/tests/testsuite/shard/lapse.rs
+++ b/tests/testsuite/shard/lapse.rs
@@ -4,7 +4,7 @@
 
 use arbtest::arbtest;
 use plantainlever::shard::OwnerRow;
-use plantainlever::shard::lapse::{WorkerClock, longest_local_time};
+use plantainlever::shard::lapse::{GrantedLease, WorkerClock, longest_local_time};
 use plantainlever::shard::ownership::{
     ClaimReason, HEARTBEAT_TIMEOUT, LeaseEnds, OWNERSHIP_LEASE_DURATION, OwnershipLease,
     Predecessor, StoreClock,
@@ -232,3 +232,24 @@
     }
     assert!(!RecoveryTimes::new(&timing(6_000, 3_000)).are_within_limit());
 }
+
+/// Guards against a lease that ends later than it must: starts are sent to a worker whose silence is not noticed yet.
+#[test]
+fn starts_do_not_extend_a_lease_that_has_half_of_its_length_left() {
+    let mut lease = GrantedLease::default();
+    let begin = Duration::from_secs(100);
+    let half = LEASE / 2;
+    assert_eq!(lease.grant_for_start(begin, LEASE, half), None);
+    lease.on_reading(WorkerClock::new(5_000, begin));
+    let renewed = lease.grant(begin, LEASE).unwrap();
+    let end = lease.end(KILL_TIME);
+    for after_ms in [0, 1_000, 3_900] {
+        let now = begin + Duration::from_millis(after_ms);
+        assert_eq!(lease.grant_for_start(now, LEASE, half), Some(renewed));
+        assert_eq!(lease.end(KILL_TIME), end);
+    }
+    let later = begin + Duration::from_secs(5);
+    let expiry_ms = lease.grant_for_start(later, LEASE, half).unwrap();
+    assert!(expiry_ms > renewed);
+    assert_ne!(lease.end(KILL_TIME), end);
+}
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -77,7 +77,7 @@
 }
 
 /// Time from a stop command to the end of the run.
-const STOP_TIME: Duration = Duration::from_millis(300);
+pub const STOP_TIME: Duration = Duration::from_millis(300);
 
 /// Usual time from the crash of a worker to its restart.
 pub const RESTART_TIME: Duration = Duration::from_secs(3);
@@ -426,7 +426,7 @@
     /// Writes are refused.
     pub is_down: bool,
     /// Workers that the stored heartbeat names as unreached, and when the leases there have lapsed.
-    pub suspects: (Vec<String>, Duration),
+    pub suspects: Vec<(WorkerId, Duration)>,
     /// Most jobs in one write.
     pub batch: usize,
 }
@@ -474,8 +474,6 @@
     /// Replaces the owner by a new one with the next epoch, as a claim does.
     pub fn take_over(&mut self, lapsed: Duration) {
         let epoch = self.owner.epoch() + 1;
-        let (suspects, suspects_lapsed) = &self.store.suspects;
-        let suspects: Vec<WorkerId> = suspects.iter().map(|id| WorkerId::new(id)).collect();
         self.owner = ShardScheduler::new(epoch, timing(), self.fleet.now, lapsed);
         self.owner.limit_rows(ROW_BYTES);
         self.delayed_answers.clear();
@@ -491,7 +489,9 @@
                 None => self.owner.on_job(job),
             }
         }
-        self.owner.on_unreached_by_predecessor(&suspects, *suspects_lapsed);
+        for (id, lapsed) in &self.store.suspects {
+            self.owner.on_unreached_by_predecessor(std::slice::from_ref(id), *lapsed);
+        }
     }
 
     /// Runs rounds for `length`.
@@ -572,13 +572,21 @@
         }
     }
 
+    /// Names of the workers of which the next heartbeat says that they do not answer.
+    pub fn silent_workers(&self) -> Vec<String> {
+        let silent = self.owner.lease_report(self.fleet.now).silent;
+        silent.iter().map(|(id, _)| id.as_str().to_owned()).collect()
+    }
+
     /// Writes a heartbeat that names the unreached workers, which [`Self::take_over`] reads.
     fn write_heartbeat(&mut self) {
-        let (suspects, lapse_in) = self.owner.unreached_workers(self.fleet.now);
+        let silent = self.owner.lease_report(self.fleet.now).silent;
+        let suspects: Vec<String> = silent.iter().map(|(id, _)| id.as_str().to_owned()).collect();
         self.owner.on_heartbeat_sent(&suspects);
         if !self.store.is_down {
             self.owner.on_heartbeat_stored(&suspects);
-            self.store.suspects = (suspects, self.fleet.now + lapse_in);
+            let now = self.fleet.now;
+            self.store.suspects = silent.into_iter().map(|(id, left)| (id, now + left)).collect();
         }
     }
 
--- a/tests/testsuite/shard/takeover.rs
+++ b/tests/testsuite/shard/takeover.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use plantainlever::shard::lapse::longest_local_time;
 use plantainlever::shard::report::EndCause;
 
-use super::rig::{Fleet, LEASE, Rig, spec, step, worker_id};
+use super::rig::{CLOCK_ORIGIN_MS, Fleet, LEASE, Rig, STOP_TIME, spec, step, worker_id};
 
 /// Guards against a task that runs on two workers: a worker that does not answer may run it until its lease has lapsed.
 #[test]
@@ -74,7 +75,7 @@
     let lapsed = rig.fleet.now + LEASE + Duration::from_millis(400);
     rig.take_over(lapsed);
     rig.run(Duration::from_secs(2));
-    assert_eq!(rig.owner.unreached_workers(rig.fleet.now).0, ["w1"]);
+    assert_eq!(rig.silent_workers(), ["w1"]);
     let later = rig.fleet.now + LEASE * 4;
     rig.take_over(later);
     rig.run(Duration::from_secs(10));
@@ -152,6 +153,36 @@
     rig.assert_no_breach();
 }
 
+/// Guards against a second run of a task: the same for a worker of the owner's own that falls silent and returns, on which
+/// a successor relies as well.
+#[test]
+fn a_worker_named_as_silent_gets_no_lease_before_the_next_heartbeat() {
+    let mut rig = Rig::new(Fleet::new(2, 4_000));
+    let id = rig.submit(7, spec(vec![step(1, 4_000)]));
+    rig.fleet.durations.insert(id, Duration::from_secs(60));
+    rig.run(Duration::from_secs(2));
+    let used = rig.starts_of(id)[0].2.clone();
+    rig.fleet.workers.get_mut(&used).unwrap().is_cut = true;
+    rig.run(Duration::from_secs(2));
+    assert_eq!(rig.silent_workers(), [used.as_str()]);
+    let before = rig.fleet.workers[&used].expiry_ms;
+    let (named, lapsed) = rig.store.suspects[0].clone();
+    assert_eq!(named, used);
+    // The successor waits for what is left of the lease, and not longer.
+    let left = Duration::from_millis(before - CLOCK_ORIGIN_MS) - rig.fleet.now;
+    assert!(lapsed >= rig.fleet.now + left, "{left:?}");
+    assert!(lapsed <= rig.fleet.now + longest_local_time(left, STOP_TIME) + LEASE / 40, "{left:?}");
+    rig.store.is_down = true;
+    rig.fleet.workers.get_mut(&used).unwrap().is_cut = false;
+    rig.run(Duration::from_secs(2));
+    assert_eq!(rig.fleet.workers[&used].expiry_ms, before);
+    rig.store.is_down = false;
+    rig.run(Duration::from_secs(1));
+    assert!(rig.fleet.workers[&used].expiry_ms > before);
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 1);
+}
+
 /// Guards against a second run of a task. Until a new owner has stored a heartbeat, its successor relies on the one of
 /// the owner before. So the new owner grants no lease to workers that this one names.
 #[test]
@@ -197,9 +228,7 @@
     // The store is down, so the stored heartbeat still names the worker.
     rig.store.is_down = true;
     rig.fleet.workers.get_mut(&used).unwrap().is_cut = false;
-    while rig.owner.unreached_workers(rig.fleet.now).0 == ["w0"]
-        || rig.owner.unreached_workers(rig.fleet.now).0 == ["w1"]
-    {
+    while rig.silent_workers() == ["w0"] || rig.silent_workers() == ["w1"] {
         rig.round();
     }
     rig.fleet.workers.get_mut(&used).unwrap().is_cut = true;
