Measure the wait after a worker's death in the soak

The soak asked for jobs that end within a minute of the last fault, so a task that waited for 13 s passed. The new lasting kind worker_deaths ends workers for good up to 2.5 s before or after the owner is killed, paused or cut off from the store, in series, with open clients, and reports a breach for each long-running task that does not run within 9 s of the death or 7 s of the end of the disruption. Also two lints.

--- a/crates/plantainlever-test-support/src/soak.rs
+++ b/crates/plantainlever-test-support/src/soak.rs
@@ -26,6 +26,7 @@
 pub mod serve;
 mod silent_crash;
 mod start_check;
+mod worker_deaths;
 pub mod world;
 
 use std::collections::BTreeSet;
@@ -99,6 +100,9 @@
     pub delayed_orders: bool,
     /// Answers of the store to writes have a newer version than that of the write.
     pub newer_versions: bool,
+    /// Workers die for good beside disruptions of the owner, in a larger cluster and with long-running jobs. There are no
+    /// other faults, except the optional ones. The times until lost tasks run again are bounded.
+    pub worker_deaths: bool,
     /// In an owner chain, the next start of a process does not wait for the end of the one that is stopping.
     pub early_restarts: bool,
 }
@@ -115,6 +119,7 @@
         delayed_orders: false,
         newer_versions: false,
         early_restarts: false,
+        worker_deaths: false,
     };
 
     /// Those that concern single tasks and workers.
@@ -139,6 +144,7 @@
                 "silent_crashes" => &mut faults.silent_crashes,
                 "delayed_orders" => &mut faults.delayed_orders,
                 "newer_versions" => &mut faults.newer_versions,
+                "worker_deaths" => &mut faults.worker_deaths,
                 "early_restarts" => &mut faults.early_restarts,
                 _ => return None,
             } = true;
@@ -208,7 +214,7 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let mut worker_count = rng.random_range(4..=9);
     let mut node_count = rng.random_range(2..=5);
-    if optional_faults.owner_chain {
+    if optional_faults.owner_chain || optional_faults.worker_deaths {
         (node_count, worker_count) = OwnerChain::cluster_size(seed);
     }
     let world: SharedWorld = Arc::new(Mutex::new(World::default()));
--- a/crates/plantainlever-test-support/src/soak/caller.rs
+++ b/crates/plantainlever-test-support/src/soak/caller.rs
@@ -139,8 +139,9 @@
             let mut rng = StdRng::seed_from_u64(seed ^ (number as u64 + 1) << 32);
             let mut crashing_tasks =
                 optional_faults.crashing_tasks.then(|| CrashingTasks::new(seed, number as u64));
-            let mut long_running_jobs =
-                optional_faults.owner_chain.then(|| LongRunningJobs::new(seed, number as u64));
+            let mut long_running_jobs = (optional_faults.owner_chain
+                || optional_faults.worker_deaths)
+                .then(|| LongRunningJobs::new(seed, number as u64));
             std::thread::spawn(move || {
                 let mut jobs = Vec::new();
                 let mut wide_jobs_left =
--- a/crates/plantainlever-test-support/src/soak/faults.rs
+++ b/crates/plantainlever-test-support/src/soak/faults.rs
@@ -12,6 +12,7 @@
 use super::owner_cut::OwnerCut;
 use super::serve::lock;
 use super::silent_crash::SilentCrashes;
+use super::worker_deaths::WorkerDeaths;
 use super::world::{StoreMode, WorkerMode};
 use super::{OptionalFaults, SoakCluster, publish_workers};
 
@@ -50,6 +51,8 @@
     let mut owner_chain =
         optional_faults.owner_chain.then(|| OwnerChain::new(seed, optional_faults.early_restarts));
     let mut silent_crashes = optional_faults.silent_crashes.then(|| SilentCrashes::new(seed));
+    let mut worker_deaths = optional_faults.worker_deaths.then(|| WorkerDeaths::new(seed));
+    let has_random_faults = owner_chain.is_none() && worker_deaths.is_none();
     let mut active_faults: Vec<(Instant, FaultyComponent)> = Vec::new();
     let mut next = start;
     let mut descriptions = Vec::new();
@@ -66,17 +69,18 @@
             owner_cut.as_mut().and_then(|it| it.change_if_due(cluster)),
             owner_chain.as_mut().and_then(|it| it.change_if_due(cluster)),
             silent_crashes.as_mut().and_then(|it| it.change_if_due(cluster)),
+            worker_deaths.as_mut().and_then(|it| it.change_if_due(cluster)),
         ];
         for change in changes.into_iter().flatten() {
             descriptions.push(format!("{:.1} s: {change}", start.elapsed().as_secs_f64()));
         }
-        if now >= next_loss {
+        if now >= next_loss && worker_deaths.is_none() {
             let description = silence_open_connections(cluster, &mut loss_rng);
             descriptions.push(format!("{:.1} s: {description}", start.elapsed().as_secs_f64()));
             let interval_ms = loss_rng.random_range(CONNECTION_LOSS_INTERVAL_MS);
             next_loss = now + Duration::from_millis(interval_ms);
         }
-        if now >= next && owner_chain.is_none() {
+        if now >= next && has_random_faults {
             let duration = Duration::from_millis(rng.random_range(300..6_000));
             let (description, component) = start_random_fault(cluster, rng);
             descriptions.push(format!(
@@ -89,6 +93,9 @@
         }
         std::thread::sleep(Duration::from_millis(20));
     }
+    if let Some(mut worker_deaths) = worker_deaths {
+        descriptions.push(worker_deaths.end_all(cluster));
+    }
     if let Some(mut silent_crashes) = silent_crashes {
         silent_crashes.end_all(cluster);
     }
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -44,11 +44,14 @@
     OnlyWorkersWithTask,
 }
 
+/// Scores of workers, with their positions in the pass.
+type ScoredWorkers = BinaryHeap<(i64, usize)>;
+
 /// Workers for the tasks of a step, by score.
 struct StepWorkers {
-    best: BinaryHeap<(i64, usize)>,
+    best: ScoredWorkers,
     /// Workers on which suspects of the step were placed in this pass, and which have room for more of them.
-    on_trial: BinaryHeap<(i64, usize)>,
+    on_trial: ScoredWorkers,
     /// What may still be put on trial. `None` until it is needed.
     trial_room: Option<TrialRoom>,
 }
@@ -198,7 +201,7 @@
         workers: &'a mut StepWorkers,
         key: &StepId,
         needs_trial: bool,
-    ) -> Option<(&'a mut BinaryHeap<(i64, usize)>, Option<Trial>)> {
+    ) -> Option<(&'a mut ScoredWorkers, Option<Trial>)> {
         if !needs_trial {
             return Some((&mut workers.best, None));
         }
@@ -216,7 +219,7 @@
     fn pop_best(
         &self,
         pass: &Pass,
-        best: &mut BinaryHeap<(i64, usize)>,
+        best: &mut ScoredWorkers,
         task: &JobTaskId,
     ) -> Option<(WorkerId, usize)> {
         let avoid = self.jobs.get(&task.step.job).and_then(|job| job.avoid.get(task));
@@ -367,7 +370,7 @@
         let racks: Vec<Option<String>> = if is_coupled { self.racks() } else { vec![None] };
         for rack in racks {
             let mut placed = Vec::new();
-            let mut best: BinaryHeap<(i64, usize)> =
+            let mut best: ScoredWorkers =
                 self.scores(pass, key, &step, ProbeTier::Any, rack.as_deref()).into();
             for index in tasks {
                 let task = JobTaskId { step: *key, index: *index };
--- a/tests/testsuite/shard/lapse.rs
+++ b/tests/testsuite/shard/lapse.rs
@@ -158,7 +158,7 @@
             store_clock: Some(up_to(Duration::from_secs(2))?),
             rate_per_mille: u.int_in_range(BOUND.rate_per_mille..=1_000)?,
         };
-        let store_clock = terms.store_clock.filter(|_| terms.granted.as_millis() % 2 == 0);
+        let store_clock = terms.store_clock.filter(|_| terms.granted.as_millis().is_multiple_of(2));
         let terms = Terms { store_clock, ..terms };
         assert!(has_ended_before_the_next_start(terms), "{terms:?}");
         Ok(())
