Show the wait for a worker that is lost soon after a restart

A shorter wait would let tasks run twice (a_renewal_for_an_earlier_incarnation_may_extend_the_lease_of_the_next).

--- a/tests/testsuite/shard/incarnations.rs
+++ b/tests/testsuite/shard/incarnations.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use plantainlever::job::JobId;
+use plantainlever::shard::recovery::RECOVERY_LIMIT;
 
 use super::rig::{Fleet, LEASE, MAX_LEASE, Rig, TICK, listing, spec, step, worker_id};
 
@@ -161,3 +162,25 @@
     rig.assert_no_breach();
     assert_eq!(rig.starts_of(id).len(), 1);
 }
+
+/// Guards against a task that waits too long because its worker had restarted not long before it was lost: what the worker
+/// may hold by commands for its earlier incarnation is unknown for longer than callers wait.
+#[test]
+fn a_task_of_a_worker_that_is_lost_soon_after_a_restart_runs_again_in_time() {
+    let mut rig = Rig::new(Fleet::new(2, 4_000));
+    rig.run(Duration::from_secs(1));
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    rig.run(Duration::from_secs(1));
+    let id = rig.submit(7, spec(vec![step(6, 1_000)]));
+    rig.fleet.durations.insert(id, Duration::from_secs(60));
+    rig.run(Duration::from_secs(1));
+    assert_eq!(rig.starts_of(id).len(), 6);
+    rig.fleet.get(0).is_cut = true;
+    rig.fleet.add(listing(2, 4_000));
+    let lost = rig.fleet.get(0).runs.len();
+    assert!(lost > 0);
+    rig.run(RECOVERY_LIMIT);
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 6 + lost);
+}
