--- a/crates/plantainlever-test-support/src/soak.rs
+++ b/crates/plantainlever-test-support/src/soak.rs
@@ -218,6 +218,7 @@
         (node_count, worker_count) = OwnerChain::cluster_size(seed);
     }
     let world: SharedWorld = Arc::new(Mutex::new(World::default()));
+    lock(&world).began = Some(Instant::now());
     let random = |salt: u64| StdRng::seed_from_u64(seed ^ salt);
     lock(&world).order_delays = optional_faults.delayed_orders.then(|| random(ORDER_DELAYS_SALT));
     lock(&world).unrelated_changes =
--- a/crates/plantainlever-test-support/src/soak/serve.rs
+++ b/crates/plantainlever-test-support/src/soak/serve.rs
@@ -154,7 +154,7 @@
                     "ver": ver, "value": value })
             })
             .collect();
-        return (412, json!({ "ver": world.version, "rows": rows }));
+        return (412, json!({ "ver": world.version, "now-ms": world.clock_ms(), "rows": rows }));
     }
     world.version += 1;
     for entry in writes {
@@ -167,7 +167,7 @@
         world.rows.insert(id(&entry), (world.version, None));
     }
     world.change_unrelated_row();
-    (200, json!({ "ver": world.version }))
+    (200, json!({ "ver": world.version, "now-ms": world.clock_ms() }))
 }
 
 /// Returns a row's value as a process reads it: a worker's entry has the address of the link from this process.
@@ -199,7 +199,8 @@
         .collect();
     let has_more = rows.len() > 500;
     rows.truncate(500);
-    (200, json!({ "rows": rows, "has-more": has_more, "ver": world.version }))
+    let now_ms = world.clock_ms();
+    (200, json!({ "rows": rows, "has-more": has_more, "ver": world.version, "now-ms": now_ms }))
 }
 
 /// Long poll for rows changed after a version; 410 if those changes have been compacted away.
@@ -228,7 +229,8 @@
             if !rows.is_empty() || Instant::now() >= deadline {
                 rows.sort_by_key(|row| row.0);
                 let rows: Vec<Value> = rows.into_iter().map(|row| row.1).collect();
-                return (200, json!({ "rows": rows, "ver": world.version }));
+                let now_ms = world.clock_ms();
+                return (200, json!({ "rows": rows, "ver": world.version, "now-ms": now_ms }));
             }
         }
         tokio::time::sleep(POLL_PERIOD).await;
--- a/crates/plantainlever-test-support/src/soak/world.rs
+++ b/crates/plantainlever-test-support/src/soak/world.rs
@@ -199,6 +199,8 @@
     pub(super) failed_runs: BTreeMap<String, u32>,
     /// Tasks that have completed, and whether an owner has acknowledged the end.
     pub(super) completed_tasks: BTreeMap<String, bool>,
+    /// Start of the store, from which its clock counts.
+    pub began: Option<Instant>,
     /// Start of the faults, from which times in reports count.
     pub faults_began: Option<Instant>,
     /// Random numbers for the delays of orders; `None` without delays.
@@ -358,6 +360,12 @@
 }
 
 impl World {
+    /// Reading of the store's steady clock in ms.
+    #[must_use]
+    pub fn clock_ms(&self) -> u64 {
+        self.began.map_or(0, |began| began.elapsed().as_millis() as u64)
+    }
+
     /// Ends the runs that are due: completed, failed, stopped, or on a worker whose lease has lapsed. Crashes the
     /// workers whose crashing tasks are due.
     pub fn advance(&mut self) {
