Show what the owner of a shard spends its time on

Callers saw starts that were late by seconds, and the log said how many tasks wait but not why: a saturated owner, silent workers and refused heartbeats looked alike.

The owner counts the time of its rounds, of answers, rows and changes, and the lag of its timers. P0675 has them once a second while the thread is late by more than 100 ms, with the age of the oldest job when the scheduler gets it. P0665 says how large a refused heartbeat is.

--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -3,6 +3,7 @@
 mod ended;
 mod load;
 mod rows;
+mod work;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -26,6 +27,7 @@
 use super::layout::{self, HeartbeatRow};
 use super::node::Node;
 use load::{add_jobs, apply_operator_config, load, read_jobs};
+use work::{Work, WorkLog};
 
 /// Longest wait for an event between two rounds of the scheduler. Together with [`ROUND_PAUSE`], it limits how late the
 /// scheduler acts on lease expiries.
@@ -100,6 +102,7 @@
     /// Ended jobs whose rows are still stored, each with the local time at which this owner learned of the end; oldest
     /// first.
     expiring: RefCell<VecDeque<(Duration, JobId)>>,
+    work: WorkLog,
     /// Starts the next round of the scheduler early.
     wake: Notify,
     /// Tells [`rows::write_rows`] that urgent rows are due.
@@ -173,6 +176,21 @@
         ));
     }
 
+    /// Runs `f` with the scheduler, and counts the time that it takes.
+    fn with_scheduler<T>(&self, work: Work, f: impl FnOnce(&mut ShardScheduler) -> T) -> T {
+        self.work.measure(&*self.node.clock, work, || f(&mut self.scheduler.borrow_mut()))
+    }
+
+    /// Gives rows of accepted jobs and cancellations to the scheduler.
+    fn add_jobs(&self, rows: &[Row]) {
+        let now = self.node.clock.boot();
+        let oldest = self.with_scheduler(Work::Changes, |scheduler| {
+            add_jobs(scheduler, now, rows, &BTreeMap::new())
+        });
+        let age = oldest.map_or(0, |accepted| self.node.clock.unix_ms().saturating_sub(accepted));
+        self.work.record_job_age(Duration::from_millis(age));
+    }
+
     fn log_start_permission(&self, now: Duration, is_allowed: bool) {
         let event = if is_allowed { &event::STARTS_ALLOWED } else { &event::STARTS_PAUSED };
         event.emit(format_args!(
@@ -226,8 +244,7 @@
                 owner.node.record_store_result(None);
                 after = list.version.max(after);
                 if !list.rows.is_empty() {
-                    let now = owner.node.clock.boot();
-                    add_jobs(&mut owner.scheduler.borrow_mut(), now, &list.rows, &BTreeMap::new());
+                    owner.add_jobs(&list.rows);
                 }
                 freshness.confirm(sent);
                 if !list.rows.is_empty() {
@@ -240,8 +257,7 @@
                 let sent = owner.node.clock.boot();
                 let Some(list) = read_jobs(&owner.node, shard).await else { return };
                 after = list.version;
-                let now = owner.node.clock.boot();
-                add_jobs(&mut owner.scheduler.borrow_mut(), now, &list.rows, &BTreeMap::new());
+                owner.add_jobs(&list.rows);
                 freshness.confirm(sent);
                 owner.wake.notify_one();
             }
@@ -268,7 +284,8 @@
             continue;
         };
         let own = listing.into_iter().filter(|w| map.of_worker(w.id.as_str()) == shard).collect();
-        owner.scheduler.borrow_mut().on_listing(owner.node.clock.boot(), own);
+        let now = owner.node.clock.boot();
+        owner.with_scheduler(Work::Changes, |scheduler| scheduler.on_listing(now, own));
         freshness.confirm(sent);
         owner.wake.notify_one();
         tokio::time::sleep(WORKER_LIST_PERIOD).await;
@@ -300,11 +317,11 @@
                 operator_config = owner.node.operator_config();
                 apply_operator_config(&owner.node, &mut scheduler);
             }
-            scheduler.tick(
-                now,
-                owner.node.clock.unix_ms(),
-                owner.ownership_lease.get().confirmed(),
-            );
+            let unix_ms = owner.node.clock.unix_ms();
+            let confirmed = owner.ownership_lease.get().confirmed();
+            owner.work.measure(&*owner.node.clock, Work::Rounds, || {
+                scheduler.tick(now, unix_ms, confirmed);
+            });
             let commands = scheduler.take_commands();
             let is_fenced = scheduler.is_fenced();
             if scheduler.has_urgent_rows() {
@@ -318,7 +335,10 @@
                 tokio::task::spawn_local(send_command(Rc::clone(&owner), command));
             }
         }
+        let paused = owner.node.clock.boot();
         tokio::time::sleep(ROUND_PAUSE).await;
+        let pause = owner.node.clock.boot().saturating_sub(paused);
+        owner.work.record_lag(pause.saturating_sub(ROUND_PAUSE));
         tokio::select! {
             () = owner.wake.notified() => {}
             () = tokio::time::sleep(MAX_ROUND_INTERVAL) => {}
@@ -352,7 +372,9 @@
                 port.close_idle(command.address);
             }
             let now = owner.node.clock.boot();
-            owner.scheduler.borrow_mut().on_renewal(now, &command, sent, outcome);
+            owner.with_scheduler(Work::Answers, |scheduler| {
+                scheduler.on_renewal(now, &command, sent, outcome);
+            });
         }
         CommandKind::Start { task, run, .. } => {
             let may_start = is_lease_valid && owner.may_start(sent);
@@ -363,7 +385,9 @@
             if outcome != StartOutcome::Started {
                 owner.node.metrics.count("order.start.failed", 1);
             }
-            owner.scheduler.borrow_mut().on_start(now, &command.worker, task, *run, outcome);
+            owner.with_scheduler(Work::Answers, |scheduler| {
+                scheduler.on_start(now, &command.worker, task, *run, outcome);
+            });
         }
         CommandKind::Stop { .. } => {
             let outcome = if_allowed(
--- a/src/ops/jobs/owner/load.rs
+++ b/src/ops/jobs/owner/load.rs
@@ -18,6 +18,7 @@
 use crate::shard::{ShardId, ShardScheduler, WorkerId};
 use crate::telemetry::event::shard as event;
 
+use super::work::WorkLog;
 use super::{Claimed, LeaseRenewal, STORE_RETRY_PAUSE, ShardOwner};
 
 /// Most workers named as unreached that the line of a takeover names.
@@ -100,6 +101,7 @@
         heartbeat_version: Cell::new(heartbeat_version),
         ended_jobs: RefCell::new(ended_jobs),
         expiring: RefCell::new(expiring),
+        work: WorkLog::default(),
         wake: Notify::new(),
         rows_due: Notify::new(),
         is_ownership_over: Cell::new(false),
@@ -223,19 +225,24 @@
     scheduler.on_domains_out(operator_config.domains_out.clone());
 }
 
-/// Gives accepted jobs and cancellations to the scheduler. `progress` holds the progress rows of a predecessor.
+/// Gives accepted jobs and cancellations to the scheduler. `progress` holds the progress rows of a predecessor. Returns
+/// when the oldest of the jobs was accepted, in milliseconds since the Unix epoch.
 pub(super) fn add_jobs(
     scheduler: &mut ShardScheduler,
     now: Duration,
     rows: &[Row],
     progress: &BTreeMap<JobId, StoredRows>,
-) {
+) -> Option<u64> {
+    let mut oldest = None;
     let mut cancelled = Vec::new();
     for row in rows {
         let Some(value) = row.value.as_deref() else { continue };
         match layout::parse_jobs_key(&row.id.key) {
             Some(JobsKey::Job(_)) if value == layout::ENDED_JOB_VALUE => {}
-            Some(JobsKey::Job(id)) => add_job(scheduler, id, value, progress.get(&id)),
+            Some(JobsKey::Job(id)) => {
+                let accepted = add_job(scheduler, id, value, progress.get(&id));
+                oldest = accepted.into_iter().chain(oldest).min();
+            }
             Some(JobsKey::Cancel(id)) => cancelled.push(id),
             None => event::MALFORMED.emit(format_args!("row=job key={:?}", row.id.key)),
         }
@@ -243,16 +250,27 @@
     for id in cancelled {
         scheduler.on_cancel(now, id);
     }
+    oldest
 }
 
-fn add_job(scheduler: &mut ShardScheduler, id: JobId, value: &[u8], progress: Option<&StoredRows>) {
-    let stored: StoredJob = match serde_json::from_slice(value) {
-        Ok(stored) => stored,
-        Err(e) => return event::MALFORMED.emit(format_args!("row=job job={id} cause={e}")),
-    };
+fn add_job(
+    scheduler: &mut ShardScheduler,
+    id: JobId,
+    value: &[u8],
+    progress: Option<&StoredRows>,
+) -> Option<u64> {
+    let stored: StoredJob = serde_json::from_slice(value)
+        .inspect_err(|e| event::MALFORMED.emit(format_args!("row=job job={id} cause={e}")))
+        .ok()?;
+    let accepted_unix_ms = stored.accepted_unix_ms;
     let job = stored.into_accepted(id);
-    let Some(rows) = progress else { return scheduler.on_job(job) };
-    if let Err(e) = scheduler.on_job_with_progress(job, rows) {
-        event::MALFORMED.emit(format_args!("row=progress job={id} cause={e}"));
+    match progress {
+        None => scheduler.on_job(job),
+        Some(rows) => {
+            if let Err(e) = scheduler.on_job_with_progress(job, rows) {
+                event::MALFORMED.emit(format_args!("row=progress job={id} cause={e}"));
+            }
+        }
     }
+    Some(accepted_unix_ms)
 }
--- a/src/ops/jobs/owner/rows.rs
+++ b/src/ops/jobs/owner/rows.rs
@@ -13,6 +13,7 @@
 use crate::shard::scheduler::{JobRow, RowBatch, RowId};
 use crate::telemetry::event::shard as event;
 
+use super::work::Work;
 use super::{ShardOwner, end_ownership};
 
 /// Time between two writes of rows that are not urgent, so that runs that end close together share a write. It is
@@ -40,7 +41,9 @@
         let owner = &writer.owner;
         let now = owner.node.clock.boot();
         let is_complete_due = now.saturating_sub(last_complete) >= COMPLETE_WRITE_PERIOD;
-        let batch = owner.scheduler.borrow_mut().take_rows(ROWS_PER_WRITE, !is_complete_due);
+        let batch = owner.with_scheduler(Work::Rows, |scheduler| {
+            scheduler.take_rows(ROWS_PER_WRITE, !is_complete_due)
+        });
         // After a batch of the maximum size more rows may be waiting, so the next write is due at once.
         if is_complete_due && batch.as_ref().is_none_or(|batch| batch.rows.len() < ROWS_PER_WRITE) {
             last_complete = now;
@@ -111,18 +114,19 @@
         let outcome = self.commit(rows, is_heartbeat_due, now).await;
         if let Err(WriteFailure::Rejected { cause }) = &outcome {
             event::BATCH_REJECTED.emit(format_args!(
-                "shard={} rows={} heartbeat={is_heartbeat_due} cause={cause}",
+                "shard={} rows={} heartbeat={is_heartbeat_due} heartbeat_bytes={} cause={cause}",
                 self.owner.claimed.shard.0,
-                rows.len()
+                rows.len(),
+                self.owner.work.heartbeat_bytes()
             ));
             self.isolate_rejected(rows).await;
         }
         if let Some(batch) = batch {
-            let mut scheduler = self.owner.scheduler.borrow_mut();
-            match outcome {
-                Ok(()) => scheduler.on_written(self.owner.node.clock.boot()),
+            let now = self.owner.node.clock.boot();
+            self.owner.with_scheduler(Work::Rows, |scheduler| match outcome {
+                Ok(()) => scheduler.on_written(now),
                 Err(_) => scheduler.on_write_failed(&batch),
-            }
+            });
         }
         outcome.is_ok()
     }
@@ -198,6 +202,7 @@
     owner.scheduler.borrow_mut().log_long_waits(now);
     let load = owner.scheduler.borrow().load(now);
     let metrics = &owner.node.metrics;
+    owner.work.export(&owner.node, owner.claimed.shard.0, owner.claimed.epoch);
     metrics.gauge("shard.jobs", load.jobs as u64);
     metrics.gauge("shard.waiting_steps", load.waiting_steps as u64);
     metrics.gauge("shard.runs", load.runs as u64);
@@ -344,7 +349,9 @@
         let key = RowKey::new(layout::OWNERS_TABLE, layout::HEARTBEAT_KEY);
         // Without this condition, a heartbeat that is applied late would replace a newer one.
         commit.expected.push((key.clone(), owner.heartbeat_version.get()));
-        commit.writes.push((key, serde_json::to_vec(heartbeat).unwrap_or_default()));
+        let value = serde_json::to_vec(heartbeat).unwrap_or_default();
+        owner.work.record_heartbeat(value.len());
+        commit.writes.push((key, value));
     }
     commit
 }
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -118,6 +118,8 @@
 pub const STARTS_LEFT_OUT: Event = Event::new(673, Level::Info, "starts-left-out");
 /// The platform's settings don't allow that tasks of a lost worker run again in time and never twice.
 pub const RECOVERY_LIMIT: Event = Event::new(674, Level::Warn, "recovery-limit");
+/// The thread of a shard's owner has more to do than its VM can process, so starts, renewals and heartbeats are late.
+pub const OWNER_SATURATED: Event = Event::new(675, Level::Warn, "owner-saturated");
 
 /// All events of this module.
 pub const ALL: &[Event] = &[
@@ -177,4 +179,5 @@
     START_DETAIL,
     STARTS_LEFT_OUT,
     RECOVERY_LIMIT,
+    OWNER_SATURATED,
 ];
