Divide a heartbeat that is larger than a row

Callers saw a shard without an owner: no job started for tens of seconds, while one process after the other claimed the shard and lost it 3 s later.

Cause: the heartbeat names all starts without an answer, and up to three lists of all workers, in one row. A successor inherits the list, so its heartbeat is refused as well.

Names that don't fit go into up to eight further rows of the same transaction, so a heartbeat stays one atomic write and says the same as before. Rows that a later heartbeat does not need become empty. If even these are full, silent workers are left out first, which a successor treats like any other worker. If starts are left out, the heartbeat says so, and each start counts as unanswered that was when its row was stored: longer waits, but no task runs twice.

--- a/src/ops/jobs.rs
+++ b/src/ops/jobs.rs
@@ -9,6 +9,7 @@
 //! | `layout` | none | `shards` | number of shards | the first process, once |
 //! | `owners` | `sK` | `owner` | owner and epoch of shard K | the claiming process, under the row's version |
 //! | `owners` | `sK` | `heartbeat` | waiting jobs by queue, unreached workers | the owner, under the versions of this and the owner row |
+//! | `heartbeat-parts` | `sK` | 1, 2, ... | names that don't fit into the heartbeat | the owner, with the heartbeat |
 //! | `progress-K` | `sK` | job ID | [`crate::job::Progress`] | the owner, under the versions of this and the owner row |
 //! | `jobs-K` | `jK.P` | job ID | the accepted job; `null` once it has ended | any process if it does not exist, later the owner |
 //! | `jobs-K` | `jK.P` | job ID, `.cancel` | `{}` | any process |
@@ -19,6 +20,7 @@
 
 pub mod accept;
 pub mod freshness;
+pub mod heartbeat;
 pub mod layout;
 pub mod node;
 pub mod operator_config;
--- a/src/ops/jobs/layout.rs
+++ b/src/ops/jobs/layout.rs
@@ -21,6 +21,8 @@
 pub const OWNER_KEY: &str = "owner";
 /// Key of the heartbeat row.
 pub const HEARTBEAT_KEY: &str = "heartbeat";
+/// Table with the names that don't fit into the heartbeat row of a shard, with keys from 1 on.
+pub const HEARTBEAT_PARTS_TABLE: &str = "heartbeat-parts";
 /// Suffix that turns a job's key into the key of its cancellation.
 const CANCEL_SUFFIX: &str = ".cancel";
 
@@ -160,7 +162,17 @@
     /// Tasks whose newest start had no answer.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub unanswered_starts: Vec<String>,
+    /// True if not all such tasks are named.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub has_unnamed_starts: bool,
+    /// Number of rows with further names.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub parts: u32,
     /// Latest reading that the store's clock can have had when the heartbeat was sent; `None` if it was not known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub sent_store_ms: Option<u64>,
 }
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -24,7 +24,8 @@
 use crate::telemetry::event::shard as event;
 
 use super::freshness::Freshness;
-use super::layout::{self, HeartbeatRow};
+use super::heartbeat::Heartbeat;
+use super::layout;
 use super::node::Node;
 use load::{add_jobs, apply_operator_config, load, read_jobs};
 use work::{Work, WorkLog};
@@ -97,6 +98,8 @@
     versions: RefCell<BTreeMap<RowId, u64>>,
     /// Version of the heartbeat row; 0 if there is none.
     heartbeat_version: Cell<u64>,
+    /// Number of the last row with names of a heartbeat that may be stored.
+    heartbeat_parts: Cell<usize>,
     /// Ended jobs whose descriptions are still stored.
     ended_jobs: RefCell<BTreeSet<JobId>>,
     /// Ended jobs whose rows are still stored, each with the local time at which this owner learned of the end; oldest
@@ -151,9 +154,9 @@
     }
 
     /// Records for the log that the store has applied a write of this owner that was sent at `sent`.
-    fn record_applied(&self, heartbeat: Option<&HeartbeatRow>, sent: Duration, version: u64) {
+    fn record_applied(&self, heartbeat: Option<&Heartbeat>, sent: Duration, version: u64) {
         if let Some(heartbeat) = heartbeat {
-            self.lease_renewal.set(LeaseRenewal { version, beat: heartbeat.beat, sent });
+            self.lease_renewal.set(LeaseRenewal { version, beat: heartbeat.row.beat, sent });
         }
         self.scheduler.borrow_mut().set_rows_version(version);
     }
--- a/src/ops/jobs/owner/load.rs
+++ b/src/ops/jobs/owner/load.rs
@@ -10,6 +10,7 @@
 use crate::job::progress::{ProgressRow, StoredRows};
 use crate::job::{JobId, JobState, JobTaskId, Progress};
 use crate::ops::jobs::freshness::Freshness;
+use crate::ops::jobs::heartbeat::HeartbeatPart;
 use crate::ops::jobs::layout::{self, HeartbeatRow, JobsKey, StoredJob};
 use crate::ops::jobs::node::Node;
 use crate::port::{Row, RowList, RowStore, WorkerPort};
@@ -37,7 +38,7 @@
     let jobs_sent = node.clock.boot();
     let jobs = read_jobs(&node, shard).await?;
     let progress = read_all(&node, &layout::progress_table(shard), &partition).await?;
-    let predecessor = predecessor_heartbeat(&owners);
+    let predecessor = predecessor_heartbeat(&node, shard, &owners).await?;
     let now = node.clock.boot();
     let timing = node.cfg.timing;
     let ends = claimed.lease_ends;
@@ -48,6 +49,7 @@
     let heartbeat_version = heartbeat_row(&owners).map_or(0, |row| row.version);
     let mut unanswered = UnansweredStarts {
         named: tasks(&predecessor.unanswered_starts),
+        has_unnamed: predecessor.has_unnamed_starts,
         recent_rows: BTreeSet::new(),
         lapsed: ends.unanswered_lapsed_at,
     };
@@ -99,6 +101,7 @@
         scheduler: RefCell::new(scheduler),
         versions: RefCell::new(versions),
         heartbeat_version: Cell::new(heartbeat_version),
+        heartbeat_parts: Cell::new(predecessor.parts as usize),
         ended_jobs: RefCell::new(ended_jobs),
         expiring: RefCell::new(expiring),
         work: WorkLog::default(),
@@ -209,14 +212,36 @@
     owners.rows.iter().find(|row| row.id.key == layout::HEARTBEAT_KEY)
 }
 
-fn predecessor_heartbeat(owners: &RowList) -> HeartbeatRow {
-    let Some(value) = heartbeat_row(owners).and_then(|row| row.value.as_deref()) else {
-        return HeartbeatRow::default();
-    };
-    serde_json::from_slice(value).unwrap_or_else(|e| {
-        event::MALFORMED.emit(format_args!("row=heartbeat cause={e}"));
-        HeartbeatRow::default()
-    })
+/// Returns the predecessor's newest heartbeat, with the names in its further rows; `None` if a planned stop begins first.
+async fn predecessor_heartbeat<P: RowStore>(
+    node: &Node<P>,
+    shard: ShardId,
+    owners: &RowList,
+) -> Option<HeartbeatRow> {
+    let value = heartbeat_row(owners).and_then(|row| row.value.as_deref());
+    let mut heartbeat = value.map_or_else(HeartbeatRow::default, |value| {
+        serde_json::from_slice(value).unwrap_or_else(|e| {
+            event::MALFORMED.emit(format_args!("row=heartbeat cause={e}"));
+            HeartbeatRow::default()
+        })
+    });
+    if heartbeat.parts == 0 {
+        return Some(heartbeat);
+    }
+    let partition = layout::shard_partition(shard);
+    let rows = read_all(node, layout::HEARTBEAT_PARTS_TABLE, &partition).await?.rows;
+    for number in 1..=heartbeat.parts {
+        let row = rows.iter().find(|row| row.id.key == number.to_string());
+        let value = row.and_then(|row| row.value.as_deref()).unwrap_or_default();
+        match serde_json::from_slice::<HeartbeatPart>(value) {
+            Ok(part) => heartbeat.append(part),
+            Err(e) => {
+                event::MALFORMED.emit(format_args!("row=heartbeat-part key={number} cause={e}"));
+                heartbeat.has_unnamed_starts = true;
+            }
+        }
+    }
+    Some(heartbeat)
 }
 
 pub(super) fn apply_operator_config<P>(node: &Node<P>, scheduler: &mut ShardScheduler) {
--- a/src/ops/jobs/owner/rows.rs
+++ b/src/ops/jobs/owner/rows.rs
@@ -6,6 +6,7 @@
 
 use crate::job::JobId;
 use crate::job::progress::ProgressRow;
+use crate::ops::jobs::heartbeat::{Heartbeat, HeartbeatPart};
 use crate::ops::jobs::layout::{self, HeartbeatRow};
 use crate::port::{Commit, CommitOutcome, Row, RowKey, RowStore, StoreError, WorkerPort};
 use crate::shard::WorkerId;
@@ -111,7 +112,17 @@
     ) -> bool {
         let none = BTreeMap::new();
         let rows = batch.as_ref().map_or(&none, |batch| &batch.rows);
-        let outcome = self.commit(rows, is_heartbeat_due, now).await;
+        let heartbeat = is_heartbeat_due.then(|| self.next_heartbeat(now));
+        let is_divided = heartbeat.as_ref().is_some_and(|new| self.owner.part_count(new) > 0);
+        let outcome = if is_divided && !rows.is_empty() {
+            // A transaction has no room for both.
+            match self.commit(&none, heartbeat.as_ref(), now).await {
+                Ok(()) => self.commit(rows, None, self.owner.node.clock.boot()).await,
+                failure => failure,
+            }
+        } else {
+            self.commit(rows, heartbeat.as_ref(), now).await
+        };
         if let Err(WriteFailure::Rejected { cause }) = &outcome {
             event::BATCH_REJECTED.emit(format_args!(
                 "shard={} rows={} heartbeat={is_heartbeat_due} heartbeat_bytes={} cause={cause}",
@@ -139,10 +150,13 @@
         let mut is_heartbeat_due = true;
         while let Some(mut group) = groups.pop() {
             let now = self.owner.node.clock.boot();
-            if is_heartbeat_due && self.commit(&BTreeMap::new(), true, now).await.is_err() {
+            let heartbeat = is_heartbeat_due.then(|| self.next_heartbeat(now));
+            if heartbeat.is_some()
+                && self.commit(&BTreeMap::new(), heartbeat.as_ref(), now).await.is_err()
+            {
                 return;
             }
-            match self.commit(&group, false, now).await {
+            match self.commit(&group, None, now).await {
                 Ok(()) => {}
                 Err(WriteFailure::Other) => return,
                 Err(WriteFailure::Rejected { cause }) => match middle_job(&group) {
@@ -170,17 +184,22 @@
         self.owner.scheduler.borrow_mut().on_row_rejected(self.owner.node.clock.boot(), *id);
     }
 
+    /// Creates the next heartbeat, which is sent at `sent` or later.
+    fn next_heartbeat(&mut self, sent: Duration) -> Heartbeat {
+        self.beat += 1;
+        let row = heartbeat(&self.owner, self.beat, sent);
+        Heartbeat::divide(row, self.owner.node.cfg.max_row_bytes)
+    }
+
     /// Writes rows and, if wanted, a heartbeat in one transaction.
     async fn commit(
         &mut self,
         rows: &BTreeMap<RowId, JobRow>,
-        has_heartbeat: bool,
+        heartbeat: Option<&Heartbeat>,
         sent: Duration,
     ) -> Result<(), WriteFailure> {
-        self.beat += u64::from(has_heartbeat);
-        let heartbeat = has_heartbeat.then(|| heartbeat(&self.owner, self.beat, sent));
-        let outcome = commit(&self.owner, rows, heartbeat.as_ref(), sent).await;
-        if has_heartbeat && outcome.is_ok() {
+        let outcome = commit(&self.owner, rows, heartbeat, sent).await;
+        if heartbeat.is_some() && outcome.is_ok() {
             self.last_heartbeat = Some(sent);
         }
         outcome
@@ -234,12 +253,14 @@
 async fn commit<P: RowStore>(
     owner: &ShardOwner<P>,
     rows: &BTreeMap<RowId, JobRow>,
-    heartbeat: Option<&HeartbeatRow>,
+    heartbeat: Option<&Heartbeat>,
     sent: Duration,
 ) -> Result<(), WriteFailure> {
     let commit = transaction(owner, rows, heartbeat);
     if let Some(heartbeat) = heartbeat {
-        owner.scheduler.borrow_mut().on_heartbeat_sent(&heartbeat.suspects);
+        owner.scheduler.borrow_mut().on_heartbeat_sent(&heartbeat.suspects());
+        // The outcome may stay unknown.
+        owner.heartbeat_parts.set(owner.part_count(heartbeat));
     }
     let outcome = owner.node.port.commit(&commit).await;
     owner.node.record_store_result(outcome.as_ref().err());
@@ -262,7 +283,7 @@
 fn on_applied<P>(
     owner: &ShardOwner<P>,
     rows: &BTreeMap<RowId, JobRow>,
-    heartbeat: Option<&HeartbeatRow>,
+    heartbeat: Option<&Heartbeat>,
     sent: Duration,
     version: u64,
 ) {
@@ -271,9 +292,10 @@
         Some(heartbeat) => {
             lease.renew(sent);
             owner.heartbeat_version.set(version);
-            owner.renewed_store_ms.set(heartbeat.sent_store_ms);
+            owner.heartbeat_parts.set(heartbeat.parts.len());
+            owner.renewed_store_ms.set(heartbeat.row.sent_store_ms);
             let mut scheduler = owner.scheduler.borrow_mut();
-            scheduler.on_heartbeat_stored(&heartbeat.suspects);
+            scheduler.on_heartbeat_stored(&heartbeat.suspects());
             scheduler.limit_leases(lease.ends_at());
         }
         None => lease.confirm(sent),
@@ -294,6 +316,13 @@
     }
 }
 
+impl<P> ShardOwner<P> {
+    /// Number of rows beside the heartbeat row that are written with a heartbeat.
+    fn part_count(&self, heartbeat: &Heartbeat) -> usize {
+        heartbeat.parts.len().max(self.heartbeat_parts.get())
+    }
+}
+
 /// Creates the heartbeat that is sent at `sent` or later.
 fn heartbeat<P: RowStore>(owner: &ShardOwner<P>, beat: u64, sent: Duration) -> HeartbeatRow {
     let scheduler = owner.scheduler.borrow();
@@ -314,6 +343,8 @@
             .map(|(id, left)| (name(id), ceil_ms(left)))
             .collect(),
         unanswered_starts: report.unanswered_starts.iter().map(ToString::to_string).collect(),
+        has_unnamed_starts: false,
+        parts: 0,
         sent_store_ms: owner.node.port.clock().map(|clock| clock.at_most_ms(now.max(sent))),
     }
 }
@@ -321,7 +352,7 @@
 fn transaction<P>(
     owner: &ShardOwner<P>,
     rows: &BTreeMap<RowId, JobRow>,
-    heartbeat: Option<&HeartbeatRow>,
+    heartbeat: Option<&Heartbeat>,
 ) -> Commit {
     let shard = owner.claimed.shard;
     let mut commit = Commit {
@@ -349,9 +380,19 @@
         let key = RowKey::new(layout::OWNERS_TABLE, layout::HEARTBEAT_KEY);
         // Without this condition, a heartbeat that is applied late would replace a newer one.
         commit.expected.push((key.clone(), owner.heartbeat_version.get()));
-        let value = serde_json::to_vec(heartbeat).unwrap_or_default();
-        owner.work.record_heartbeat(value.len());
+        let value = serde_json::to_vec(&heartbeat.row).unwrap_or_default();
+        let mut bytes = value.len();
         commit.writes.push((key, value));
+        let empty = HeartbeatPart::default();
+        for number in 1..=owner.part_count(heartbeat) {
+            // Rows of an earlier heartbeat that this one does not need become empty.
+            let part = heartbeat.parts.get(number - 1).unwrap_or(&empty);
+            let value = serde_json::to_vec(part).unwrap_or_default();
+            bytes += value.len();
+            let key = RowKey::new(layout::HEARTBEAT_PARTS_TABLE, number.to_string());
+            commit.writes.push((key, value));
+        }
+        owner.work.record_heartbeat(bytes);
     }
     commit
 }
--- a/src/shard/scheduler/inherited.rs
+++ b/src/shard/scheduler/inherited.rs
@@ -48,6 +48,8 @@
 pub struct UnansweredStarts {
     /// Tasks that the predecessor's heartbeat names.
     pub named: BTreeSet<JobTaskId>,
+    /// Further tasks are not named; each start counts as unanswered that was when its row was stored.
+    pub has_unnamed: bool,
     /// Rows that were stored with that heartbeat or after it. They tell of each task whether its start was answered.
     pub recent_rows: BTreeSet<RowId>,
     /// Local time by which all leases have lapsed that a start without an answer may have granted.
@@ -112,7 +114,8 @@
                         lapsed: self.predecessor_lapsed,
                     });
                     recorded.tasks.push(key);
-                    let is_recent = self.unanswered.recent_rows.contains(&(job, row));
+                    let is_recent = self.unanswered.has_unnamed
+                        || self.unanswered.recent_rows.contains(&(job, row));
                     task.is_start_unanswered = self.unanswered.named.contains(&key)
                         || is_recent && task.is_start_unanswered;
                     if task.is_start_unanswered {
--- a/tests/testsuite/jobs.rs
+++ b/tests/testsuite/jobs.rs
@@ -2,6 +2,7 @@
 
 mod flow;
 mod freshness;
+mod heartbeats;
 mod ownership;
 mod port;
 mod rows;
--- a/tests/testsuite/jobs/port.rs
+++ b/tests/testsuite/jobs/port.rs
@@ -53,6 +53,8 @@
     pub keeps_job_rows: Cell<bool>,
     /// Keys of rows of owners and progress that the store rejects, unless they show a failed job.
     pub rejected_keys: RefCell<BTreeSet<String>>,
+    /// Size of the largest row that the store accepts.
+    pub row_bytes: Cell<usize>,
     /// Transactions that the processes have sent.
     pub sent: RefCell<Vec<Commit>>,
     /// Time at which the newest transaction with a heartbeat was applied.
@@ -74,6 +76,7 @@
             changes_before_answers: Cell::new(false),
             keeps_job_rows: Cell::new(false),
             rejected_keys: RefCell::default(),
+            row_bytes: Cell::new(ROW_BYTES),
             sent: RefCell::default(),
             heartbeat_applied: Cell::default(),
             progress_since_heartbeat: Cell::default(),
@@ -244,7 +247,7 @@
         let entries = commit.expected.len() + commit.writes.len() + commit.removes.len();
         let sizes = || commit.writes.iter().map(|(_, value)| value.len());
         let is_too_large = entries > MAX_ENTRIES
-            || sizes().any(|bytes| bytes > ROW_BYTES)
+            || sizes().any(|bytes| bytes > self.world.row_bytes.get())
             || sizes().sum::<usize>() * 4 / 3 > MAX_TRANSACTION_BYTES;
         if is_too_large || commit.writes.iter().any(is_rejected) {
             return Err(StoreError::Rejected { cause: "status 400".to_owned() });
@@ -363,7 +366,7 @@
         vm: vm.to_owned(),
         cpu_share: 0.25,
         timing,
-        max_row_bytes: ROW_BYTES,
+        max_row_bytes: world.row_bytes.get(),
         keep_ended: Duration::from_secs(1),
         call_timeout: Duration::from_secs(3),
         max_operator_config_age: max_age,
