Estimate leftover processors and interference once per report

Each placement pass estimated the unused processors and the interference of every worker anew, by the names of images; each look-up of a worker compared nine IDs; each round updated the shares of every worker.

Images have numbers now, the estimates of a worker are kept until its next report or change, shares are updated when they are needed, and a pass refers to workers by position. The shares decay as before; interference is estimated by the pressures at the worker's last report instead of the newest ones.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -19,6 +19,7 @@
 pub mod scheduler;
 pub mod times;
 pub mod worker;
+pub mod worker_map;
 
 pub use ownership::{OwnerObserver, OwnerRow};
 pub use queue::QueuePolicy;
--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -57,13 +57,20 @@
 /// Ratio of the floor to the target that is assumed until a lower tail is observed.
 const INITIAL_FLOOR_RATIO: f64 = 0.25;
 
+/// Number that stands for the name of an image, because names are expensive to compare. Numbers are not reused.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct ImageId(u32);
+
 /// Learned pressures of the images, shared by all workers of a shard.
 #[derive(Debug, Default)]
 pub struct Pressures {
+    /// Images by name.
+    images: BTreeMap<String, ImageId>,
+    next_image: u32,
     /// Estimates by serving and best-effort image.
-    pairs: BTreeMap<Rc<str>, BTreeMap<Rc<str>, PressureEstimate>>,
+    pairs: BTreeMap<(ImageId, ImageId), PressureEstimate>,
     /// Lowest tail seen by serving image, in milliseconds.
-    floors: BTreeMap<Rc<str>, f64>,
+    floors: BTreeMap<ImageId, f64>,
 }
 
 /// Sums of a regression through the origin of the change of the logarithm of the utilization on the change of the
@@ -94,13 +101,13 @@
 pub struct InterferenceSample {
     utilization: f64,
     /// Share of the worker that each best-effort image used.
-    shares: BTreeMap<Rc<str>, f64>,
+    shares: Rc<BTreeMap<ImageId, f64>>,
 }
 
 /// Interference of the best-effort tasks of a worker with one serving task.
 #[derive(Clone, Debug)]
 struct ServingInterference {
-    image: Option<Rc<str>>,
+    image: Option<ImageId>,
     /// Utilization that the task's own load causes.
     own_utilization: f64,
     /// Factor by which the best-effort neighbours are expected to raise it.
@@ -127,21 +134,31 @@
 }
 
 impl Pressures {
-    fn pressure(&self, serving: &Run, best_effort: Option<&str>) -> f64 {
-        self.pressure_of_images(serving.image.as_deref(), best_effort)
+    /// Returns the number of an image.
+    pub fn image(&mut self, name: &str) -> ImageId {
+        if let Some(image) = self.images.get(name) {
+            return *image;
+        }
+        // A name that was removed gets a new number, and is learned again.
+        evict_if_full(&mut self.images, &name.to_owned(), MAX_IMAGES);
+        let image = ImageId(self.next_image);
+        self.next_image += 1;
+        self.images.insert(name.to_owned(), image);
+        image
     }
 
-    fn pressure_of_images(&self, serving: Option<&str>, best_effort: Option<&str>) -> f64 {
-        let (Some(serving), Some(best_effort)) = (serving, best_effort) else {
-            return PRIOR_PRESSURE;
-        };
-        let estimate = self.pairs.get(serving).and_then(|pairs| pairs.get(best_effort));
+    fn pressure(&self, serving: &Run, best_effort: Option<ImageId>) -> f64 {
+        self.pressure_of_images(serving.image, best_effort)
+    }
+
+    fn pressure_of_images(&self, serving: Option<ImageId>, best_effort: Option<ImageId>) -> f64 {
+        let estimate = serving.zip(best_effort).and_then(|pair| self.pairs.get(&pair));
         estimate.map_or(PRIOR_PRESSURE, PressureEstimate::pressure)
     }
 
     fn floor(&self, serving: &Run) -> f64 {
         let target = serving.tail_target_ms.unwrap_or(1).max(1) as f64;
-        let seen = serving.image.as_ref().and_then(|image| self.floors.get(image)).copied();
+        let seen = serving.image.and_then(|image| self.floors.get(&image)).copied();
         seen.unwrap_or(f64::INFINITY).min(target * INITIAL_FLOOR_RATIO)
     }
 
@@ -163,9 +180,8 @@
         best_effort: impl IntoIterator<Item = &'a Run>,
         capacity: f64,
     ) -> f64 {
-        let pressures = best_effort
-            .into_iter()
-            .map(|run| self.pressure(serving, run.image.as_deref()) * run.load as f64);
+        let pressures =
+            best_effort.into_iter().map(|run| self.pressure(serving, run.image) * run.load as f64);
         1.0 + pressures.sum::<f64>() / capacity
     }
 
@@ -181,12 +197,12 @@
             let mut expected_factor = 1.0;
             for run in &best_effort {
                 let cpu = expected_cpu(run).max(run.load as f64);
-                expected_factor += self.pressure(serving, run.image.as_deref()) * cpu / capacity;
+                expected_factor += self.pressure(serving, run.image) * cpu / capacity;
             }
             let reported_factor =
                 self.factor_at_report(serving, best_effort.iter().copied(), capacity);
             ServingInterference {
-                image: serving.image.clone(),
+                image: serving.image,
                 own_utilization: self.utilization(serving) / reported_factor,
                 best_effort_factor: expected_factor,
                 utilization_at_target: self.utilization_at_target(serving),
@@ -201,13 +217,13 @@
     pub fn cost_with(
         &self,
         interference: &WorkerInterference,
-        image: Option<&str>,
+        image: Option<ImageId>,
         cpu_millis: u64,
     ) -> f64 {
         let share = cpu_millis as f64 / interference.capacity;
         let mut cost = 0.0;
         for serving in &interference.serving {
-            let added = self.pressure_of_images(serving.image.as_deref(), image) * share;
+            let added = self.pressure_of_images(serving.image, image) * share;
             cost += risk(
                 serving.utilization_at_target,
                 serving.own_utilization * (serving.best_effort_factor + added),
@@ -221,7 +237,7 @@
 
     /// Learns from a report whose loads the worker's runs already contain.
     pub fn learn(&mut self, worker: &mut Worker) {
-        let shares = worker.shares.clone();
+        let mut shares = None;
         for serving in worker.runs.values_mut() {
             if serving.tail_target_ms.is_none()
                 || serving.phase != Phase::Active
@@ -232,20 +248,19 @@
             self.record_floor(serving);
             let sample = InterferenceSample {
                 utilization: self.utilization(serving),
-                shares: shares.clone(),
+                shares: Rc::clone(shares.get_or_insert_with(|| Rc::new(worker.shares.clone()))),
             };
-            if let (Some(image), Some(before)) = (serving.image.clone(), serving.last_sample.take())
-            {
-                self.learn_pressure(&image, &before, &sample);
+            if let (Some(image), Some(before)) = (serving.image, serving.last_sample.take()) {
+                self.learn_pressure(image, &before, &sample);
             }
             serving.last_sample = Some(sample);
         }
     }
 
     fn record_floor(&mut self, serving: &Run) {
-        let Some(image) = &serving.image else { return };
-        evict_if_full(&mut self.floors, image);
-        let floor = self.floors.entry(Rc::clone(image)).or_insert(f64::INFINITY);
+        let Some(image) = serving.image else { return };
+        evict_if_full(&mut self.floors, &image, MAX_IMAGES);
+        let floor = self.floors.entry(image).or_insert(f64::INFINITY);
         *floor = floor.min(serving.load as f64);
     }
 
@@ -253,19 +268,20 @@
     /// image.
     fn learn_pressure(
         &mut self,
-        serving: &Rc<str>,
+        serving: ImageId,
         before: &InterferenceSample,
         after: &InterferenceSample,
     ) {
-        let images: std::collections::BTreeSet<&Rc<str>> =
-            before.shares.keys().chain(after.shares.keys()).collect();
-        let share_of = |sample: &InterferenceSample, image: &Rc<str>| {
+        let share_of = |sample: &InterferenceSample, image: &ImageId| {
             sample.shares.get(image).copied().unwrap_or(0.0)
         };
-        let changes: Vec<(Rc<str>, f64)> = images
-            .into_iter()
-            .map(|image| (Rc::clone(image), share_of(after, image) - share_of(before, image)))
+        let mut changes: Vec<(ImageId, f64)> = after
+            .shares
+            .iter()
+            .map(|(image, share)| (*image, share - share_of(before, image)))
             .collect();
+        let ended = before.shares.iter().filter(|(image, _)| !after.shares.contains_key(image));
+        changes.extend(ended.map(|(image, share)| (*image, -share)));
         let total: f64 = changes.iter().map(|(_, change)| change.abs()).sum();
         let largest = changes.iter().max_by(|a, b| a.1.abs().total_cmp(&b.1.abs()));
         let Some((image, change)) = largest else { return };
@@ -279,10 +295,9 @@
         }
         let effect =
             after.utilization.clamp(0.05, 0.95).ln() - before.utilization.clamp(0.05, 0.95).ln();
-        evict_if_full(&mut self.pairs, serving);
-        let pairs = self.pairs.entry(Rc::clone(serving)).or_default();
-        evict_if_full(pairs, image);
-        pairs.entry(Rc::clone(image)).or_insert_with(PressureEstimate::new).add(*change, effect);
+        let pair = (serving, *image);
+        evict_if_full(&mut self.pairs, &pair, MAX_PAIRS);
+        self.pairs.entry(pair).or_insert_with(PressureEstimate::new).add(*change, effect);
     }
 
     /// Adjusts the throttles of a worker's best-effort tasks after a report, and returns the changes to send to it.
@@ -341,8 +356,7 @@
             .collect();
         let mut factors = vec![1.0; serving.len()];
         let total_pressure = |run: &Run| -> f64 {
-            let pressure =
-                |task: &&Run| self.pressure(task, run.image.as_deref()) * run.leftover_cpu as f64;
+            let pressure = |task: &&Run| self.pressure(task, run.image) * run.leftover_cpu as f64;
             serving.iter().map(pressure).sum()
         };
         best_effort.sort_by(|a, b| total_pressure(a.1).total_cmp(&total_pressure(b.1)));
@@ -350,7 +364,7 @@
         for (task, run) in best_effort {
             let added = |percent: u8, task: &Run| {
                 let share = run.leftover_cpu as f64 / capacity * f64::from(percent) / 100.0;
-                self.pressure(task, run.image.as_deref()) * share
+                self.pressure(task, run.image) * share
             };
             let is_worthwhile = |percent: &u8| {
                 let cost: f64 = serving
@@ -380,9 +394,14 @@
     }
 }
 
-/// Updates the moving averages of the shares of the worker that the best-effort images use, `elapsed` after the last
-/// update.
-pub fn update_shares(worker: &mut Worker, elapsed: Duration) {
+/// Updates the moving averages of the shares of the worker that the best-effort images use, from the last update up to
+/// `now`. Due before a change of the active runs or of their throttles, and before the averages are used.
+pub fn update_shares(worker: &mut Worker, now: Duration) {
+    let elapsed = now.saturating_sub(worker.shares_updated);
+    if elapsed.is_zero() {
+        return;
+    }
+    worker.shares_updated = now;
     let capacity = worker.listing.capacity.cpu_millis.max(1) as f64;
     let kept = (-elapsed.as_secs_f64() / REPORT_WINDOW.as_secs_f64()).exp();
     worker.shares.retain(|_, share| {
@@ -392,8 +411,8 @@
     for best_effort in
         worker.runs.values().filter(|run| run.leftover_cpu > 0 && run.phase == Phase::Active)
     {
-        if let Some(image) = &best_effort.image {
-            *worker.shares.entry(Rc::clone(image)).or_default() +=
+        if let Some(image) = best_effort.image {
+            *worker.shares.entry(image).or_default() +=
                 (1.0 - kept) * expected_cpu(best_effort) / capacity;
         }
     }
@@ -410,10 +429,13 @@
 /// Bound on the images that are kept; a removed one is learned again within seconds.
 const MAX_IMAGES: usize = 256;
 
-/// Removes an entry if `image` would be added to a full map.
-fn evict_if_full<T>(by_image: &mut BTreeMap<Rc<str>, T>, image: &Rc<str>) {
-    if by_image.len() >= MAX_IMAGES && !by_image.contains_key(image) {
-        by_image.pop_first();
+/// Bound on the pairs of images that are kept.
+const MAX_PAIRS: usize = 16_384;
+
+/// Removes an entry if `key` would be added to a full map.
+fn evict_if_full<K: Ord, V>(map: &mut BTreeMap<K, V>, key: &K, most: usize) {
+    if map.len() >= most && !map.contains_key(key) {
+        map.pop_first();
     }
 }
 
--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -12,6 +12,7 @@
 use crate::job::{Resources, StepId, StepSpec};
 
 use super::health::ProbeTier;
+use super::interference::ImageId;
 use super::worker::{Run, Worker};
 
 /// A worker whose last answer is at least this old gets no new task. Covers one renewal of an idle worker, which may
@@ -39,6 +40,8 @@
     pub service: &'a str,
     /// Step of the task.
     pub step: &'a StepSpec,
+    /// Image of its tasks.
+    pub image: Option<ImageId>,
     /// ID of that step, used to count its tasks on a worker.
     pub step_id: &'a StepId,
     /// Home domain of the job, preferred for its tasks; `None` if it has none.
@@ -148,23 +151,23 @@
     let base = if step.uses_leftover_cpu {
         score_best_effort(worker, step, leftover(), cost)?
     } else {
-        score_committed(worker, step, &worker.free())
+        score_committed(worker, req, &worker.free())
     };
     Some(base - penalty(worker, req))
 }
 
 /// Scores a worker for a task that reserves processors: fuller workers first. Serving tasks of one image are placed
 /// together, so that best-effort tasks that interfere only with other images find workers where they cost nothing.
-fn score_committed(worker: &Worker, step: &StepSpec, free: &Resources) -> i64 {
+fn score_committed(worker: &Worker, req: &PlacementRequest<'_>, free: &Resources) -> i64 {
     const SAME_IMAGE: i64 = 20_000;
     const OTHER_IMAGE: i64 = 20_000;
     let mut score = -(free.cpu_millis as i64);
-    if step.tail_target_ms.is_none() {
+    if req.step.tail_target_ms.is_none() {
         return score;
     }
     let mut serving = worker.runs.values().filter(|run| run.tail_target_ms.is_some()).peekable();
     if serving.peek().is_some() {
-        let is_same = |run: &Run| run.image.as_deref() == step.image.as_deref();
+        let is_same = |run: &Run| run.image == req.image;
         score += if serving.all(is_same) { SAME_IMAGE } else { -OTHER_IMAGE };
     }
     score
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -32,12 +32,13 @@
 use crate::job::{JobId, JobSpec, JobState, JobTaskId, Progress, StepId};
 use crate::telemetry::event::shard as event;
 
-use super::interference::{self, Pressures};
+use super::interference::{self, ImageId, Pressures};
 use super::pick::{self, UnusableCause};
 use super::queue::{QueuePolicy, Rank, WaitingTask, WaitingTasks};
 use super::report::WorkerListing;
 use super::times::StepTimeRatios;
 use super::worker::{Phase, Worker, WorkerId};
+use super::worker_map::WorkerMap;
 
 pub use command::{Command, CommandKind, CommandOutcome, StartOutcome, StartRefusal};
 pub use inherited::{LeaseReport, UnansweredStarts};
@@ -67,6 +68,8 @@
     /// When it was accepted, in milliseconds since the Unix epoch.
     accepted_unix_ms: u64,
     spec: Rc<JobSpec>,
+    /// Images of the steps.
+    images: Vec<Option<ImageId>>,
     progress: Progress,
     /// Failure domain in which the job's tasks are preferably placed; `None` until the first placement.
     home: Option<String>,
@@ -104,7 +107,7 @@
     epoch: u64,
     timing: Timing,
     jobs: BTreeMap<JobId, Job>,
-    workers: BTreeMap<WorkerId, Worker>,
+    workers: WorkerMap,
     /// Workers that have, or may have, a run of the task; no entry if there is none.
     live: BTreeMap<JobTaskId, Vec<WorkerId>>,
     waiting: WaitingTasks,
@@ -154,7 +157,7 @@
             epoch,
             timing,
             jobs: BTreeMap::new(),
-            workers: BTreeMap::new(),
+            workers: WorkerMap::default(),
             live: BTreeMap::new(),
             waiting: WaitingTasks::default(),
             queues: BTreeMap::new(),
@@ -238,14 +241,14 @@
     /// Replaces the VM list. Workers that are no longer listed are kept while they answer or their leases may be valid.
     pub fn on_listing(&mut self, now: Duration, entries: Vec<WorkerListing>) {
         let listed: BTreeSet<WorkerId> = entries.iter().map(|entry| entry.id.clone()).collect();
-        for (id, worker) in &mut self.workers {
-            if !listed.contains(id) {
+        for worker in self.workers.values_mut() {
+            if !listed.contains(&worker.listing.id) {
                 worker.unlisted_since.get_or_insert(now);
             }
         }
         for entry in entries {
             let Some(worker) = self.workers.get_mut(&entry.id) else {
-                self.workers.insert(entry.id.clone(), Worker::new(entry, now));
+                self.workers.insert(Worker::new(entry, now));
                 continue;
             };
             worker.unlisted_since = None;
@@ -262,6 +265,7 @@
             }
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.listing = entry;
+                worker.invalidate_estimates();
             }
             if has_other_capacity {
                 self.on_capacity_changed(now, &id, &before);
@@ -320,12 +324,15 @@
 
     fn insert_job(&mut self, job: AcceptedJob, progress: Progress, head: HeadState) {
         let id = job.id;
+        let names = job.spec.steps.iter().map(|step| step.image.as_deref());
+        let images = names.map(|name| name.map(|name| self.pressures.image(name))).collect();
         self.jobs.insert(
             id,
             Job {
                 queue: job.queue,
                 accepted_unix_ms: job.accepted_unix_ms,
                 spec: job.spec,
+                images,
                 progress,
                 home: None,
                 head,
@@ -385,6 +392,7 @@
         is_abandoned: bool,
     ) {
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        interference::update_shares(worker, now);
         let Some(run) = worker.runs.get_mut(task) else { return };
         run.is_abandoned |= is_abandoned;
         match run.phase {
@@ -421,7 +429,7 @@
     /// IDs of the workers of the shard that are in the VM list or may still run something.
     #[must_use]
     pub fn worker_ids(&self) -> Vec<String> {
-        self.workers.keys().map(|id| id.as_str().to_owned()).collect()
+        self.workers.iter().map(|(id, _)| id.as_str().to_owned()).collect()
     }
 
     /// Returns why a worker may get no new tasks, or `None` if it may.
@@ -445,7 +453,7 @@
     pub fn load(&self, now: Duration) -> Load {
         let mut usable: Vec<&Worker> = Vec::new();
         let mut unusable: BTreeMap<UnusableCause, usize> = BTreeMap::new();
-        for (id, worker) in &self.workers {
+        for (id, worker) in self.workers.iter() {
             match self.unusable_cause(id, worker, now) {
                 Some(cause) => *unusable.entry(cause).or_default() += 1,
                 None => usable.push(worker),
@@ -456,7 +464,7 @@
             unusable_workers: unusable,
             free_cpu_millis: usable.iter().map(|worker| worker.free().cpu_millis).sum(),
             most_free_cpu_millis: usable.iter().map(|w| w.free().cpu_millis).max().unwrap_or(0),
-            leftover_cpu_millis: usable.iter().map(|worker| pick::leftover_cpu(worker)).sum(),
+            leftover_cpu_millis: usable.iter().map(|worker| worker.leftover_cpu()).sum(),
             best_effort: BestEffort::of(&self.workers),
             waiting_tasks: self.waiting.tasks_by_priority(),
             jobs: self.jobs.len(),
@@ -475,17 +483,14 @@
         let elapsed = now.saturating_sub(self.last_housekeeping);
         if elapsed >= HOUSEKEEPING_PERIOD {
             self.last_housekeeping = now;
-            self.run_housekeeping(now, confirmed, elapsed);
+            self.run_housekeeping(now, confirmed);
         }
         self.place(now);
         self.request_renewals(now);
     }
 
     /// Performs the checks of all workers and jobs.
-    fn run_housekeeping(&mut self, now: Duration, confirmed: Duration, elapsed: Duration) {
-        for worker in self.workers.values_mut() {
-            interference::update_shares(worker, elapsed);
-        }
+    fn run_housekeeping(&mut self, now: Duration, confirmed: Duration) {
         self.begin_scheduled_occurrences();
         self.clear_suspects();
         self.forget_old_crashes();
@@ -621,7 +626,7 @@
 }
 
 impl BestEffort {
-    fn of(workers: &BTreeMap<WorkerId, Worker>) -> Self {
+    fn of(workers: &WorkerMap) -> Self {
         let mut sum = Self::default();
         let runs = workers.values().flat_map(|worker| worker.runs.values());
         for run in runs.filter(|run| run.leftover_cpu > 0 && run.phase == Phase::Active) {
--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -386,7 +386,7 @@
     fn crash_kind(&self, worker_id: &WorkerId, crashed: &Worker, seen: Duration) -> CrashKind {
         // By address, because the list may still contain the predecessor of a worker that came back with a new ID.
         let mut down: BTreeMap<SocketAddr, (bool, &Worker)> = BTreeMap::new();
-        for (id, worker) in &self.workers {
+        for (id, worker) in self.workers.iter() {
             let is_down = id == worker_id || self.is_down_since(id, worker, seen);
             down.entry(worker.listing.address).or_insert((false, worker)).0 |= is_down;
         }
--- a/src/shard/scheduler/ends.rs
+++ b/src/shard/scheduler/ends.rs
@@ -5,6 +5,7 @@
 use crate::job::progress::Occurrence;
 use crate::job::{JobId, JobState, JobTaskId, StepId};
 use crate::shard::health::Restored;
+use crate::shard::interference;
 use crate::shard::report::{EndCause, EndReport};
 use crate::shard::worker::{Run, WorkerId};
 use crate::telemetry::event::shard as event;
@@ -194,7 +195,9 @@
 
     /// Removes a run and frees the worker's resources that it occupied.
     pub(super) fn remove_run(&mut self, worker_id: &WorkerId, task: &JobTaskId) -> Option<Run> {
-        let run = self.workers.get_mut(worker_id)?.remove_run(task)?;
+        let worker = self.workers.get_mut(worker_id)?;
+        interference::update_shares(worker, self.now);
+        let run = worker.remove_run(task)?;
         if let Some(workers) = self.live.get_mut(task) {
             workers.retain(|id| id != worker_id);
             if workers.is_empty() {
--- a/src/shard/scheduler/inherited.rs
+++ b/src/shard/scheduler/inherited.rs
@@ -210,7 +210,7 @@
             }
             report.unanswered_starts.extend(&recorded.unanswered);
         }
-        for (id, worker) in &self.workers {
+        for (id, worker) in self.workers.iter() {
             let is_inherited = self.inherited.workers.contains_key(id);
             if !is_inherited && self.is_late(worker, now) {
                 let lapsed = self.lapsed_at(worker).unwrap_or(now);
--- a/src/shard/scheduler/pass.rs
+++ b/src/shard/scheduler/pass.rs
@@ -6,14 +6,11 @@
 //! number on the steps of the highest rank. Each pass tries at least one step at the resume point, so every waiting
 //! step is tried eventually, whatever precedes it.
 
-use std::collections::BTreeMap;
-
 use crate::job::{Resources, StepId, StepSpec};
 use crate::shard::health::ProbeTier;
-use crate::shard::interference::WorkerInterference;
 use crate::shard::pick;
 use crate::shard::queue::WaitCause;
-use crate::shard::worker::{Worker, WorkerId};
+use crate::shard::worker::Worker;
 
 /// Number of workers that a pass may examine for steps that find none.
 const MAX_EXAMINED: usize = 20_000;
@@ -53,16 +50,11 @@
 /// a pass does not change.
 #[derive(Debug, Default)]
 pub(super) struct Pass {
-    pub(super) ids: Vec<WorkerId>,
     pub(super) admission: Vec<Admission>,
-    /// Estimated unused processors of the worker. `None` until it is needed, and again after a start.
-    pub(super) leftovers: Vec<Option<i64>>,
-    /// Interference on the worker. `None` until it is needed, and again after a start.
-    pub(super) interference: Vec<Option<WorkerInterference>>,
     /// Free processors of the usable workers by failure domain: uncommitted, and unused by estimate, in thousandths of
     /// a core.
-    pub(super) domains: BTreeMap<String, (u64, i64)>,
-    pools: BTreeMap<String, PoolIndex>,
+    pub(super) domains: Vec<(String, (u64, i64))>,
+    pools: Vec<(String, PoolIndex)>,
     /// Steps without a worker that larger ones need not be tried after.
     failed: Vec<FailedStep>,
     /// Number of workers examined for the current step.
@@ -83,39 +75,28 @@
     }
 
     /// Adds a worker. Workers are added in the order of the scheduler's worker map.
-    pub(super) fn add_worker(&mut self, id: &WorkerId, worker: &Worker, admission: Admission) {
-        let position = self.ids.len();
-        self.ids.push(id.clone());
+    pub(super) fn add_worker(&mut self, worker: &Worker, admission: Admission) {
+        let position = self.admission.len();
         self.admission.push(admission);
-        self.interference.push(None);
         if admission == Admission::None {
-            self.leftovers.push(None);
             return;
         }
         let listing = &worker.listing;
-        let (free, leftover) = (worker.free().cpu_millis, pick::leftover_cpu(worker));
-        self.leftovers.push(Some(leftover));
-        if !self.pools.contains_key(&listing.service) {
-            self.pools.insert(listing.service.clone(), PoolIndex::default());
-        }
-        if let Some(pool) = self.pools.get_mut(&listing.service) {
-            pool.by_free.push((free, position));
-            pool.by_leftover.push((leftover, position));
-        }
+        let (free, leftover) = (worker.free().cpu_millis, worker.leftover_cpu());
+        let pool = entry(&mut self.pools, &listing.service);
+        pool.by_free.push((free, position));
+        pool.by_leftover.push((leftover, position));
         if admission == Admission::Any {
-            if !self.domains.contains_key(&listing.domain) {
-                self.domains.insert(listing.domain.clone(), (0, 0));
-            }
-            if let Some(sum) = self.domains.get_mut(&listing.domain) {
-                sum.0 += free;
-                sum.1 += leftover.max(0);
-            }
+            let sum = entry(&mut self.domains, &listing.domain);
+            sum.0 += free;
+            sum.1 += leftover.max(0);
         }
     }
 
     /// Builds the index, after all workers have been added.
     pub(super) fn sort_pools(&mut self) {
-        for pool in self.pools.values_mut() {
+        self.domains.sort_unstable_by(|(a, _), (b, _)| a.cmp(b));
+        for (_, pool) in &mut self.pools {
             pool.by_free.sort_unstable_by(|a, b| b.cmp(a));
             pool.by_leftover.sort_unstable_by(|a, b| b.cmp(a));
         }
@@ -124,7 +105,9 @@
     /// Returns the positions of the workers of a pool that may have enough processors for a task of the step.
     pub(super) fn candidates(&mut self, service: &str, step: &StepSpec) -> Vec<usize> {
         self.examined_by_step += 1;
-        let Some(pool) = self.pools.get(service) else { return Vec::new() };
+        let Some((_, pool)) = self.pools.iter().find(|(name, _)| name == service) else {
+            return Vec::new();
+        };
         let candidates: Vec<usize> = if step.uses_leftover_cpu {
             let needed = pick::leftover_needed(step);
             let enough = pool.by_leftover.partition_point(|(leftover, _)| *leftover >= needed);
@@ -143,8 +126,6 @@
         if matches!(self.admission[worker], Admission::Probe(_)) {
             self.admission[worker] = Admission::None;
         }
-        self.leftovers[worker] = None;
-        self.interference[worker] = None;
     }
 
     /// Records that the current step found no worker; `is_full` if no worker has enough resources for it.
@@ -209,3 +190,13 @@
         self.resume_at.is_none() && self.examined >= MAX_EXAMINED
     }
 }
+
+/// Returns the value of a name in a short list, which it is added to if it is missing.
+fn entry<'a, T: Default>(list: &'a mut Vec<(String, T)>, name: &str) -> &'a mut T {
+    let position = list.iter().position(|(other, _)| other == name);
+    let position = position.unwrap_or_else(|| {
+        list.push((name.to_owned(), T::default()));
+        list.len() - 1
+    });
+    &mut list[position].1
+}
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -15,6 +15,7 @@
 
 use crate::job::{JobState, JobTaskId, Resources, StepId, StepSpec};
 use crate::shard::health::{ProbationCause, ProbeTier};
+use crate::shard::interference;
 use crate::shard::pick::{self, PlacementRequest, UnusableCause};
 use crate::shard::queue::WaitCause;
 use crate::shard::worker::{Phase, Worker, WorkerId};
@@ -100,7 +101,7 @@
 
     fn begin_pass(&self, now: Duration, steps: &[(StepId, Vec<u16>)]) -> Pass {
         let mut pass = Pass::new(self.resume_pass_at, steps);
-        for (id, worker) in &self.workers {
+        for (id, worker) in self.workers.iter() {
             let admission = match self.unusable_cause(id, worker, now) {
                 None => Admission::Any,
                 Some(UnusableCause::Probation) => {
@@ -109,7 +110,7 @@
                 Some(UnusableCause::OnTrial) => Admission::Overdue,
                 Some(_) => Admission::None,
             };
-            pass.add_worker(id, worker, admission);
+            pass.add_worker(worker, admission);
         }
         pass.sort_pools();
         pass
@@ -164,7 +165,7 @@
             let Some((best, trial)) = self.workers_for(&mut workers, key, needs_trial) else {
                 continue;
             };
-            let Some((worker, position)) = self.pop_best(pass, best, &task) else {
+            let Some((worker, position)) = self.pop_best(best, &task) else {
                 outcome = if best.is_empty() {
                     StepOutcome::NoWorker
                 } else {
@@ -216,19 +217,14 @@
     /// Removes the best worker for a task from `best` and returns it. Workers that already have a run of the task are
     /// left out, and those that the job avoids for it are used only if there is no other. So are, for a suspect, those
     /// with a run that may crash them as well.
-    fn pop_best(
-        &self,
-        pass: &Pass,
-        best: &mut ScoredWorkers,
-        task: &JobTaskId,
-    ) -> Option<(WorkerId, usize)> {
+    fn pop_best(&self, best: &mut ScoredWorkers, task: &JobTaskId) -> Option<(WorkerId, usize)> {
         let avoid = self.jobs.get(&task.step.job).and_then(|job| job.avoid.get(task));
         let needs_trial = self.needs_trial(task);
         let mut passed_over = Vec::new();
         let mut found = None;
         while let Some((score, position)) = best.pop() {
-            let id = &pass.ids[position];
-            let worker = self.workers.get(id)?;
+            let worker = self.workers.at(position);
+            let id = &worker.listing.id;
             let has_no_run_of_task = !worker.runs.contains_key(task);
             let is_avoided = avoid.is_some_and(|avoid| avoid.contains(id))
                 || (needs_trial && has_unproven_run(worker));
@@ -243,7 +239,7 @@
                 passed_over.iter().position(|(.., has_no_run_of_task)| *has_no_run_of_task)
         {
             let (_, position, _) = passed_over.remove(index);
-            found = Some((pass.ids[position].clone(), position));
+            found = Some((self.workers.at(position).listing.id.clone(), position));
         }
         best.extend(passed_over.into_iter().map(|(score, position, _)| (score, position)));
         found
@@ -263,6 +259,7 @@
         let req = PlacementRequest {
             service: &policy.service,
             step,
+            image: job.images[usize::from(key.step)],
             step_id: key,
             home: job.home.as_deref(),
             tier,
@@ -270,7 +267,7 @@
         };
         let mut scores = Vec::new();
         for position in pass.candidates(&policy.service, step) {
-            let Some(worker) = self.workers.get(&pass.ids[position]) else { continue };
+            let worker = self.workers.at(position);
             if rack.is_none() || worker.listing.rack() == rack {
                 let score = self.score(pass, &req, worker, position);
                 scores.extend(score.map(|score| (score, position)));
@@ -281,7 +278,7 @@
 
     fn score_of(
         &self,
-        pass: &mut Pass,
+        pass: &Pass,
         key: &StepId,
         step: &StepSpec,
         tier: ProbeTier,
@@ -292,18 +289,18 @@
         let req = PlacementRequest {
             service: &policy.service,
             step,
+            image: job.images[usize::from(key.step)],
             step_id: key,
             home: job.home.as_deref(),
             tier,
             is_overdue: self.is_overdue(step, key),
         };
-        let worker = self.workers.get(&pass.ids[position])?;
-        self.score(pass, &req, worker, position)
+        self.score(pass, &req, self.workers.at(position), position)
     }
 
     fn score(
         &self,
-        pass: &mut Pass,
+        pass: &Pass,
         req: &PlacementRequest<'_>,
         worker: &Worker,
         position: usize,
@@ -315,14 +312,11 @@
             Admission::Overdue if req.is_overdue => PROBE_PENALTY,
             Admission::Probe(_) | Admission::Overdue | Admission::None => return None,
         };
-        let leftover = &mut pass.leftovers[position];
-        let interference = &mut pass.interference[position];
         let cost = || {
-            let interference =
-                interference.get_or_insert_with(|| self.pressures.worker_interference(worker));
-            self.pressures.cost_with(interference, step.image.as_deref(), step.resources.cpu_millis)
+            let interference = worker.interference(&self.pressures);
+            self.pressures.cost_with(&interference, req.image, step.resources.cpu_millis)
         };
-        let leftover = || *leftover.get_or_insert_with(|| pick::leftover_cpu(worker));
+        let leftover = || worker.leftover_cpu();
         pick::score(worker, req, leftover, cost).map(|score| score - penalty)
     }
 
@@ -332,14 +326,14 @@
     fn choose_home(&mut self, pass: &mut Pass, key: &StepId, step: &StepSpec) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let has_usable_worker =
-            job.home.as_ref().is_some_and(|home| pass.domains.contains_key(home));
+            job.home.as_ref().is_some_and(|home| pass.domains.iter().any(|(name, _)| name == home));
         if has_usable_worker || step.is_long_running {
             return;
         }
         let free = |(cpu, leftover): &(u64, i64)| {
             if step.uses_leftover_cpu { *leftover } else { *cpu as i64 }
         };
-        let freest = pass.domains.iter_mut().max_by_key(|(_, domain)| free(domain));
+        let freest = pass.domains.iter_mut().max_by_key(|(_, left)| free(left));
         let Some((domain, left)) = freest else { return };
         job.home = Some(domain.clone());
         // Deduct what the step will use, so that the jobs of one pass spread over the domains.
@@ -374,7 +368,7 @@
                 self.scores(pass, key, &step, ProbeTier::Any, rack.as_deref()).into();
             for index in tasks {
                 let task = JobTaskId { step: *key, index: *index };
-                let Some((worker, position)) = self.pop_best(pass, &mut best, &task) else { break };
+                let Some((worker, position)) = self.pop_best(&mut best, &task) else { break };
                 self.reserve(now, &worker, &task, run);
                 // A worker on probation may take several members, which are one probe.
                 let admission = pass.admission[position];
@@ -430,7 +424,8 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let mut run = new_run(number, Phase::Reserved, now);
-        set_step_attributes(&mut run, &job.spec.steps[usize::from(task.step.step)]);
+        let step = usize::from(task.step.step);
+        set_step_attributes(&mut run, &job.spec.steps[step], job.images[step]);
         worker.add_run(*task, run);
         worker.health.begin_probe(*task, number);
         let mut earlier_run = 0;
@@ -534,7 +529,7 @@
             expiry_ms,
             checkpoint,
         };
-        let worker = &self.workers[worker_id];
+        let Some(worker) = self.workers.get(worker_id) else { return };
         self.commands.push(worker.command(kind));
         self.log_start(now, planned);
     }
@@ -564,6 +559,7 @@
         outcome: StartOutcome,
     ) {
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        interference::update_shares(worker, now);
         let Some(current) = worker.runs.get_mut(task).filter(|current| current.number == run)
         else {
             return;
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -1,11 +1,11 @@
 //! Lease renewals, and processing of the run lists that workers return with them.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::rc::Rc;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::job::{JobId, JobTaskId, Resources};
 use crate::shard::health::{ProbationCause, ProbeReport};
+use crate::shard::interference::{self, ImageId};
 use crate::shard::lapse::{GrantedLease, WorkerClock, longest_local_time};
 use crate::shard::report::{RenewalReport, RunReport};
 use crate::shard::worker::{Phase, Run, Worker, WorkerId};
@@ -80,7 +80,7 @@
     /// Queues the renewals that are due.
     pub(super) fn request_renewals(&mut self, now: Duration) {
         let lease = self.lease_length(now);
-        for (id, worker) in &mut self.workers {
+        for worker in self.workers.values_mut() {
             if worker.is_renewal_in_flight || now < worker.next_renewal {
                 continue;
             }
@@ -93,7 +93,7 @@
             // because a renewal that arrives late would keep runs alive whose tasks are to start elsewhere. A worker
             // that the heartbeat names as unreached gets none either, because a successor relies on that.
             let may_grant = worker.unanswered_renewals == 0
-                && !self.inherited.reported_unreached.contains(id)
+                && !self.inherited.reported_unreached.contains(&worker.listing.id)
                 && !lease.is_zero();
             let expiry_ms = if may_grant { worker.lease.grant(now, lease) } else { None };
             // A worker that did not answer should answer at once, so that its return is detected early.
@@ -145,6 +145,7 @@
         worker.incarnation_started_unix_ms =
             report.incarnation_started_unix_ms.or(worker.incarnation_started_unix_ms);
         worker.lease.on_reading(WorkerClock::new(report.clock_ms, now));
+        interference::update_shares(worker, now);
         worker.answered = Some(now);
         worker.unanswered_renewals = 0;
         worker.health.unanswered_starts = 0;
@@ -157,6 +158,9 @@
             self.release_inherited_of(worker_id, ReleaseCause::Listed, age);
         }
         self.adjust_throttles(now, worker_id);
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.invalidate_estimates();
+        }
         self.is_placement_due = true;
     }
 
@@ -283,18 +287,19 @@
         sent: Duration,
         report: &RenewalReport,
     ) {
-        let mut listed = BTreeSet::new();
+        let mut listed: Vec<(JobTaskId, u32)> = Vec::with_capacity(report.active.len());
         let mut adopted = Vec::new();
         for run in &report.active {
-            listed.insert((run.task, run.run));
+            listed.push((run.task, run.run));
             if self.update_run(now, worker_id, run) == Some(Adoption::Wanted) {
                 adopted.push((run.task, run.run));
             }
         }
+        listed.sort_unstable();
         self.log_adopted(worker_id, &adopted, now.saturating_sub(sent));
         let Some(worker) = self.workers.get(worker_id) else { return };
         let is_gone = |task: &JobTaskId, run: &Run| {
-            if listed.contains(&(*task, run.number)) || report.is_truncated {
+            if listed.binary_search(&(*task, run.number)).is_ok() || report.is_truncated {
                 return false;
             }
             match run.phase {
@@ -375,7 +380,7 @@
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             let is_final = job.progress.state.is_final();
             if let Some(step) = job.spec.steps.get(usize::from(task.step.step)) {
-                set_step_attributes(&mut run, step);
+                set_step_attributes(&mut run, step, job.images[usize::from(task.step.step)]);
                 is_step_known = true;
             }
             if let Some(progress) = job.progress.task_mut(&task) {
@@ -521,7 +526,7 @@
         let owned_until = now.min(confirmed);
         let mut lapsed = Vec::new();
         let mut gone = Vec::new();
-        for (id, worker) in &self.workers {
+        for (id, worker) in self.workers.iter() {
             let is_silent = worker.unanswered_renewals > 0 || worker.answered.is_none();
             if !is_silent || !worker.lease.has_ended(owned_until, self.timing.kill_time) {
                 continue;
@@ -562,7 +567,7 @@
             is_wanted && !run.is_stop_in_flight && run.stop_answered.is_none()
         };
         let mut due = Vec::new();
-        for (id, worker) in &self.workers {
+        for (id, worker) in self.workers.iter() {
             due.extend(
                 worker
                     .runs
@@ -658,11 +663,15 @@
 }
 
 /// Sets the resources, tail target and image of a run from its step.
-pub(super) fn set_step_attributes(run: &mut Run, step: &crate::job::StepSpec) {
+pub(super) fn set_step_attributes(
+    run: &mut Run,
+    step: &crate::job::StepSpec,
+    image: Option<ImageId>,
+) {
     run.committed = step.committed();
     run.leftover_cpu = if step.uses_leftover_cpu { step.resources.cpu_millis } else { 0 };
     run.tail_target_ms = step.tail_target_ms;
-    run.image = step.image.as_deref().map(Rc::from);
+    run.image = image;
 }
 
 fn is_long_running(jobs: &BTreeMap<JobId, Job>, task: &JobTaskId) -> bool {
--- a/src/shard/scheduler/throttling.rs
+++ b/src/shard/scheduler/throttling.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::job::{JobTaskId, StepSpec};
+use crate::shard::interference;
 use crate::shard::worker::{Phase, WorkerId};
 use crate::telemetry::event::shard as event;
 
@@ -102,7 +103,10 @@
             CommandOutcome::Done => {}
             CommandOutcome::Fenced => self.on_fenced(worker_id),
             CommandOutcome::Unknown => {
+                let now = self.now;
                 let Some(worker) = self.workers.get_mut(worker_id) else { return };
+                interference::update_shares(worker, now);
+                worker.invalidate_estimates();
                 // A value other than the requested one makes the next adjustment send the command again.
                 if let Some(current) =
                     worker.runs.get_mut(task).filter(|current| current.number == run)
--- a/src/shard/scheduler/waits.rs
+++ b/src/shard/scheduler/waits.rs
@@ -48,7 +48,7 @@
         let service = self.queues.get(&job.queue).map(|queue| queue.service.as_str());
         let mut most_free = 0;
         let mut unusable: BTreeMap<UnusableCause, u64> = BTreeMap::new();
-        for (worker_id, worker) in &self.workers {
+        for (worker_id, worker) in self.workers.iter() {
             let has_label =
                 step.required_label.as_ref().is_none_or(|l| worker.listing.labels.contains(l));
             let is_below_limit = step.max_per_worker.is_none_or(|most| worker.tasks_of(id) < most);
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -1,5 +1,6 @@
 //! State of one worker, as the scheduler knows it.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::rc::Rc;
@@ -8,7 +9,9 @@
 use crate::job::{JobTaskId, Resources};
 
 use super::health::{Health, ProbeTier};
+use super::interference::{ImageId, Pressures, WorkerInterference};
 use super::lapse::GrantedLease;
+use super::pick;
 use super::report::WorkerListing;
 
 /// ID of a worker in the VM list. A restarted worker may keep it; incarnations are told apart by their start time.
@@ -78,7 +81,7 @@
     /// Tail latency target in milliseconds of a serving task; `None` for other tasks.
     pub tail_target_ms: Option<u64>,
     /// Image of the task. Tasks of one image interfere alike.
-    pub image: Option<Rc<str>>,
+    pub image: Option<ImageId>,
     /// Local time of the reservation, the start, its answer, or the first listing of the run, whichever is newest.
     pub phase_since: Duration,
     /// Progress in percent, as last reported.
@@ -139,7 +142,11 @@
     runs_of_unknown_size: u32,
     /// Moving average of the share of the worker that the best-effort tasks of each image use. It decays within
     /// [`super::interference::REPORT_WINDOW`], to match the window of a report.
-    pub shares: BTreeMap<Rc<str>, f64>,
+    pub shares: BTreeMap<ImageId, f64>,
+    /// Local time up to which `shares` is computed.
+    pub shares_updated: Duration,
+    /// Results of [`Self::leftover_cpu`] and [`Self::interference`] until the next change or report of the runs.
+    estimates: RefCell<Estimates>,
     /// Sequence number of the newest end that was processed; 0 for none.
     pub seen_end: u64,
     /// Sequence number of the newest end that is stored and may be acknowledged; 0 for none.
@@ -160,6 +167,13 @@
     pub over_target_since: Option<Duration>,
 }
 
+/// Estimates for the placement of best-effort tasks; `None` until they are needed.
+#[derive(Debug, Default)]
+struct Estimates {
+    leftover_cpu: Option<i64>,
+    interference: Option<Rc<WorkerInterference>>,
+}
+
 impl Worker {
     /// Creates the state of a worker that has just been listed.
     #[must_use]
@@ -175,6 +189,8 @@
             committed: Resources::default(),
             runs_of_unknown_size: 0,
             shares: BTreeMap::new(),
+            shares_updated: now,
+            estimates: RefCell::default(),
             seen_end: 0,
             acked_end: 0,
             is_renewal_in_flight: false,
@@ -214,6 +230,7 @@
         self.committed = self.committed.add(&run.committed);
         self.runs_of_unknown_size += u32::from(run.is_size_unknown);
         self.runs.insert(task, run);
+        self.invalidate_estimates();
     }
 
     /// Removes a run and frees its resources.
@@ -221,9 +238,30 @@
         let run = self.runs.remove(task)?;
         self.committed = self.committed.saturating_sub(&run.committed);
         self.runs_of_unknown_size -= u32::from(run.is_size_unknown);
+        self.invalidate_estimates();
         Some(run)
     }
 
+    /// Discards what was estimated from the runs, after a report or another change of them or of the capacity.
+    pub fn invalidate_estimates(&mut self) {
+        *self.estimates.get_mut() = Estimates::default();
+    }
+
+    /// Returns the result of [`pick::leftover_cpu`].
+    #[must_use]
+    pub fn leftover_cpu(&self) -> i64 {
+        let mut estimates = self.estimates.borrow_mut();
+        *estimates.leftover_cpu.get_or_insert_with(|| pick::leftover_cpu(self))
+    }
+
+    /// Returns the interference on the worker by the pressures that were known at its last report or change.
+    #[must_use]
+    pub fn interference(&self, pressures: &Pressures) -> Rc<WorkerInterference> {
+        let mut estimates = self.estimates.borrow_mut();
+        let interference = &mut estimates.interference;
+        Rc::clone(interference.get_or_insert_with(|| Rc::new(pressures.worker_interference(self))))
+    }
+
     /// Returns true if the VM list still has an earlier incarnation than the one that last answered.
     #[must_use]
     pub fn is_previous_incarnation_listed(&self) -> bool {
--- a/tests/testsuite/shard/interference.rs
+++ b/tests/testsuite/shard/interference.rs
@@ -1,10 +1,9 @@
 //! Serving tasks beside best-effort tasks.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use plantainlever::job::{JobId, JobTaskId, Resources, StepId};
-use plantainlever::shard::interference::{Pressures, update_shares};
+use plantainlever::shard::interference::{ImageId, Pressures, update_shares};
 use plantainlever::shard::worker::{Phase, Run, Worker};
 
 use super::rig::listing;
@@ -18,6 +17,13 @@
     JobTaskId { step: StepId { job: JobId(job), occurrence: 0, step: 0 }, index: 0 }
 }
 
+/// Number of an image, the same in all tests.
+fn image_id(name: &str) -> ImageId {
+    let mut pressures = Pressures::default();
+    let ids = ["board", "heavy", "light"].map(|name| (name, pressures.image(name)));
+    ids.into_iter().find(|(known, _)| *known == name).unwrap().1
+}
+
 fn run(image: &str) -> Run {
     Run {
         number: 1,
@@ -26,7 +32,7 @@
         is_size_unknown: false,
         leftover_cpu: 0,
         tail_target_ms: None,
-        image: Some(Rc::from(image)),
+        image: Some(image_id(image)),
         phase_since: Duration::ZERO,
         percent: 50,
         advanced: Duration::ZERO,
@@ -94,7 +100,8 @@
     let quiet = worker(0.2, 0, 0);
     let busy = worker(0.7, 0, 0);
     let cost = |worker: &Worker, image| {
-        pressures.cost_with(&pressures.worker_interference(worker), Some(image), 4_000)
+        let image = Some(image_id(image));
+        pressures.cost_with(&pressures.worker_interference(worker), image, 4_000)
     };
     assert!(cost(&quiet, "heavy") < 0.2);
     assert!(cost(&busy, "heavy") > 1.0);
