Limit the rate of starts while the owner's thread is late

Cause: every waiting task with a free worker was placed at once, and each start costs a row, a command, its answer and later the answer that lists the end. Once tasks became free faster than the thread could process this, urgent starts, renewals and heartbeats waited behind the commands of tasks that were not urgent.

The owner tells the scheduler by how much its timers are late. While the average is above 20 ms, the rate of starts is reduced, and it is raised while it is not. What has to wait does so by rank and before work is spent on it. Long-running steps are exempt, as they are few and must not wait beside free resources. Steps are sorted without collecting their tasks, which are needed only for steps that are tried.

--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -300,6 +300,7 @@
     let mut operator_config = owner.node.operator_config();
     let mut was_lease_valid = true;
     let mut was_start_allowed = false;
+    let mut lag = Duration::ZERO;
     loop {
         let now = owner.node.clock.boot();
         let is_lease_valid = owner.ownership_lease.get().is_valid(now);
@@ -316,6 +317,7 @@
             }
             let mut scheduler = owner.scheduler.borrow_mut();
             scheduler.allow_starts(is_start_allowed);
+            scheduler.on_lag(now, lag);
             if !Rc::ptr_eq(&operator_config, &owner.node.operator_config()) {
                 operator_config = owner.node.operator_config();
                 apply_operator_config(&owner.node, &mut scheduler);
@@ -341,7 +343,8 @@
         let paused = owner.node.clock.boot();
         tokio::time::sleep(ROUND_PAUSE).await;
         let pause = owner.node.clock.boot().saturating_sub(paused);
-        owner.work.record_lag(pause.saturating_sub(ROUND_PAUSE));
+        lag = pause.saturating_sub(ROUND_PAUSE);
+        owner.work.record_lag(lag);
         tokio::select! {
             () = owner.wake.notified() => {}
             () = tokio::time::sleep(MAX_ROUND_INTERVAL) => {}
--- a/src/ops/jobs/owner/rows.rs
+++ b/src/ops/jobs/owner/rows.rs
@@ -221,7 +221,8 @@
     owner.scheduler.borrow_mut().log_long_waits(now);
     let load = owner.scheduler.borrow().load(now);
     let metrics = &owner.node.metrics;
-    owner.work.export(&owner.node, owner.claimed.shard.0, owner.claimed.epoch);
+    let lag = owner.work.export(&owner.node, owner.claimed.shard.0, owner.claimed.epoch);
+    let start_limit = owner.scheduler.borrow().start_rate_limit();
     metrics.gauge("shard.jobs", load.jobs as u64);
     metrics.gauge("shard.waiting_steps", load.waiting_steps as u64);
     metrics.gauge("shard.runs", load.runs as u64);
@@ -230,7 +231,7 @@
     metrics.gauge("shard.usable_workers", load.usable_workers as u64);
     metrics.gauge("shard.free_cpu_millis", load.free_cpu_millis);
     event::SHARD_LOAD.emit(format_args!(
-        "shard={} jobs={} runs={} waiting={:?} workers={} usable={} unusable={:?} free_cpu={} most_free_cpu={} leftover_cpu={} filling_tasks={} filling_asked={} filling_paced={} filling_used={} suspects={}",
+        "shard={} jobs={} runs={} waiting={:?} workers={} usable={} unusable={:?} free_cpu={} most_free_cpu={} leftover_cpu={} filling_tasks={} filling_asked={} filling_paced={} filling_used={} suspects={} lag_ms={} start_limit={}",
         owner.claimed.shard.0,
         load.jobs,
         load.runs,
@@ -245,7 +246,9 @@
         load.best_effort.asked,
         load.best_effort.allowed,
         load.best_effort.used,
-        load.unreached_workers
+        load.unreached_workers,
+        lag.as_millis(),
+        start_limit.map_or("-".to_owned(), |limit| limit.to_string())
     ));
 }
 
--- a/src/ops/jobs/owner/work.rs
+++ b/src/ops/jobs/owner/work.rs
@@ -84,8 +84,8 @@
         self.heartbeat_bytes.get()
     }
 
-    /// Exports the work since the last call as metrics, and logs it if the thread was saturated.
-    pub(super) fn export<P>(&self, node: &Node<P>, shard: u32, epoch: u64) {
+    /// Exports the work since the last call as metrics, and logs it if the thread was saturated. Returns the greatest lag.
+    pub(super) fn export<P>(&self, node: &Node<P>, shard: u32, epoch: u64) -> Duration {
         let now = node.clock.boot();
         let spent_us = self.spent.each_ref().map(|spent| spent.take().as_micros() as u64);
         for (name, us) in COUNTERS.into_iter().zip(spent_us) {
@@ -99,7 +99,7 @@
         let is_logged =
             self.logged.get().is_some_and(|logged| now.saturating_sub(logged) < LOG_PERIOD);
         if lag < SATURATED_LAG || is_logged {
-            return;
+            return lag;
         }
         self.logged.set(Some(now));
         let [rounds_us, answers_us, rows_us, changes_us] = spent_us;
@@ -111,5 +111,6 @@
             oldest_job.as_millis(),
             self.heartbeat_bytes.get()
         ));
+        lag
     }
 }
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -218,6 +218,21 @@
     /// that no service stays incomplete while others start.
     #[must_use]
     pub fn ordered(&self, unix_ms: u64) -> Vec<(StepId, Vec<u16>)> {
+        let steps = self.ordered_steps(unix_ms).into_iter();
+        steps.map(|id| (id, self.tasks_of(&id))).collect()
+    }
+
+    /// Returns the waiting tasks of a step in the order in which they get workers.
+    #[must_use]
+    pub fn tasks_of(&self, step: &StepId) -> Vec<u16> {
+        let rank = self.ranks.get(step);
+        let waiting = rank.and_then(|rank| self.steps.get(&(*rank, *step)));
+        waiting.map(WaitingStep::in_order).unwrap_or_default()
+    }
+
+    /// Returns the steps of [`Self::ordered`] without their tasks.
+    #[must_use]
+    pub fn ordered_steps(&self, unix_ms: u64) -> Vec<StepId> {
         let mut steps: Vec<_> = self.steps.iter().collect();
         steps.sort_by_cached_key(|((rank, _), step)| {
             let outlook = rank.outlook(unix_ms);
@@ -229,7 +244,7 @@
             let is_unbegun = is_on_time && !rank.is_begun && !is_long_running;
             (rank.priority, outlook, is_unbegun, order, longest_waiting)
         });
-        steps.into_iter().map(|((_, id), step)| (*id, step.in_order())).collect()
+        steps.into_iter().map(|((_, id), _)| *id).collect()
     }
 
     /// Returns the number of waiting tasks by priority.
@@ -248,6 +263,12 @@
         self.steps.len()
     }
 
+    /// Returns true if a long-running step waits.
+    #[must_use]
+    pub fn has_long_running(&self) -> bool {
+        self.ranks.values().any(|rank| rank.start_by_unix_ms.is_none())
+    }
+
     /// Returns true if no task waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -20,6 +20,7 @@
 mod renewals;
 mod rows;
 mod speculation;
+mod start_rate;
 mod throttling;
 mod trials;
 mod waits;
@@ -120,6 +121,7 @@
     pressures: Pressures,
     rows: rows::PendingRows,
     start_log: handover::StartLog,
+    start_rate: start_rate::StartRate,
     /// Local time up to which leases may be granted: the end of the ownership lease.
     leases_until: Duration,
     /// Largest row, in bytes, that the store accepts.
@@ -168,6 +170,7 @@
             pressures: Pressures::default(),
             rows: rows::PendingRows::default(),
             start_log: handover::StartLog::default(),
+            start_rate: start_rate::StartRate::new(claimed),
             leases_until: Duration::MAX,
             max_row_bytes: usize::MAX,
             commands: Vec::new(),
@@ -199,6 +202,17 @@
         std::mem::take(&mut self.commands)
     }
 
+    /// Records by how much the caller's thread was late, which limits the rate of starts.
+    pub fn on_lag(&mut self, now: Duration, lag: Duration) {
+        self.start_rate.on_lag(now, lag);
+    }
+
+    /// Returns the number of starts per second that the lag of the thread allows; `None` without a limit.
+    #[must_use]
+    pub fn start_rate_limit(&self) -> Option<u64> {
+        self.start_rate.limit().map(|limit| limit as u64)
+    }
+
     /// Allows or forbids that tasks start. The caller forbids it while it can't confirm what it has told the scheduler
     /// of queues, failure domains, workers and jobs. Runs continue.
     pub fn allow_starts(&mut self, is_allowed: bool) {
--- a/src/shard/scheduler/pass.rs
+++ b/src/shard/scheduler/pass.rs
@@ -69,8 +69,8 @@
 
 impl Pass {
     /// Creates the state of a pass over `steps`. `resume_at` is the first step that the previous pass did not try.
-    pub(super) fn new(resume_at: Option<StepId>, steps: &[(StepId, Vec<u16>)]) -> Self {
-        let resume_at = resume_at.filter(|at| steps.iter().any(|(step, _)| step == at));
+    pub(super) fn new(resume_at: Option<StepId>, steps: &[StepId]) -> Self {
+        let resume_at = resume_at.filter(|at| steps.contains(at));
         Self { resume_at, ..Self::default() }
     }
 
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -65,13 +65,17 @@
         if !is_due || self.waiting.is_empty() || is_paused {
             return;
         }
+        let mut allowed = self.start_rate.allowed(now);
+        if allowed == 0 && !self.waiting.has_long_running() {
+            return;
+        }
         self.is_placement_due = false;
         self.last_placement = now;
         self.end_passed_trials();
-        let steps = self.waiting.ordered(self.unix_ms);
+        let steps = self.waiting.ordered_steps(self.unix_ms);
         let mut pass = self.begin_pass(now, &steps);
-        self.resume_pass_at = None;
-        for (key, tasks) in steps {
+        let resume_at = self.resume_pass_at.take();
+        for key in steps {
             let Some(job) = self.jobs.get(&key.job) else {
                 self.waiting.remove_step(&key);
                 continue;
@@ -79,6 +83,17 @@
             let spec = Rc::clone(&job.spec);
             let queue = job.queue.clone();
             let step = &spec.steps[usize::from(key.step)];
+            // Services must not wait beside free resources, and have few starts.
+            if allowed == 0 && !step.is_long_running {
+                self.is_placement_due = true;
+                self.resume_pass_at = self.resume_pass_at.or(resume_at);
+                continue;
+            }
+            let mut tasks = self.waiting.tasks_of(&key);
+            if tasks.len() > allowed && !step.is_gang && !step.is_long_running {
+                tasks.truncate(allowed);
+                self.is_placement_due = true;
+            }
             let tier = self.probe_tier(&key, step, &tasks);
             let is_overdue = self.is_overdue(step, &key);
             let mut cause = pass.begin_step(&key, &queue, step, tier, is_overdue);
@@ -86,7 +101,10 @@
                 self.resume_pass_at.get_or_insert(key);
             }
             if cause.is_none() {
+                let before = self.start_rate.started();
                 let outcome = self.place_step(now, &mut pass, &key, step, tier, &tasks);
+                let started = self.start_rate.started() - before;
+                allowed = allowed.saturating_sub(started as usize);
                 if outcome != StepOutcome::Placed {
                     let is_full = outcome == StepOutcome::NoWorker;
                     pass.record_miss(&queue, step, tier, is_overdue, is_full);
@@ -99,7 +117,7 @@
         }
     }
 
-    fn begin_pass(&self, now: Duration, steps: &[(StepId, Vec<u16>)]) -> Pass {
+    fn begin_pass(&self, now: Duration, steps: &[StepId]) -> Pass {
         let mut pass = Pass::new(self.resume_pass_at, steps);
         for (id, worker) in self.workers.iter() {
             let admission = match self.unusable_cause(id, worker, now) {
@@ -430,6 +448,7 @@
         worker.health.begin_probe(*task, number);
         let mut earlier_run = 0;
         self.live.entry(*task).or_default().push(worker_id.clone());
+        self.start_rate.count();
         let waiting = self.waiting.remove(task);
         let waited = waiting.map_or(Duration::ZERO, |waiting| now.saturating_sub(waiting.since));
         if let Some(progress) = job.progress.task_mut(task) {
