Take no sound worker for silent because of its renewal or the owner

An answer counted as late by the wait that the next renewal would allow, but the one on its way may have been sent with a longer one, before a task started. And the time in which the owner itself was late counted as silence of the worker.

An answer is expected after the wait of the renewal that is on its way, up to the one of a worker with runs, which was the longest before as well; an answer to a start counts as a sign of life; a worker that was idle is expected to answer from when it got a run. Twice the average lag of the thread is added, at most 600 ms. Idle workers answer after 1.3 s instead of 1.5 s.

The test plays an owner on a paused clock that each command and answer advances.

--- a/crates/plantainlever-test-support/src/model.rs
+++ b/crates/plantainlever-test-support/src/model.rs
@@ -7,6 +7,7 @@
 pub mod colocation;
 pub mod evacuation;
 pub mod hold;
+pub mod owner_load;
 pub mod placement;
 pub mod shard_pass;
 pub mod tasks;
--- a/crates/plantainlever-test-support/src/model/shard_pass.rs
+++ b/crates/plantainlever-test-support/src/model/shard_pass.rs
@@ -13,7 +13,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-const POOL: &str = "pool";
+pub(super) const POOL: &str = "pool";
 const LONG_RUNNING: &str = "services";
 const BATCH: &str = "batch";
 const WORKER_CPU_MILLIS: u64 = 32_000;
@@ -105,7 +105,7 @@
     }
 }
 
-fn listing(index: usize) -> WorkerListing {
+pub(super) fn listing(index: usize) -> WorkerListing {
     WorkerListing {
         id: WorkerId::new(&format!("worker-{index:04}")),
         incarnation_started_unix_ms: Some(1),
--- a/src/shard/interference.rs
+++ b/src/shard/interference.rs
@@ -13,6 +13,7 @@
 //! its cost stays below its value. A serving task that its own load alone pushes over the target adds no cost, because
 //! slowing its neighbours would not help it.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -71,6 +72,8 @@
     pairs: BTreeMap<(ImageId, ImageId), PressureEstimate>,
     /// Lowest tail seen by serving image, in milliseconds.
     floors: BTreeMap<ImageId, f64>,
+    /// Number of estimates of the interference on a worker.
+    estimates: Cell<u64>,
 }
 
 /// Sums of a regression through the origin of the change of the logarithm of the utilization on the change of the
@@ -185,9 +188,16 @@
         1.0 + pressures.sum::<f64>() / capacity
     }
 
+    /// Number of estimates of the interference on a worker so far.
+    #[must_use]
+    pub fn estimate_count(&self) -> u64 {
+        self.estimates.get()
+    }
+
     /// Computes the interference on a worker, for several calls of [`Self::cost_with`].
     #[must_use]
     pub fn worker_interference(&self, worker: &Worker) -> WorkerInterference {
+        self.estimates.update(|estimates| estimates + 1);
         let capacity = worker.listing.capacity.cpu_millis.max(1) as f64;
         let best_effort: Vec<&Run> =
             worker.runs.values().filter(|run| run.leftover_cpu > 0).collect();
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -213,6 +213,12 @@
         self.start_rate.limit().map(|limit| limit as u64)
     }
 
+    /// Number of estimates of the interference on a worker so far.
+    #[must_use]
+    pub fn estimate_count(&self) -> u64 {
+        self.pressures.estimate_count()
+    }
+
     /// Allows or forbids that tasks start. The caller forbids it while it can't confirm what it has told the scheduler
     /// of queues, failure domains, workers and jobs. Runs continue.
     pub fn allow_starts(&mut self, is_allowed: bool) {
@@ -279,7 +285,9 @@
             }
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.listing = entry;
-                worker.invalidate_estimates();
+                if has_other_capacity {
+                    worker.invalidate_estimates();
+                }
             }
             if has_other_capacity {
                 self.on_capacity_changed(now, &id, &before);
--- a/src/shard/scheduler/inherited.rs
+++ b/src/shard/scheduler/inherited.rs
@@ -19,7 +19,7 @@
 use crate::telemetry::event::shard as event;
 
 use super::handover::ReleaseCause;
-use super::renewals::max_wait;
+use super::renewals::{MAX_WAIT_WITH_RUNS, max_wait};
 use super::{RowId, ShardScheduler};
 
 /// Time after the shard's rows were read within which workers are expected to answer. Only workers that are silent for
@@ -31,6 +31,10 @@
 /// then named in the heartbeat, so that a successor knows from when on it got no lease.
 const LATE_ANSWER_AFTER: Duration = Duration::from_millis(400);
 
+/// Longest time by which an answer may be later because of the lag of the owner's thread. It delays the time at which a
+/// heartbeat names the worker, and so the next runs of its tasks if the owner is lost as well.
+const MAX_LAG_ALLOWANCE: Duration = Duration::from_millis(600);
+
 /// What a heartbeat tells a successor of leases that differ from the ones that it assumes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct LeaseReport {
@@ -248,8 +252,14 @@
 
     /// Returns true if a worker with runs has not answered in time.
     fn is_late(&self, worker: &Worker, now: Duration) -> bool {
+        // While this thread is late, so are the renewals and the processing of their answers.
+        let late_after = LATE_ANSWER_AFTER + (self.start_rate.lag() * 2).min(MAX_LAG_ALLOWANCE);
+        // A renewal may be on its way that was sent before a task started which shortens the wait of the next one.
+        let sent_wait = worker.renewal_wait.min(MAX_WAIT_WITH_RUNS);
         let is_overdue = worker.answered.is_some_and(|answered| {
-            now.saturating_sub(answered) >= max_wait(worker) + LATE_ANSWER_AFTER
+            let heard = answered.max(worker.start_answered).max(worker.busy_since);
+            let age = now.saturating_sub(heard);
+            age >= late_after && age >= max_wait(worker).max(sent_wait) + late_after
         });
         !worker.runs.is_empty() && (worker.unanswered_renewals > 0 || is_overdue)
     }
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -585,6 +585,7 @@
         };
         match outcome {
             StartOutcome::Started => {
+                worker.start_answered = now;
                 worker.health.unanswered_starts = 0;
                 if current.phase == Phase::Starting {
                     current.phase = Phase::Active;
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -24,14 +24,15 @@
 
 /// Longest time for which a worker with runs may hold back its answer: well below the lease, so that a new owner finds
 /// most leases valid.
-const MAX_WAIT_WITH_RUNS: Duration = Duration::from_millis(1_000);
+pub(super) const MAX_WAIT_WITH_RUNS: Duration = Duration::from_millis(1_000);
 
 /// The same for a worker with both serving and best-effort tasks, whose throttles are adjusted to tail latencies
 /// reported each half second.
 const MAX_WAIT_WITH_MIXED_RUNS: Duration = Duration::from_millis(500);
 
-/// The same for a worker without runs; its answers only show that it is alive.
-const MAX_WAIT_IDLE: Duration = Duration::from_millis(1_500);
+/// The same for a worker without runs; its answers only show that it is alive. A task may start meanwhile, after which an
+/// answer is expected as from a worker with runs.
+const MAX_WAIT_IDLE: Duration = Duration::from_millis(1_300);
 
 /// The same for a worker on probation with a run, so that a probe is judged soon.
 const MAX_WAIT_ON_PROBATION: Duration = Duration::from_millis(250);
@@ -102,6 +103,7 @@
             let wait = if may_wait { max_wait(worker).min(lease / 4) } else { Duration::ZERO };
             // A worker that did not answer may have restarted, which also restarts the numbers of its ends.
             let acked_end = if worker.unanswered_renewals == 0 { worker.acked_end } else { 0 };
+            worker.renewal_wait = wait;
             let kind = CommandKind::Renew { expiry_ms, acked_end, wait };
             self.commands.push(worker.command(kind));
         }
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -155,6 +155,12 @@
     pub is_renewal_in_flight: bool,
     /// Local time at which the next renewal is due.
     pub next_renewal: Duration,
+    /// Longest time for which the worker may hold back its answer to the newest renewal.
+    pub renewal_wait: Duration,
+    /// Local time of the last answer to a start; zero before the first.
+    pub start_answered: Duration,
+    /// Local time since which the worker has had runs.
+    pub busy_since: Duration,
     /// Local time of the last answer to a renewal; `None` before the first and after the worker was replaced.
     pub answered: Option<Duration>,
     /// Consecutive renewals without an answer.
@@ -195,6 +201,9 @@
             acked_end: 0,
             is_renewal_in_flight: false,
             next_renewal: now,
+            renewal_wait: Duration::ZERO,
+            start_answered: Duration::ZERO,
+            busy_since: now,
             answered: None,
             unanswered_renewals: 0,
             health: Health::default(),
@@ -227,6 +236,9 @@
     /// Adds a run and commits its resources.
     pub fn add_run(&mut self, task: JobTaskId, run: Run) {
         self.remove_run(&task);
+        if self.runs.is_empty() {
+            self.busy_since = run.phase_since;
+        }
         self.committed = self.committed.add(&run.committed);
         self.runs_of_unknown_size += u32::from(run.is_size_unknown);
         self.runs.insert(task, run);
--- a/tests/testsuite/shard.rs
+++ b/tests/testsuite/shard.rs
@@ -9,6 +9,7 @@
 mod lapse;
 mod many_suspects;
 mod owner_chains;
+mod owner_load;
 mod ownership;
 mod placing;
 mod progress;
--- a/tests/testsuite/shard/owner_chains.rs
+++ b/tests/testsuite/shard/owner_chains.rs
@@ -9,6 +9,7 @@
 mod process;
 mod random;
 mod recovery;
+mod saturation;
 mod scenario;
 mod workers;
 mod world;
--- a/tests/testsuite/shard/owner_chains/port.rs
+++ b/tests/testsuite/shard/owner_chains/port.rs
@@ -75,6 +75,14 @@
         Ok(answer)
     }
 
+    /// Occupies the thread for as long as a command or its answer takes.
+    async fn work(&self) {
+        let cost = self.world.call_cost.get();
+        if !cost.is_zero() {
+            tokio::time::advance(cost).await;
+        }
+    }
+
     async fn command(&self, epoch: u64, command: &Command) -> Option<Answer> {
         let order = Order {
             process: self.vm.clone(),
@@ -87,7 +95,10 @@
             _ => Duration::ZERO,
         };
         let action = carry_out(Rc::clone(&self.world), order, wait);
-        self.call(command.worker.as_str(), WORKER_TIMEOUT + wait, action).await
+        self.work().await;
+        let answer = self.call(command.worker.as_str(), WORKER_TIMEOUT + wait, action).await;
+        self.work().await;
+        answer
     }
 }
 
--- a/tests/testsuite/shard/owner_chains/process.rs
+++ b/tests/testsuite/shard/owner_chains/process.rs
@@ -10,7 +10,7 @@
 
 use plantainlever::clock::Clock;
 use plantainlever::ops::jobs::{Node, NodeSettings, OperatorConfig, watch};
-use plantainlever::shard::{ShardId, ShardMap, Timing};
+use plantainlever::shard::{QueuePolicy, ShardId, ShardMap, Timing};
 use plantainlever::telemetry::Metrics;
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep};
@@ -25,7 +25,10 @@
 const OPERATOR_READ_PERIOD: Duration = Duration::from_millis(500);
 const MAX_AGE: Duration = Duration::from_secs(2);
 /// Wall-clock time at the start of a simulation.
-const START_UNIX_MS: u64 = 1_000_000;
+pub const START_UNIX_MS: u64 = 1_000_000;
+
+/// Queue of a higher priority than that of [`QUEUE`].
+pub const URGENT_QUEUE: &str = "urgent";
 
 /// Clock that follows the paused clock of the runtime.
 #[derive(Debug)]
@@ -116,7 +119,10 @@
         node.set_map(ShardMap { shards: 1 });
         node.replace_operator_config(OperatorConfig {
             version: 1,
-            queues: BTreeMap::from([(QUEUE.to_owned(), policy())]),
+            queues: BTreeMap::from([
+                (QUEUE.to_owned(), policy()),
+                (URGENT_QUEUE.to_owned(), QueuePolicy { priority: 0, ..policy() }),
+            ]),
             ..OperatorConfig::default()
         });
         let tasks = LocalSet::new();
--- a/tests/testsuite/shard/owner_chains/world.rs
+++ b/tests/testsuite/shard/owner_chains/world.rs
@@ -50,6 +50,8 @@
     pub store_slow_until: Cell<Duration>,
     /// Messages are neither lost nor late except by the faults of the simulation.
     pub is_calm: Cell<bool>,
+    /// Processor time that a process needs for a command to a worker, and as much again for its answer.
+    pub call_cost: Cell<Duration>,
     /// The store's answers have a reading of its clock.
     pub has_clock: Cell<bool>,
     /// Changes of the shard's partition and reads of its progress, in order.
@@ -69,6 +71,7 @@
             cuts: RefCell::default(),
             store_slow_until: Cell::default(),
             is_calm: Cell::default(),
+            call_cost: Cell::default(),
             has_clock: Cell::new(true),
             accesses: RefCell::default(),
             jobs: RefCell::default(),
