Send a heartbeat with rows that are written anyway

A successor takes a start for unanswered if its row was stored with the newest heartbeat or later. Heartbeats were sent each 0.3 s in effect, because sound workers were named as silent and named no more all the time. Without these, they were sent each 0.7 s, and more starts fell into that time.

A heartbeat joins rows that are written anyway if the last one is 0.2 s old. The log line of the shard's load is limited to one in 0.7 s, as it would double.

--- a/src/ops/jobs/owner/rows.rs
+++ b/src/ops/jobs/owner/rows.rs
@@ -27,7 +27,7 @@
 /// Pause after a write that was not applied or not answered.
 const WRITE_RETRY_PAUSE: Duration = Duration::from_millis(120);
 
-/// Shortest time between two heartbeats, for those that the scheduler asks for.
+/// Shortest time between two heartbeats.
 const MIN_HEARTBEAT_GAP: Duration = Duration::from_millis(200);
 
 /// Rows in one transaction. The store accepts 100 entries: each row takes two (a condition and a write), the owner row
@@ -38,6 +38,7 @@
 pub(super) async fn write_rows<P: RowStore + WorkerPort>(owner: Rc<ShardOwner<P>>) {
     let mut writer = RowWriter { owner, beat: 0, last_heartbeat: None };
     let mut last_complete = Duration::ZERO;
+    let mut last_export = Duration::ZERO;
     loop {
         let owner = &writer.owner;
         let now = owner.node.clock.boot();
@@ -49,7 +50,8 @@
         if is_complete_due && batch.as_ref().is_none_or(|batch| batch.rows.len() < ROWS_PER_WRITE) {
             last_complete = now;
         }
-        let is_heartbeat_due = writer.is_heartbeat_due(now);
+        let has_rows = batch.as_ref().is_some_and(|batch| !batch.rows.is_empty());
+        let is_heartbeat_due = writer.is_heartbeat_due(now, has_rows);
         if batch.is_none() && !is_heartbeat_due {
             tokio::select! {
                 () = owner.rows_due.notified() => {}
@@ -65,7 +67,8 @@
         }
         let is_written = writer.write(batch, is_heartbeat_due, now).await;
         writer.owner.wake.notify_one();
-        if is_heartbeat_due {
+        if now.saturating_sub(last_export) >= HEARTBEAT_PERIOD {
+            last_export = now;
             export_load(&writer.owner);
         }
         tokio::time::sleep(if is_written { WRITE_GAP } else { WRITE_RETRY_PAUSE }).await;
@@ -93,12 +96,14 @@
 }
 
 impl<P: RowStore> RowWriter<P> {
-    fn is_heartbeat_due(&self, now: Duration) -> bool {
+    /// Returns true if a heartbeat is due. It goes early with rows that are written anyway: a successor takes each start for
+    /// unanswered whose row is not older than the newest heartbeat, and its task waits longer.
+    fn is_heartbeat_due(&self, now: Duration, has_rows: bool) -> bool {
         let age = self.last_heartbeat.map(|at| now.saturating_sub(at));
         age.is_none_or(|age| {
             let confirmed = self.owner.ownership_lease.get().confirmed();
             let is_needed = || self.owner.scheduler.borrow().needs_heartbeat(now, confirmed);
-            age >= HEARTBEAT_PERIOD || age >= MIN_HEARTBEAT_GAP && is_needed()
+            age >= HEARTBEAT_PERIOD || age >= MIN_HEARTBEAT_GAP && (has_rows || is_needed())
         })
     }
 
@@ -167,7 +172,7 @@
                     None => self.reject_rows(&group, &cause),
                 },
             }
-            is_heartbeat_due = self.is_heartbeat_due(self.owner.node.clock.boot());
+            is_heartbeat_due = self.is_heartbeat_due(self.owner.node.clock.boot(), false);
         }
     }
 
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -70,7 +70,7 @@
 pub const TAKEOVER_DONE: Event = Event::new(641, Level::Info, "takeover-done");
 /// A worker with runs of the previous owner did not answer before the leases of those runs had lapsed.
 pub const INHERITED_LAPSED: Event = Event::new(645, Level::Warn, "inherited-lapsed");
-/// The load of a shard, logged with each heartbeat of its owner.
+/// The load of a shard, logged about as often as its owner writes heartbeats.
 pub const SHARD_LOAD: Event = Event::new(646, Level::Info, "shard-load");
 /// No tasks start, because a copy by which starts are decided is too old.
 pub const STARTS_PAUSED: Event = Event::new(647, Level::Warn, "starts-paused");
