--- a/src/shard/worker_map.rs
+++ b/src/shard/worker_map.rs
@@ -8,7 +8,8 @@
 /// by position, which costs no comparison of IDs.
 #[derive(Debug, Default)]
 pub struct WorkerMap {
-    /// Sorted by ID, without duplicates. Boxed, so that an insertion moves little.
+    /// Sorted by ID, without duplicates.
+    #[expect(clippy::vec_box, reason = "an insertion moves pointers only")]
     workers: Vec<Box<Worker>>,
     /// Position that was found last. Several look-ups of the same worker usually follow each other.
     last: Cell<usize>,
@@ -16,9 +17,9 @@
 
 impl WorkerMap {
     fn find(&self, id: &WorkerId) -> Result<usize, usize> {
-        let is_last = |worker: &Box<Worker>| worker.listing.id == *id;
-        if self.workers.get(self.last.get()).is_some_and(is_last) {
-            return Ok(self.last.get());
+        let last = self.last.get();
+        if self.workers.get(last).is_some_and(|worker| worker.listing.id == *id) {
+            return Ok(last);
         }
         let found = self.workers.binary_search_by(|worker| worker.listing.id.cmp(id));
         self.last.set(found.unwrap_or(0));
