--- a/src/ops/jobs/heartbeat.rs
+++ b/src/ops/jobs/heartbeat.rs
@@ -39,7 +39,7 @@
 /// Heartbeat in the form in which it is stored.
 #[derive(Debug)]
 pub struct Heartbeat {
-    /// The heartbeat row.
+    /// Holds as many of the names as fit.
     pub row: HeartbeatRow,
     /// Further rows; at most [`MAX_PARTS`].
     pub parts: Vec<HeartbeatPart>,
--- a/src/shard/worker_map.rs
+++ b/src/shard/worker_map.rs
@@ -51,7 +51,7 @@
         }
     }
 
-    /// Removes a worker.
+    /// Removes a worker, if it is known. The positions of those behind it change.
     pub fn remove(&mut self, id: &WorkerId) {
         if let Ok(position) = self.find(id) {
             self.workers.remove(position);
