Show which incarnation of a worker answered, and what was known of a lost run

Change: each answer to a start, a stop or a throttle is decoded with its reading of the worker's clock (Reply), and P0676 names an answer whose reading has gone back. P0623 says what showed the restart, which incarnations it lies between, and which runs the new one may have. P0613 says what was known of the run: its number, its phase, whether the start was answered, the run listed and a stop answered.

No decision depends on the clock of an answer yet.

--- a/crates/plantainlever-test-support/src/model/owner_load.rs
+++ b/crates/plantainlever-test-support/src/model/owner_load.rs
@@ -7,7 +7,7 @@
 use plantainlever::job::{JobId, JobSpec, JobTaskId, Resources, StepSpec};
 use plantainlever::shard::report::{EndCause, EndReport, RenewalReport, RunReport};
 use plantainlever::shard::scheduler::{
-    AcceptedJob, Command, CommandKind, CommandOutcome, StartOutcome, Timing,
+    AcceptedJob, Command, CommandKind, CommandOutcome, Reply, StartOutcome, Timing,
 };
 use plantainlever::shard::{QueuePolicy, ShardScheduler, WorkerId};
 use rand::rngs::StdRng;
@@ -243,6 +243,7 @@
     }
 
     fn carry_out_commands(&mut self, now: Duration) {
+        let clock_ms = now.as_millis() as u64;
         for command in self.owner.take_commands() {
             let Some(worker) = self.workers.get_mut(&command.worker) else { continue };
             let began = match &command.kind {
@@ -256,20 +257,21 @@
                     worker.runs.insert(*task, (*run, length.map(|length| now + length)));
                     self.load.starts += 1;
                     let began = Instant::now();
-                    let outcome = StartOutcome::Started;
-                    self.owner.on_start(now, &command.worker, task, *run, outcome);
+                    let reply = Reply { outcome: StartOutcome::Started, clock_ms: Some(clock_ms) };
+                    self.owner.on_start(now, &command, now, reply);
                     began
                 }
                 CommandKind::Stop { task, .. } => {
                     worker.runs.remove(task);
                     let began = Instant::now();
-                    self.owner.on_stop(now, &command, CommandOutcome::Done);
+                    let reply = Reply { outcome: CommandOutcome::Done, clock_ms: Some(clock_ms) };
+                    self.owner.on_stop(now, &command, now, reply);
                     began
                 }
-                CommandKind::Throttle { task, run, .. } => {
+                CommandKind::Throttle { .. } => {
                     let began = Instant::now();
-                    let outcome = CommandOutcome::Done;
-                    self.owner.on_throttle(&command.worker, task, *run, outcome);
+                    let reply = Reply { outcome: CommandOutcome::Done, clock_ms: Some(clock_ms) };
+                    self.owner.on_throttle(now, &command, now, reply);
                     began
                 }
             };
--- a/crates/plantainlever-test-support/src/model/shard_pass.rs
+++ b/crates/plantainlever-test-support/src/model/shard_pass.rs
@@ -7,7 +7,7 @@
 
 use plantainlever::job::{JobId, JobSpec, Resources, StepSpec};
 use plantainlever::shard::scheduler::{
-    AcceptedJob, CommandKind, CommandOutcome, StartOutcome, Timing,
+    AcceptedJob, CommandKind, CommandOutcome, Reply, StartOutcome, Timing,
 };
 use plantainlever::shard::{QueuePolicy, RenewalReport, ShardScheduler, WorkerId, WorkerListing};
 use rand::rngs::StdRng;
@@ -94,12 +94,14 @@
                 };
                 owner.on_renewal(now, &command, now, Ok(report));
             }
-            CommandKind::Start { task, run, .. } => {
-                owner.on_start(now, &command.worker, task, *run, StartOutcome::Started);
+            CommandKind::Start { .. } => {
+                owner.on_start(now, &command, now, Reply::without_clock(StartOutcome::Started));
             }
-            CommandKind::Stop { .. } => owner.on_stop(now, &command, CommandOutcome::Done),
-            CommandKind::Throttle { task, run, .. } => {
-                owner.on_throttle(&command.worker, task, *run, CommandOutcome::Done);
+            CommandKind::Stop { .. } => {
+                owner.on_stop(now, &command, now, Reply::without_clock(CommandOutcome::Done));
+            }
+            CommandKind::Throttle { .. } => {
+                owner.on_throttle(now, &command, now, Reply::without_clock(CommandOutcome::Done));
             }
         }
     }
--- a/src/ops/jobs/owner.rs
+++ b/src/ops/jobs/owner.rs
@@ -18,7 +18,7 @@
 use crate::port::{Commit, CommitOutcome, Row, RowKey, RowStore, StoreError, WorkerPort};
 use crate::shard::ownership::{LeaseEnds, OWNERSHIP_LEASE_DURATION, OwnershipLease, ms_until};
 use crate::shard::scheduler::{
-    Command, CommandKind, CommandOutcome, RenewalFailure, RowId, StartOutcome,
+    Command, CommandKind, CommandOutcome, RenewalFailure, Reply, RowId, StartOutcome,
 };
 use crate::shard::{OwnerRow, ShardId, ShardScheduler};
 use crate::telemetry::event::shard as event;
@@ -382,37 +382,32 @@
                 scheduler.on_renewal(now, &command, sent, outcome);
             });
         }
-        CommandKind::Start { task, run, .. } => {
+        CommandKind::Start { .. } => {
             let may_start = is_lease_valid && owner.may_start(sent);
-            let outcome =
-                if_allowed(may_start, StartOutcome::NotSent, port.start(epoch, &command)).await;
+            let not_sent = Reply::without_clock(StartOutcome::NotSent);
+            let reply = if_allowed(may_start, not_sent, port.start(epoch, &command)).await;
             let now = owner.node.clock.boot();
             owner.node.metrics.time("order.start", now.saturating_sub(sent));
-            if outcome != StartOutcome::Started {
+            if reply.outcome != StartOutcome::Started {
                 owner.node.metrics.count("order.start.failed", 1);
             }
             owner.with_scheduler(Work::Answers, |scheduler| {
-                scheduler.on_start(now, &command.worker, task, *run, outcome);
+                scheduler.on_start(now, &command, sent, reply);
             });
         }
         CommandKind::Stop { .. } => {
-            let outcome = if_allowed(
-                is_lease_valid,
-                CommandOutcome::Unknown,
-                port.stop_or_throttle(epoch, &command),
-            )
-            .await;
+            let not_sent = Reply::without_clock(CommandOutcome::Unknown);
+            let call = port.stop_or_throttle(epoch, &command);
+            let reply = if_allowed(is_lease_valid, not_sent, call).await;
             let now = owner.node.clock.boot();
-            owner.scheduler.borrow_mut().on_stop(now, &command, outcome);
+            owner.scheduler.borrow_mut().on_stop(now, &command, sent, reply);
         }
-        CommandKind::Throttle { task, run, .. } => {
-            let outcome = if_allowed(
-                is_lease_valid,
-                CommandOutcome::Unknown,
-                port.stop_or_throttle(epoch, &command),
-            )
-            .await;
-            owner.scheduler.borrow_mut().on_throttle(&command.worker, task, *run, outcome);
+        CommandKind::Throttle { .. } => {
+            let not_sent = Reply::without_clock(CommandOutcome::Unknown);
+            let call = port.stop_or_throttle(epoch, &command);
+            let reply = if_allowed(is_lease_valid, not_sent, call).await;
+            let now = owner.node.clock.boot();
+            owner.scheduler.borrow_mut().on_throttle(now, &command, sent, reply);
         }
     }
     owner.wake.notify_one();
--- a/src/port.rs
+++ b/src/port.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 use crate::shard::ownership::StoreClock;
-use crate::shard::scheduler::{Command, CommandOutcome, RenewalFailure, StartOutcome};
+use crate::shard::scheduler::{Command, CommandOutcome, RenewalFailure, Reply, StartOutcome};
 use crate::shard::{RenewalReport, WorkerListing};
 
 /// Identifies a row within a partition.
@@ -153,14 +153,14 @@
     ) -> impl Future<Output = Result<RenewalReport, RenewalFailure>>;
 
     /// Starts a run: sends [`crate::shard::scheduler::CommandKind::Start`] with the owner's epoch.
-    fn start(&self, epoch: u64, command: &Command) -> impl Future<Output = StartOutcome>;
+    fn start(&self, epoch: u64, command: &Command) -> impl Future<Output = Reply<StartOutcome>>;
 
     /// Stops or throttles a run: sends the command with the owner's epoch.
     fn stop_or_throttle(
         &self,
         epoch: u64,
         command: &Command,
-    ) -> impl Future<Output = CommandOutcome>;
+    ) -> impl Future<Output = Reply<CommandOutcome>>;
 
     /// Closes the idle connections to a worker, after a renewal there has failed.
     fn close_idle(&self, address: SocketAddr);
--- a/src/shard/lapse.rs
+++ b/src/shard/lapse.rs
@@ -18,15 +18,35 @@
 pub struct WorkerClock {
     /// Reading in milliseconds of the worker's clock.
     reading_ms: u64,
+    /// Local time at which the command was sent.
+    sent: Duration,
     /// Local time at which the answer arrived.
     received: Duration,
 }
 
 impl WorkerClock {
-    /// Records a reading whose answer arrived at `received`.
+    /// Records a reading from the answer to a command that was sent at `sent`.
     #[must_use]
-    pub fn new(reading_ms: u64, received: Duration) -> Self {
-        Self { reading_ms, received }
+    pub fn new(reading_ms: u64, sent: Duration, received: Duration) -> Self {
+        Self { reading_ms, sent, received }
+    }
+
+    /// Returns true if this reading is from a later incarnation of the worker than the earlier reading `earlier`: the
+    /// clock of one incarnation never goes back. Answers may overtake each other, so the earlier reading counts only as
+    /// far as its answer had arrived when the command of this one was sent.
+    #[must_use]
+    pub fn has_gone_back(&self, earlier: &Self) -> bool {
+        let overlap = earlier.received.saturating_sub(self.sent);
+        let overlap_ms = longest_local_time(overlap, Duration::ZERO).as_millis();
+        let overlap_ms = u64::try_from(overlap_ms).unwrap_or(u64::MAX);
+        // Both readings are whole milliseconds.
+        self.reading_ms.saturating_add(overlap_ms + 1) < earlier.reading_ms
+    }
+
+    /// Reading in milliseconds.
+    #[must_use]
+    pub fn reading_ms(&self) -> u64 {
+        self.reading_ms
     }
 
     /// Returns a value that the worker's clock has reached by `now`, even if it is slow.
@@ -99,6 +119,12 @@
         self.clock.is_some()
     }
 
+    /// Newest reading of the clock of the newest incarnation; `None` before its first answer.
+    #[must_use]
+    pub fn clock(&self) -> Option<&WorkerClock> {
+        self.clock.as_ref()
+    }
+
     /// Records a reading of the clock of the newest incarnation.
     pub fn on_reading(&mut self, clock: WorkerClock) {
         self.clock = Some(clock);
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -14,6 +14,7 @@
 mod crashes;
 mod ends;
 mod handover;
+mod incarnations;
 mod inherited;
 mod pass;
 mod placing;
@@ -41,7 +42,8 @@
 use super::worker::{Phase, Worker, WorkerId};
 use super::worker_map::WorkerMap;
 
-pub use command::{Command, CommandKind, CommandOutcome, StartOutcome, StartRefusal};
+pub use command::{Command, CommandKind, CommandOutcome, Reply, StartOutcome, StartRefusal};
+use handover::RestartSign;
 pub use inherited::{LeaseReport, UnansweredStarts};
 pub use renewals::RenewalFailure;
 use rows::HeadState;
@@ -284,7 +286,8 @@
             let id = entry.id.clone();
             if is_new_incarnation {
                 // The entry so far tells whether the last incarnation was draining.
-                self.on_new_incarnation(&id, entry.incarnation_started_unix_ms, now);
+                let started = entry.incarnation_started_unix_ms;
+                self.on_new_incarnation(&id, started, RestartSign::VmList, now);
             }
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.listing = entry;
--- a/src/shard/scheduler/command.rs
+++ b/src/shard/scheduler/command.rs
@@ -1,5 +1,6 @@
 //! Commands to workers and their outcomes.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -64,6 +65,36 @@
     },
 }
 
+impl fmt::Display for CommandKind {
+    /// Names the kind, and the task and the run that it concerns.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Renew { .. } => f.write_str("renewal"),
+            Self::Start { task, run, .. } => write!(f, "start:{task}:{run}"),
+            Self::Stop { task, run } => write!(f, "stop:{task}:{run}"),
+            Self::Throttle { task, run, .. } => write!(f, "throttle:{task}:{run}"),
+        }
+    }
+}
+
+/// Outcome of a start, a stop or a throttle, with what the answer tells of the incarnation that gave it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Reply<T> {
+    /// What the command has done.
+    pub outcome: T,
+    /// Reading of the monotonic clock of the worker that answered, in milliseconds; `None` without an answer, or if the
+    /// answer does not have it.
+    pub clock_ms: Option<u64>,
+}
+
+impl<T> Reply<T> {
+    /// Returns the outcome of a command that got no answer, or one without a reading of the worker's clock.
+    #[must_use]
+    pub fn without_clock(outcome: T) -> Self {
+        Self { outcome, clock_ms: None }
+    }
+}
+
 /// Outcome of a start command.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StartOutcome {
--- a/src/shard/scheduler/handover.rs
+++ b/src/shard/scheduler/handover.rs
@@ -9,7 +9,7 @@
 
 use crate::job::JobTaskId;
 use crate::shard::lapse::LeaseEnd;
-use crate::shard::worker::{Worker, WorkerId};
+use crate::shard::worker::{Phase, Run, Worker, WorkerId};
 use crate::telemetry::event::shard as event;
 
 use super::ShardScheduler;
@@ -39,6 +39,17 @@
     Replaced,
 }
 
+/// What shows that a worker has restarted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RestartSign {
+    /// Its entry in the VM list.
+    VmList,
+    /// The list of its runs.
+    RunList,
+    /// Another worker answered at its address.
+    OtherWorker,
+}
+
 /// Limits the logged starts, and counts those that were left out.
 #[derive(Debug, Default)]
 pub(super) struct StartLog {
@@ -179,6 +190,35 @@
         ));
     }
 
+    /// Logs a restart, with the runs that end with the earlier incarnation and those that the new one may have.
+    pub(super) fn log_restart(
+        &self,
+        worker_id: &WorkerId,
+        started_unix_ms: Option<u64>,
+        sign: RestartSign,
+        now: Duration,
+    ) {
+        let Some(worker) = self.workers.get(worker_id) else { return };
+        let runs = worker.runs.iter().filter(|(_, run)| run.phase != Phase::Reserved);
+        let (ended, kept): (Vec<_>, Vec<_>) = runs.partition(|(_, run)| run.is_listed);
+        let named = |runs: &[(&JobTaskId, &Run)]| {
+            first_few(runs.iter().map(|(task, run)| {
+                let since = now.saturating_sub(run.phase_since).as_millis();
+                format!("{task}:{}:{:?}:{since}", run.number, run.phase)
+            }))
+        };
+        event::WORKER_RESTARTED.emit(format_args!(
+            "worker={worker_id} runs={} epoch={} sign={sign:?} incarnation={} after={} ended={} kept={} first_kept={}",
+            worker.runs.len(),
+            self.epoch,
+            Incarnation(started_unix_ms),
+            Incarnation(worker.incarnation_started_unix_ms),
+            ended.len(),
+            kept.len(),
+            named(&kept)
+        ));
+    }
+
     /// Logs a start. At level info, starts are logged of tasks that have had a run, and of all tasks in the time after a
     /// takeover.
     pub(super) fn log_start(&mut self, now: Duration, planned: &PlannedStart) {
@@ -239,6 +279,26 @@
     format!("granted_ms_ago={} lapsed_in_ms={}", ms(granted), ms(lapsed))
 }
 
+/// Fields of a log line that say what was known of a run: its number, its phase, and whether the newest incarnation of its
+/// worker had answered the start and had listed the run.
+#[derive(Debug)]
+pub(super) struct RunState<'a>(pub(super) Option<&'a Run>);
+
+impl Display for RunState<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(run) = self.0 else { return f.write_str("run=-") };
+        write!(
+            f,
+            "run={} phase={:?} started={} listed={} stopped={}",
+            run.number,
+            run.phase,
+            run.is_started,
+            run.is_listed,
+            run.stop_answered.is_some()
+        )
+    }
+}
+
 /// Start time of an incarnation of a worker, in milliseconds since the Unix epoch; `-` if it is not known.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Incarnation(pub(super) Option<u64>);
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -26,7 +26,7 @@
 use super::renewals::{new_run, set_step_attributes};
 use super::rows::PlannedStart;
 use super::trials::{Trial, TrialRoom};
-use super::{CommandKind, ShardScheduler, StartOutcome, StartRefusal};
+use super::{Command, CommandKind, Reply, ShardScheduler, StartOutcome, StartRefusal};
 
 /// Deducted from the score of a worker on probation, so that tasks run there only if no other worker takes them.
 const PROBE_PENALTY: i64 = 10_000_000;
@@ -572,18 +572,20 @@
     pub fn on_start(
         &mut self,
         now: Duration,
-        worker_id: &WorkerId,
-        task: &JobTaskId,
-        run: u32,
-        outcome: StartOutcome,
+        command: &Command,
+        sent: Duration,
+        reply: Reply<StartOutcome>,
     ) {
+        let CommandKind::Start { task, run, .. } = &command.kind else { return };
+        let (worker_id, run) = (&command.worker, *run);
+        self.log_incarnation_of_answer(now, command, sent, reply.clock_ms);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         interference::update_shares(worker, now);
         let Some(current) = worker.runs.get_mut(task).filter(|current| current.number == run)
         else {
             return;
         };
-        match outcome {
+        match reply.outcome {
             StartOutcome::Started => {
                 worker.start_answered = now;
                 worker.health.unanswered_starts = 0;
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -12,8 +12,8 @@
 use crate::telemetry::event::shard as event;
 
 use super::ends::log_restored;
-use super::handover::{self, Incarnation, ReleaseCause};
-use super::{Command, CommandKind, CommandOutcome, Job, ShardScheduler};
+use super::handover::{self, Incarnation, ReleaseCause, RestartSign, RunState};
+use super::{Command, CommandKind, CommandOutcome, Job, Reply, ShardScheduler};
 
 /// Pause between an answer and the next renewal of a worker. Renewals have a fixed cost, and the tasks of a step end
 /// close together, so one answer then reports several ends.
@@ -139,7 +139,8 @@
             && report.incarnation_started_unix_ms.is_some()
             && worker.incarnation_started_unix_ms != report.incarnation_started_unix_ms;
         if is_new_incarnation {
-            self.on_new_incarnation(worker_id, report.incarnation_started_unix_ms, now);
+            let started = report.incarnation_started_unix_ms;
+            self.on_new_incarnation(worker_id, started, RestartSign::RunList, now);
         }
         self.resolve_lapsed_runs(worker_id, report.incarnation_started_unix_ms);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
@@ -149,7 +150,7 @@
         }
         worker.incarnation_started_unix_ms =
             report.incarnation_started_unix_ms.or(worker.incarnation_started_unix_ms);
-        worker.lease.on_reading(WorkerClock::new(report.clock_ms, now));
+        worker.lease.on_reading(WorkerClock::new(report.clock_ms, sent, now));
         interference::update_shares(worker, now);
         worker.answered = Some(now);
         worker.unanswered_renewals = 0;
@@ -215,11 +216,12 @@
         &mut self,
         worker_id: &WorkerId,
         started_unix_ms: Option<u64>,
+        sign: RestartSign,
         now: Duration,
     ) {
         let crashed = self.take_lost_runs(worker_id);
+        self.log_restart(worker_id, started_unix_ms, sign, now);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        event::WORKER_RESTARTED.emit(format_args!("worker={worker_id} runs={}", worker.runs.len()));
         let seen = worker.answered.unwrap_or_default();
         let lost: Vec<JobTaskId> = worker
             .runs
@@ -259,7 +261,7 @@
             .get(worker_id)
             .is_none_or(|worker| worker.answered.is_none() && worker.runs.is_empty());
         if !is_handled {
-            self.on_new_incarnation(worker_id, None, now);
+            self.on_new_incarnation(worker_id, None, RestartSign::OtherWorker, now);
         }
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         worker.answered = None;
@@ -320,7 +322,10 @@
             .map(|(task, _)| *task)
             .collect();
         for task in gone {
-            event::RUN_GONE.emit(format_args!("task={task} worker={worker_id} cause=not-listed"));
+            let Some(worker) = self.workers.get(worker_id) else { return };
+            let state = RunState(worker.runs.get(&task));
+            event::RUN_GONE
+                .emit(format_args!("task={task} worker={worker_id} cause=not-listed {state}"));
             self.drop_run(worker_id, &task);
         }
         self.stop_unanswered_starts(now, worker_id, sent);
@@ -547,12 +552,16 @@
             }
         }
         for (worker_id, task) in lapsed {
-            let answered = self.workers.get(&worker_id).and_then(|worker| worker.answered);
-            event::RUN_GONE.emit(format_args!(
-                "task={task} worker={worker_id} cause=lease-lapsed answered_ms_ago={}",
-                answered
-                    .map_or("-".to_owned(), |at| now.saturating_sub(at).as_millis().to_string())
-            ));
+            if let Some(worker) = self.workers.get(&worker_id) {
+                let ms_ago = |at: Duration| now.saturating_sub(at).as_millis().to_string();
+                event::RUN_GONE.emit(format_args!(
+                    "task={task} worker={worker_id} cause=lease-lapsed answered_ms_ago={} incarnation={} {} {}",
+                    worker.answered.map_or("-".to_owned(), ms_ago),
+                    Incarnation(worker.incarnation_started_unix_ms),
+                    RunState(worker.runs.get(&task)),
+                    handover::newest_lease(worker, now, self.timing.kill_time)
+                ));
+            }
             self.keep_lapsed_run(&worker_id, &task);
             self.drop_run(&worker_id, &task);
             self.mark_lapsed(&[task]);
@@ -591,9 +600,17 @@
     }
 
     /// Processes the outcome of a stop command.
-    pub fn on_stop(&mut self, now: Duration, command: &Command, outcome: CommandOutcome) {
+    pub fn on_stop(
+        &mut self,
+        now: Duration,
+        command: &Command,
+        sent: Duration,
+        reply: Reply<CommandOutcome>,
+    ) {
         let CommandKind::Stop { task, run } = &command.kind else { return };
+        let outcome = reply.outcome;
         let worker_id = &command.worker;
+        self.log_incarnation_of_answer(now, command, sent, reply.clock_ms);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let is_newest = command.incarnation == worker.incarnation;
         let current = worker.runs.get_mut(task).filter(|current| current.number == *run);
--- a/src/shard/scheduler/throttling.rs
+++ b/src/shard/scheduler/throttling.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use crate::job::{JobTaskId, StepSpec};
+use crate::job::StepSpec;
 use crate::shard::interference;
 use crate::shard::worker::{Phase, WorkerId};
 use crate::telemetry::event::shard as event;
 
-use super::{CommandKind, CommandOutcome, ShardScheduler};
+use super::{Command, CommandKind, CommandOutcome, Reply, ShardScheduler};
 
 /// CPU limit in percent at or below which a task delays its step.
 const THROTTLED_PERCENT: u8 = 30;
@@ -94,22 +94,24 @@
     /// Processes the outcome of a throttle command.
     pub fn on_throttle(
         &mut self,
-        worker_id: &WorkerId,
-        task: &JobTaskId,
-        run: u32,
-        outcome: CommandOutcome,
+        now: Duration,
+        command: &Command,
+        sent: Duration,
+        reply: Reply<CommandOutcome>,
     ) {
-        match outcome {
+        let CommandKind::Throttle { task, run, .. } = &command.kind else { return };
+        let worker_id = &command.worker;
+        self.log_incarnation_of_answer(now, command, sent, reply.clock_ms);
+        match reply.outcome {
             CommandOutcome::Done => {}
             CommandOutcome::Fenced => self.on_fenced(worker_id),
             CommandOutcome::Unknown => {
-                let now = self.now;
                 let Some(worker) = self.workers.get_mut(worker_id) else { return };
                 interference::update_shares(worker, now);
                 worker.invalidate_estimates();
                 // A value other than the requested one makes the next adjustment send the command again.
                 if let Some(current) =
-                    worker.runs.get_mut(task).filter(|current| current.number == run)
+                    worker.runs.get_mut(task).filter(|current| current.number == *run)
                 {
                     current.cpu_percent = 100 - current.cpu_percent.min(99);
                 }
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -121,6 +121,9 @@
 /// The thread of a shard's owner has more to do than its VM can process, so starts, renewals and heartbeats are late.
 pub const OWNER_SATURATED: Event = Event::new(675, Level::Warn, "owner-saturated");
 
+/// An answer has a lower reading of the worker's clock than an earlier one, so an unknown incarnation gave it.
+pub const WORKER_CLOCK_WENT_BACK: Event = Event::new(676, Level::Warn, "worker-clock-went-back");
+
 /// All events of this module.
 pub const ALL: &[Event] = &[
     JOB_ACCEPTED,
@@ -180,4 +183,5 @@
     STARTS_LEFT_OUT,
     RECOVERY_LIMIT,
     OWNER_SATURATED,
+    WORKER_CLOCK_WENT_BACK,
 ];
--- a/tests/testsuite/adapter.rs
+++ b/tests/testsuite/adapter.rs
@@ -20,7 +20,7 @@
 use plantainlever::shard::WorkerId;
 use plantainlever::shard::report::{EndCause, RunReport};
 use plantainlever::shard::scheduler::{
-    Command, CommandKind, CommandOutcome, RenewalFailure, StartOutcome, StartRefusal,
+    Command, CommandKind, CommandOutcome, RenewalFailure, Reply, StartOutcome, StartRefusal,
 };
 
 const SETTINGS: &str = r#"{"node-name":"edge-1","zone":"north","listen":{"front":"127.0.0.1:1","readiness":"127.0.0.1:2"},
@@ -137,11 +137,13 @@
         },
     );
     block_on(async {
-        assert_eq!(platform.start(7, &start).await, StartOutcome::Started);
+        let started = Reply { outcome: StartOutcome::Started, clock_ms: Some(482_113) };
+        assert_eq!(platform.start(7, &start).await, started);
         let stop = command(address, CommandKind::Stop { task, run: 2 });
-        assert_eq!(platform.stop_or_throttle(7, &stop).await, CommandOutcome::Done);
+        let done = Reply { outcome: CommandOutcome::Done, clock_ms: Some(482_113) };
+        assert_eq!(platform.stop_or_throttle(7, &stop).await, done);
         let throttle = command(address, CommandKind::Throttle { task, run: 2, percent: 40 });
-        assert_eq!(platform.stop_or_throttle(7, &throttle).await, CommandOutcome::Done);
+        assert_eq!(platform.stop_or_throttle(7, &throttle).await, done);
         let report = platform.renew(7, &renewal).await.unwrap();
         assert_eq!((report.clock_ms, report.incarnation_started_unix_ms), (482_113, Some(77)));
         let active =
@@ -183,10 +185,11 @@
             expiry_ms: 1,
             checkpoint: String::new(),
         };
-        let outcome = block_on(async {
+        let reply = block_on(async {
             PlatformAdapter::new(address).start(1, &command(address, kind)).await
         });
-        assert_eq!(outcome, expected, "{status} {body}");
+        let clock_ms = body.contains("clock-ms").then_some(1);
+        assert_eq!(reply, Reply { outcome: expected, clock_ms }, "{status} {body}");
     }
 }
 
--- a/tests/testsuite/jobs/port.rs
+++ b/tests/testsuite/jobs/port.rs
@@ -16,7 +16,7 @@
 };
 use plantainlever::shard::report::{RenewalReport, WorkerListing};
 use plantainlever::shard::scheduler::{
-    Command, CommandOutcome, RenewalFailure, StartOutcome, Timing,
+    Command, CommandOutcome, RenewalFailure, Reply, StartOutcome, Timing,
 };
 use plantainlever::shard::{ShardId, ShardMap, WorkerId};
 use plantainlever::telemetry::Metrics;
@@ -197,6 +197,12 @@
         self.world.advance();
         self.world.fleet.borrow_mut().carry_out(epoch, command)
     }
+
+    /// Reading of the worker's clock in an answer; `None` without an answer.
+    fn clock_ms(&self, command: &Command, answer: Option<&Answer>) -> Option<u64> {
+        let fleet = self.world.fleet.borrow();
+        answer.and_then(|_| Some(fleet.workers.get(&command.worker)?.clock_ms(fleet.now)))
+    }
 }
 
 impl RowStore for Port {
@@ -312,20 +318,26 @@
         }
     }
 
-    async fn start(&self, epoch: u64, command: &Command) -> StartOutcome {
-        match self.reach_worker(epoch, command).await {
+    async fn start(&self, epoch: u64, command: &Command) -> Reply<StartOutcome> {
+        let answer = self.reach_worker(epoch, command).await;
+        let clock_ms = self.clock_ms(command, answer.as_ref());
+        let outcome = match answer {
             Some(Answer::Done) => StartOutcome::Started,
             Some(Answer::Refused(refusal)) => StartOutcome::Refused(refusal),
             _ => StartOutcome::Unknown,
-        }
+        };
+        Reply { outcome, clock_ms }
     }
 
-    async fn stop_or_throttle(&self, epoch: u64, command: &Command) -> CommandOutcome {
-        match self.reach_worker(epoch, command).await {
+    async fn stop_or_throttle(&self, epoch: u64, command: &Command) -> Reply<CommandOutcome> {
+        let answer = self.reach_worker(epoch, command).await;
+        let clock_ms = self.clock_ms(command, answer.as_ref());
+        let outcome = match answer {
             Some(Answer::Done) => CommandOutcome::Done,
             Some(Answer::Fenced) => CommandOutcome::Fenced,
             _ => CommandOutcome::Unknown,
-        }
+        };
+        Reply { outcome, clock_ms }
     }
 
     fn close_idle(&self, _address: SocketAddr) {}
--- a/tests/testsuite/shard/lapse.rs
+++ b/tests/testsuite/shard/lapse.rs
@@ -28,7 +28,7 @@
         let lease_ms: u64 = u.int_in_range(0..=10_000)?;
         let slow_per_mille: u32 = u.int_in_range(0..=20)?;
         let read = Duration::from_secs(50);
-        let clock = WorkerClock::new(reading_ms, read + answer_delay);
+        let clock = WorkerClock::new(reading_ms, read, read + answer_delay);
         let expiry_ms = reading_ms + lease_ms;
         let lapsed = clock.lapsed_at(expiry_ms, KILL_TIME);
         let passed = lapsed - read;
@@ -43,7 +43,7 @@
 fn an_expiry_is_never_later_than_the_lease() {
     arbtest(|u| {
         let later = Duration::from_millis(u.int_in_range(0..=100_000)?);
-        let clock = WorkerClock::new(7_000, Duration::from_secs(9));
+        let clock = WorkerClock::new(7_000, Duration::from_secs(9), Duration::from_secs(9));
         let now = Duration::from_secs(9) + later;
         let true_clock_ms = 7_000 + later.as_millis() as u64;
         assert!(clock.expiry_ms(now, Duration::from_secs(5)) <= true_clock_ms + 5_000);
@@ -115,7 +115,7 @@
     assert!(ownership.is_valid(granted));
     // The worker reads its clock and answers at once, so the owner knows the clock as well as it can.
     let length = LEASE.min(ownership.ends_at() - granted);
-    let expiry_ms = WorkerClock::new(0, granted).expiry_ms(granted, length);
+    let expiry_ms = WorkerClock::new(0, granted, granted).expiry_ms(granted, length);
     let on_worker = Duration::from_millis(expiry_ms);
     let arrives = granted + terms.suspended;
     let expires = granted + on_worker * 1_000 / terms.rate_per_mille;
@@ -240,7 +240,7 @@
     let begin = Duration::from_secs(100);
     let half = LEASE / 2;
     assert_eq!(lease.grant_for_start(begin, LEASE, half), None);
-    lease.on_reading(WorkerClock::new(5_000, begin));
+    lease.on_reading(WorkerClock::new(5_000, begin, begin));
     let renewed = lease.grant(begin, LEASE).unwrap();
     let end = lease.end(KILL_TIME);
     for after_ms in [0, 1_000, 3_900] {
--- a/tests/testsuite/shard/owner_chains/port.rs
+++ b/tests/testsuite/shard/owner_chains/port.rs
@@ -11,7 +11,7 @@
 use plantainlever::shard::ownership::StoreClock;
 use plantainlever::shard::report::{RenewalReport, WorkerListing};
 use plantainlever::shard::scheduler::{
-    Command, CommandKind, CommandOutcome, RenewalFailure, StartOutcome, StartRefusal,
+    Command, CommandKind, CommandOutcome, RenewalFailure, Reply, StartOutcome, StartRefusal,
 };
 use tokio::sync::oneshot;
 use tokio::time::sleep;
@@ -83,7 +83,8 @@
         }
     }
 
-    async fn command(&self, epoch: u64, command: &Command) -> Option<Answer> {
+    /// Returns the answer of a worker, with the reading of its clock.
+    async fn command(&self, epoch: u64, command: &Command) -> Option<(Answer, u64)> {
         let order = Order {
             process: self.vm.clone(),
             epoch,
@@ -102,18 +103,20 @@
     }
 }
 
-async fn carry_out(world: Rc<World>, order: Order, wait: Duration) -> Option<Answer> {
+async fn carry_out(world: Rc<World>, order: Order, wait: Duration) -> Option<(Answer, u64)> {
     let until = world.now() + wait;
     let answer = world.workers.borrow_mut().carry_out(&order, world.now())?;
     if !matches!((&order.command.kind, &answer), (CommandKind::Renew { .. }, Answer::Done)) {
-        return Some(answer);
+        let clock_ms = world.workers.borrow().clock_ms(&order.command.worker, world.now());
+        return Some((answer, clock_ms));
     }
     let worker = &order.command.worker;
     let born = world.workers.borrow().born(worker);
     loop {
         let report = world.workers.borrow_mut().report(worker, born, world.now())?;
         if !report.ended.is_empty() || world.now() >= until {
-            return Some(Answer::Renewed(report));
+            let clock_ms = report.clock_ms;
+            return Some((Answer::Renewed(report), clock_ms));
         }
         sleep(END_POLL).await;
     }
@@ -183,32 +186,36 @@
 
     async fn renew(&self, epoch: u64, command: &Command) -> Result<RenewalReport, RenewalFailure> {
         match self.command(epoch, command).await {
-            Some(Answer::Renewed(report)) => {
+            Some((Answer::Renewed(report), _)) => {
                 self.world.workers.borrow_mut().record_delivery(&command.worker, &report);
                 Ok(report)
             }
-            Some(Answer::Fenced) => Err(RenewalFailure::Fenced),
-            Some(Answer::OtherIncarnation) => Err(RenewalFailure::OtherIncarnation),
+            Some((Answer::Fenced, _)) => Err(RenewalFailure::Fenced),
+            Some((Answer::OtherIncarnation, _)) => Err(RenewalFailure::OtherIncarnation),
             _ => Err(RenewalFailure::NoAnswer),
         }
     }
 
-    async fn start(&self, epoch: u64, command: &Command) -> StartOutcome {
-        match self.command(epoch, command).await {
+    async fn start(&self, epoch: u64, command: &Command) -> Reply<StartOutcome> {
+        let (answer, clock_ms) = self.command(epoch, command).await.unzip();
+        let outcome = match answer {
             Some(Answer::Done) => StartOutcome::Started,
             Some(Answer::Refused(refusal)) => StartOutcome::Refused(refusal),
             Some(Answer::Fenced) => StartOutcome::Refused(StartRefusal::Fenced),
             Some(Answer::OtherIncarnation) => StartOutcome::Refused(StartRefusal::Unhealthy),
             _ => StartOutcome::Unknown,
-        }
+        };
+        Reply { outcome, clock_ms }
     }
 
-    async fn stop_or_throttle(&self, epoch: u64, command: &Command) -> CommandOutcome {
-        match self.command(epoch, command).await {
+    async fn stop_or_throttle(&self, epoch: u64, command: &Command) -> Reply<CommandOutcome> {
+        let (answer, clock_ms) = self.command(epoch, command).await.unzip();
+        let outcome = match answer {
             Some(Answer::Done) => CommandOutcome::Done,
             Some(Answer::Fenced) => CommandOutcome::Fenced,
             _ => CommandOutcome::Unknown,
-        }
+        };
+        Reply { outcome, clock_ms }
     }
 
     fn close_idle(&self, _address: SocketAddr) {}
--- a/tests/testsuite/shard/owner_chains/workers.rs
+++ b/tests/testsuite/shard/owner_chains/workers.rs
@@ -464,6 +464,10 @@
         }
     }
 
+    pub fn clock_ms(&self, id: &WorkerId, now: Duration) -> u64 {
+        self.workers.get(id).map_or(0, |worker| worker.clock_ms(now))
+    }
+
     pub fn born(&self, id: &WorkerId) -> u64 {
         self.workers.get(id).map_or(0, |worker| worker.born)
     }
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -8,7 +8,8 @@
 use plantainlever::job::{JobId, JobSpec, JobState, JobTaskId, Progress, Resources, StepSpec};
 use plantainlever::shard::report::{EndCause, EndReport, RenewalReport, RunReport, WorkerListing};
 use plantainlever::shard::scheduler::{
-    AcceptedJob, Command, CommandKind, CommandOutcome, RenewalFailure, StartOutcome, StartRefusal,
+    AcceptedJob, Command, CommandKind, CommandOutcome, RenewalFailure, Reply, StartOutcome,
+    StartRefusal,
 };
 use plantainlever::shard::{QueuePolicy, ShardScheduler, WorkerId, scheduler};
 
@@ -441,8 +442,9 @@
     pub confirmed: Duration,
     /// The VM list can't be read.
     pub is_list_down: bool,
-    /// Answers that have not arrived yet: time of arrival, time at which the command was sent, command and answer.
-    delayed_answers: Vec<(Duration, Duration, Command, Option<Answer>)>,
+    /// Answers that have not arrived yet: time of arrival, time at which the command was sent, command, answer, and
+    /// reading of the worker's clock in it.
+    delayed_answers: Vec<(Duration, Duration, Command, Option<Answer>, u64)>,
 }
 
 impl Rig {
@@ -513,10 +515,10 @@
             self.confirmed = now;
         }
         self.owner.tick(now, now.as_millis() as u64, self.confirmed);
-        for (_, sent, command, answer) in
+        for (_, sent, command, answer, clock_ms) in
             self.delayed_answers.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>()
         {
-            self.deliver_answer(now, sent, &command, answer);
+            self.deliver_answer(now, sent, &command, answer, clock_ms);
         }
         for command in self.owner.take_commands() {
             let delay = match &command.kind {
@@ -526,9 +528,12 @@
                 _ => None,
             };
             let answer = self.fleet.carry_out(self.owner.epoch(), &command);
+            let clock_ms = self.fleet.workers.get(&command.worker).map_or(0, |w| w.clock_ms(now));
             match delay.filter(|delay| !delay.is_zero()) {
-                Some(delay) => self.delayed_answers.push((now + delay, now, command, answer)),
-                None => self.deliver_answer(now, now, &command, answer),
+                Some(delay) => {
+                    self.delayed_answers.push((now + delay, now, command, answer, clock_ms));
+                }
+                None => self.deliver_answer(now, now, &command, answer, clock_ms),
             }
         }
         self.write();
@@ -540,7 +545,9 @@
         sent: Duration,
         command: &Command,
         answer: Option<Answer>,
+        clock_ms: u64,
     ) {
+        let clock_ms = answer.is_some().then_some(clock_ms);
         match &command.kind {
             CommandKind::Renew { .. } => {
                 let outcome = match answer {
@@ -551,7 +558,7 @@
                 };
                 self.owner.on_renewal(now, command, sent, outcome);
             }
-            CommandKind::Start { task, run, .. } => {
+            CommandKind::Start { .. } => {
                 let outcome = match answer {
                     Some(Answer::Refused(refusal)) => StartOutcome::Refused(refusal),
                     Some(Answer::Fenced) => StartOutcome::Refused(StartRefusal::Fenced),
@@ -561,13 +568,15 @@
                     Some(_) => StartOutcome::Started,
                     None => StartOutcome::Unknown,
                 };
-                self.owner.on_start(now, &command.worker, task, *run, outcome);
+                self.owner.on_start(now, command, sent, Reply { outcome, clock_ms });
             }
             CommandKind::Stop { .. } => {
-                self.owner.on_stop(now, command, outcome(answer.as_ref()));
+                let outcome = outcome(answer.as_ref());
+                self.owner.on_stop(now, command, sent, Reply { outcome, clock_ms });
             }
-            CommandKind::Throttle { task, run, .. } => {
-                self.owner.on_throttle(&command.worker, task, *run, outcome(answer.as_ref()));
+            CommandKind::Throttle { .. } => {
+                let outcome = outcome(answer.as_ref());
+                self.owner.on_throttle(now, command, sent, Reply { outcome, clock_ms });
             }
         }
     }
