--- a/tests/testsuite/shard/incarnations.rs
+++ b/tests/testsuite/shard/incarnations.rs
@@ -163,6 +163,80 @@
     assert_eq!(rig.starts_of(id).len(), 1);
 }
 
+/// Guards against two runs of a task: a run that a restarted worker had begun before the restart was noticed was dropped,
+/// and the worker was cut off soon after.
+#[test]
+fn a_task_of_a_worker_that_is_back_and_cut_off_soon_after_runs_once() {
+    let mut rig = rig_with_one_worker();
+    restart_unnoticed(&mut rig);
+    let id = submit(&mut rig);
+    rig.run(Duration::from_millis(100));
+    assert_eq!(rig.starts_of(id).len(), 1);
+    add_second_worker(&mut rig);
+    rig.is_list_down = false;
+    rig.run(Duration::from_secs(2));
+    rig.fleet.get(0).is_cut = true;
+    rig.run(Duration::from_secs(30));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 2);
+}
+
+/// Guards against two runs of a task: a worker is cut off before anything but the answer to a start shows its restart.
+#[test]
+fn a_lease_of_an_incarnation_that_only_answered_a_start_is_not_counted_by_the_earlier_clock() {
+    let mut rig = rig_with_one_worker();
+    restart_unnoticed(&mut rig);
+    let id = submit(&mut rig);
+    rig.run(Duration::from_millis(100));
+    assert_eq!(rig.starts_of(id).len(), 1);
+    add_second_worker(&mut rig);
+    rig.fleet.get(0).is_cut = true;
+    rig.is_list_down = false;
+    rig.run(Duration::from_secs(30));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 2);
+}
+
+/// Guards against two runs of a task: a start without an answer is carried out late, after a restart that nothing shows.
+#[test]
+fn a_start_may_be_carried_out_late_by_an_incarnation_that_never_answers() {
+    let mut rig = rig_with_one_worker();
+    rig.fleet.get(0).start_delay = Some(Duration::from_millis(5_500));
+    let id = submit(&mut rig);
+    rig.run(TICK * 3);
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    rig.fleet.get(0).is_cut = true;
+    add_second_worker(&mut rig);
+    rig.run(Duration::from_secs(30));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 2);
+}
+
+/// Guards against two runs of a task: an incarnation answers the stop of a start that is still on its way, and the next
+/// one, which does not know of the stop, carries the start out.
+#[test]
+fn a_stop_is_repeated_on_each_incarnation_that_a_late_start_may_reach() {
+    let mut rig = rig_with_one_worker();
+    rig.fleet.get(0).start_delay = Some(Duration::from_millis(5_500));
+    let id = submit(&mut rig);
+    rig.run(TICK * 3);
+    add_second_worker(&mut rig);
+    let now = rig.fleet.now;
+    let worker = rig.fleet.get(0);
+    worker.start_delay = None;
+    // The task starts on the other worker.
+    worker.listing.capacity.cpu_millis = 0;
+    worker.restart(now);
+    rig.run(Duration::from_secs(2));
+    assert_eq!(rig.starts_of(id).len(), 1);
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    rig.run(Duration::from_secs(8));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 1);
+}
+
 /// Guards against a task that waits too long because its worker had restarted not long before it was lost: what the worker
 /// may hold by commands for its earlier incarnation is unknown for longer than callers wait.
 #[test]
