Take a clock that goes back for the sign of a restart

Callers could see a task run twice: a worker restarted under its ID, answered a start, and was cut off before the VM list or a list of runs had shown the restart.

Cause: the answer to a start was taken for one of the known incarnation, whichever had given it. The lease was counted by the clock of the earlier one, on which the expiry was near; the new one, whose clock is young, took it for its longest lease.

Change: every answer has a reading of the clock of the incarnation that gave it. One that is lower than an earlier reading proves a new incarnation (answers that overtake each other are allowed for), whichever command it belongs to. The worker then begins a new incarnation with that clock, and leases of unknown length end with the bound for commands to the earlier one. A start that the new incarnation has answered is no suspect of the crash. What is known of incarnations moves to a module of its own.

--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -43,7 +43,7 @@
 use super::worker_map::WorkerMap;
 
 pub use command::{Command, CommandKind, CommandOutcome, Reply, StartOutcome, StartRefusal};
-use handover::RestartSign;
+use incarnations::RestartSign;
 pub use inherited::{LeaseReport, UnansweredStarts};
 pub use renewals::RenewalFailure;
 use rows::HeadState;
--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -202,11 +202,18 @@
 }
 
 impl ShardScheduler {
-    /// Removes and returns the runs that a worker's last incarnation may have had.
-    pub(super) fn take_lost_runs(&mut self, worker_id: &WorkerId) -> Vec<LostRun> {
+    /// Removes and returns the runs that a worker's last incarnation may have had; `kept` is on the new one.
+    pub(super) fn take_lost_runs(
+        &mut self,
+        worker_id: &WorkerId,
+        kept: Option<&JobTaskId>,
+    ) -> Vec<LostRun> {
         let mut lost = self.crashes.unresolved.remove(worker_id).unwrap_or_default();
         let Some(worker) = self.workers.get(worker_id) else { return lost };
-        let sent = worker.runs.iter().filter(|(_, run)| run.phase != Phase::Reserved);
+        let sent = worker
+            .runs
+            .iter()
+            .filter(|(task, run)| run.phase != Phase::Reserved && Some(*task) != kept);
         lost.extend(sent.map(|(task, run)| LostRun {
             task: *task,
             number: run.number,
--- a/src/shard/scheduler/handover.rs
+++ b/src/shard/scheduler/handover.rs
@@ -13,6 +13,7 @@
 use crate::telemetry::event::shard as event;
 
 use super::ShardScheduler;
+use super::incarnations::RestartSign;
 use super::rows::PlannedStart;
 
 /// Most tasks that a line names.
@@ -39,17 +40,6 @@
     Replaced,
 }
 
-/// What shows that a worker has restarted.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum RestartSign {
-    /// Its entry in the VM list.
-    VmList,
-    /// The list of its runs.
-    RunList,
-    /// Another worker answered at its address.
-    OtherWorker,
-}
-
 /// Limits the logged starts, and counts those that were left out.
 #[derive(Debug, Default)]
 pub(super) struct StartLog {
@@ -208,9 +198,10 @@
             }))
         };
         event::WORKER_RESTARTED.emit(format_args!(
-            "worker={worker_id} runs={} epoch={} sign={sign:?} incarnation={} after={} ended={} kept={} first_kept={}",
+            "worker={worker_id} runs={} epoch={} sign={} incarnation={} after={} ended={} kept={} first_kept={}",
             worker.runs.len(),
             self.epoch,
+            sign.name(),
             Incarnation(started_unix_ms),
             Incarnation(worker.incarnation_started_unix_ms),
             ended.len(),
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -578,7 +578,7 @@
     ) {
         let CommandKind::Start { task, run, .. } = &command.kind else { return };
         let (worker_id, run) = (&command.worker, *run);
-        self.log_incarnation_of_answer(now, command, sent, reply.clock_ms);
+        self.observe_clock(now, command, sent, reply.clock_ms);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         interference::update_shares(worker, now);
         let Some(current) = worker.runs.get_mut(task).filter(|current| current.number == run)
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -6,13 +6,14 @@
 use crate::job::{JobId, JobTaskId, Resources};
 use crate::shard::health::{ProbationCause, ProbeReport};
 use crate::shard::interference::{self, ImageId};
-use crate::shard::lapse::{GrantedLease, WorkerClock, longest_local_time};
+use crate::shard::lapse::WorkerClock;
 use crate::shard::report::{RenewalReport, RunReport};
 use crate::shard::worker::{Phase, Run, Worker, WorkerId};
 use crate::telemetry::event::shard as event;
 
 use super::ends::log_restored;
-use super::handover::{self, Incarnation, ReleaseCause, RestartSign, RunState};
+use super::handover::{self, Incarnation, ReleaseCause, RunState};
+use super::incarnations::RestartSign;
 use super::{Command, CommandKind, CommandOutcome, Job, Reply, ShardScheduler};
 
 /// Pause between an answer and the next renewal of a worker. Renewals have a fixed cost, and the tasks of a step end
@@ -43,7 +44,7 @@
 
 /// Longest pause after renewals without an answer. It bounds the time until a worker that is reachable again is
 /// detected.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_500);
+pub(super) const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Pause before a stop without an answer is sent again.
 const STOP_RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -135,9 +136,13 @@
             Ok(report) => report,
             Err(failure) => return self.on_renewal_failure(now, worker_id, sent, failure),
         };
-        let is_new_incarnation = worker.incarnation_started_unix_ms.is_some()
-            && report.incarnation_started_unix_ms.is_some()
-            && worker.incarnation_started_unix_ms != report.incarnation_started_unix_ms;
+        let clock = WorkerClock::new(report.clock_ms, sent, now);
+        let started = worker.incarnation_started_unix_ms.zip(report.incarnation_started_unix_ms);
+        let is_new_incarnation = match started {
+            Some((known, reported)) => known != reported,
+            // The clock alone has shown the newest incarnation, or the worker does not report start times.
+            None => worker.lease.clock().is_some_and(|known| clock.has_gone_back(known)),
+        };
         if is_new_incarnation {
             let started = report.incarnation_started_unix_ms;
             self.on_new_incarnation(worker_id, started, RestartSign::RunList, now);
@@ -150,7 +155,7 @@
         }
         worker.incarnation_started_unix_ms =
             report.incarnation_started_unix_ms.or(worker.incarnation_started_unix_ms);
-        worker.lease.on_reading(WorkerClock::new(report.clock_ms, sent, now));
+        worker.lease.on_reading(clock);
         interference::update_shares(worker, now);
         worker.answered = Some(now);
         worker.unanswered_renewals = 0;
@@ -210,72 +215,6 @@
         self.is_fenced = true;
     }
 
-    /// Removes the runs of the previous incarnation of a worker. Runs that it has not listed may be on the new one, or
-    /// their start may still arrive there. They are kept until the new one lists them or answers a stop.
-    pub(super) fn on_new_incarnation(
-        &mut self,
-        worker_id: &WorkerId,
-        started_unix_ms: Option<u64>,
-        sign: RestartSign,
-        now: Duration,
-    ) {
-        let crashed = self.take_lost_runs(worker_id);
-        self.log_restart(worker_id, started_unix_ms, sign, now);
-        let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        let seen = worker.answered.unwrap_or_default();
-        let lost: Vec<JobTaskId> = worker
-            .runs
-            .iter()
-            .filter(|(_, run)| run.phase == Phase::Reserved || run.is_listed)
-            .map(|(task, _)| *task)
-            .collect();
-        let longest_lease = longest_local_time(self.timing.max_lease, self.timing.kill_time);
-        worker.begin_incarnation(started_unix_ms, now, longest_lease);
-        self.rows.forget_ends(worker_id);
-        for task in lost {
-            self.drop_run(worker_id, &task);
-        }
-        self.doubt_unlisted_runs(worker_id, now);
-        self.record_crash(worker_id, seen, &crashed);
-    }
-
-    /// Marks the answered starts that remain after a restart as in doubt. Stops that the earlier incarnation answered
-    /// don't keep a start from taking effect on the new one, so they are sent again.
-    fn doubt_unlisted_runs(&mut self, worker_id: &WorkerId, now: Duration) {
-        let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        for run in worker.runs.values_mut() {
-            if matches!(run.phase, Phase::Active | Phase::Stopping) {
-                run.phase = Phase::InDoubt;
-                run.phase_since = now;
-            }
-            run.is_stop_in_flight = false;
-            run.stop_answered = None;
-        }
-    }
-
-    /// Handles a worker at whose address another incarnation answers: the recorded one has ended, so none of its
-    /// pending commands can take effect any more. The renewal that shows it was sent at `sent`.
-    fn on_replaced(&mut self, worker_id: &WorkerId, now: Duration, sent: Duration) {
-        let is_handled = self
-            .workers
-            .get(worker_id)
-            .is_none_or(|worker| worker.answered.is_none() && worker.runs.is_empty());
-        if !is_handled {
-            self.on_new_incarnation(worker_id, None, RestartSign::OtherWorker, now);
-        }
-        let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        worker.answered = None;
-        // Another ID answers at the address, and refuses all commands for this one.
-        worker.lease = GrantedLease::default();
-        worker.next_renewal = now + MAX_RETRY_PAUSE;
-        let left: Vec<JobTaskId> = worker.runs.keys().copied().collect();
-        let age = now.saturating_sub(sent);
-        self.release_inherited_of(worker_id, ReleaseCause::Replaced, age);
-        for task in left {
-            self.drop_run(worker_id, &task);
-        }
-    }
-
     fn process_ends(&mut self, now: Duration, worker_id: &WorkerId, report: &RenewalReport) {
         for end in &report.ended {
             let Some(worker) = self.workers.get_mut(worker_id) else { return };
@@ -610,9 +549,8 @@
         let CommandKind::Stop { task, run } = &command.kind else { return };
         let outcome = reply.outcome;
         let worker_id = &command.worker;
-        self.log_incarnation_of_answer(now, command, sent, reply.clock_ms);
+        let is_newest = self.observe_clock(now, command, sent, reply.clock_ms);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        let is_newest = command.incarnation == worker.incarnation;
         let current = worker.runs.get_mut(task).filter(|current| current.number == *run);
         if let Some(current) = current.filter(|_| is_newest) {
             current.is_stop_in_flight = false;
--- a/src/shard/scheduler/throttling.rs
+++ b/src/shard/scheduler/throttling.rs
@@ -101,7 +101,7 @@
     ) {
         let CommandKind::Throttle { task, run, .. } = &command.kind else { return };
         let worker_id = &command.worker;
-        self.log_incarnation_of_answer(now, command, sent, reply.clock_ms);
+        self.observe_clock(now, command, sent, reply.clock_ms);
         match reply.outcome {
             CommandOutcome::Done => {}
             CommandOutcome::Fenced => self.on_fenced(worker_id),
