Repeat the stop of a settled start on each later incarnation

Callers could see a task run twice: a start got no answer, the worker restarted and answered the stop of that run, and the task started elsewhere. The worker restarted again, did not know of the stop, and carried the start out.

Cause: an answered stop keeps a start from being carried out only by the incarnation that answered it. Once the run was settled, nothing of it was kept.

Change: a start without an answer that was settled by a stop is kept in mind for as long as a command can be late (12 s). Each new incarnation of the worker gets the stop again until it answers one: at once when it is noticed, at most 64 stops in a check, and each 300 ms. A start that was answered was carried out, and is not kept.

Not covered: an incarnation that carries the start out before the repeated stop reaches it. A task waits for nothing longer because of this change.

--- a/src/shard/lapse.rs
+++ b/src/shard/lapse.rs
@@ -11,7 +11,7 @@
 const MAX_LOCAL_MS_PER_WORKER_SECOND: u32 = 1_025;
 
 /// Longest time from sending a command until it is carried out, if it gets no answer.
-const MAX_COMMAND_DELAY: Duration = Duration::from_secs(12);
+pub const MAX_COMMAND_DELAY: Duration = Duration::from_secs(12);
 
 /// Reading of a worker's clock.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/shard/scheduler/incarnations.rs
+++ b/src/shard/scheduler/incarnations.rs
@@ -8,14 +8,17 @@
 use std::time::Duration;
 
 use crate::job::JobTaskId;
-use crate::shard::lapse::{GrantedLease, WorkerClock, longest_local_time};
-use crate::shard::worker::{Phase, WorkerId};
+use crate::shard::lapse::{GrantedLease, MAX_COMMAND_DELAY, WorkerClock, longest_local_time};
+use crate::shard::worker::{Phase, Run, SettledStart, WorkerId};
 use crate::telemetry::event::shard as event;
 
 use super::handover::{Incarnation, ReleaseCause};
-use super::renewals::MAX_RETRY_PAUSE;
+use super::renewals::{MAX_RETRY_PAUSE, STOP_RETRY_PAUSE};
 use super::{Command, CommandKind, ShardScheduler};
 
+/// Most stops of settled starts that one check queues; the next one queues further ones.
+const MAX_SETTLED_STOPS: usize = 64;
+
 /// What shows that a worker has restarted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RestartSign {
@@ -121,6 +124,9 @@
             .collect();
         let longest_lease = longest_local_time(self.timing.max_lease, self.timing.kill_time);
         worker.begin_incarnation(started_unix_ms, now, longest_lease);
+        if !worker.settled_starts.is_empty() {
+            self.last_stop_check = Duration::ZERO;
+        }
         self.rows.forget_ends(worker_id);
         for task in lost {
             self.drop_run(worker_id, &task);
@@ -144,6 +150,51 @@
         }
     }
 
+    /// Keeps a start that got no answer in mind after the stop of its run was answered: a later incarnation would carry it
+    /// out as long as it can arrive.
+    pub(super) fn keep_settled_start(
+        &mut self,
+        now: Duration,
+        worker_id: &WorkerId,
+        task: &JobTaskId,
+        run: &Run,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id).filter(|_| !run.is_started) else {
+            return;
+        };
+        let start = SettledStart {
+            run: run.number,
+            arrives_until: now + MAX_COMMAND_DELAY,
+            is_barred: true,
+            stop_queued_at: None,
+        };
+        worker.settled_starts.insert(*task, start);
+    }
+
+    /// Queues stops of settled starts for the incarnations that have not answered one, and forgets those starts that can't
+    /// arrive any more.
+    pub(super) fn stop_settled_starts(&mut self, now: Duration) {
+        let mut left = MAX_SETTLED_STOPS;
+        for worker in self.workers.values_mut() {
+            worker.settled_starts.retain(|_, start| now < start.arrives_until);
+            if left == 0 || worker.settled_starts.is_empty() {
+                continue;
+            }
+            let is_due = |start: &SettledStart| {
+                let is_queued = |at: Duration| now.saturating_sub(at) < STOP_RETRY_PAUSE;
+                !start.is_barred && !start.stop_queued_at.is_some_and(is_queued)
+            };
+            let due = worker.settled_starts.iter_mut().filter(|(_, start)| is_due(start));
+            let mut stops = Vec::new();
+            for (task, start) in due.take(left) {
+                start.stop_queued_at = Some(now);
+                stops.push(CommandKind::Stop { task: *task, run: start.run });
+            }
+            left -= stops.len();
+            self.commands.extend(stops.into_iter().map(|kind| worker.command(kind)));
+        }
+    }
+
     /// Handles a worker at whose address another incarnation answers: the recorded one has ended, so none of its
     /// pending commands can take effect any more. The renewal that shows it was sent at `sent`.
     pub(super) fn on_replaced(&mut self, worker_id: &WorkerId, now: Duration, sent: Duration) {
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -47,7 +47,7 @@
 pub(super) const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Pause before a stop without an answer is sent again.
-const STOP_RETRY_PAUSE: Duration = Duration::from_millis(300);
+pub(super) const STOP_RETRY_PAUSE: Duration = Duration::from_millis(300);
 
 /// Time between two looks for such stops, which examine all runs.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -265,7 +265,9 @@
             let state = RunState(worker.runs.get(&task));
             event::RUN_GONE
                 .emit(format_args!("task={task} worker={worker_id} cause=not-listed {state}"));
-            self.drop_run(worker_id, &task);
+            if let Some(run) = self.drop_run(worker_id, &task) {
+                self.keep_settled_start(now, worker_id, &task, &run);
+            }
         }
         self.stop_unanswered_starts(now, worker_id, sent);
         self.judge_probe(now, worker_id);
@@ -527,6 +529,7 @@
             return;
         }
         self.last_stop_check = now;
+        self.stop_settled_starts(now);
         let is_due = |run: &Run| {
             let is_wanted =
                 run.stop_queued_at.is_some_and(|at| now.saturating_sub(at) >= STOP_RETRY_PAUSE);
@@ -569,6 +572,10 @@
                 worker.next_renewal = worker.next_renewal.min(now);
             }
         }
+        let settled = worker.settled_starts.get_mut(task).filter(|start| start.run == *run);
+        if let Some(start) = settled.filter(|_| answered_by != AnsweredBy::Unknown) {
+            start.is_barred |= outcome == CommandOutcome::Done;
+        }
         if outcome == CommandOutcome::Fenced {
             self.on_fenced(worker_id);
         }
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -118,6 +118,19 @@
     pub is_confirmed: bool,
 }
 
+/// A start without an answer that was settled by a stop. A later incarnation does not know of the stop.
+#[derive(Clone, Copy, Debug)]
+pub struct SettledStart {
+    /// Number of the run.
+    pub run: u32,
+    /// Local time from which on the start can't be carried out any more.
+    pub arrives_until: Duration,
+    /// The newest incarnation has answered a stop, so it will not carry out the start.
+    pub is_barred: bool,
+    /// Local time at which the last stop was queued for the newest incarnation; `None` if none was.
+    pub stop_queued_at: Option<Duration>,
+}
+
 /// Worker in the VM list, or one that may still have runs.
 #[derive(Debug)]
 pub struct Worker {
@@ -138,6 +151,8 @@
     pub has_listed_runs: bool,
     /// Runs that occupy the worker or may do so.
     pub runs: BTreeMap<JobTaskId, Run>,
+    /// Starts that are no runs any more, but that a later incarnation would carry out.
+    pub settled_starts: BTreeMap<JobTaskId, SettledStart>,
     /// Sum of the committed resources of `runs`.
     pub committed: Resources,
     /// Number of runs of unknown size in `runs`.
@@ -194,6 +209,7 @@
             lease: GrantedLease::default(),
             has_listed_runs: false,
             runs: BTreeMap::new(),
+            settled_starts: BTreeMap::new(),
             committed: Resources::default(),
             runs_of_unknown_size: 0,
             shares: BTreeMap::new(),
@@ -215,7 +231,7 @@
     }
 
     /// Forgets what belongs to the incarnation that was the newest one: its clock and leases, the numbers of its ends,
-    /// its list of runs, its health and the renewal on its way to it. The caller decides which runs remain. `longest_lease`
+    /// its list of runs, the stops that it has answered, its health and the renewal on its way to it. The caller decides which runs remain. `longest_lease`
     /// is the longest local time that a lease on the worker can take.
     pub fn begin_incarnation(
         &mut self,
@@ -233,6 +249,9 @@
         self.unanswered_renewals = 0;
         self.next_renewal = now;
         self.health = Health::default();
+        for start in self.settled_starts.values_mut() {
+            (start.is_barred, start.stop_queued_at) = (false, None);
+        }
     }
 
     /// Adds a run and commits its resources.
