Take an old entry of the VM list for no new incarnation if the wall clock went back

Callers could see a task run twice: a worker restarted after its wall clock had been set back, and a read of the VM list was behind.

Cause: a higher start time in the VM list counted as a later incarnation. The earlier one had the higher start time, so its entry ended the runs of the live one.

Change: an entry shows a new incarnation only if it differs from the last one and its start time is none that was seen before. A worker whose entry has another start time than its last list gets no task, whichever of the two is higher.

--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -65,7 +65,7 @@
     Draining,
     /// It is missing from the VM list.
     Unlisted,
-    /// The VM list still has its previous incarnation, whose capacity may be another one.
+    /// The VM list has another of its incarnations, whose capacity may be another one.
     PreviousListed,
     /// Starts there got no answer.
     UnansweredStarts,
@@ -95,7 +95,7 @@
         Some(UnusableCause::Draining)
     } else if worker.unlisted_for(now) >= UNLISTED_LIMIT {
         Some(UnusableCause::Unlisted)
-    } else if worker.is_previous_incarnation_listed() {
+    } else if worker.is_other_incarnation_listed() {
         Some(UnusableCause::PreviousListed)
     } else if worker.health.unanswered_starts >= UNANSWERED_STARTS_LIMIT {
         Some(UnusableCause::UnansweredStarts)
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -277,9 +277,7 @@
                 continue;
             };
             worker.unlisted_since = None;
-            let is_new_incarnation = entry.incarnation_started_unix_ms.is_some()
-                && worker.incarnation_started_unix_ms.is_some()
-                && entry.incarnation_started_unix_ms > worker.incarnation_started_unix_ms;
+            let is_new_incarnation = worker.is_new_incarnation(&entry);
             let starts_to_drain = entry.is_draining && !worker.listing.is_draining;
             let before = worker.listing.capacity;
             let has_other_capacity = entry.capacity != before;
@@ -290,7 +288,7 @@
                 self.on_new_incarnation(&id, started, RestartSign::VmList, now);
             }
             if let Some(worker) = self.workers.get_mut(&id) {
-                worker.listing = entry;
+                worker.set_listing(entry);
                 if has_other_capacity {
                     worker.invalidate_estimates();
                 }
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -1,7 +1,7 @@
 //! State of one worker, as the scheduler knows it.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -50,6 +50,9 @@
     }
 }
 
+/// Most start times of earlier incarnations that are kept of a worker.
+const MAX_EARLIER_STARTS: usize = 16;
+
 /// State of a run on a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -144,6 +147,9 @@
     /// Start time of the newest known incarnation, in milliseconds since the Unix epoch; `None` before the first answer
     /// of the worker, or if it does not report it.
     pub incarnation_started_unix_ms: Option<u64>,
+    /// Start times of earlier incarnations, as far as they are known. They need not be lower: the worker's wall clock may
+    /// have been set back.
+    earlier_starts: BTreeSet<u64>,
     /// Leases that this owner may have granted.
     pub lease: GrantedLease,
     /// The worker has answered a renewal of this epoch, so its runs are known and it refuses commands of previous
@@ -206,6 +212,7 @@
             unlisted_since: None,
             incarnation: 0,
             incarnation_started_unix_ms: None,
+            earlier_starts: BTreeSet::new(),
             lease: GrantedLease::default(),
             has_listed_runs: false,
             runs: BTreeMap::new(),
@@ -240,6 +247,7 @@
         longest_lease: Duration,
     ) {
         self.incarnation += 1;
+        self.keep_earlier_start(self.incarnation_started_unix_ms);
         self.incarnation_started_unix_ms = started_unix_ms;
         self.lease.begin_incarnation(now, longest_lease);
         self.has_listed_runs = false;
@@ -254,6 +262,33 @@
         }
     }
 
+    /// Replaces the entry in the VM list.
+    pub fn set_listing(&mut self, listing: WorkerListing) {
+        let listed = self.listing.incarnation_started_unix_ms;
+        if listed != listing.incarnation_started_unix_ms {
+            self.keep_earlier_start(listed);
+        }
+        self.listing = listing;
+    }
+
+    fn keep_earlier_start(&mut self, started_unix_ms: Option<u64>) {
+        self.earlier_starts.extend(started_unix_ms);
+        while self.earlier_starts.len() > MAX_EARLIER_STARTS {
+            self.earlier_starts.pop_first();
+        }
+    }
+
+    /// Returns true if an entry in the VM list shows an incarnation after the newest known one. An entry that was seen
+    /// before is old, whatever its start time is.
+    #[must_use]
+    pub fn is_new_incarnation(&self, entry: &WorkerListing) -> bool {
+        let listed = entry.incarnation_started_unix_ms;
+        let known = self.incarnation_started_unix_ms;
+        let is_old = listed == self.listing.incarnation_started_unix_ms
+            || listed.is_some_and(|started| self.earlier_starts.contains(&started));
+        listed.is_some() && known.is_some() && listed > known && !is_old
+    }
+
     /// Adds a run and commits its resources.
     pub fn add_run(&mut self, task: JobTaskId, run: Run) {
         self.remove_run(&task);
@@ -295,11 +330,13 @@
         Rc::clone(interference.get_or_insert_with(|| Rc::new(pressures.worker_interference(self))))
     }
 
-    /// Returns true if the VM list still has an earlier incarnation than the one that last answered.
+    /// Returns true if the VM list has another incarnation than the one that last answered.
     #[must_use]
-    pub fn is_previous_incarnation_listed(&self) -> bool {
+    pub fn is_other_incarnation_listed(&self) -> bool {
         let listed = self.listing.incarnation_started_unix_ms;
-        listed.is_some() && listed < self.incarnation_started_unix_ms
+        listed
+            .zip(self.incarnation_started_unix_ms)
+            .is_some_and(|(listed, answered)| listed != answered)
     }
 
     /// Returns for how long the VM list has not contained the worker; zero if it does.
--- a/tests/testsuite/shard/incarnations.rs
+++ b/tests/testsuite/shard/incarnations.rs
@@ -237,6 +237,29 @@
     assert_eq!(rig.starts_of(id).len(), 1);
 }
 
+/// Guards against two runs of a task: a worker restarts after its wall clock was set back, and a read of the VM list is
+/// behind, so that the earlier incarnation seems to be the newer one.
+#[test]
+fn an_entry_of_an_earlier_incarnation_with_a_higher_start_time_ends_no_run() {
+    let mut rig = Rig::new(Fleet::new(1, 4_000));
+    rig.fleet.get(0).listing.incarnation_started_unix_ms = Some(1_000);
+    rig.run(Duration::from_millis(500));
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    rig.fleet.get(0).listing.incarnation_started_unix_ms = Some(400);
+    rig.run(Duration::from_secs(2));
+    let id = submit(&mut rig);
+    rig.run(Duration::from_secs(2));
+    assert_eq!(rig.starts_of(id).len(), 1);
+    add_second_worker(&mut rig);
+    rig.fleet.get(0).listed_start = Some(1_000);
+    rig.run(Duration::from_secs(1));
+    rig.fleet.get(0).listed_start = None;
+    rig.run(Duration::from_secs(8));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 1);
+}
+
 /// Guards against a task that waits too long because its worker had restarted not long before it was lost: what the worker
 /// may hold by commands for its earlier incarnation is unknown for longer than callers wait.
 #[test]
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -75,6 +75,8 @@
     pub renewal_delay: Option<Duration>,
     /// Starts are carried out and get no answer.
     pub loses_start_answers: bool,
+    /// Start time in the worker's entry in the VM list, if the entry is an old one.
+    pub listed_start: Option<u64>,
 }
 
 /// Time from a stop command to the end of the run.
@@ -188,6 +190,7 @@
             renewal_answer_delay: Duration::ZERO,
             renewal_delay: None,
             loses_start_answers: false,
+            listed_start: None,
         };
         self.workers.insert(listing.id, worker);
     }
@@ -198,7 +201,12 @@
 
     /// Returns the VM list; workers that are cut off are missing from it.
     pub fn listed(&self) -> Vec<WorkerListing> {
-        self.workers.values().filter(|w| !w.is_cut).map(|w| w.listing.clone()).collect()
+        let listed = self.workers.values().filter(|w| !w.is_cut);
+        let entries = listed.map(|w| WorkerListing {
+            incarnation_started_unix_ms: w.listed_start.or(w.listing.incarnation_started_unix_ms),
+            ..w.listing.clone()
+        });
+        entries.collect()
     }
 
     /// Advances the time: carries out delayed starts, and ends runs whose duration, stop or lease is over.
