Keep a worker that left in mind while a command to it may still arrive

Callers could see a task run twice: a worker was cut off and missing from the VM list for longer than its leases, restarted, and was back under its ID.

Cause: the worker was forgotten once its leases had ended, and counted as a new one when it was listed again. A renewal that had been sent before extended the lease of the new incarnation beyond what the owner counted, and starts that were settled by a stop were forgotten as well.

--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -277,6 +277,7 @@
                 continue;
             };
             worker.unlisted_since = None;
+            worker.is_departed = false;
             let is_new_incarnation = worker.is_new_incarnation(&entry);
             let starts_to_drain = entry.is_draining && !worker.listing.is_draining;
             let before = worker.listing.capacity;
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -86,7 +86,7 @@
     pub(super) fn request_renewals(&mut self, now: Duration) {
         let lease = self.lease_length(now);
         for worker in self.workers.values_mut() {
-            if worker.is_renewal_in_flight || now < worker.next_renewal {
+            if worker.is_renewal_in_flight || worker.is_departed || now < worker.next_renewal {
                 continue;
             }
             let is_unacked = worker.acked_end < worker.seen_end;
@@ -471,7 +471,7 @@
     }
 
     /// Removes runs on workers that do not answer once their leases have certainly lapsed, and unlisted workers without
-    /// such runs.
+    /// such runs once no command to them can take effect any more.
     ///
     /// A successor may have extended a lease on a worker that only it can reach. A lease therefore counts as lapsed
     /// only if this process is confirmed as owner up to the lease's end.
@@ -479,7 +479,7 @@
         let owned_until = now.min(confirmed);
         let longest_lease = longest_local_time(self.timing.max_lease, self.timing.kill_time);
         let mut lapsed = Vec::new();
-        let mut gone = Vec::new();
+        let (mut departed, mut forgotten) = (Vec::new(), Vec::new());
         for (id, worker) in self.workers.iter() {
             let is_silent = worker.unanswered_renewals > 0 || worker.answered.is_none();
             if !is_silent || !worker.lease.has_ended(owned_until, self.timing.kill_time) {
@@ -498,7 +498,12 @@
             let is_unlisted = worker.unlisted_for(now) >= UNLISTED_RETENTION;
             let is_empty = worker.runs.values().all(is_over);
             if is_unlisted && is_empty && !worker.is_renewal_in_flight {
-                gone.push(id.clone());
+                if !worker.is_departed {
+                    departed.push(id.clone());
+                }
+                if late_end.is_none_or(|end| now >= end) && worker.settled_starts.is_empty() {
+                    forgotten.push(id.clone());
+                }
             }
         }
         for (worker_id, task) in lapsed {
@@ -516,8 +521,13 @@
             self.drop_run(&worker_id, &task);
             self.mark_lapsed(&[task]);
         }
-        for id in gone {
+        for id in departed {
             event::WORKER_GONE.emit(format_args!("worker={id}"));
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.is_departed = true;
+            }
+        }
+        for id in forgotten {
             self.workers.remove(&id);
             // Its inherited tasks still wait until the leases of previous owners have lapsed.
         }
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -141,6 +141,9 @@
     pub listing: WorkerListing,
     /// Local time since which the VM list has not contained the worker. Unchanged while the list can't be read.
     pub unlisted_since: Option<Duration>,
+    /// The worker runs nothing and is missing from the VM list. It gets no renewals until it is listed again, and is kept
+    /// for as long as a command to it may still be carried out by a later incarnation.
+    pub is_departed: bool,
     /// Number of the newest known incarnation, counted by this owner from 0. Commands carry it, so that an outcome is
     /// told from one of a command that was made for an earlier incarnation.
     pub incarnation: u32,
@@ -210,6 +213,7 @@
         Self {
             listing,
             unlisted_since: None,
+            is_departed: false,
             incarnation: 0,
             incarnation_started_unix_ms: None,
             earlier_starts: BTreeSet::new(),
--- a/tests/testsuite/shard/incarnations.rs
+++ b/tests/testsuite/shard/incarnations.rs
@@ -260,6 +260,30 @@
     assert_eq!(rig.starts_of(id).len(), 1);
 }
 
+/// Guards against two runs of a task: a worker that was gone from the VM list for longer than its leases is back under its
+/// ID, and a renewal that was sent before it left extends the lease of the new incarnation.
+#[test]
+fn a_renewal_from_before_a_worker_left_may_extend_its_lease_after_its_return() {
+    let mut rig = rig_with_one_worker();
+    rig.fleet.get(0).renewal_delay = Some(Duration::from_millis(11_500));
+    rig.run(TICK * 2);
+    rig.fleet.get(0).renewal_delay = None;
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    rig.fleet.get(0).is_cut = true;
+    rig.run(Duration::from_secs(8));
+    rig.fleet.get(0).is_cut = false;
+    rig.run(Duration::from_secs(1));
+    let id = submit(&mut rig);
+    rig.run(Duration::from_millis(500));
+    assert_eq!(rig.starts_of(id).len(), 1);
+    add_second_worker(&mut rig);
+    rig.fleet.get(0).is_cut = true;
+    rig.run(Duration::from_secs(30));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 2);
+}
+
 /// Guards against a task that waits too long because its worker had restarted not long before it was lost: what the worker
 /// may hold by commands for its earlier incarnation is unknown for longer than callers wait.
 #[test]
