Tell the incarnation of an answer after two answers instead of three

A task whose start was answered soon after the first contact with a worker (a takeover, a new or a restarted worker) was held for 18.6 to 22.5 s if the worker was lost before it listed the run.

Cause: the newest time at which an incarnation is known to be alive was when an answered renewal was sent. A worker holds back its answer for up to 1.3 s, so three renewals had to return, after about 2.6 s, before a clock could tell the incarnation of an answer.

Change: the time counts on from the last reading by the difference of the readings, as far as the clocks allow. Two answers are enough.

Measured: shard::lapse::a_clock_proves_the_incarnation_soon_after_the_first_contact failed before. a_clock_tells_the_incarnation_that_gave_an_answer draws slow clocks and answers that are held back, delayed and overtake each other, and passed before as well.

--- a/src/shard/lapse.rs
+++ b/src/shard/lapse.rs
@@ -112,7 +112,8 @@
     granted: Option<Duration>,
     /// First reading of its clock, in milliseconds; 0 before that.
     first_reading_ms: u64,
-    /// Local time at which that incarnation was certainly alive: it has answered a command that was sent then.
+    /// Local time at which that incarnation was certainly alive. A worker may hold back an answer, so this is not only when
+    /// the command was sent, but also the earliest time at which its clock can have had the reading.
     alive_at: Duration,
     /// Local time at which the last command with an expiry was made, for any incarnation.
     last_expiry_sent: Option<Duration>,
@@ -133,10 +134,18 @@
 
     /// Records a reading of the clock of the newest incarnation.
     pub fn on_reading(&mut self, clock: WorkerClock) {
-        if self.clock.is_none() {
-            self.first_reading_ms = clock.reading_ms;
-        }
-        self.alive_at = self.alive_at.max(clock.sent);
+        let read_at = match &self.clock {
+            Some(last) => {
+                let between =
+                    Duration::from_millis(clock.reading_ms.saturating_sub(last.reading_ms + 1));
+                last.sent + shortest_local_time(between)
+            }
+            None => {
+                self.first_reading_ms = clock.reading_ms;
+                clock.sent
+            }
+        };
+        self.alive_at = self.alive_at.max(clock.sent).max(read_at);
         self.clock = Some(clock);
     }
 
--- a/tests/testsuite/shard/lapse.rs
+++ b/tests/testsuite/shard/lapse.rs
@@ -253,3 +253,68 @@
     assert!(expiry_ms > renewed);
     assert_ne!(lease.end(KILL_TIME), end);
 }
+
+/// Guards against a restart that is seen where there is none, and against a run that counts as one of the known
+/// incarnation although a later one has answered: readings of slow clocks, in answers that are held back, delayed, and
+/// overtake each other.
+#[test]
+fn a_clock_tells_the_incarnation_that_gave_an_answer() {
+    arbtest(|u| {
+        let mut ms = |bound: u64| -> arbtest::arbitrary::Result<Duration> {
+            Ok(Duration::from_millis(u.int_in_range(0..=bound)?))
+        };
+        let origin = ms(1_000)?;
+        let (begin, restart) = (Duration::from_secs(100), ms(20_000)?);
+        let rate = |slow: Duration| 1_000 - slow.as_millis() as u64;
+        let (rate, next_rate) = (rate(ms(20)?), rate(ms(20)?));
+        let reading = |since: Duration, at: Duration, rate: u64| {
+            (origin.as_micros() as u64 + (at - since).as_micros() as u64 * rate / 1_000) / 1_000
+        };
+        // Answers of the first incarnation, each received after a time on the way there, a wait, and a time back.
+        let mut answer = |sent: Duration, earliest: Duration, since: Duration, rate: u64| {
+            let read = (sent + ms(100)?).max(earliest) + ms(1_300)?;
+            let received = read + ms(400)?;
+            arbtest::arbitrary::Result::Ok((
+                read,
+                WorkerClock::new(reading(since, read, rate), sent, received),
+            ))
+        };
+        let mut lease = GrantedLease::default();
+        let (mut sent, mut alive) = (begin, begin);
+        let mut known = None;
+        for _ in 0..4 {
+            let (read, clock) = answer(sent, begin, begin, rate)?;
+            if let Some(known) = &known {
+                assert!(!clock.has_gone_back(known));
+            }
+            lease.on_reading(clock);
+            known = Some(clock);
+            alive = alive.max(read);
+            sent += restart / 20;
+        }
+        // Answers of the same incarnation to commands that were sent before or after the last one.
+        let (read, clock) = answer(sent, begin, begin, rate)?;
+        assert!(known.is_some_and(|known| !clock.has_gone_back(&known)));
+        let mut copy = lease;
+        copy.proves_newest(&clock);
+        // The next incarnation begins after all of these.
+        let since = alive.max(read) + restart;
+        let (_, next) = answer(sent.max(alive), since, since, next_rate)?;
+        assert!(!lease.proves_newest(&next));
+        assert!(!copy.proves_newest(&next));
+        Ok(())
+    });
+}
+
+/// Guards against waits of runs whose start was answered soon after the first contact with a worker: two answers are enough
+/// to tell its clock from that of a later incarnation.
+#[test]
+fn a_clock_proves_the_incarnation_soon_after_the_first_contact() {
+    let at = |ms: u64| Duration::from_millis(60_000 + ms);
+    let mut lease = GrantedLease::default();
+    lease.on_reading(WorkerClock::new(5_000, at(0), at(2)));
+    assert!(!lease.proves_newest(&WorkerClock::new(5_100, at(100), at(102))));
+    // The worker held back its next answer for 1.3 s.
+    lease.on_reading(WorkerClock::new(6_330, at(30), at(1_332)));
+    assert!(lease.proves_newest(&WorkerClock::new(6_480, at(1_480), at(1_482))));
+}
