Repeat stops that were answered before an incarnation's start time was known

Callers could see a task run twice: a worker restarted twice. Only the clock in an answer showed the first restart; that incarnation answered the repeated stop of a settled start, and ended before it listed its runs. The second restart was taken for the first one, and carried the start out.

Cause: a restart that only a clock has shown leaves the start time of the incarnation unknown. The first list then gave it, whichever incarnation returned the list.

Evidence: shard::incarnations::a_stop_is_repeated_if_only_a_clock_had_shown_the_ incarnation_that_answered_it fails with src of the commit before: two runs.

Change: when a list gives the start time of an incarnation that was not known by one, stops that were answered before are repeated.

--- a/src/shard/scheduler/incarnations.rs
+++ b/src/shard/scheduler/incarnations.rs
@@ -150,6 +150,18 @@
         }
     }
 
+    /// Doubts the stops that were answered while the start time of the newest incarnation was not known: another one may
+    /// have taken its place since, whose clock has not shown it.
+    pub(super) fn doubt_stops_before_start_time(&mut self, worker_id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        for run in worker.runs.values_mut() {
+            run.stop_answered = None;
+        }
+        for start in worker.settled_starts.values_mut() {
+            start.is_barred = false;
+        }
+    }
+
     /// Keeps a start that got no answer in mind after the stop of its run was answered: a later incarnation would carry it
     /// out as long as it can arrive.
     pub(super) fn keep_settled_start(
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -143,6 +143,9 @@
             // The clock alone has shown the newest incarnation, or the worker does not report start times.
             None => worker.lease.clock().is_some_and(|known| clock.has_gone_back(known)),
         };
+        if started.is_none() && !is_new_incarnation {
+            self.doubt_stops_before_start_time(worker_id);
+        }
         if is_new_incarnation {
             let started = report.incarnation_started_unix_ms;
             self.on_new_incarnation(worker_id, started, RestartSign::RunList, now);
--- a/tests/testsuite/shard/incarnations.rs
+++ b/tests/testsuite/shard/incarnations.rs
@@ -284,6 +284,36 @@
     assert_eq!(rig.starts_of(id).len(), 2);
 }
 
+/// Guards against two runs of a task: two restarts follow each other, of which only the clock in an answer shows the first
+/// and nothing the second, so a stop that the first one answered counted for the second one.
+#[test]
+fn a_stop_is_repeated_if_only_a_clock_had_shown_the_incarnation_that_answered_it() {
+    let mut rig = rig_with_one_worker();
+    rig.fleet.get(0).start_delay = Some(Duration::from_secs(9));
+    let id = submit(&mut rig);
+    rig.run(TICK * 2);
+    rig.fleet.get(0).start_delay = None;
+    // The task starts on the other worker.
+    rig.owner.on_domains_out([rig.fleet.get(0).listing.domain.clone()].into());
+    add_second_worker(&mut rig);
+    rig.run(Duration::from_millis(500));
+    assert_eq!(rig.starts_of(id).len(), 1);
+    rig.owner.on_domains_out([].into());
+    restart_unnoticed(&mut rig);
+    // The new incarnation answers the next start and the repeated stop, but no renewal.
+    rig.fleet.get(0).renewal_delay = Some(Duration::from_secs(20));
+    let other = rig.submit(8, spec(vec![step(1, 4_000)]));
+    rig.fleet.durations.insert(other, RUN_TIME);
+    rig.run(TICK * 5);
+    assert_eq!(rig.fleet.get(0).over.len(), 1);
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    rig.fleet.get(0).renewal_delay = None;
+    rig.run(Duration::from_secs(12));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 1);
+}
+
 /// Guards against a task that waits too long because its worker had restarted not long before it was lost: what the worker
 /// may hold by commands for its earlier incarnation is unknown for longer than callers wait.
 #[test]
