Don't stop a settled start that a later incarnation has carried out after all

Work was lost: a start without an answer was settled by a stop, a later incarnation carried it out and listed it, and the run was adopted, since its task had no other one. The repeated stop then ended it.

Change: a start that a worker lists was carried out and will not be again, so it is kept in mind no longer.

Measured: shard::incarnations::a_settled_start_that_was_carried_out_after_all_is_not_ stopped failed before (no run after 3 s) and passes.

--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -286,6 +286,10 @@
     ) -> Option<Adoption> {
         let task = listed.task;
         let worker = self.workers.get_mut(worker_id)?;
+        if worker.settled_starts.get(&task).is_some_and(|start| start.run <= listed.run) {
+            // The start was carried out after all, and will not be again.
+            worker.settled_starts.remove(&task);
+        }
         let Some(run) = worker.runs.get_mut(&task) else {
             return Some(self.adopt(now, worker_id, listed));
         };
--- a/tests/testsuite/shard/incarnations.rs
+++ b/tests/testsuite/shard/incarnations.rs
@@ -314,6 +314,27 @@
     assert_eq!(rig.starts_of(id).len(), 1);
 }
 
+/// Guards against work that is lost: a start that was settled by a stop is carried out by a later incarnation, and its task
+/// may run there, since it has no other run.
+#[test]
+fn a_settled_start_that_was_carried_out_after_all_is_not_stopped() {
+    let mut rig = rig_with_one_worker();
+    rig.fleet.get(0).start_delay = Some(Duration::from_secs(3));
+    let id = submit(&mut rig);
+    rig.run(TICK * 2);
+    let domain = rig.fleet.get(0).listing.domain.clone();
+    rig.owner.on_domains_out([domain].into());
+    rig.run(Duration::from_secs(1));
+    rig.fleet.get(0).stop_delay = Some(Duration::from_secs(30));
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    rig.run(Duration::from_secs(3));
+    assert_eq!(rig.starts_of(id).len(), 1);
+    rig.fleet.get(0).stop_delay = None;
+    rig.run(Duration::from_secs(3));
+    assert_eq!(rig.fleet.get(0).runs.len(), 1);
+}
+
 /// Guards against a task that waits too long because its worker had restarted not long before it was lost: what the worker
 /// may hold by commands for its earlier incarnation is unknown for longer than callers wait.
 #[test]
