Repeat the stops of settled starts only to workers that answer

A worker that had restarted and did not answer got the stops of all its settled starts again each 300 ms, over the three connections that its renewals need, and used up the limit of 64 stops in a check for other workers.

Change: a stop is repeated only once the last one has an outcome, and only while the worker's renewals are answered. A worker that another one has replaced gets none.

--- a/src/shard/scheduler/incarnations.rs
+++ b/src/shard/scheduler/incarnations.rs
@@ -178,27 +178,31 @@
             run: run.number,
             arrives_until: now + MAX_COMMAND_DELAY,
             is_barred: true,
+            is_stop_in_flight: false,
             stop_queued_at: None,
         };
         worker.settled_starts.insert(*task, start);
     }
 
-    /// Queues stops of settled starts for the incarnations that have not answered one, and forgets those starts that can't
+    /// Queues stops of settled starts for the incarnations that answer and have not answered one, and forgets those starts that can't
     /// arrive any more.
     pub(super) fn stop_settled_starts(&mut self, now: Duration) {
         let mut left = MAX_SETTLED_STOPS;
         for worker in self.workers.values_mut() {
             worker.settled_starts.retain(|_, start| now < start.arrives_until);
-            if left == 0 || worker.settled_starts.is_empty() {
+            let is_silent = worker.unanswered_renewals > 0;
+            if left == 0 || is_silent || worker.settled_starts.is_empty() {
                 continue;
             }
             let is_due = |start: &SettledStart| {
                 let is_queued = |at: Duration| now.saturating_sub(at) < STOP_RETRY_PAUSE;
-                !start.is_barred && !start.stop_queued_at.is_some_and(is_queued)
+                let may_retry = !start.stop_queued_at.is_some_and(is_queued);
+                !start.is_barred && !start.is_stop_in_flight && may_retry
             };
             let due = worker.settled_starts.iter_mut().filter(|(_, start)| is_due(start));
             let mut stops = Vec::new();
             for (task, start) in due.take(left) {
+                start.is_stop_in_flight = true;
                 start.stop_queued_at = Some(now);
                 stops.push(CommandKind::Stop { task: *task, run: start.run });
             }
@@ -221,6 +225,7 @@
         worker.answered = None;
         // Another ID answers at the address, and refuses all commands for this one.
         worker.lease = GrantedLease::default();
+        worker.settled_starts.clear();
         worker.next_renewal = now + MAX_RETRY_PAUSE;
         let left: Vec<JobTaskId> = worker.runs.keys().copied().collect();
         let age = now.saturating_sub(sent);
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -591,6 +591,7 @@
         }
         let settled = worker.settled_starts.get_mut(task).filter(|start| start.run == *run);
         if let Some(start) = settled.filter(|_| answered_by != AnsweredBy::Unknown) {
+            start.is_stop_in_flight = false;
             start.is_barred |= outcome == CommandOutcome::Done;
         }
         if outcome == CommandOutcome::Fenced {
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -130,6 +130,8 @@
     pub arrives_until: Duration,
     /// The newest incarnation has answered a stop, so it will not carry out the start.
     pub is_barred: bool,
+    /// A stop was queued or sent to the newest incarnation and has no outcome yet.
+    pub is_stop_in_flight: bool,
     /// Local time at which the last stop was queued for the newest incarnation; `None` if none was.
     pub stop_queued_at: Option<Duration>,
 }
@@ -262,7 +264,8 @@
         self.next_renewal = now;
         self.health = Health::default();
         for start in self.settled_starts.values_mut() {
-            (start.is_barred, start.stop_queued_at) = (false, None);
+            (start.is_barred, start.is_stop_in_flight) = (false, false);
+            start.stop_queued_at = None;
         }
     }
 
--- a/tests/testsuite/shard/incarnations.rs
+++ b/tests/testsuite/shard/incarnations.rs
@@ -335,6 +335,29 @@
     assert_eq!(rig.fleet.get(0).runs.len(), 1);
 }
 
+/// Guards against stops that use up the connections and the limit of a check: they are not repeated to a worker that does
+/// not answer.
+#[test]
+fn a_silent_worker_gets_the_stops_of_settled_starts_once() {
+    let mut rig = rig_with_one_worker();
+    rig.fleet.get(0).start_delay = Some(Duration::from_secs(9));
+    let id = rig.submit(7, spec(vec![step(8, 500)]));
+    rig.fleet.durations.insert(id, RUN_TIME);
+    rig.run(TICK * 2);
+    let domain = rig.fleet.get(0).listing.domain.clone();
+    rig.owner.on_domains_out([domain].into());
+    rig.run(Duration::from_secs(1));
+    let delay = Some(Duration::from_secs(30));
+    (rig.fleet.get(0).stop_delay, rig.fleet.get(0).renewal_delay) = (delay, delay);
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    let before = rig.fleet.commands_sent[&worker_id(0)];
+    rig.run(Duration::from_secs(3));
+    let sent = rig.fleet.commands_sent[&worker_id(0)] - before;
+    // Two stops of each start at most, and some renewals.
+    assert!((9..24).contains(&sent), "{sent} commands");
+}
+
 /// Guards against a task that waits too long because its worker had restarted not long before it was lost: what the worker
 /// may hold by commands for its earlier incarnation is unknown for longer than callers wait.
 #[test]
