Count a late start of the last owner as a lease of unknown length

Callers could see a task run twice: a worker restarted around a change of owner and carried out a late start of the last owner before the first command of the new one. The new owner adopted the run, granted a shorter lease than the longest that the worker accepts, and the worker was cut off.

Cause: the new owner counted only the leases that it had granted itself, and those that the last owner had granted on the clock that it knew. What the last owner's heartbeat said of leases of unknown length was forgotten with the first answer of the worker.

Change: if the rows record a task on another incarnation than the one that answers, or the heartbeat named unknown leases there, they end with the longest lease after the first answer: from then on the worker refuses commands of the last owner. Other workers wait as before. Not covered: a worker without recorded tasks.

--- a/src/shard/lapse.rs
+++ b/src/shard/lapse.rs
@@ -209,6 +209,12 @@
         };
     }
 
+    /// Records that commands of earlier owners may have granted leases to the newest incarnation in terms of the clock of
+    /// an earlier one. They have ended by `end`.
+    pub fn on_unknown_leases(&mut self, end: Duration) {
+        self.earlier_end = self.earlier_end.max(Some(end));
+    }
+
     /// Returns the local time by which the leases have ended of an incarnation that nothing has shown: it may carry out
     /// any command late, and takes an expiry on an earlier clock for the longest lease that it accepts. `longest_lease`
     /// is the local time that this one can take. `None` if no command had an expiry.
--- a/src/shard/scheduler/handover.rs
+++ b/src/shard/scheduler/handover.rs
@@ -239,7 +239,7 @@
         self.start_log.begin_period(now, self.epoch);
     }
 
-    fn recorded_incarnation(&self, task: &JobTaskId) -> Option<u64> {
+    pub(super) fn recorded_incarnation(&self, task: &JobTaskId) -> Option<u64> {
         let progress = self.jobs.get(&task.step.job)?.progress.task(task)?;
         progress.worker_started_unix_ms
     }
--- a/src/shard/scheduler/inherited.rs
+++ b/src/shard/scheduler/inherited.rs
@@ -14,7 +14,7 @@
 
 use crate::job::progress::ProgressRow;
 use crate::job::{JobId, JobTaskId, Progress, StepId};
-use crate::shard::lapse::LeaseEnd;
+use crate::shard::lapse::{LeaseEnd, longest_local_time};
 use crate::shard::worker::{Worker, WorkerId};
 use crate::telemetry::event::shard as event;
 
@@ -84,6 +84,8 @@
     unanswered: BTreeSet<JobTaskId>,
     /// Local time at which no lease of a previous owner is left on the worker, except by starts without an answer.
     lapsed: Duration,
+    /// The predecessor knew of leases of unknown length on the worker.
+    has_unknown_leases: bool,
 }
 
 impl Inherited {
@@ -116,6 +118,7 @@
                         tasks: Vec::new(),
                         unanswered: BTreeSet::new(),
                         lapsed: self.predecessor_lapsed,
+                        has_unknown_leases: false,
                     });
                     recorded.tasks.push(key);
                     let is_recent = self.unanswered.has_unnamed
@@ -198,6 +201,27 @@
     pub fn on_unknown_leases(&mut self, worker: &WorkerId, lapsed: Duration) {
         if let Some(recorded) = self.inherited.workers.get_mut(worker) {
             recorded.lapsed = recorded.lapsed.max(lapsed);
+            recorded.has_unknown_leases = true;
+        }
+    }
+
+    /// Takes over leases of unknown length when a worker lists its runs to this owner for the first time, by a start time of
+    /// `started_unix_ms`: commands of a previous owner may have been carried out by another incarnation than the one that
+    /// it meant, up to now. From now on the worker refuses them.
+    pub(super) fn adopt_unknown_leases(
+        &mut self,
+        now: Duration,
+        worker_id: &WorkerId,
+        started_unix_ms: Option<u64>,
+    ) {
+        let Some(recorded) = self.inherited.workers.get(worker_id) else { return };
+        let is_other = |task: &JobTaskId| self.recorded_incarnation(task) != started_unix_ms;
+        if !recorded.has_unknown_leases && !recorded.tasks.iter().any(is_other) {
+            return;
+        }
+        let longest = longest_local_time(self.timing.max_lease, self.timing.kill_time);
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.lease.on_unknown_leases(now + longest);
         }
     }
 
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -150,6 +150,7 @@
             let started = report.incarnation_started_unix_ms;
             self.on_new_incarnation(worker_id, started, RestartSign::RunList, now);
         }
+        self.adopt_unknown_leases(now, worker_id, report.incarnation_started_unix_ms);
         self.resolve_lapsed_runs(worker_id, report.incarnation_started_unix_ms);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         if worker.unanswered_renewals >= SILENT_AFTER_MISSED {
--- a/tests/testsuite/shard/incarnations.rs
+++ b/tests/testsuite/shard/incarnations.rs
@@ -358,6 +358,31 @@
     assert!((9..24).contains(&sent), "{sent} commands");
 }
 
+/// Guards against two runs of a task: a restarted worker carries out a start of an owner that has been replaced, before the
+/// first command of the new one, which counts only its own leases there.
+#[test]
+fn a_new_owner_waits_for_a_lease_that_a_late_start_of_the_last_one_granted() {
+    let mut rig = rig_with_one_worker();
+    rig.fleet.get(0).start_delay = Some(Duration::from_millis(3_000));
+    let id = submit(&mut rig);
+    rig.run(TICK * 3);
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    rig.fleet.get(0).is_cut = true;
+    let lapsed = now + Duration::from_secs(7);
+    rig.take_over(lapsed);
+    add_second_worker(&mut rig);
+    while rig.starts_of(id).is_empty() {
+        rig.round();
+    }
+    rig.fleet.get(0).is_cut = false;
+    rig.run(TICK * 3);
+    rig.fleet.get(0).is_cut = true;
+    rig.run(Duration::from_secs(30));
+    rig.assert_no_breach();
+    assert_eq!(rig.starts_of(id).len(), 2);
+}
+
 /// Guards against a task that waits too long because its worker had restarted not long before it was lost: what the worker
 /// may hold by commands for its earlier incarnation is unknown for longer than callers wait.
 #[test]
