Keep a settled start in mind while a later run of its task is listed

Callers could see a task run twice or a worker over its capacity: a start without an answer was settled by a stop, the task started again on the same worker with a higher run number, and the worker restarted and carried the first start out.

Cause: forgot the settled start once the worker listed the same run or a later one. Only the same run shows that this start was carried out.

--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -287,8 +287,8 @@
     ) -> Option<Adoption> {
         let task = listed.task;
         let worker = self.workers.get_mut(worker_id)?;
-        if worker.settled_starts.get(&task).is_some_and(|start| start.run <= listed.run) {
-            // The start was carried out after all, and will not be again.
+        if worker.settled_starts.get(&task).is_some_and(|start| start.run == listed.run) {
+            // This start was carried out after all, and will not be again. One of an earlier run may be.
             worker.settled_starts.remove(&task);
         }
         let Some(run) = worker.runs.get_mut(&task) else {
