Draw bursts around hidden restarts, and starts all the time

Change: faults come in bursts around restarts that nothing shows, starts that are late over one or two restarts, and cuts soon after. Jobs are cancelled and submitted all the time, so that starts go on. 32 seeds instead of 48, since each takes longer.

--- a/tests/testsuite/shard/incarnation_chains.rs
+++ b/tests/testsuite/shard/incarnation_chains.rs
@@ -11,12 +11,12 @@
 use super::rig::{Fleet, Rig, TICK, spec, step, worker_id};
 
 /// Seeds of a usual run of the tests.
-const SEEDS: u64 = 48;
+const SEEDS: u64 = 32;
 /// Workers that restart and are cut off; one more is sound.
-const WORKERS: u32 = 3;
+const WORKERS: u32 = 4;
 const WORKER_CPU_MILLIS: u64 = 4_000;
 /// Most tasks that have not ended, each of one core: fewer than the workers have cores.
-const MOST_TASKS: usize = 10;
+const MOST_TASKS: usize = 12;
 /// Length of a run, longer than a simulation.
 const RUN_TIME: Duration = Duration::from_secs(600);
 /// Length of the first part of a simulation, with all faults.
@@ -39,8 +39,10 @@
     assert!(failures.is_empty(), "{} failures\n{}", failures.len(), failures.join("\n"));
 }
 
+/// Bursts in a simulation: few, so that a worker also has times without faults.
+const MOST_BURSTS: usize = 8;
 /// Longest times between two faults of a burst.
-const LONGEST_GAPS_MS: [u64; 3] = [100, 700, 3_000];
+const LONGEST_GAPS_MS: [u64; 3] = [200, 700, 3_000];
 
 /// A fault of one worker.
 #[derive(Clone, Copy, Debug)]
@@ -55,14 +57,10 @@
     OldListing,
 }
 
-/// Faults in a burst; most cases need a restart beside another one.
-const FAULTS: [Fault; 12] = [
-    Fault::Crash,
-    Fault::Crash,
+/// All faults.
+const FAULTS: [Fault; 8] = [
     Fault::Crash,
     Fault::Cut,
-    Fault::Cut,
-    Fault::LateStarts,
     Fault::LateStarts,
     Fault::LateRenewals,
     Fault::LateStops,
@@ -71,6 +69,22 @@
     Fault::OldListing,
 ];
 
+/// Bursts around restarts: hidden ones, late commands over one or two of them, and cuts soon after. `None` stands for any
+/// fault.
+const BURSTS: [&[Option<Fault>]; 6] = [
+    &[
+        Some(Fault::SlowRenewalAnswers),
+        Some(Fault::OldListing),
+        Some(Fault::Crash),
+        Some(Fault::Cut),
+    ],
+    &[Some(Fault::LateStarts), Some(Fault::Crash), Some(Fault::Cut)],
+    &[Some(Fault::LateStarts), Some(Fault::Crash), Some(Fault::Crash)],
+    &[Some(Fault::LateRenewals), Some(Fault::Crash), Some(Fault::Cut)],
+    &[Some(Fault::LateStarts), None, Some(Fault::Crash), None, Some(Fault::Cut)],
+    &[None, None, Some(Fault::Crash), None, None],
+];
+
 struct Simulation {
     seed: u64,
     random: Random,
@@ -88,11 +102,11 @@
         let mut random = Random::new(seed);
         let fleet = Fleet::new(WORKERS + 1, WORKER_CPU_MILLIS);
         let mut faults = Vec::new();
-        while faults.len() < 40 {
+        for _ in 0..MOST_BURSTS {
             let mut at = random.between(1_000, FAULT_TIME.as_millis() as u64);
             let worker = random.below(u64::from(WORKERS)) as u32;
-            for _ in 0..2 + random.below(5) {
-                faults.push((at, worker, FAULTS[random.index(FAULTS.len())]));
+            for fault in BURSTS[random.index(BURSTS.len())] {
+                faults.push((at, worker, fault.unwrap_or(FAULTS[random.index(FAULTS.len())])));
                 let longest_gap_ms = LONGEST_GAPS_MS[random.index(LONGEST_GAPS_MS.len())];
                 at += random.between(0, longest_gap_ms);
             }
@@ -121,7 +135,13 @@
     }
 
     fn submit(&mut self) {
-        if self.open_jobs().len() >= MOST_TASKS || !self.random.one_in(4) {
+        let open = self.open_jobs();
+        if open.len() >= MOST_TASKS {
+            // Starts go on all the time, since each case needs one at a certain moment.
+            if self.random.one_in(4) {
+                let now = self.rig.fleet.now;
+                self.rig.owner.on_cancel(now, open[self.random.index(open.len())]);
+            }
             return;
         }
         let id = self.rig.submit(self.next_job, spec(vec![step(1, 1_000)]));
@@ -131,7 +151,7 @@
 
     /// Jobs that have not ended. Some fail, because workers have crashed under their tasks.
     fn open_jobs(&self) -> Vec<JobId> {
-        let is_open = |id: &JobId| self.rig.stored_state(*id) != Some(JobState::Failed);
+        let is_open = |id: &JobId| !self.rig.stored_state(*id).is_some_and(JobState::is_final);
         self.rig.fleet.durations.keys().copied().filter(is_open).collect()
     }
 
@@ -156,12 +176,12 @@
         let worker = self.rig.fleet.get(index);
         match fault {
             Fault::Crash => {
-                length = self.random.between(40, 1_500);
+                length = self.random.between(40, 800);
                 self.rig.fleet.restart_time = Some(length);
                 self.rig.fleet.crash(&worker_id(index));
             }
             Fault::Cut => {
-                length = self.random.between(200, 12_000);
+                length = self.random.between(200, 16_000);
                 worker.is_cut = true;
             }
             Fault::LateStarts => worker.start_delay = Some(delay),
