Test the return of a worker that is then cut off with late signs of the restart

It now has a young earlier incarnation, whose clock tells nothing, and a VM list that shows the restart before the list of runs arrives.

--- a/tests/testsuite/shard/incarnations.rs
+++ b/tests/testsuite/shard/incarnations.rs
@@ -168,11 +168,17 @@
 #[test]
 fn a_task_of_a_worker_that_is_back_and_cut_off_soon_after_runs_once() {
     let mut rig = rig_with_one_worker();
+    // The clock of a young incarnation does not tell it from the next one.
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    rig.run(TICK * 3);
     restart_unnoticed(&mut rig);
     let id = submit(&mut rig);
     rig.run(Duration::from_millis(100));
     assert_eq!(rig.starts_of(id).len(), 1);
     add_second_worker(&mut rig);
+    // The VM list shows the restart before the worker's list of runs.
+    rig.fleet.get(0).renewal_answer_delay = Duration::from_millis(600);
     rig.is_list_down = false;
     rig.run(Duration::from_secs(2));
     rig.fleet.get(0).is_cut = true;
