--- a/crates/plantainlever-test-support/src/soak.rs
+++ b/crates/plantainlever-test-support/src/soak.rs
@@ -103,6 +103,8 @@
     /// Workers die for good beside disruptions of the owner, in a larger cluster and with long-running jobs. There are no
     /// other faults, except the optional ones. The times until lost tasks run again are bounded.
     pub worker_deaths: bool,
+    /// Workers that are back after a silent crash are cut off soon after.
+    pub cut_returns: bool,
     /// In an owner chain, the next start of a process does not wait for the end of the one that is stopping.
     pub early_restarts: bool,
 }
@@ -116,6 +118,7 @@
         wide_jobs: false,
         owner_chain: false,
         silent_crashes: false,
+        cut_returns: false,
         delayed_orders: false,
         newer_versions: false,
         early_restarts: false,
@@ -142,6 +145,7 @@
                 "wide_jobs" => &mut faults.wide_jobs,
                 "owner_chain" => &mut faults.owner_chain,
                 "silent_crashes" => &mut faults.silent_crashes,
+                "cut_returns" => &mut faults.cut_returns,
                 "delayed_orders" => &mut faults.delayed_orders,
                 "newer_versions" => &mut faults.newer_versions,
                 "worker_deaths" => &mut faults.worker_deaths,
--- a/crates/plantainlever-test-support/src/soak/faults.rs
+++ b/crates/plantainlever-test-support/src/soak/faults.rs
@@ -50,7 +50,9 @@
     let mut owner_cut = optional_faults.owner_cut.then(OwnerCut::new);
     let mut owner_chain =
         optional_faults.owner_chain.then(|| OwnerChain::new(seed, optional_faults.early_restarts));
-    let mut silent_crashes = optional_faults.silent_crashes.then(|| SilentCrashes::new(seed));
+    let mut silent_crashes = optional_faults
+        .silent_crashes
+        .then(|| SilentCrashes::new(seed, optional_faults.cut_returns));
     let mut worker_deaths = optional_faults.worker_deaths.then(|| WorkerDeaths::new(seed));
     let has_random_faults = owner_chain.is_none() && worker_deaths.is_none();
     let mut active_faults: Vec<(Instant, FaultyComponent)> = Vec::new();
