--- a/src/shard/lapse.rs
+++ b/src/shard/lapse.rs
@@ -151,7 +151,7 @@
 
     /// Returns true if a reading proves that the newest incarnation gave the answer, and not a later one that nothing has
     /// shown yet. That one would have begun after the newest was last known to be alive, with a clock that starts no
-    /// higher than the newest one's did.
+    /// higher than the newest one's did. Such a reading also shows when the newest one was alive, for the next call.
     pub fn proves_newest(&mut self, clock: &WorkerClock) -> bool {
         let Some(known) = &self.clock else { return false };
         let elapsed_ms = |from: Duration| {
