--- a/src/shard/scheduler/incarnations.rs
+++ b/src/shard/scheduler/incarnations.rs
@@ -22,9 +22,9 @@
 /// What shows that a worker has restarted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RestartSign {
-    /// Its entry in the VM list.
+    /// Another start time in its entry in the VM list.
     VmList,
-    /// The list of its runs.
+    /// Another start time in the list of its runs.
     RunList,
     /// The clock in an answer. A start that the new incarnation has answered is not lost with the earlier one.
     Clock { started: Option<JobTaskId> },
@@ -54,7 +54,7 @@
 /// Incarnation of a worker that gave an answer, as far as its clock and the command tell.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum AnsweredBy {
-    /// The newest one.
+    /// The newest known one, as the clock proves.
     Newest,
     /// The newest one, or a later one that nothing has shown yet.
     NewestOrLater,
@@ -162,8 +162,8 @@
         }
     }
 
-    /// Keeps a start that got no answer in mind after the stop of its run was answered: a later incarnation would carry it
-    /// out as long as it can arrive.
+    /// Records a start without an answer whose run was stopped: a later incarnation would carry it out as long as it can
+    /// arrive.
     pub(super) fn keep_settled_start(
         &mut self,
         now: Duration,
--- a/tests/testsuite/shard/incarnation_chains.rs
+++ b/tests/testsuite/shard/incarnation_chains.rs
@@ -57,7 +57,7 @@
     OldListing,
 }
 
-/// All faults.
+/// Faults that `None` in a burst stands for.
 const FAULTS: [Fault; 8] = [
     Fault::Crash,
     Fault::Cut,
@@ -91,7 +91,7 @@
     rig: Rig,
     /// Faults to come, with their workers.
     faults: Vec<(Duration, u32, Fault)>,
-    /// Faults that end.
+    /// Faults that last, with the times at which they end.
     ends: Vec<(Duration, u32, Fault)>,
     next_job: u64,
     log: Vec<String>,
