Test processes against crowds of clients that hold back or never read

Clients that sent many large bodies of legal size, whole or just short of their end, ended a process: it ran out of memory. No test had more than a few such clients.

Adds a client that opens many connections and sends parts of requests on them, and a monitor of memory, socket buffers and descriptors of a process. The tests start real `node` and `entry` processes on loopback addresses with lowered limits, and check that the process lives, that it stays within the memory and the descriptors of its VM, and that an ordinary request is answered. They check no times.

The soak's node processes now also get memory-mb in their settings, which this version does not read, and serve metrics.

--- a/crates/plantainlever-test-support/src/lib.rs
+++ b/crates/plantainlever-test-support/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod checker;
+pub mod crowd;
 pub mod fault;
 pub mod in_process;
 pub mod link;
@@ -10,4 +11,5 @@
 pub mod process;
 pub mod site;
 pub mod soak;
+pub mod usage;
 pub mod wait;
--- a/crates/plantainlever-test-support/src/soak.rs
+++ b/crates/plantainlever-test-support/src/soak.rs
@@ -14,6 +14,7 @@
 //! callers check the job states in the answers. After the last fault every accepted job must end.
 
 mod caller;
+pub mod calm;
 mod capacity;
 pub mod contact;
 pub mod crash;
@@ -34,6 +35,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use base64::Engine;
@@ -48,7 +50,7 @@
 use world::{Worker, World};
 
 pub use caller::{Job, Outcome};
-pub use node::NodeProcess;
+pub use node::{NodeProcess, VmLimits};
 
 /// Host of all routes, and path prefix of the one for jobs.
 const HOST: &str = "soak.example";
@@ -192,8 +194,10 @@
 }
 
 /// Processes, links and stand-ins of a soak run.
+#[derive(Debug)]
 pub(crate) struct SoakCluster {
     binary: PathBuf,
+    vm_limits: VmLimits,
     pub(crate) world: SharedWorld,
     pub(crate) nodes: Vec<NodeProcess>,
     /// Processes that were stopping when the next ones were started in their places.
@@ -204,6 +208,36 @@
     pub(crate) worker_links: Arc<Vec<Vec<Link>>>,
 }
 
+/// Thread that serves the stand-ins of the store and the workers.
+#[derive(Debug)]
+struct StandIns {
+    stop: watch::Sender<bool>,
+    thread: JoinHandle<Result<(), std::io::Error>>,
+}
+
+impl StandIns {
+    /// Starts the thread. Returns it with the addresses: for each process that of the store, then those of the workers.
+    fn start(
+        world: &SharedWorld,
+        nodes: usize,
+        workers: usize,
+    ) -> Result<(Self, Vec<SocketAddr>), std::io::Error> {
+        let (stop, stopped) = watch::channel(false);
+        let (tx, rx) = mpsc::channel();
+        let world = Arc::clone(world);
+        let thread = std::thread::spawn(move || serve::run(&world, nodes, workers, &tx, &stopped));
+        let not_started = |_| std::io::Error::other("the stand-ins did not start");
+        let addresses = rx.recv().map_err(not_started)?;
+        Ok((Self { stop, thread }, addresses))
+    }
+
+    fn close(self) -> Result<(), std::io::Error> {
+        self.stop.send_replace(true);
+        let panicked = |_| Err(std::io::Error::other("the thread has panicked"));
+        self.thread.join().unwrap_or_else(panicked)
+    }
+}
+
 /// Runs the soak with a seed, and injects faults for `fault_time`, the optional ones as given.
 ///
 /// # Errors
@@ -227,15 +261,9 @@
     lock(&world).order_delays = optional_faults.delayed_orders.then(|| random(ORDER_DELAYS_SALT));
     lock(&world).unrelated_changes =
         optional_faults.newer_versions.then(|| random(UNRELATED_CHANGES_SALT));
-    let (stop, stopped) = watch::channel(false);
-    let (tx, rx) = mpsc::channel();
-    let served_world = Arc::clone(&world);
-    let platform = std::thread::spawn(move || {
-        serve::run(&served_world, node_count, worker_count, &tx, &stopped)
-    });
-    let not_started = |_| std::io::Error::other("the stand-ins did not start");
-    let addresses = rx.recv().map_err(not_started)?;
-    let mut cluster = start_cluster(binary, &world, node_count, &addresses)?;
+    let (stand_ins, addresses) = StandIns::start(&world, node_count, worker_count)?;
+    let limits = VmLimits::default();
+    let mut cluster = start_cluster(binary, &world, node_count, limits, &addresses)?;
     let stop_callers = Arc::new(AtomicBool::new(false));
     let callers = caller::start(&cluster, seed, optional_faults, &stop_callers);
     let stop_restarts = Arc::new(AtomicBool::new(false));
@@ -269,11 +297,10 @@
     let nodes = cluster.replaced_nodes.iter().chain(&cluster.nodes);
     let logs = nodes.flat_map(NodeProcess::last_log_lines).collect();
     drop(cluster);
-    stop.send_replace(true);
-    let server_result = platform.join();
+    let server_result = stand_ins.close();
     let mut world = lock(&world);
-    if !matches!(server_result, Ok(Ok(()))) {
-        world.breaches.push(format!("the stand-ins ended with {server_result:?}"));
+    if let Err(e) = server_result {
+        world.breaches.push(format!("the stand-ins ended with {e}"));
     }
     faults.extend(world.describe_owners());
     faults.extend(world.crashes.iter().map(|crash| {
@@ -295,7 +322,8 @@
 impl SoakCluster {
     /// Starts the next process of a VM beside the one that is stopping there, with other ports.
     pub(crate) fn start_beside(&mut self, index: usize) -> Result<(), std::io::Error> {
-        let next = NodeProcess::start(&self.binary, index, self.store_links[index][0].address())?;
+        let store = self.store_links[index][0].address();
+        let next = NodeProcess::start(&self.binary, index, store, self.vm_limits)?;
         self.replaced_nodes.push(std::mem::replace(&mut self.nodes[index], next));
         Ok(())
     }
@@ -305,6 +333,7 @@
     binary: &Path,
     world: &SharedWorld,
     node_count: usize,
+    vm_limits: VmLimits,
     addresses: &[SocketAddr],
 ) -> Result<SoakCluster, std::io::Error> {
     let by_node: Vec<&[SocketAddr]> = addresses.chunks(addresses.len() / node_count).collect();
@@ -327,10 +356,11 @@
     let nodes = store_links
         .iter()
         .enumerate()
-        .map(|(index, link)| NodeProcess::start(binary, index, link.address()))
+        .map(|(index, link)| NodeProcess::start(binary, index, link.address(), vm_limits))
         .collect::<Result<Vec<_>, _>>()?;
     Ok(SoakCluster {
         binary: binary.to_owned(),
+        vm_limits,
         world: Arc::clone(world),
         nodes,
         replaced_nodes: Vec::new(),
--- a/crates/plantainlever-test-support/src/soak/node.rs
+++ b/crates/plantainlever-test-support/src/soak/node.rs
@@ -11,12 +11,30 @@
 /// Maximum number of log lines kept per process.
 const MAX_LOG_LINES: usize = 4_000;
 
+/// Resources of the VM, as the settings file gives them to a process.
+#[derive(Clone, Copy, Debug)]
+pub struct VmLimits {
+    /// Memory in MB.
+    pub memory_mb: usize,
+    /// Limit on open file descriptors.
+    pub max_fds: usize,
+}
+
+/// Those of the VMs in the platform's own example of a settings file.
+impl Default for VmLimits {
+    fn default() -> Self {
+        Self { memory_mb: 260, max_fds: 4_100 }
+    }
+}
+
 /// A node process. Dropping it kills the process.
 #[derive(Debug)]
 pub struct NodeProcess {
     binary: PathBuf,
     folder: TempFolder,
     front: SocketAddr,
+    readiness: SocketAddr,
+    metrics: SocketAddr,
     child: Child,
     log_lines: Arc<Mutex<Vec<String>>>,
 }
@@ -27,20 +45,25 @@
     /// # Errors
     ///
     /// If no port is free, the settings file cannot be written, or the process cannot be started.
-    pub fn start(binary: &Path, index: usize, store: SocketAddr) -> Result<Self, std::io::Error> {
+    pub fn start(
+        binary: &Path,
+        index: usize,
+        store: SocketAddr,
+        limits: VmLimits,
+    ) -> Result<Self, std::io::Error> {
         let folder = TempFolder::new()?;
-        let (front, readiness) = (free_port()?, free_port()?);
+        let (front, readiness, metrics) = (free_port()?, free_port()?, free_port()?);
         let settings = serde_json::json!({
             "node-name": format!("vm-{index}"), "zone": format!("domain-{}", index % 3),
             "listen": { "front": front, "readiness": readiness },
-            "limits": { "cpu-share": 0.25, "max-fds": 4_100 },
+            "limits": { "cpu-share": 0.25, "memory-mb": limits.memory_mb, "max-fds": limits.max_fds },
             "bounds": { "grace-s": 6, "hold-max-ms": 6_000, "status-s": 600, "pace-ms": 100 },
             "platform": { "address": store },
         });
         std::fs::write(folder.path().join("node.json"), settings.to_string())?;
         let log_lines = Arc::default();
-        let child = spawn(binary, &folder, &log_lines)?;
-        Ok(Self { binary: binary.to_owned(), folder, front, child, log_lines })
+        let child = spawn(binary, &folder, metrics, &log_lines)?;
+        Ok(Self { binary: binary.to_owned(), folder, front, readiness, metrics, child, log_lines })
     }
 
     /// Address on which it serves callers, kept over restarts.
@@ -49,9 +72,32 @@
         self.front
     }
 
+    /// Address of the readiness check, kept over restarts.
+    #[must_use]
+    pub fn readiness(&self) -> SocketAddr {
+        self.readiness
+    }
+
+    /// Address of the metrics, kept over restarts.
+    #[must_use]
+    pub fn metrics(&self) -> SocketAddr {
+        self.metrics
+    }
+
+    /// Process ID in the operating system.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns true until the process has exited.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Sends a signal, given as an option of `kill` such as `-TERM`. Does nothing if the process has exited.
     pub fn signal(&mut self, signal: &str) {
-        if matches!(self.child.try_wait(), Ok(None)) {
+        if self.is_running() {
             let pid = self.child.id().to_string();
             // The child has not been reaped, so its process ID cannot have been reused.
             let _ = Command::new("kill").args([signal, &pid]).status();
@@ -64,10 +110,10 @@
     ///
     /// If the process cannot be started.
     pub fn restart(&mut self) -> Result<bool, std::io::Error> {
-        if matches!(self.child.try_wait(), Ok(None)) {
+        if self.is_running() {
             return Ok(false);
         }
-        self.child = spawn(&self.binary, &self.folder, &self.log_lines)?;
+        self.child = spawn(&self.binary, &self.folder, self.metrics, &self.log_lines)?;
         Ok(true)
     }
 
@@ -81,12 +127,14 @@
 fn spawn(
     binary: &Path,
     folder: &TempFolder,
+    metrics: SocketAddr,
     log_lines: &Arc<Mutex<Vec<String>>>,
 ) -> Result<Child, std::io::Error> {
     let mut child = Command::new(binary)
         .arg("node")
         .arg("--settings")
         .arg(folder.path().join("node.json"))
+        .args(["--metrics", &metrics.port().to_string()])
         .stdin(Stdio::null())
         .stdout(Stdio::piped())
         .stderr(Stdio::null())
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod adapter;
 mod cli;
+mod crowds;
 mod jobs;
 mod local;
 mod net;
--- a/tests/testsuite/operator_config/silent_connections.rs
+++ b/tests/testsuite/operator_config/silent_connections.rs
@@ -7,7 +7,7 @@
 use plantainlever::adapter::PlatformAdapter;
 use plantainlever::port::{RowStore, StoreError};
 use plantainlever_test_support::link::Link;
-use plantainlever_test_support::soak::NodeProcess;
+use plantainlever_test_support::soak::{NodeProcess, VmLimits};
 use plantainlever_test_support::wait::{BOUND, until};
 
 use super::{APPLY_TIME, HOST, STABLE_WINDOW, Store, block_on};
@@ -47,7 +47,7 @@
     let mut prefixes = vec!["/first/".to_owned()];
     store.publish(1, &prefixes);
     let binary = Path::new(env!("CARGO_BIN_EXE_plantainlever"));
-    let node = NodeProcess::start(binary, 0, link.address()).unwrap();
+    let node = NodeProcess::start(binary, 0, link.address(), VmLimits::default()).unwrap();
     until("the first route", BOUND, || match count_status(node.front(), "/first/") {
         Some(200) => Ok(()),
         status => Err(format!("{status:?}")),
