Bound the memory of all requests of a process together

Callers that sent many legal bodies at once, most of them just short of their end, ended the process: it ran out of memory. Complete bodies did the same while the store did not answer.

Cause: the limits were those of a single request.

Each request now claims its memory before its body is read, and is refused at once with 503 and Retry-After if it gets none; no handler sees it, so it never runs. A part of the memory is left to small requests. Bodies that have not received 1 KiB in a second are dropped in favour of others, the longest stalled first. The claim is part of the bytes of the body and of the answer, so it ends with the last of them. The decoded job and the body are dropped before the store is called.

--- a/crates/plantainlever-test-support/src/soak/serve.rs
+++ b/crates/plantainlever-test-support/src/soak/serve.rs
@@ -1,12 +1,15 @@
 //! Serves the stand-ins of the store and the workers over HTTP, on a single-threaded event loop.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
+use plantainlever::net::budget::{BudgetLimits, RequestBudget};
 use plantainlever::net::server::{self, Received, Reply, ServerLimits};
+use plantainlever::telemetry::Metrics;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -42,12 +45,14 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let mut bound = Vec::new();
+        let memory = BudgetLimits { bytes: REQUEST_MEMORY_BYTES, copies: 1 };
+        let budget = RequestBudget::new(memory, Metrics::disabled());
         for (node, index) in (0..nodes).flat_map(|node| (0..=workers).map(move |i| (node, i))) {
             let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
             bound.push(listener.local_addr()?);
-            let (world, stop) = (Arc::clone(world), stop.clone());
+            let (world, stop, budget) = (Arc::clone(world), stop.clone(), Rc::clone(&budget));
             let answer = move |req| answer(Arc::clone(&world), node, index.checked_sub(1), req);
-            tokio::task::spawn_local(server::serve(listener, limits(), stop, answer));
+            tokio::task::spawn_local(server::serve(listener, limits(), budget, stop, answer));
         }
         if addresses.send(bound).is_err() {
             return Ok(());
@@ -59,6 +64,9 @@
     })
 }
 
+/// Memory for the requests of all processes under test together; more than they send.
+const REQUEST_MEMORY_BYTES: usize = 1 << 30;
+
 fn limits() -> ServerLimits {
     ServerLimits {
         header_bytes: 16 << 10,
--- a/src/config.rs
+++ b/src/config.rs
@@ -163,6 +163,9 @@
     drain_ms = 60_000, drain;
 }
 
+/// Times that a request's body is in memory while it is handled: as received, and as encoded for a peer.
+pub const REQUEST_BODY_COPIES: usize = 2;
+
 /// Limits on numbers and sizes.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -173,6 +176,8 @@
     pub connections_per_executor: u32,
     /// Largest request body in bytes.
     pub max_body_bytes: usize,
+    /// Memory in MB for the requests in progress together.
+    pub request_memory_mb: usize,
     /// Largest response body in bytes.
     pub max_answer_bytes: usize,
     /// Requests that wait for a slot, per class.
@@ -191,6 +196,7 @@
             slots_per_executor: 8,
             connections_per_executor: 64,
             max_body_bytes: 1 << 20,
+            request_memory_mb: 96,
             max_answer_bytes: 16 << 20,
             queue_length: 1024,
             front_threads: 256,
--- a/src/config/field.rs
+++ b/src/config/field.rs
@@ -98,6 +98,7 @@
     optional("limits.slots_per_executor", Kind::Number(1, 4_096, "requests")),
     optional("limits.connections_per_executor", Kind::Number(1, 65_536, "connections")),
     optional("limits.max_body_bytes", Kind::Number(1, 16 << 20, "bytes")),
+    optional("limits.request_memory_mb", Kind::Number(1, 65_536, "MB")),
     optional("limits.max_answer_bytes", Kind::Number(1, 24 << 20, "bytes")),
     optional("limits.queue_length", Kind::Number(1, 1 << 20, "requests")),
     optional("limits.front_threads", Kind::Number(1, 4_096, "threads")),
--- a/src/config/rules.rs
+++ b/src/config/rules.rs
@@ -5,7 +5,8 @@
 use super::check::{Checked, Findings};
 use super::field::MAX_REACTION_MS;
 use super::problem::ProblemKind;
-use super::{Limits, Timing};
+use super::{Limits, REQUEST_BODY_COPIES, Timing};
+use crate::net::budget::BudgetLimits;
 
 /// Relation that must hold between two numbers.
 #[derive(Clone, Copy, Debug)]
@@ -100,6 +101,7 @@
     }
     check_reaction_time(findings, "timing.vm_poll_ms");
     check_reaction_time(findings, "timing.health_poll_ms");
+    check_request_memory(findings);
     check_domains(findings);
     check_addresses(findings);
 }
@@ -148,6 +150,28 @@
     findings.report(line, path, kind);
 }
 
+/// Checks that the memory for requests holds two with the largest legal body.
+fn check_request_memory(findings: &mut Findings) {
+    let (path, body_path) = ("limits.request_memory_mb", "limits.max_body_bytes");
+    let (Some(memory_mb), Some(body)) = (number(findings, path), number(findings, body_path))
+    else {
+        return;
+    };
+    let body = usize::try_from(body).unwrap_or(usize::MAX);
+    let needed = BudgetLimits::smallest(body, REQUEST_BODY_COPIES).div_ceil(1 << 20) as u64;
+    if memory_mb >= needed {
+        return;
+    }
+    let in_file = [path, body_path].iter().find_map(|path| findings.value(path));
+    let line = in_file.map_or(1, |(line, _)| line);
+    let kind = ProblemKind::Contradiction {
+        found: memory_mb.to_string(),
+        allowed: format!("at least {needed} with {body_path} ({body})"),
+        reason: "a single request of the largest legal size would be refused",
+    };
+    findings.report(line, path, kind);
+}
+
 fn check_domains(findings: &mut Findings) {
     let Some((_, Checked::Names(domains))) = findings.value("domains") else { return };
     let domains = domains.clone();
--- a/src/net.rs
+++ b/src/net.rs
@@ -4,6 +4,7 @@
 //! costs two wake-ups, so these clients and servers share the thread of one current-thread runtime. `hyper` does the
 //! parsing.
 
+pub mod budget;
 pub mod client;
 pub mod default_header;
 pub mod server;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,13 +1,15 @@
-//! HTTP server with bounds on connections, and on the size and arrival time of headers and bodies.
+//! HTTP server with bounds on connections, on the size and arrival time of headers and bodies, and on the memory of all
+//! requests together.
 
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
@@ -17,6 +19,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use super::budget::{NoMemory, PartialBody, RequestBudget, RequestShare, SharedBuf};
 use super::default_header::{DefaultHeader, DefaultHeaderStream};
 use crate::telemetry::event::request as event;
 
@@ -46,8 +49,19 @@
     TooSlow,
     /// The body is incomplete or malformed.
     Broken,
+    /// The memory for requests is claimed by others. No handler gets this error.
+    NoMemory,
 }
 
+impl From<NoMemory> for BodyError {
+    fn from(_: NoMemory) -> Self {
+        Self::NoMemory
+    }
+}
+
+/// Time after which a caller may retry a request that was refused for want of memory.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 impl BodyError {
     /// An answer with the matching status and an error message.
     #[must_use]
@@ -56,9 +70,15 @@
             Self::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is larger than the limit"),
             Self::TooSlow => (StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time"),
             Self::Broken => (StatusCode::BAD_REQUEST, "the body ended early"),
+            Self::NoMemory => {
+                (StatusCode::SERVICE_UNAVAILABLE, "too many requests are in progress; not accepted")
+            }
         };
-        let body = serde_json::json!({ "error": message });
-        Reply::json(status, body.to_string().into_bytes())
+        let body = serde_json::json!({ "error": message }).to_string().into_bytes();
+        match self {
+            Self::NoMemory => Reply::retry_later(status, NO_MEMORY_RETRY_AFTER, body),
+            _ => Reply::json(status, body),
+        }
     }
 }
 
@@ -71,7 +91,7 @@
     pub uri: Uri,
     /// All headers of the request.
     pub headers: HeaderMap,
-    /// The whole body, or why it could not be read.
+    /// The whole body, or why it could not be read. Clones of it keep the request's share of the memory.
     pub body: Result<Bytes, BodyError>,
 }
 
@@ -118,6 +138,7 @@
 pub async fn serve<H, F>(
     listener: TcpListener,
     limits: ServerLimits,
+    budget: Rc<RequestBudget>,
     stop: StopReceiver,
     handler: H,
 ) where
@@ -149,9 +170,10 @@
         }
         open.set(open.get() + 1);
         let (open, handler, stop) = (Rc::clone(&open), handler.clone(), stop.clone());
+        let budget = Rc::clone(&budget);
         tokio::task::spawn_local(async move {
             let io = TokioIo::new(DefaultHeaderStream::new(stream, limits.default_header));
-            serve_connection(io, peer, limits, stop, handler).await;
+            serve_connection(io, peer, limits, budget, stop, handler).await;
             open.set(open.get() - 1);
         });
     }
@@ -176,13 +198,15 @@
     io: TokioIo<DefaultHeaderStream<tokio::net::TcpStream>>,
     peer: SocketAddr,
     limits: ServerLimits,
+    budget: Rc<RequestBudget>,
     mut stop: StopReceiver,
     handler: H,
 ) where
     H: Fn(Received) -> F + Clone + 'static,
     F: Future<Output = Reply> + 'static,
 {
-    let service = service_fn(move |req| handle_request(req, limits, handler.clone()));
+    let service =
+        service_fn(move |req| handle_request(req, limits, Rc::clone(&budget), handler.clone()));
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_time)
@@ -208,6 +232,7 @@
 async fn handle_request<H, F>(
     req: Request<Incoming>,
     limits: ServerLimits,
+    budget: Rc<RequestBudget>,
     handler: H,
 ) -> Result<Response<Full<Bytes>>, Infallible>
 where
@@ -215,22 +240,30 @@
     F: Future<Output = Reply>,
 {
     let (head, body) = req.into_parts();
-    let body = read_body(&head.headers, body, limits).await;
+    let (body, share) = match read_body(&head.headers, body, limits, &budget).await {
+        Ok((body, share)) => (Ok(body), Some(share)),
+        Err(BodyError::NoMemory) => return Ok(response(BodyError::NoMemory.reply(), None)),
+        Err(e) => (Err(e), None),
+    };
     let received = Received { method: head.method, uri: head.uri, headers: head.headers, body };
-    Ok(response(handler(received).await))
+    Ok(response(handler(received).await, share))
 }
 
 async fn read_body(
     headers: &HeaderMap,
     body: Incoming,
     limits: ServerLimits,
-) -> Result<Bytes, BodyError> {
+    budget: &Rc<RequestBudget>,
+) -> Result<(Bytes, Arc<RequestShare>), BodyError> {
     let announced = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
     if announced.is_some_and(|length: u64| length > (limits.body_bytes + MAX_DISCARD_BYTES) as u64)
     {
         return Err(BodyError::TooLarge);
     }
-    let whole = collect(body, limits.body_bytes);
+    let announced = announced.and_then(|length| usize::try_from(length).ok());
+    let kept = announced.filter(|length| *length <= limits.body_bytes);
+    let partial = budget.start_body(kept)?;
+    let whole = collect(body, partial, limits.body_bytes);
     tokio::time::timeout(limits.body_time, whole).await.unwrap_or(Err(BodyError::TooSlow))
 }
 
@@ -238,10 +271,19 @@
 /// closes may not see the answer.
 const MAX_DISCARD_BYTES: usize = 16 << 20;
 
-async fn collect(mut body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
-    let mut buf = BytesMut::new();
+async fn collect(
+    mut body: Incoming,
+    mut partial: PartialBody,
+    max_bytes: usize,
+) -> Result<(Bytes, Arc<RequestShare>), BodyError> {
     let mut length = 0;
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = partial.dropped() => return Err(BodyError::NoMemory),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else { break };
         let frame = frame.map_err(|_| BodyError::Broken)?;
         let Ok(data) = frame.into_data() else { continue };
         length += data.len();
@@ -249,14 +291,19 @@
             return Err(BodyError::TooLarge);
         }
         if length <= max_bytes {
-            buf.extend_from_slice(&data);
+            partial.append(&data)?;
         }
     }
-    if length > max_bytes { Err(BodyError::TooLarge) } else { Ok(buf.freeze()) }
+    if length > max_bytes { Err(BodyError::TooLarge) } else { Ok(partial.finish()?) }
 }
 
-fn response(reply: Reply) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(reply.body)));
+/// The body of the answer keeps the share of its request until it is written.
+fn response(reply: Reply, share: Option<Arc<RequestShare>>) -> Response<Full<Bytes>> {
+    let body = match share {
+        Some(share) => Bytes::from_owner(SharedBuf::new(reply.body, share)),
+        None => Bytes::from(reply.body),
+    };
+    let mut response = Response::new(Full::new(body));
     *response.status_mut() = reply.status;
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/src/ops/front.rs
+++ b/src/ops/front.rs
@@ -75,11 +75,7 @@
         keys: IdempotencyKeys,
         api: ApiRoutes,
     ) -> Result<Self, FrontError> {
-        let server = Arc::new(HttpServer::start(
-            cx.cfg.listen,
-            cx.cfg.timing.read_timeout(),
-            cx.cfg.limits.max_body_bytes,
-        )?);
+        let server = Arc::new(HttpServer::start(&cx.cfg, cx.metrics.clone())?);
         let count = cx.cfg.limits.front_threads;
         let (tx, rx) = mpsc::sync_channel::<QueuedRequest>(count * QUEUED_REQUESTS_PER_THREAD);
         let rx = Arc::new(Mutex::new(rx));
--- a/src/ops/front/server.rs
+++ b/src/ops/front/server.rs
@@ -14,10 +14,13 @@
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
 
+use crate::config::{REQUEST_BODY_COPIES, Settings};
+use crate::net::budget::{BudgetLimits, RequestBudget};
 use crate::net::default_header::DefaultHeader;
 pub use crate::net::server::BodyError;
 use crate::net::server::{Received, Reply, ServerLimits, serve};
 use crate::request::{OUTCOME_HEADER, Outcome};
+use crate::telemetry::Metrics;
 
 use super::{FrontAnswer, FrontError, spawn};
 
@@ -51,12 +54,9 @@
 }
 
 impl HttpServer {
-    /// Listens on `address` and starts the server thread.
-    pub(super) fn start(
-        address: SocketAddr,
-        read_timeout: Duration,
-        body_bytes: usize,
-    ) -> Result<Self, FrontError> {
+    /// Listens on the configured address and starts the server thread.
+    pub(super) fn start(cfg: &Settings, metrics: Metrics) -> Result<Self, FrontError> {
+        let (address, read_timeout) = (cfg.listen, cfg.timing.read_timeout());
         let listen =
             |cause: std::io::Error| FrontError::Listen { address, cause: cause.to_string() };
         let listener = std::net::TcpListener::bind(address).map_err(listen)?;
@@ -67,7 +67,7 @@
         let limits = ServerLimits {
             header_bytes: MAX_HEADER_BYTES,
             header_time: read_timeout,
-            body_bytes,
+            body_bytes: cfg.limits.max_body_bytes,
             body_time: read_timeout * BODY_TIMEOUT_FACTOR,
             connections: MAX_CONNECTIONS,
             default_header: Some(DefaultHeader {
@@ -75,13 +75,17 @@
                 value: Outcome::NotRun.as_str(),
             }),
         };
+        let memory =
+            BudgetLimits { bytes: cfg.limits.request_memory_mb << 20, copies: REQUEST_BODY_COPIES };
         let (tx, rx) = mpsc::sync_channel(REQUEST_QUEUE_LENGTH);
         let (stop, stop_rx) = watch::channel(false);
         let thread = spawn("front-http".to_owned(), move || {
             tokio::task::LocalSet::new().block_on(&runtime, async move {
                 match TcpListener::from_std(listener) {
                     Ok(listener) => {
-                        serve(listener, limits, stop_rx, move |req| handle(req, tx.clone())).await;
+                        let budget = RequestBudget::new(memory, metrics);
+                        let handler = move |req| handle(req, tx.clone());
+                        serve(listener, limits, budget, stop_rx, handler).await;
                     }
                     Err(e) => log::error!("the front cannot listen: {e}"),
                 }
--- a/src/ops/jobs/accept.rs
+++ b/src/ops/jobs/accept.rs
@@ -73,10 +73,13 @@
             return Submission::Refused { retry_after: REFUSED_RETRY_AFTER };
         };
         let tasks = spec.tasks();
-        let stored =
-            StoredJob { queue: queue.to_owned(), accepted_unix_ms: self.clock.unix_ms(), spec };
         let row = layout::job_row(shard, id);
-        let description = serde_json::to_vec(&stored).unwrap_or_default();
+        // The decoded form is dropped before the store is called, which may take long.
+        let description = {
+            let accepted_unix_ms = self.clock.unix_ms();
+            let stored = StoredJob { queue: queue.to_owned(), accepted_unix_ms, spec };
+            serde_json::to_vec(&stored).unwrap_or_default()
+        };
         let (bytes, limit) = (description.len(), self.cfg.max_row_bytes);
         if bytes > limit {
             self.metrics.count("job.refused", 1);
--- a/src/telemetry/event/request.rs
+++ b/src/telemetry/event/request.rs
@@ -16,5 +16,10 @@
 /// The row of an idempotency key was not updated.
 pub const KEY_ROW_SKIPPED: Event = Event::new(304, Level::Warn, "key-row-skipped");
 
+/// Requests were refused, or their bodies dropped, because the memory for requests is claimed. Logged at most once a
+/// second.
+pub const REQUESTS_REFUSED: Event = Event::new(305, Level::Warn, "requests-refused");
+
 /// All events of this module.
-pub const ALL: &[Event] = &[LATE_ANSWER, FRONT_FULL, ACCEPT_FAILED, KEY_ROW_SKIPPED];
+pub const ALL: &[Event] =
+    &[LATE_ANSWER, FRONT_FULL, ACCEPT_FAILED, KEY_ROW_SKIPPED, REQUESTS_REFUSED];
--- a/tests/testsuite/net.rs
+++ b/tests/testsuite/net.rs
@@ -2,12 +2,15 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
+use plantainlever::net::budget::{BudgetLimits, RequestBudget};
 use plantainlever::net::client::{Call, CallError, Client, OnSilence};
 use plantainlever::net::default_header::DefaultHeader;
 use plantainlever::net::server::{Received, Reply, ServerLimits, serve};
+use plantainlever::telemetry::Metrics;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 
@@ -33,7 +36,7 @@
             tx.send(listener.local_addr().unwrap()).unwrap();
             let mut stop = closing.clone();
             tokio::select! {
-                () = serve(listener, LIMITS, closing, echo) => {}
+                () = serve(listener, LIMITS, budget(), closing, echo) => {}
                 _ = stop.wait_for(|is_closing| *is_closing) => {}
             }
         });
@@ -43,6 +46,10 @@
     server.join().unwrap();
 }
 
+fn budget() -> Rc<RequestBudget> {
+    RequestBudget::new(BudgetLimits { bytes: 1 << 20, copies: 1 }, Metrics::disabled())
+}
+
 fn block_on<T>(future: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, future)
@@ -294,7 +301,7 @@
                     echo(req).await
                 }
             };
-            serve(listener, LIMITS, closing, answer).await;
+            serve(listener, LIMITS, budget(), closing, answer).await;
         });
     });
     let address = rx.recv_timeout(TEST_TIMEOUT).unwrap();
