Let new connections take the places of those that wait longest

Beside a few thousand connections that sent nothing, or headers that never ended, ordinary callers got no answer: each silent connection kept its place for 15 s, and each new one was closed.

At the limit the connection that has waited longest for its caller is closed now: for a request, the rest of a header or body, or an answer to be read. Connections whose requests are being handled are not closed; if they take all places, a new one is answered with 503. `entry` has the setting limits.connections with the default 1024; it had 4096 places before, each without a price.

P0306 is new, at most once a second; it replaces a line for each closed connection.

--- a/src/config.rs
+++ b/src/config.rs
@@ -174,6 +174,8 @@
     pub slots_per_executor: u32,
     /// Largest number of connections that an executor accepts from all entry processes together.
     pub connections_per_executor: u32,
+    /// Open connections of callers.
+    pub connections: usize,
     /// Largest request body in bytes.
     pub max_body_bytes: usize,
     /// Memory in MB for the requests in progress together.
@@ -195,6 +197,7 @@
         Self {
             slots_per_executor: 8,
             connections_per_executor: 64,
+            connections: 1_024,
             max_body_bytes: 1 << 20,
             request_memory_mb: 96,
             max_answer_bytes: 16 << 20,
--- a/src/config/field.rs
+++ b/src/config/field.rs
@@ -97,6 +97,7 @@
     ms("timing.drain_ms", 1, HOUR_MS),
     optional("limits.slots_per_executor", Kind::Number(1, 4_096, "requests")),
     optional("limits.connections_per_executor", Kind::Number(1, 65_536, "connections")),
+    optional("limits.connections", Kind::Number(16, 65_536, "connections")),
     optional("limits.max_body_bytes", Kind::Number(1, 16 << 20, "bytes")),
     optional("limits.request_memory_mb", Kind::Number(1, 65_536, "MB")),
     optional("limits.max_answer_bytes", Kind::Number(1, 24 << 20, "bytes")),
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -116,6 +116,12 @@
         })
     }
 
+    /// Sink of the metrics of the listeners.
+    #[must_use]
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Bytes that are claimed.
     #[must_use]
     pub fn claimed(&self) -> usize {
@@ -217,14 +223,15 @@
 }
 
 impl PartialBody {
-    /// Adds the next bytes.
+    /// Adds the next bytes. Returns true if so many have arrived that the body counts as making progress.
     ///
     /// # Errors
     ///
     /// [`NoMemory`] if the body was dropped in favour of another request, or must grow and there is no memory for it.
-    pub fn append(&mut self, data: &[u8]) -> Result<(), NoMemory> {
+    pub fn append(&mut self, data: &[u8]) -> Result<bool, NoMemory> {
         self.received += data.len();
-        if self.received - self.progress >= PROGRESS_BYTES {
+        let has_progress = self.received - self.progress >= PROGRESS_BYTES;
+        if has_progress {
             self.progress = self.received;
             self.renew_key();
         }
@@ -239,7 +246,7 @@
         }
         content.buf.extend_from_slice(data);
         self.partial.content.replace(Some(content));
-        Ok(())
+        Ok(has_progress)
     }
 
     /// Waits until the body is dropped in favour of another request.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,9 +1,11 @@
 //! HTTP server with bounds on connections, on the size and arrival time of headers and bodies, and on the memory of all
 //! requests together.
 
-use std::cell::Cell;
+mod connections;
+
 use std::convert::Infallible;
 use std::future::Future;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,13 +18,15 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use super::budget::{NoMemory, PartialBody, RequestBudget, RequestShare, SharedBuf};
 use super::default_header::{DefaultHeader, DefaultHeaderStream};
 use crate::telemetry::event::request as event;
 
+use connections::{Connection, Connections};
+
 /// Limits that protect a server from too many, too large and too slow requests.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -34,7 +38,8 @@
     pub body_bytes: usize,
     /// Longest time for a body to arrive.
     pub body_time: Duration,
-    /// Most connections that are open at the same time. Further ones are closed at once.
+    /// Most connections that are open at the same time. A further one takes the place of the one that has waited longest
+    /// for its caller, or is refused if handlers work for all of them.
     pub connections: usize,
     /// Header that is added to answers that `hyper` writes itself; `None` to add none.
     pub default_header: Option<DefaultHeader>,
@@ -145,7 +150,7 @@
     H: Fn(Received) -> F + Clone + 'static,
     F: Future<Output = Reply> + 'static,
 {
-    let open = Rc::new(Cell::new(0_usize));
+    let connections = Connections::new(limits.connections, budget.metrics().clone());
     let mut stopped = stop.clone();
     loop {
         let accepted = tokio::select! {
@@ -161,30 +166,31 @@
                 continue;
             }
         };
-        if open.get() >= limits.connections {
-            log::warn!("connection of {peer} closed: {} are open", open.get());
+        let Some(connection) = connections.admit().await else {
+            refuse(stream, limits.default_header);
             continue;
-        }
+        };
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("connection of {peer} stays without TCP_NODELAY: {e}");
         }
-        open.set(open.get() + 1);
-        let (open, handler, stop) = (Rc::clone(&open), handler.clone(), stop.clone());
-        let budget = Rc::clone(&budget);
+        let (handler, stop, budget) = (handler.clone(), stop.clone(), Rc::clone(&budget));
         tokio::task::spawn_local(async move {
             let io = TokioIo::new(DefaultHeaderStream::new(stream, limits.default_header));
-            serve_connection(io, peer, limits, budget, stop, handler).await;
-            open.set(open.get() - 1);
+            serve_connection(io, peer, Rc::new(connection), limits, budget, stop, handler).await;
         });
     }
     drop(listener);
     let mut left = DRAIN_TIMEOUT;
-    while open.get() > 0 && !left.is_zero() {
+    while connections.open() > 0 && !left.is_zero() {
         tokio::time::sleep(DRAIN_POLL_PERIOD).await;
         left = left.saturating_sub(DRAIN_POLL_PERIOD);
     }
 }
 
+/// Memory of a connection besides its request, at most, in bytes: `hyper`'s buffers and state, and what the kernel keeps
+/// of bytes that are not read yet.
+pub const CONNECTION_BYTES: usize = 64 << 10;
+
 /// Longest time for requests in flight after a stop.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -194,9 +200,22 @@
 /// Pause after a failed accept, so that the loop does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Answers a connection for which there is no place, and closes it.
+fn refuse(stream: TcpStream, default_header: Option<DefaultHeader>) {
+    let default_header = default_header.map(|it| format!("{}: {}\r\n", it.name, it.value));
+    let answer = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nRetry-After: {}\r\n{}Connection: close\r\nContent-Length: 0\r\n\r\n",
+        NO_MEMORY_RETRY_AFTER.as_secs(),
+        default_header.unwrap_or_default()
+    );
+    // Best effort: the caller also learns from the end of the connection that nothing was accepted.
+    let _ = stream.into_std().and_then(|stream| (&stream).write(answer.as_bytes()));
+}
+
 async fn serve_connection<H, F>(
-    io: TokioIo<DefaultHeaderStream<tokio::net::TcpStream>>,
+    io: TokioIo<DefaultHeaderStream<TcpStream>>,
     peer: SocketAddr,
+    place: Rc<Connection>,
     limits: ServerLimits,
     budget: Rc<RequestBudget>,
     mut stop: StopReceiver,
@@ -205,8 +224,10 @@
     H: Fn(Received) -> F + Clone + 'static,
     F: Future<Output = Reply> + 'static,
 {
-    let service =
-        service_fn(move |req| handle_request(req, limits, Rc::clone(&budget), handler.clone()));
+    let of_request = Rc::clone(&place);
+    let service = service_fn(move |req| {
+        handle_request(req, Rc::clone(&of_request), limits, Rc::clone(&budget), handler.clone())
+    });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_time)
@@ -214,11 +235,18 @@
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(io, service);
     tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = &mut connection => ended,
-        _ = stop.wait_for(|is_stopping| *is_stopping) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let mut is_stopping = false;
+    let ended = loop {
+        tokio::select! {
+            ended = &mut connection => break ended,
+            () = place.closed() => {
+                log::debug!("connection of {peer} closed in favour of another");
+                return;
+            }
+            _ = stop.wait_for(|is_stopping| *is_stopping), if !is_stopping => {
+                is_stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
         }
     };
     if let Err(e) = ended {
@@ -231,6 +259,7 @@
 
 async fn handle_request<H, F>(
     req: Request<Incoming>,
+    place: Rc<Connection>,
     limits: ServerLimits,
     budget: Rc<RequestBudget>,
     handler: H,
@@ -240,18 +269,22 @@
     F: Future<Output = Reply>,
 {
     let (head, body) = req.into_parts();
-    let (body, share) = match read_body(&head.headers, body, limits, &budget).await {
+    let (body, share) = match read_body(&head.headers, body, &place, limits, &budget).await {
         Ok((body, share)) => (Ok(body), Some(share)),
         Err(BodyError::NoMemory) => return Ok(response(BodyError::NoMemory.reply(), None)),
         Err(e) => (Err(e), None),
     };
     let received = Received { method: head.method, uri: head.uri, headers: head.headers, body };
-    Ok(response(handler(received).await, share))
+    place.begin_handling();
+    let reply = handler(received).await;
+    place.wait();
+    Ok(response(reply, share))
 }
 
 async fn read_body(
     headers: &HeaderMap,
     body: Incoming,
+    place: &Connection,
     limits: ServerLimits,
     budget: &Rc<RequestBudget>,
 ) -> Result<(Bytes, Arc<RequestShare>), BodyError> {
@@ -263,7 +296,7 @@
     let announced = announced.and_then(|length| usize::try_from(length).ok());
     let kept = announced.filter(|length| *length <= limits.body_bytes);
     let partial = budget.start_body(kept)?;
-    let whole = collect(body, partial, limits.body_bytes);
+    let whole = collect(body, partial, place, limits.body_bytes);
     tokio::time::timeout(limits.body_time, whole).await.unwrap_or(Err(BodyError::TooSlow))
 }
 
@@ -274,6 +307,7 @@
 async fn collect(
     mut body: Incoming,
     mut partial: PartialBody,
+    place: &Connection,
     max_bytes: usize,
 ) -> Result<(Bytes, Arc<RequestShare>), BodyError> {
     let mut length = 0;
@@ -291,7 +325,10 @@
             return Err(BodyError::TooLarge);
         }
         if length <= max_bytes {
-            partial.append(&data)?;
+            let has_progress = partial.append(&data)?;
+            if has_progress {
+                place.wait();
+            }
         }
     }
     if length > max_bytes { Err(BodyError::TooLarge) } else { Ok(partial.finish()?) }
--- a/src/ops/front/server.rs
+++ b/src/ops/front/server.rs
@@ -33,9 +33,6 @@
 /// Largest header of a request; callers send a few hundred bytes.
 const MAX_HEADER_BYTES: usize = 16 << 10;
 
-/// Most open connections, well below the usual limit of file descriptors.
-const MAX_CONNECTIONS: usize = 4_096;
-
 /// Length of the queue between the event loop and the accepting thread.
 const REQUEST_QUEUE_LENGTH: usize = 64;
 
@@ -69,7 +66,7 @@
             header_time: read_timeout,
             body_bytes: cfg.limits.max_body_bytes,
             body_time: read_timeout * BODY_TIMEOUT_FACTOR,
-            connections: MAX_CONNECTIONS,
+            connections: cfg.limits.connections,
             default_header: Some(DefaultHeader {
                 name: OUTCOME_HEADER,
                 value: Outcome::NotRun.as_str(),
--- a/src/telemetry/event/request.rs
+++ b/src/telemetry/event/request.rs
@@ -19,7 +19,16 @@
 /// Requests were refused, or their bodies dropped, because the memory for requests is claimed. Logged at most once a
 /// second.
 pub const REQUESTS_REFUSED: Event = Event::new(305, Level::Warn, "requests-refused");
+/// All places for connections were taken: connections that waited for their callers were closed, or new ones refused.
+/// Logged at most once a second.
+pub const CONNECTIONS_CLOSED: Event = Event::new(306, Level::Warn, "connections-closed");
 
 /// All events of this module.
-pub const ALL: &[Event] =
-    &[LATE_ANSWER, FRONT_FULL, ACCEPT_FAILED, KEY_ROW_SKIPPED, REQUESTS_REFUSED];
+pub const ALL: &[Event] = &[
+    LATE_ANSWER,
+    FRONT_FULL,
+    ACCEPT_FAILED,
+    KEY_ROW_SKIPPED,
+    REQUESTS_REFUSED,
+    CONNECTIONS_CLOSED,
+];
