Refuse bodies over the limit at once

Up to 16 MiB beyond the limit were read and dropped on each connection, so 300 callers with bodies over the limit took 103 MB on a VM with 64 MB, and much of its processor time.

A connection that closes with unread bytes is reset, and the caller may lose the answer, so up to four refused bodies at a time are discarded while the answer is sent, up to 1 MiB more than the largest legal one (net::a_caller_that_still_writes_sees_its_refusal).

--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -38,6 +38,9 @@
 /// First allocation for a body whose length is not announced.
 const FIRST_CAPACITY: usize = 4 << 10;
 
+/// Refused bodies of which the rest is read at the same time.
+const DISCARDED_BODIES: usize = 4;
+
 /// Shortest time between two log lines about refused requests.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
@@ -69,6 +72,7 @@
     limits: BudgetLimits,
     small: Arc<Semaphore>,
     large: Arc<Semaphore>,
+    discarded: Arc<Semaphore>,
     /// Bodies that are being read, by the time of their last progress and a number. Invariant: each has its content.
     partial: RefCell<BTreeMap<(Instant, u64), Rc<Partial>>>,
     next_number: Cell<u64>,
@@ -107,6 +111,7 @@
             limits,
             small: semaphore(small),
             large: semaphore(limits.bytes - small),
+            discarded: Arc::new(Semaphore::new(DISCARDED_BODIES)),
             partial: RefCell::default(),
             next_number: Cell::new(0),
             metrics,
@@ -148,6 +153,11 @@
         Ok(PartialBody { budget: Rc::clone(self), key, partial, received: 0, progress: 0 })
     }
 
+    /// Permission to read the rest of a refused body. `None` while enough others are read.
+    pub(super) fn start_discarding(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.discarded).try_acquire_owned().ok()
+    }
+
     /// Claims the memory of a request with a body of `length` bytes.
     fn claim(&self, length: usize) -> Option<RequestShare> {
         let bytes = length.checked_mul(self.limits.copies)?.checked_add(REQUEST_BYTES)?;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -268,8 +268,12 @@
     H: Fn(Received) -> F,
     F: Future<Output = Reply>,
 {
-    let (head, body) = req.into_parts();
-    let (body, share) = match read_body(&head.headers, body, &place, limits, &budget).await {
+    let (head, mut body) = req.into_parts();
+    let read = read_body(&head.headers, &mut body, &place, limits, &budget).await;
+    if let Err(BodyError::TooLarge | BodyError::NoMemory) = read {
+        discard(body, limits, &budget);
+    }
+    let (body, share) = match read {
         Ok((body, share)) => (Ok(body), Some(share)),
         Err(BodyError::NoMemory) => return Ok(response(BodyError::NoMemory.reply(), None)),
         Err(e) => (Err(e), None),
@@ -283,29 +287,23 @@
 
 async fn read_body(
     headers: &HeaderMap,
-    body: Incoming,
+    body: &mut Incoming,
     place: &Connection,
     limits: ServerLimits,
     budget: &Rc<RequestBudget>,
 ) -> Result<(Bytes, Arc<RequestShare>), BodyError> {
     let announced = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
-    if announced.is_some_and(|length: u64| length > (limits.body_bytes + MAX_DISCARD_BYTES) as u64)
-    {
+    if announced.is_some_and(|length: u64| length > limits.body_bytes as u64) {
         return Err(BodyError::TooLarge);
     }
     let announced = announced.and_then(|length| usize::try_from(length).ok());
-    let kept = announced.filter(|length| *length <= limits.body_bytes);
-    let partial = budget.start_body(kept)?;
+    let partial = budget.start_body(announced)?;
     let whole = collect(body, partial, place, limits.body_bytes);
     tokio::time::timeout(limits.body_time, whole).await.unwrap_or(Err(BodyError::TooSlow))
 }
 
-/// Bytes beyond the limit that are read and discarded, because a caller that is still writing when the connection
-/// closes may not see the answer.
-const MAX_DISCARD_BYTES: usize = 16 << 20;
-
 async fn collect(
-    mut body: Incoming,
+    body: &mut Incoming,
     mut partial: PartialBody,
     place: &Connection,
     max_bytes: usize,
@@ -321,19 +319,51 @@
         let frame = frame.map_err(|_| BodyError::Broken)?;
         let Ok(data) = frame.into_data() else { continue };
         length += data.len();
-        if length > max_bytes + MAX_DISCARD_BYTES {
+        if length > max_bytes {
             return Err(BodyError::TooLarge);
         }
-        if length <= max_bytes {
-            let has_progress = partial.append(&data)?;
-            if has_progress {
-                place.wait();
-            }
+        let has_progress = partial.append(&data)?;
+        if has_progress {
+            place.wait();
         }
     }
-    if length > max_bytes { Err(BodyError::TooLarge) } else { Ok(partial.finish()?) }
+    Ok(partial.finish()?)
 }
 
+/// Reads and discards some of a refused body while the answer is sent. A connection that closes with unread bytes is
+/// reset, and a caller that is still writing may then lose the answer.
+fn discard(mut body: Incoming, limits: ServerLimits, budget: &RequestBudget) {
+    let Some(permit) = budget.start_discarding() else { return };
+    tokio::task::spawn_local(async move {
+        let _permit = permit;
+        let rest = async {
+            let (mut bytes, mut frames) = (0, 0);
+            let max_bytes = limits.body_bytes + DISCARD_MARGIN_BYTES;
+            while bytes < max_bytes && !is_fragmented(frames, bytes) {
+                let Some(Ok(frame)) = body.frame().await else { return };
+                bytes += frame.data_ref().map_or(0, Bytes::len);
+                frames += 1;
+            }
+        };
+        // At the time limit the connection closes, as it does at the others.
+        let _ = tokio::time::timeout(limits.body_time, rest).await;
+    });
+}
+
+/// Bytes of a refused body that are read, in addition to the size of the largest legal one.
+const DISCARD_MARGIN_BYTES: usize = 1 << 20;
+
+/// True if a body arrives in so small frames that they take much more processor time than its length warrants.
+fn is_fragmented(frames: usize, bytes: usize) -> bool {
+    frames > FREE_FRAMES + bytes / MIN_FRAME_BYTES
+}
+
+/// Frames of any length that every body may have.
+const FREE_FRAMES: usize = 64;
+
+/// Mean length of further frames, below which a body counts as fragmented.
+const MIN_FRAME_BYTES: usize = 256;
+
 /// The body of the answer keeps the share of its request until it is written.
 fn response(reply: Reply, share: Option<Arc<RequestShare>>) -> Response<Full<Bytes>> {
     let body = match share {
--- a/tests/testsuite/net.rs
+++ b/tests/testsuite/net.rs
@@ -123,6 +123,22 @@
     });
 }
 
+/// Guards against a caller that writes its whole body before it reads, and loses the refusal to a reset connection.
+#[test]
+fn a_caller_that_still_writes_sees_its_refusal() {
+    with_server(|address| {
+        let headers =
+            ["content-length: 600000\r\n\r\n", "transfer-encoding: chunked\r\n\r\n927c0\r\n"];
+        for header in headers {
+            let mut stream = connect(address);
+            let head = format!("POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n{header}");
+            stream.write_all(head.as_bytes()).unwrap();
+            stream.write_all(&[b'a'; 600_000]).unwrap();
+            assert!(read_until_closed(&mut stream).starts_with("HTTP/1.1 413"));
+        }
+    });
+}
+
 /// Guards against a header that exhausts the memory.
 #[test]
 fn a_header_over_the_limit_is_refused() {
