Bound what callers leave unread in the kernel

Callers that pipelined requests and read no answers held 495 MB in socket buffers of a VM with 64 MB: Linux lets the buffers of each connection grow to megabytes, and no time or number bounded the writes.

The buffers of callers' connections are set to 16 KiB in each direction, and at most 64 connections of a listener may wait for their callers to read; beyond that the one that has waited longest is closed. Answers are written without being copied behind their heads first.

--- a/src/net/default_header.rs
+++ b/src/net/default_header.rs
@@ -3,7 +3,7 @@
 //! `hyper` answers a malformed request line or header on its own, without a way to add to that answer. Callers rely on
 //! a header that every answer carries, so this stream adds it to a head that lacks it.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
@@ -96,6 +96,27 @@
         }
     }
 
+    /// The first buffer begins with the head, as `hyper` queues a body behind it.
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_pending(cx))?;
+        let head = bufs.first().map_or(&[][..], |buf| buf);
+        match self.default_header.and_then(|header| with_default_header(head, header)) {
+            Some(changed) => {
+                self.pending = changed;
+                Poll::Ready(Ok(head.len()))
+            }
+            None => Pin::new(&mut self.inner).poll_write_vectored(cx, bufs),
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.poll_pending(cx))?;
         Pin::new(&mut self.inner).poll_flush(cx)
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,6 +2,7 @@
 //! requests together.
 
 mod connections;
+mod stream;
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -18,7 +19,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 use super::budget::{NoMemory, PartialBody, RequestBudget, RequestShare, SharedBuf};
@@ -26,6 +27,7 @@
 use crate::telemetry::event::request as event;
 
 use connections::{Connection, Connections};
+use stream::CallerStream;
 
 /// Limits that protect a server from too many, too large and too slow requests.
 #[derive(Clone, Copy, Debug)]
@@ -138,6 +140,31 @@
 /// Turns true when a server has to stop.
 pub type StopReceiver = watch::Receiver<bool>;
 
+/// Listens on an address, with small buffers in the kernel: what callers send or leave unread there counts as memory of
+/// the machine. Must be called within a runtime.
+///
+/// # Errors
+///
+/// If the address cannot be bound.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    // Accepted sockets inherit both sizes.
+    for set in [TcpSocket::set_recv_buffer_size, TcpSocket::set_send_buffer_size] {
+        if let Err(e) = set(&socket, SOCKET_BUFFER_BYTES) {
+            log::debug!("the buffers of connections to {address} keep their size: {e}");
+        }
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Size of the kernel's buffers of a connection, in each direction. Linux reserves twice as much.
+const SOCKET_BUFFER_BYTES: u32 = 16 << 10;
+
+/// Connections that the kernel completes before they are accepted.
+const BACKLOG: u32 = 1_024;
+
 /// Accepts connections until `stop` is true. Then each connection closes after its current answer, and the function
 /// returns once all are closed or `DRAIN_TIMEOUT` has passed.
 pub async fn serve<H, F>(
@@ -175,8 +202,10 @@
         }
         let (handler, stop, budget) = (handler.clone(), stop.clone(), Rc::clone(&budget));
         tokio::task::spawn_local(async move {
-            let io = TokioIo::new(DefaultHeaderStream::new(stream, limits.default_header));
-            serve_connection(io, peer, Rc::new(connection), limits, budget, stop, handler).await;
+            let place = Rc::new(connection);
+            let stream = DefaultHeaderStream::new(stream, limits.default_header);
+            let io = TokioIo::new(CallerStream::new(stream, Rc::clone(&place)));
+            serve_connection(io, peer, place, limits, budget, stop, handler).await;
         });
     }
     drop(listener);
@@ -213,7 +242,7 @@
 }
 
 async fn serve_connection<H, F>(
-    io: TokioIo<DefaultHeaderStream<TcpStream>>,
+    io: TokioIo<CallerStream<DefaultHeaderStream<TcpStream>>>,
     peer: SocketAddr,
     place: Rc<Connection>,
     limits: ServerLimits,
--- a/src/net/server/connections.rs
+++ b/src/net/server/connections.rs
@@ -16,6 +16,9 @@
 use crate::telemetry::Metrics;
 use crate::telemetry::event::request as event;
 
+/// Most connections whose callers don't read an answer. What they leave unread occupies the kernel's buffers.
+const MAX_BLOCKED_WRITES: usize = 64;
+
 /// Shortest time between two log lines about closed connections.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
@@ -27,6 +30,8 @@
     next_number: Cell<u64>,
     /// Connections that no handler works for, by the time since which they wait and by number.
     waiting: RefCell<BTreeMap<(Instant, u64), Rc<Notify>>>,
+    /// Connections whose callers do not read what is sent, by the time since which they don't and by number.
+    blocked: RefCell<BTreeMap<(Instant, u64), Rc<Notify>>>,
     /// Notified when a connection has closed.
     has_closed: Notify,
     metrics: Metrics,
@@ -42,6 +47,8 @@
     number: u64,
     /// `None` while a handler works for it.
     waits_since: Cell<Option<Instant>>,
+    /// `None` while the caller reads what is sent.
+    blocked_since: Cell<Option<Instant>>,
     is_closed: Rc<Notify>,
 }
 
@@ -52,6 +59,7 @@
             open: Cell::new(0),
             next_number: Cell::new(0),
             waiting: RefCell::default(),
+            blocked: RefCell::default(),
             has_closed: Notify::new(),
             metrics,
             closed: Cell::new(0),
@@ -83,6 +91,7 @@
             all: Rc::clone(self),
             number,
             waits_since: Cell::new(None),
+            blocked_since: Cell::new(None),
             is_closed: Rc::default(),
         };
         connection.wait();
@@ -91,11 +100,15 @@
 
     fn close_longest_waiting(&self) -> bool {
         let Some((_, is_closed)) = self.waiting.borrow_mut().pop_first() else { return false };
+        self.close(&is_closed);
+        true
+    }
+
+    fn close(&self, is_closed: &Notify) {
         is_closed.notify_one();
         self.closed.set(self.closed.get() + 1);
         self.metrics.count("callers.connections_closed", 1);
         self.report();
-        true
     }
 
     /// Logs what was closed and refused since the last line, unless that was shortly before.
@@ -138,9 +151,37 @@
     }
 }
 
+impl Connection {
+    /// The caller has not read what was sent before, so a write has to wait. If there are too many such connections,
+    /// closes the one that has waited longest.
+    pub(super) fn begin_blocked_write(&self) {
+        if self.blocked_since.get().is_some() {
+            return;
+        }
+        let now = Instant::now();
+        self.blocked_since.set(Some(now));
+        let mut blocked = self.all.blocked.borrow_mut();
+        blocked.insert((now, self.number), Rc::clone(&self.is_closed));
+        if blocked.len() > MAX_BLOCKED_WRITES
+            && let Some((_, is_closed)) = blocked.pop_first()
+        {
+            drop(blocked);
+            self.all.close(&is_closed);
+        }
+    }
+
+    /// The caller reads.
+    pub(super) fn end_blocked_write(&self) {
+        if let Some(since) = self.blocked_since.take() {
+            self.all.blocked.borrow_mut().remove(&(since, self.number));
+        }
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.begin_handling();
+        self.end_blocked_write();
         self.all.open.set(self.all.open.get() - 1);
         self.all.has_closed.notify_one();
     }
--- a/src/ops/front/server.rs
+++ b/src/ops/front/server.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
 
 use crate::config::{REQUEST_BODY_COPIES, Settings};
@@ -56,11 +55,13 @@
         let (address, read_timeout) = (cfg.listen, cfg.timing.read_timeout());
         let listen =
             |cause: std::io::Error| FrontError::Listen { address, cause: cause.to_string() };
-        let listener = std::net::TcpListener::bind(address).map_err(listen)?;
-        listener.set_nonblocking(true).map_err(listen)?;
-        let bound = listener.local_addr().map_err(listen)?;
         let runtime =
             tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(listen)?;
+        let listener = {
+            let _entered = runtime.enter();
+            crate::net::server::listen(address).map_err(listen)?
+        };
+        let bound = listener.local_addr().map_err(listen)?;
         let limits = ServerLimits {
             header_bytes: MAX_HEADER_BYTES,
             header_time: read_timeout,
@@ -78,14 +79,9 @@
         let (stop, stop_rx) = watch::channel(false);
         let thread = spawn("front-http".to_owned(), move || {
             tokio::task::LocalSet::new().block_on(&runtime, async move {
-                match TcpListener::from_std(listener) {
-                    Ok(listener) => {
-                        let budget = RequestBudget::new(memory, metrics);
-                        let handler = move |req| handle(req, tx.clone());
-                        serve(listener, limits, budget, stop_rx, handler).await;
-                    }
-                    Err(e) => log::error!("the front cannot listen: {e}"),
-                }
+                let budget = RequestBudget::new(memory, metrics);
+                let handler = move |req| handle(req, tx.clone());
+                serve(listener, limits, budget, stop_rx, handler).await;
             });
         })?;
         let requests = Mutex::new(rx);
