Pass bodies and answers through `entry` without copying them

A body of 16 MiB was in memory up to four times while its request was handled: as received, for the front thread, for the exchange with the target, and in the message to it. Its answer was copied twice more, and read into a buffer that grew by doubling. So a few requests took much more than their claims said.

The body is shared now, which also keeps its claim until the exchange has ended, even after the caller has gone. Answers are moved, and read into a buffer of the announced length.

--- a/src/ops/dispatch.rs
+++ b/src/ops/dispatch.rs
@@ -19,6 +19,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use thiserror::Error;
 
 use super::Context;
@@ -77,7 +78,7 @@
     /// Headers that are passed on to the target.
     pub headers: Vec<(String, String)>,
     /// The whole body, at most `limits.max_body_bytes` long.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// When the caller stops waiting for an answer.
     pub deadline: Instant,
     /// True if the request may be sent again although an earlier attempt may have run.
--- a/src/ops/dispatch/forward.rs
+++ b/src/ops/dispatch/forward.rs
@@ -8,6 +8,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use super::{DispatchOutcome, Dispatcher, Inner, RouteResult, ServiceRequest, TriedRoutes};
 use crate::peer::{ForwardedAnswer, ForwardedRequest, Member, PeerError};
 use crate::platform::target::TargetAnswer;
@@ -127,7 +129,7 @@
             method: req.method.clone(),
             path: req.path.clone(),
             headers: req.headers.clone(),
-            body: req.body.clone(),
+            body: req.body.to_vec(),
             remaining_ms: u64::try_from(allowed.as_millis()).unwrap_or(u64::MAX),
             idempotent: req.idempotent,
             traceparent: forward_span.traceparent(),
@@ -165,7 +167,7 @@
             method: msg.method.clone(),
             path: msg.path.clone(),
             headers: msg.headers.clone(),
-            body: msg.body.clone(),
+            body: Bytes::copy_from_slice(&msg.body),
             deadline: inner.cx.clock.now() + Duration::from_millis(msg.remaining_ms),
             idempotent: msg.idempotent,
         };
--- a/src/ops/front.rs
+++ b/src/ops/front.rs
@@ -99,7 +99,7 @@
                 {
                     let (req, _in_flight) = full;
                     event::FRONT_FULL.emit(format_args!("the ring of requests is full"));
-                    req.respond(&FrontAnswer::error(&busy(), Outcome::NotRun));
+                    req.respond(FrontAnswer::error(&busy(), Outcome::NotRun));
                 }
             }
         })?);
@@ -132,7 +132,7 @@
         let next = queue.lock().unwrap_or_else(PoisonError::into_inner).recv();
         let Ok((req, _in_flight)) = next else { return };
         let answer = routes.answer(&req);
-        req.respond(&answer);
+        req.respond(answer);
     }
 }
 
--- a/src/ops/front/routes.rs
+++ b/src/ops/front/routes.rs
@@ -3,6 +3,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+
 use super::FrontAnswer;
 use super::server::{BodyError, IncomingRequest};
 use crate::catalogue::Document;
@@ -226,7 +228,7 @@
     method: String,
     path: String,
     headers: Vec<(String, String)>,
-    body: Vec<u8>,
+    body: Bytes,
 }
 
 /// Parses the idempotency key of a request. `None` if the request has no key.
--- a/src/ops/front/server.rs
+++ b/src/ops/front/server.rs
@@ -10,6 +10,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::StatusCode;
 use tokio::sync::{oneshot, watch};
 
@@ -131,7 +132,7 @@
         }
     }
     match rx.await {
-        Ok(answer) => reply(&answer),
+        Ok(answer) => reply(answer),
         // The front thread panicked while it answered the request, or the process stopped before it was answered.
         Err(_) => unavailable(Outcome::Unknown),
     }
@@ -140,10 +141,10 @@
 /// Pause before a request is offered to the full queue again.
 const QUEUE_FULL_BACKOFF: Duration = Duration::from_millis(1);
 
-fn reply(answer: &FrontAnswer) -> Reply {
+fn reply(answer: FrontAnswer) -> Reply {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let mut reply = Reply::json(status, answer.body.clone());
-    reply.headers.clone_from(&answer.headers);
+    let mut reply = Reply::json(status, answer.body);
+    reply.headers = answer.headers;
     reply.headers.push((OUTCOME_HEADER.to_owned(), answer.outcome.to_string()));
     reply
 }
@@ -185,18 +186,18 @@
             .collect()
     }
 
-    /// Returns a copy of the whole body.
+    /// Returns the whole body, without copying it.
     ///
     /// # Errors
     ///
     /// If the body is too long, did not arrive in time or is incomplete.
-    pub fn body(&self) -> Result<Vec<u8>, BodyError> {
-        self.received.body.as_ref().map(|body| body.to_vec()).map_err(|e| *e)
+    pub fn body(&self) -> Result<Bytes, BodyError> {
+        self.received.body.clone()
     }
 
     /// Hands the answer to the server, which sends it.
-    pub fn respond(self, answer: &FrontAnswer) {
+    pub fn respond(self, answer: FrontAnswer) {
         // Fails if the caller has closed its connection; the caller sees that itself.
-        let _ = self.answer.send(answer.clone());
+        let _ = self.answer.send(answer);
     }
 }
--- a/src/platform/target.rs
+++ b/src/platform/target.rs
@@ -25,6 +25,7 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
+use bytes::Bytes;
 use thiserror::Error;
 
 pub use http::HttpTargets;
@@ -41,7 +42,7 @@
     /// The caller's headers that are forwarded to the executor.
     pub headers: Vec<(String, String)>,
     /// Sent with its length; empty for a request without a body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// W3C trace context of the call to the target.
     pub traceparent: String,
 }
--- a/src/platform/target/http.rs
+++ b/src/platform/target/http.rs
@@ -5,6 +5,7 @@
 //! only after a complete answer with the right id and is dropped in all other cases.
 
 use std::collections::BTreeMap;
+use std::io::Read;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -190,7 +191,10 @@
     Ok(TargetAnswer { status, headers, body })
 }
 
-fn build(address: &str, req: &TargetRequest) -> Result<http::Request<Vec<u8>>, http::Error> {
+fn build<'a>(
+    address: &str,
+    req: &'a TargetRequest,
+) -> Result<http::Request<&'a [u8]>, http::Error> {
     let mut message = http::Request::builder()
         .method(req.method.as_str())
         .uri(format!("http://{address}{}", req.path))
@@ -200,7 +204,7 @@
     for (name, value) in &req.headers {
         message = message.header(name, value);
     }
-    message.body(req.body.clone())
+    message.body(&req.body)
 }
 
 /// Why an answer cannot be forwarded.
@@ -238,10 +242,13 @@
         // Such a body ends with the connection, so a truncated one looks complete.
         return Err(IncompleteAnswer::NoLength);
     }
-    let limit = u64::try_from(limit).unwrap_or(u64::MAX);
-    let body = answer.body_mut().with_config().limit(limit).read_to_vec();
-    let body = body.map_err(|error| IncompleteAnswer::Broken { cause: error.to_string() })?;
     let announced = announced.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    // A buffer that grows is copied, and needs up to three times the memory.
+    let mut body = Vec::with_capacity(announced.unwrap_or(0).min(limit));
+    let limit = u64::try_from(limit).unwrap_or(u64::MAX);
+    let mut reader = answer.body_mut().with_config().limit(limit).reader();
+    let read = reader.read_to_end(&mut body);
+    read.map_err(|error| IncompleteAnswer::Broken { cause: error.to_string() })?;
     match announced {
         Some(length) if length != body.len() && !has_no_body => {
             Err(IncompleteAnswer::Short { received: body.len(), announced: length })
--- a/tests/testsuite/requests/answers.rs
+++ b/tests/testsuite/requests/answers.rs
@@ -219,7 +219,7 @@
             method: "POST".to_owned(),
             path: "/x".to_owned(),
             headers: Vec::new(),
-            body: body.to_vec(),
+            body: body.to_vec().into(),
             traceparent: "-".to_owned(),
         };
         let second = Duration::from_secs(1);
