Bound the work for bodies in tiny chunks

A body in chunks of one byte takes about a microsecond for each byte, and the same thread renews leases. Nothing bounded how many such bodies were decoded.

A body yields after 16 frames. If its frames are shorter than 256 bytes on average, beyond the first 64 frames, it needs one of four permits, and is refused with 503 without one. A single such body is still served.

--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -41,12 +41,15 @@
 /// Refused bodies of which the rest is read at the same time.
 const DISCARDED_BODIES: usize = 4;
 
+/// Bodies in many small frames that are read at the same time. The processor time of such a frame is that of a large one.
+const FRAGMENTED_BODIES: usize = 4;
+
 /// Shortest time between two log lines about refused requests.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
-/// The request cannot be kept in memory beside the others.
+/// The memory for requests is claimed by others, or the body takes too much processor time beside others.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct NoMemory;
+pub struct Exhausted;
 
 /// Size of a [`RequestBudget`].
 #[derive(Clone, Copy, Debug)]
@@ -73,9 +76,11 @@
     small: Arc<Semaphore>,
     large: Arc<Semaphore>,
     discarded: Arc<Semaphore>,
+    fragmented: Arc<Semaphore>,
     /// Bodies that are being read, by the time of their last progress and a number. Invariant: each has its content.
     partial: RefCell<BTreeMap<(Instant, u64), Rc<Partial>>>,
     next_number: Cell<u64>,
+    frames: Cell<u64>,
     metrics: Metrics,
     refused: Cell<u64>,
     dropped: Cell<u64>,
@@ -112,8 +117,10 @@
             small: semaphore(small),
             large: semaphore(limits.bytes - small),
             discarded: Arc::new(Semaphore::new(DISCARDED_BODIES)),
+            fragmented: Arc::new(Semaphore::new(FRAGMENTED_BODIES)),
             partial: RefCell::default(),
             next_number: Cell::new(0),
+            frames: Cell::new(0),
             metrics,
             refused: Cell::new(0),
             dropped: Cell::new(0),
@@ -121,6 +128,12 @@
         })
     }
 
+    /// Frames of bodies that were handled so far.
+    #[must_use]
+    pub fn frames(&self) -> u64 {
+        self.frames.get()
+    }
+
     /// Sink of the metrics of the listeners.
     #[must_use]
     pub fn metrics(&self) -> &Metrics {
@@ -138,8 +151,8 @@
     ///
     /// # Errors
     ///
-    /// [`NoMemory`] if too much is claimed by other requests that make progress.
-    pub fn start_body(self: &Rc<Self>, announced: Option<usize>) -> Result<PartialBody, NoMemory> {
+    /// [`Exhausted`] if too much is claimed by other requests that make progress.
+    pub fn start_body(self: &Rc<Self>, announced: Option<usize>) -> Result<PartialBody, Exhausted> {
         let share = self.claim(announced.unwrap_or(0)).ok_or_else(|| self.refuse())?;
         let buf = Vec::with_capacity(announced.unwrap_or(0));
         let partial = Rc::new(Partial {
@@ -195,11 +208,11 @@
         true
     }
 
-    fn refuse(&self) -> NoMemory {
+    fn refuse(&self) -> Exhausted {
         self.refused.set(self.refused.get() + 1);
         self.metrics.count("callers.refused", 1);
         self.report();
-        NoMemory
+        Exhausted
     }
 
     /// Logs what was refused since the last line, unless that was shortly before.
@@ -237,15 +250,16 @@
     ///
     /// # Errors
     ///
-    /// [`NoMemory`] if the body was dropped in favour of another request, or must grow and there is no memory for it.
-    pub fn append(&mut self, data: &[u8]) -> Result<bool, NoMemory> {
+    /// [`Exhausted`] if the body was dropped in favour of another request, or must grow and there is no memory for it.
+    pub fn append(&mut self, data: &[u8]) -> Result<bool, Exhausted> {
+        self.budget.frames.set(self.budget.frames.get() + 1);
         self.received += data.len();
         let has_progress = self.received - self.progress >= PROGRESS_BYTES;
         if has_progress {
             self.progress = self.received;
             self.renew_key();
         }
-        let mut content = self.partial.content.take().ok_or(NoMemory)?;
+        let mut content = self.partial.content.take().ok_or(Exhausted)?;
         let needed = content.buf.len() + data.len();
         if needed > content.buf.capacity() {
             let capacity = needed.max(2 * content.buf.capacity()).max(FIRST_CAPACITY);
@@ -259,6 +273,16 @@
         Ok(has_progress)
     }
 
+    /// Permission to go on with a body that arrives in many small frames.
+    ///
+    /// # Errors
+    ///
+    /// [`Exhausted`] while enough other such bodies are read.
+    pub(super) fn start_fragmented(&self) -> Result<OwnedSemaphorePermit, Exhausted> {
+        let permit = Arc::clone(&self.budget.fragmented).try_acquire_owned();
+        permit.map_err(|_| self.budget.refuse())
+    }
+
     /// Waits until the body is dropped in favour of another request.
     pub async fn dropped(&self) {
         self.partial.is_dropped.notified().await;
@@ -268,9 +292,9 @@
     ///
     /// # Errors
     ///
-    /// [`NoMemory`] if the body was dropped in favour of another request.
-    pub fn finish(self) -> Result<(Bytes, Arc<RequestShare>), NoMemory> {
-        let content = self.partial.content.take().ok_or(NoMemory)?;
+    /// [`Exhausted`] if the body was dropped in favour of another request.
+    pub fn finish(self) -> Result<(Bytes, Arc<RequestShare>), Exhausted> {
+        let content = self.partial.content.take().ok_or(Exhausted)?;
         let share = Arc::new(content.share);
         let owner = SharedBuf::new(content.buf, Arc::clone(&share));
         Ok((Bytes::from_owner(owner), share))
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -22,7 +22,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
-use super::budget::{NoMemory, PartialBody, RequestBudget, RequestShare, SharedBuf};
+use super::budget::{Exhausted, PartialBody, RequestBudget, RequestShare, SharedBuf};
 use super::default_header::{DefaultHeader, DefaultHeaderStream};
 use crate::telemetry::event::request as event;
 
@@ -56,18 +56,18 @@
     TooSlow,
     /// The body is incomplete or malformed.
     Broken,
-    /// The memory for requests is claimed by others. No handler gets this error.
-    NoMemory,
+    /// What the request needs is claimed by others. No handler gets this error.
+    Exhausted,
 }
 
-impl From<NoMemory> for BodyError {
-    fn from(_: NoMemory) -> Self {
-        Self::NoMemory
+impl From<Exhausted> for BodyError {
+    fn from(_: Exhausted) -> Self {
+        Self::Exhausted
     }
 }
 
-/// Time after which a caller may retry a request that was refused for want of memory.
-const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time after which a caller may retry a request that was refused for the sake of others.
+const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl BodyError {
     /// An answer with the matching status and an error message.
@@ -77,13 +77,13 @@
             Self::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is larger than the limit"),
             Self::TooSlow => (StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time"),
             Self::Broken => (StatusCode::BAD_REQUEST, "the body ended early"),
-            Self::NoMemory => {
+            Self::Exhausted => {
                 (StatusCode::SERVICE_UNAVAILABLE, "too many requests are in progress; not accepted")
             }
         };
         let body = serde_json::json!({ "error": message }).to_string().into_bytes();
         match self {
-            Self::NoMemory => Reply::retry_later(status, NO_MEMORY_RETRY_AFTER, body),
+            Self::Exhausted => Reply::retry_later(status, REFUSED_RETRY_AFTER, body),
             _ => Reply::json(status, body),
         }
     }
@@ -234,7 +234,7 @@
     let default_header = default_header.map(|it| format!("{}: {}\r\n", it.name, it.value));
     let answer = format!(
         "HTTP/1.1 503 Service Unavailable\r\nRetry-After: {}\r\n{}Connection: close\r\nContent-Length: 0\r\n\r\n",
-        NO_MEMORY_RETRY_AFTER.as_secs(),
+        REFUSED_RETRY_AFTER.as_secs(),
         default_header.unwrap_or_default()
     );
     // Best effort: the caller also learns from the end of the connection that nothing was accepted.
@@ -299,12 +299,12 @@
 {
     let (head, mut body) = req.into_parts();
     let read = read_body(&head.headers, &mut body, &place, limits, &budget).await;
-    if let Err(BodyError::TooLarge | BodyError::NoMemory) = read {
+    if let Err(BodyError::TooLarge | BodyError::Exhausted) = read {
         discard(body, limits, &budget);
     }
     let (body, share) = match read {
         Ok((body, share)) => (Ok(body), Some(share)),
-        Err(BodyError::NoMemory) => return Ok(response(BodyError::NoMemory.reply(), None)),
+        Err(BodyError::Exhausted) => return Ok(response(BodyError::Exhausted.reply(), None)),
         Err(e) => (Err(e), None),
     };
     let received = Received { method: head.method, uri: head.uri, headers: head.headers, body };
@@ -337,11 +337,12 @@
     place: &Connection,
     max_bytes: usize,
 ) -> Result<(Bytes, Arc<RequestShare>), BodyError> {
-    let mut length = 0;
+    let (mut length, mut frames) = (0, 0);
+    let mut fragmented = None;
     loop {
         let frame = tokio::select! {
             biased;
-            () = partial.dropped() => return Err(BodyError::NoMemory),
+            () = partial.dropped() => return Err(BodyError::Exhausted),
             frame = body.frame() => frame,
         };
         let Some(frame) = frame else { break };
@@ -351,6 +352,14 @@
         if length > max_bytes {
             return Err(BodyError::TooLarge);
         }
+        frames += 1;
+        if fragmented.is_none() && is_fragmented(frames, length) {
+            fragmented = Some(partial.start_fragmented()?);
+        }
+        if frames.is_multiple_of(FRAMES_PER_TURN) {
+            // Renewals and heartbeats run on the same thread.
+            tokio::task::yield_now().await;
+        }
         let has_progress = partial.append(&data)?;
         if has_progress {
             place.wait();
@@ -387,6 +396,9 @@
     frames > FREE_FRAMES + bytes / MIN_FRAME_BYTES
 }
 
+/// Frames of a body that are read before it is the turn of other work.
+const FRAMES_PER_TURN: usize = 16;
+
 /// Frames of any length that every body may have.
 const FREE_FRAMES: usize = 64;
 
--- a/src/ops/front/routes.rs
+++ b/src/ops/front/routes.rs
@@ -217,7 +217,7 @@
                 "the body ended early or is not encoded as announced",
                 "check Content-Length and Transfer-Encoding",
             ),
-            BodyError::NoMemory => super::busy(),
+            BodyError::Exhausted => super::busy(),
         }
     }
 }
--- a/tests/testsuite/net.rs
+++ b/tests/testsuite/net.rs
@@ -391,3 +391,65 @@
     }
     server.join().unwrap();
 }
+
+/// Guards against renewals and heartbeats that come late because the event loop reads bodies in tiny chunks. Counts the
+/// chunks that are handled between two turns of another task.
+#[test]
+fn bodies_in_tiny_chunks_leave_the_event_loop_to_other_tasks() {
+    const BODIES: usize = 100;
+    let limits = ServerLimits {
+        connections: BODIES,
+        body_bytes: 64 << 10,
+        body_time: TEST_TIMEOUT,
+        ..LIMITS
+    };
+    let mut request = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
+    for _ in 0..16 << 10 {
+        request.extend_from_slice(b"1\r\na\r\n");
+    }
+    request.extend_from_slice(b"0\r\n\r\n");
+    let (mut statuses, most) = block_on(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let budget =
+            RequestBudget::new(BudgetLimits { bytes: 64 << 20, copies: 1 }, Metrics::disabled());
+        let (close, closing) = watch::channel(false);
+        let server =
+            tokio::task::spawn_local(serve(listener, limits, Rc::clone(&budget), closing, echo));
+        let clients = std::thread::spawn(move || {
+            let request = std::sync::Arc::new(request);
+            let clients: Vec<_> = (0..BODIES)
+                .map(|_| {
+                    let (mut stream, request) = (connect(address), request.clone());
+                    std::thread::spawn(move || {
+                        // The server may refuse the body before all is written.
+                        let _ = stream.write_all(&request);
+                        let mut buf = [0; 12];
+                        let read = stream.read_exact(&mut buf);
+                        read.map(|()| String::from_utf8_lossy(&buf[9..]).into_owned()).ok()
+                    })
+                })
+                .collect();
+            clients.into_iter().filter_map(|client| client.join().unwrap()).collect::<Vec<_>>()
+        });
+        let (mut most, mut last) = (0, 0);
+        while !clients.is_finished() {
+            let frames = budget.frames();
+            most = most.max(frames - last);
+            last = frames;
+            tokio::task::yield_now().await;
+        }
+        close.send_replace(true);
+        server.await.unwrap();
+        (clients.join().unwrap(), most)
+    });
+    statuses.sort();
+    statuses.dedup();
+    assert!(
+        statuses.iter().all(|status| ["200", "503"].contains(&status.as_str())),
+        "{statuses:?}"
+    );
+    assert!(statuses.contains(&"200".to_owned()), "{statuses:?}");
+    // Each connection may have its turn between two turns of the other task.
+    assert!(most <= (BODIES * 16) as u64, "{most} frames in one turn");
+}
