--- a/tests/testsuite/adapter.rs
+++ b/tests/testsuite/adapter.rs
@@ -13,6 +13,7 @@
 use plantainlever::adapter::operator::OperatorRows;
 use plantainlever::adapter::settings::{self, SettingsError};
 use plantainlever::adapter::wire::Job;
+use plantainlever::job::spec::MAX_STEPS;
 use plantainlever::job::{JobSpec, Resources};
 use plantainlever::port::{
     Commit, CommitOutcome, Row, RowKey, RowList, RowStore, StoreError, WorkerPort,
@@ -103,6 +104,19 @@
     assert_eq!(spec.schedule, None);
 }
 
+/// Guards against a body that takes a hundred times its size once it is decoded.
+#[test]
+fn the_steps_of_a_job_are_decoded_up_to_the_limit_only() {
+    let decode = |count: usize| {
+        let steps = vec!["{}"; count].join(",");
+        serde_json::from_str::<Job>(&format!(r#"{{"steps":[{steps}]}}"#))
+    };
+    assert_eq!(decode(MAX_STEPS).unwrap().steps.len(), MAX_STEPS);
+    let error = decode(80_000).unwrap_err().to_string();
+    let expected = "invalid length 65, expected a list of at most 64 steps at line 1 column ";
+    assert!(error.starts_with(expected), "{error}");
+}
+
 /// Guards against a command that differs from the platform's specification.
 #[test]
 fn commands_are_encoded_as_the_platform_specifies() {
