--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed unwrap is a failed test")]
 
 mod adapter;
+mod budget;
 mod cli;
 mod crowds;
 mod jobs;
