--- a/crates/plantainlever-test-support/src/crowd.rs
+++ b/crates/plantainlever-test-support/src/crowd.rs
@@ -11,6 +11,9 @@
 /// Pause of [`Crowd::send`] while the server reads nothing.
 const STALLED_PAUSE: Duration = Duration::from_millis(5);
 
+/// Longest time for opening a connection. A full queue of new connections answers only after one to three seconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Most bytes of an answer that are kept.
 const MAX_ANSWER_BYTES: usize = 4_096;
 
@@ -144,7 +147,7 @@
     ///
     /// If the connection cannot be opened.
     pub fn join(&mut self, address: SocketAddr, script: Script) -> Result<(), std::io::Error> {
-        let stream = TcpStream::connect(address)?;
+        let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)?;
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         self.members.push(Member { stream, script, sent: 0, answer: Vec::new(), is_closed: false });
--- a/crates/plantainlever-test-support/src/soak.rs
+++ b/crates/plantainlever-test-support/src/soak.rs
@@ -18,6 +18,7 @@
 mod capacity;
 pub mod contact;
 pub mod crash;
+mod crowds;
 mod faults;
 mod long_running;
 mod node;
@@ -107,6 +108,8 @@
     pub worker_deaths: bool,
     /// Workers that are back after a silent crash are cut off soon after.
     pub cut_returns: bool,
+    /// Crowds of clients hold back the end of their requests; the processes have smaller VMs.
+    pub crowds: bool,
     /// In an owner chain, the next start of a process does not wait for the end of the one that is stopping.
     pub early_restarts: bool,
 }
@@ -123,6 +126,7 @@
         cut_returns: false,
         delayed_orders: false,
         newer_versions: false,
+        crowds: false,
         early_restarts: false,
         worker_deaths: false,
     };
@@ -151,6 +155,7 @@
                 "delayed_orders" => &mut faults.delayed_orders,
                 "newer_versions" => &mut faults.newer_versions,
                 "worker_deaths" => &mut faults.worker_deaths,
+                "crowds" => &mut faults.crowds,
                 "early_restarts" => &mut faults.early_restarts,
                 _ => return None,
             } = true;
@@ -262,7 +267,7 @@
     lock(&world).unrelated_changes =
         optional_faults.newer_versions.then(|| random(UNRELATED_CHANGES_SALT));
     let (stand_ins, addresses) = StandIns::start(&world, node_count, worker_count)?;
-    let limits = VmLimits::default();
+    let limits = if optional_faults.crowds { crowds::VM_LIMITS } else { VmLimits::default() };
     let mut cluster = start_cluster(binary, &world, node_count, limits, &addresses)?;
     let stop_callers = Arc::new(AtomicBool::new(false));
     let callers = caller::start(&cluster, seed, optional_faults, &stop_callers);
@@ -273,12 +278,21 @@
     if wait_for_first_start(&cluster) {
         lock(&world).faults_began = Some(Instant::now());
         let routes = routes::start(&cluster, seed, &stop_callers);
+        let crowds = optional_faults.crowds.then(|| crowds::start(&cluster, seed, &stop_callers));
         faults = faults::inject(&mut cluster, &mut rng, seed, optional_faults, fault_time);
         faults::end_all(&mut cluster)?;
         stop_callers.store(true, Ordering::SeqCst);
         if routes.join().is_err() {
             lock(&world).breaches.push("the thread that changes routes has panicked".to_owned());
         }
+        match crowds.map(JoinHandle::join) {
+            Some(Ok(sent)) => faults.extend(sent),
+            Some(Err(_)) => {
+                lock(&world).breaches.push("the thread that sends crowds has panicked".to_owned());
+            }
+            None => {}
+        }
+        crowds::check_memory(&mut cluster);
     } else {
         lock(&world).breaches.push(format!("no task started within {STARTUP_TIMEOUT:?}"));
     }
--- a/crates/plantainlever-test-support/src/usage.rs
+++ b/crates/plantainlever-test-support/src/usage.rs
@@ -95,7 +95,9 @@
     }
 }
 
-fn peak_memory_bytes(pid: u32) -> usize {
+/// Highest resident memory of a process since its start; 0 if it has ended.
+#[must_use]
+pub fn peak_memory_bytes(pid: u32) -> usize {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
     let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
     let kib = peak.and_then(|text| text.trim().trim_end_matches("kB").trim().parse::<usize>().ok());
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -56,6 +56,15 @@
     assert!(report.starts > 1_200, "{report:?}");
 }
 
+/// Guards against processes that run out of memory, and against leases that are not renewed in time, while crowds of
+/// clients hold back the end of their requests.
+#[test]
+fn soak_with_crowds_has_no_breaches() {
+    let optional_faults = OptionalFaults { crowds: true, ..OptionalFaults::NONE };
+    let report = assert_no_breaches(4100, optional_faults, Duration::from_secs(15));
+    assert!(report.faults.iter().any(|fault| fault.contains("connections, ")), "{report:?}");
+}
+
 /// Guards against tasks that run twice, or no longer run, after changes of the owner in a row, some of them while a
 /// failure domain is cut off.
 #[test]
