Close one connection for each new one, before its next request

Two faults of the places for connections, found by reading the change:

An end of another connection left a notification, so the next new connection at the limit closed two waiting ones instead of one. And a connection that was to be closed could still hand a request that arrived at that moment to a handler, whose caller then got no answer.

One connection is closed for each new one now, and the end of a connection is looked at before its next request. The test of connections over the limit ends one before; it passes, and was not run on the code before. The second fault has no test.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -267,7 +267,8 @@
     let mut is_stopping = false;
     let ended = loop {
         tokio::select! {
-            ended = &mut connection => break ended,
+            // First, so that no handler begins to work for the connection.
+            biased;
             () = place.closed() => {
                 log::debug!("connection of {peer} closed in favour of another");
                 return;
@@ -276,6 +277,7 @@
                 is_stopping = true;
                 connection.as_mut().graceful_shutdown();
             }
+            ended = &mut connection => break ended,
         }
     };
     if let Err(e) = ended {
--- a/src/net/server/connections.rs
+++ b/src/net/server/connections.rs
@@ -75,13 +75,14 @@
 
     /// Takes a place, after closing another connection if necessary. `None` if handlers work for all of them.
     pub(super) async fn admit(self: &Rc<Self>) -> Option<Connection> {
+        if self.open.get() >= self.limit && !self.close_longest_waiting() {
+            self.refused.set(self.refused.get() + 1);
+            self.metrics.count("callers.connections_refused", 1);
+            self.report();
+            return None;
+        }
+        // An earlier end of another connection may have left a notification.
         while self.open.get() >= self.limit {
-            if !self.close_longest_waiting() {
-                self.refused.set(self.refused.get() + 1);
-                self.metrics.count("callers.connections_refused", 1);
-                self.report();
-                return None;
-            }
             self.has_closed.notified().await;
         }
         self.open.set(self.open.get() + 1);
--- a/tests/testsuite/net.rs
+++ b/tests/testsuite/net.rs
@@ -178,6 +178,10 @@
 fn a_connection_over_the_limit_takes_the_place_of_the_one_that_waits_longest() {
     with_server(|address| {
         let mut open: Vec<TcpStream> = (0..LIMITS.connections).map(|_| connect(address)).collect();
+        // A connection that has ended before leaves its place, and nothing else.
+        let first = open.remove(0);
+        drop(first);
+        open.push(connect(address));
         open.iter_mut().for_each(assert_served);
         assert_served(&mut connect(address));
         let rest = read_until_closed(&mut open[0]);
