--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -96,6 +96,11 @@
             "f:11: timing.health_poll_ms: found 4000; allowed: less than 5000 minus timing.platform_timeout_ms (1000), \
              because a leaving target must receive no new work after 5 s",
         ),
+        (
+            "limits:\n  request_memory_mb: 5\n",
+            "f:11: limits.request_memory_mb: found 5; allowed: at least 6 with limits.max_body_bytes (1048576), because a \
+             single request of the largest legal size would be refused",
+        ),
         (
             "peers:\n- domain: dc-c\n  address: 127.0.0.1:7283\n",
             "f:11: peers[0].domain: found \"dc-c\"; allowed: one of domains (dc-a, dc-b), because every failure \
@@ -106,6 +111,12 @@
     }
 }
 
+/// Guards against a file that was valid before the memory for requests was bounded, and is refused since.
+#[test]
+fn the_largest_legal_body_fits_into_the_default_memory() {
+    assert_eq!(problems_with("limits:\n  max_body_bytes: 16777216\n"), Vec::<String>::new());
+}
+
 #[test]
 fn a_domain_that_is_not_listed_is_reported() {
     assert_eq!(
