Leave the bodies of answers as they are

An answer of `entry` could arrive with its body altered: the header that each answer must carry was added to whatever part of it looked like a head. A write to a slow caller may begin anywhere in a body, and since the kernel's buffers are small, most writes of a large body do.

A body of 50,000 messages "HTTP/1.1 200 OK" arrived with 17 bytes more (net::a_body_of_http_messages_arrives_unaltered). The server sets the header itself in answers of handlers now, and the stream leaves all bytes alone while such an answer is written, so it changes only the library's own answers.

--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -296,7 +296,7 @@
     pub fn finish(self) -> Result<(Bytes, Arc<RequestShare>), Exhausted> {
         let content = self.partial.content.take().ok_or(Exhausted)?;
         let share = Arc::new(content.share);
-        let owner = SharedBuf::new(content.buf, Arc::clone(&share));
+        let owner = SharedBuf { buf: content.buf, _share: Arc::clone(&share) };
         Ok((Bytes::from_owner(owner), share))
     }
 
@@ -316,19 +316,11 @@
 
 /// Bytes that keep a share.
 #[derive(Debug)]
-pub struct SharedBuf {
+struct SharedBuf {
     buf: Vec<u8>,
     _share: Arc<RequestShare>,
 }
 
-impl SharedBuf {
-    /// Lets `buf` keep the share of its request.
-    #[must_use]
-    pub fn new(buf: Vec<u8>, share: Arc<RequestShare>) -> Self {
-        Self { buf, _share: share }
-    }
-}
-
 impl AsRef<[u8]> for SharedBuf {
     fn as_ref(&self) -> &[u8] {
         &self.buf
--- a/src/net/default_header.rs
+++ b/src/net/default_header.rs
@@ -1,10 +1,13 @@
 //! Adds a header to answers that `hyper` writes itself.
 //!
 //! `hyper` answers a malformed request line or header on its own, without a way to add to that answer. Callers rely on
-//! a header that every answer carries, so this stream adds it to a head that lacks it.
+//! a header that every answer carries, so this stream adds it to a head that lacks it. Answers of handlers are left as
+//! they are, because a write may begin anywhere in their bodies, which may look like a head.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -29,14 +32,26 @@
 pub struct DefaultHeaderStream<S> {
     inner: S,
     default_header: Option<DefaultHeader>,
+    /// True while the answer of a handler is written.
+    is_answering: Arc<AtomicBool>,
     /// Rest of a changed head, and of body bytes written with it, that is not written to `inner` yet.
     pending: Vec<u8>,
 }
 
 impl<S> DefaultHeaderStream<S> {
-    /// Wraps a stream. If `default_header` is `None`, all bytes pass unchanged.
-    pub fn new(inner: S, default_header: Option<DefaultHeader>) -> Self {
-        Self { inner, default_header, pending: Vec::new() }
+    /// Wraps a stream. If `default_header` is `None`, all bytes pass unchanged, and so they do while `is_answering`.
+    pub fn new(
+        inner: S,
+        default_header: Option<DefaultHeader>,
+        is_answering: Arc<AtomicBool>,
+    ) -> Self {
+        Self { inner, default_header, is_answering, pending: Vec::new() }
+    }
+
+    /// Returns the bytes to write instead of `buf`; `None` to write it as it is.
+    fn changed(&self, buf: &[u8]) -> Option<Vec<u8>> {
+        let header = self.default_header.filter(|_| !self.is_answering.load(Ordering::SeqCst))?;
+        with_default_header(buf, header)
     }
 }
 
@@ -87,7 +102,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         ready!(self.poll_pending(cx))?;
-        match self.default_header.and_then(|header| with_default_header(buf, header)) {
+        match self.changed(buf) {
             Some(changed) => {
                 self.pending = changed;
                 Poll::Ready(Ok(buf.len()))
@@ -104,7 +119,7 @@
     ) -> Poll<io::Result<usize>> {
         ready!(self.poll_pending(cx))?;
         let head = bufs.first().map_or(&[][..], |buf| buf);
-        match self.default_header.and_then(|header| with_default_header(head, header)) {
+        match self.changed(head) {
             Some(changed) => {
                 self.pending = changed;
                 Poll::Ready(Ok(head.len()))
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,7 +23,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
-use super::budget::{Exhausted, PartialBody, RequestBudget, RequestShare, SharedBuf};
+use super::budget::{Exhausted, PartialBody, RequestBudget, RequestShare};
 use super::default_header::{DefaultHeader, DefaultHeaderStream};
 use crate::telemetry::event::request as event;
 
@@ -203,7 +204,11 @@
         let (handler, stop, budget) = (handler.clone(), stop.clone(), Rc::clone(&budget));
         tokio::task::spawn_local(async move {
             let place = Rc::new(connection);
-            let stream = DefaultHeaderStream::new(stream, limits.default_header);
+            let stream = DefaultHeaderStream::new(
+                stream,
+                limits.default_header,
+                Arc::clone(place.is_answering()),
+            );
             let io = TokioIo::new(CallerStream::new(stream, Rc::clone(&place)));
             serve_connection(io, peer, place, limits, budget, stop, handler).await;
         });
@@ -306,14 +311,16 @@
     }
     let (body, share) = match read {
         Ok((body, share)) => (Ok(body), Some(share)),
-        Err(BodyError::Exhausted) => return Ok(response(BodyError::Exhausted.reply(), None)),
+        Err(BodyError::Exhausted) => {
+            return Ok(response(BodyError::Exhausted.reply(), limits, &place, None));
+        }
         Err(e) => (Err(e), None),
     };
     let received = Received { method: head.method, uri: head.uri, headers: head.headers, body };
     place.begin_handling();
     let reply = handler(received).await;
     place.wait();
-    Ok(response(reply, share))
+    Ok(response(reply, limits, &place, share))
 }
 
 async fn read_body(
@@ -407,19 +414,43 @@
 /// Mean length of further frames, below which a body counts as fragmented.
 const MIN_FRAME_BYTES: usize = 256;
 
-/// The body of the answer keeps the share of its request until it is written.
-fn response(reply: Reply, share: Option<Arc<RequestShare>>) -> Response<Full<Bytes>> {
-    let body = match share {
-        Some(share) => Bytes::from_owner(SharedBuf::new(reply.body, share)),
-        None => Bytes::from(reply.body),
-    };
-    let mut response = Response::new(Full::new(body));
+/// Body of an answer, which keeps the share of its request until it is written.
+struct AnswerBody {
+    buf: Vec<u8>,
+    _share: Option<Arc<RequestShare>>,
+    is_answering: Arc<AtomicBool>,
+}
+
+impl AsRef<[u8]> for AnswerBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.buf
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        self.is_answering.store(false, Ordering::SeqCst);
+    }
+}
+
+fn response(
+    reply: Reply,
+    limits: ServerLimits,
+    place: &Connection,
+    share: Option<Arc<RequestShare>>,
+) -> Response<Full<Bytes>> {
+    let is_answering = Arc::clone(place.is_answering());
+    is_answering.store(true, Ordering::SeqCst);
+    let body = AnswerBody { buf: reply.body, _share: share, is_answering };
+    let mut response = Response::new(Full::new(Bytes::from_owner(body)));
     *response.status_mut() = reply.status;
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    for (name, value) in &reply.headers {
-        let name = HeaderName::try_from(name.as_str());
-        if let (Ok(name), Ok(value)) = (name, HeaderValue::try_from(value.as_str())) {
+    let defaults = limits.default_header.map(|header| (header.name, header.value));
+    let own = reply.headers.iter().map(|(name, value)| (name.as_str(), value.as_str()));
+    for (name, value) in defaults.into_iter().chain(own) {
+        let name = HeaderName::try_from(name);
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::try_from(value)) {
             headers.insert(name, value);
         }
     }
--- a/src/net/server/connections.rs
+++ b/src/net/server/connections.rs
@@ -8,6 +8,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use tokio::sync::Notify;
@@ -49,6 +51,8 @@
     waits_since: Cell<Option<Instant>>,
     /// `None` while the caller reads what is sent.
     blocked_since: Cell<Option<Instant>>,
+    /// True while the answer of a handler is written.
+    is_answering: Arc<AtomicBool>,
     is_closed: Rc<Notify>,
 }
 
@@ -93,6 +97,7 @@
             number,
             waits_since: Cell::new(None),
             blocked_since: Cell::new(None),
+            is_answering: Arc::default(),
             is_closed: Rc::default(),
         };
         connection.wait();
@@ -131,6 +136,11 @@
 }
 
 impl Connection {
+    /// Set from the end of a handler until its answer is written.
+    pub(super) fn is_answering(&self) -> &Arc<AtomicBool> {
+        &self.is_answering
+    }
+
     /// Waits until the connection must close to make room for another.
     pub(super) async fn closed(&self) {
         self.is_closed.notified().await;
--- a/tests/testsuite/net.rs
+++ b/tests/testsuite/net.rs
@@ -9,7 +9,7 @@
 use plantainlever::net::budget::{BudgetLimits, RequestBudget};
 use plantainlever::net::client::{Call, CallError, Client, OnSilence};
 use plantainlever::net::default_header::DefaultHeader;
-use plantainlever::net::server::{Received, Reply, ServerLimits, serve};
+use plantainlever::net::server::{Received, Reply, ServerLimits, listen, serve};
 use plantainlever::telemetry::Metrics;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
@@ -464,3 +464,30 @@
         drop(opened);
     });
 }
+
+/// Guards against an answer whose body is altered because part of it looks like the head of an answer: such a body may
+/// be cut anywhere into the writes to a slow caller.
+#[test]
+fn a_body_of_http_messages_arrives_unaltered() {
+    let body = b"HTTP/1.1 200 OK\r\n\r\n".repeat(50_000);
+    let (tx, rx) = std::sync::mpsc::channel();
+    let (close, closing) = watch::channel(false);
+    let answer = body.clone();
+    let server = std::thread::spawn(move || {
+        block_on(async move {
+            let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+            tx.send(listener.local_addr().unwrap()).unwrap();
+            let handler = move |_| std::future::ready(Reply::json(StatusCode::OK, answer.clone()));
+            serve(listener, LIMITS, budget(), closing, handler).await;
+        });
+    });
+    let mut stream = connect(rx.recv_timeout(TEST_TIMEOUT).unwrap());
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").unwrap();
+    let text = read_until_closed(&mut stream);
+    let (head, received) = text.split_once("\r\n\r\n").unwrap();
+    assert!(head.contains("\r\nX-Outcome: none"), "{head}");
+    assert_eq!(received.len(), body.len());
+    assert!(received.as_bytes() == body, "the body is altered");
+    close.send_replace(true);
+    server.join().unwrap();
+}
