--- a/crates/plantainlever-test-support/src/soak/node.rs
+++ b/crates/plantainlever-test-support/src/soak/node.rs
@@ -14,7 +14,7 @@
 /// Resources of the VM, as the settings file gives them to a process.
 #[derive(Clone, Copy, Debug)]
 pub struct VmLimits {
-    /// Memory in MB.
+    /// What its processes and their socket buffers may occupy together.
     pub memory_mb: usize,
     /// Limit on open file descriptors.
     pub max_fds: usize,
--- a/tests/testsuite/crowds/node.rs
+++ b/tests/testsuite/crowds/node.rs
@@ -13,7 +13,7 @@
 
 use super::{REQUEST_TIMEOUT, agent, assert_within, get, take_turn};
 
-/// Limits of the VMs.
+/// Smaller than any VM of the platform, so that a few hundred connections exceed them.
 const LIMITS: VmLimits = VmLimits { memory_mb: 64, max_fds: 1_600 };
 
 /// Largest legal body of a request; the platform's own limit.
