Test `entry` with more kinds of crowds, and its interface for peers

Who reaches the address for peers can end an `entry` process: 40 connections that announce a message of 32 MiB and stop one MiB short take 1322 MB of memory and 119 MB in buffers, of 256 MB. Cause: a message is kept until it is complete, its length is taken from four bytes, and connections have no limit.

Adds the kinds that were tested on `node` alone: bodies in pieces, tiny chunks and headers that never end.

The other tests were not run again.

--- a/tests/testsuite/crowds/entry.rs
+++ b/tests/testsuite/crowds/entry.rs
@@ -25,7 +25,7 @@
 /// Connections of most crowds.
 const CROWD: usize = 40;
 
-/// Connections that an entry process accepts.
+/// More connections than an entry process accepts by default.
 const MAX_CONNECTIONS: usize = 4_096;
 
 const HEAD: &str = "POST /v1/services/echo/x HTTP/1.1\r\nHost: a\r\n";
@@ -113,6 +113,56 @@
     assert_survives(&start_site(), &[(CROWD, script)]);
 }
 
+/// As above, with bodies that arrive in pieces at the same pace.
+#[test]
+fn bodies_in_pieces_that_stop_short_stay_within_the_memory() {
+    let _turn = take_turn();
+    let script = Script::announced(HEAD, &vec![b'a'; BODY_BYTES], 1);
+    assert_survives(&start_site(), &[(CROWD, script.in_pieces(64 << 10))]);
+}
+
+/// As above, in chunks of one byte, whose frames take 6 bytes each.
+#[test]
+fn bodies_in_tiny_chunks_that_stop_short_stay_within_the_memory() {
+    let _turn = take_turn();
+    let script = Script::chunked(HEAD, &vec![b'a'; 256 << 10], 1, false);
+    assert_survives(&start_site(), &[(CROWD, script)]);
+}
+
+/// Guards against headers that never end and keep the places of ordinary callers.
+#[test]
+fn an_ordinary_request_is_answered_beside_endless_headers() {
+    let _turn = take_turn();
+    let site = start_site();
+    let front = front(&site);
+    let usage = watch(&site, || {
+        let mut clients = Crowd::default();
+        let script = Script::endless_header(HEAD, 15_000);
+        clients.join_many(MAX_CONNECTIONS + 100, front, &script).unwrap();
+        clients.send();
+        assert_eq!(post(front, 1_000), Ok(200));
+    });
+    assert_within(usage, MEMORY_BYTES, DESCRIPTORS);
+}
+
+/// Guards against messages to the peers' interface that announce the largest length and stop short of their end.
+#[test]
+fn messages_of_peers_that_stop_short_stay_within_the_memory() {
+    let _turn = take_turn();
+    let site = start_site();
+    let (front, peer) = (front(&site), site.entries()[0].process.peer_address());
+    let mut message = (32_u32 << 20).to_be_bytes().to_vec();
+    message.resize(31 << 20, b'a');
+    let monitor = UsageMonitor::start(site.entries()[0].process.pid(), &[front, peer]);
+    let mut clients = Crowd::default();
+    clients.join_many(CROWD, peer, &Script::new(message)).unwrap();
+    clients.send();
+    wait_until_settled(&[peer]);
+    let usage = monitor.close();
+    assert_eq!(post(front, 1_000), Ok(200));
+    assert_within(usage, MEMORY_BYTES, DESCRIPTORS);
+}
+
 /// Guards against copies of complete bodies that exhaust the memory together.
 #[test]
 fn whole_bodies_stay_within_the_memory() {
