--- a/tests/testsuite/net.rs
+++ b/tests/testsuite/net.rs
@@ -178,10 +178,6 @@
 fn a_connection_over_the_limit_takes_the_place_of_the_one_that_waits_longest() {
     with_server(|address| {
         let mut open: Vec<TcpStream> = (0..LIMITS.connections).map(|_| connect(address)).collect();
-        // A connection that has ended before leaves its place, and nothing else.
-        let first = open.remove(0);
-        drop(first);
-        open.push(connect(address));
         open.iter_mut().for_each(assert_served);
         assert_served(&mut connect(address));
         let rest = read_until_closed(&mut open[0]);
@@ -196,6 +192,32 @@
     });
 }
 
+/// Guards against a new connection that closes two others, because a third one has ended before.
+#[test]
+fn a_connection_over_the_limit_closes_one_other_after_an_earlier_end() {
+    with_server(|address| {
+        let mut open: Vec<TcpStream> = (0..LIMITS.connections).map(|_| connect(address)).collect();
+        open.iter_mut().for_each(assert_served);
+        drop(open.remove(0));
+        for _ in 0..3 {
+            // The server has noticed the end before it answers what was sent later.
+            open.iter_mut().for_each(assert_served_again);
+        }
+        let mut new = [connect(address), connect(address)];
+        new.iter_mut().for_each(assert_served);
+        assert_served_again(&mut open[1]);
+    });
+}
+
+/// As [`assert_served`], on a connection whose last answer has not been read to its end.
+fn assert_served_again(stream: &mut TcpStream) {
+    let mut rest = [0; 4_096];
+    while !rest.starts_with(b"ok") && !rest.windows(6).any(|window| window == b"\r\n\r\nok") {
+        assert!(stream.read(&mut rest).unwrap() > 0, "the connection is closed");
+    }
+    assert_served(stream);
+}
+
 /// Guards against a new connection that ends a request in progress, or waits without an answer.
 #[test]
 fn a_connection_is_refused_while_requests_are_handled_on_all_others() {
