Let executors of the review's stand-ins be cut off, and keep their ports

Cause: a case of an entry needs an executor whose calls and answers are lost while its runs go on; and a crashed executor gave its port up, which scripts beside it could take. Done: both, in the stand-in of the executor.

--- a/review/standin2/rig.py
+++ b/review/standin2/rig.py
@@ -207,10 +207,14 @@
         self.hold_max_s, self.stop_s = hold_max_s, stop_s
         self.grey_since = None  # fails all that it starts from then on
         self.server = HttpServer(self.handle)
-        self.port = None
+        # Keeps the port for the next life while nothing listens there, so that connections are refused meanwhile.
+        self.reservation = socket.socket()
+        self.reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.reservation.bind((HOST, 0))
+        self.port = self.reservation.getsockname()[1]
         self.up = False
         self.lives = 0
-        self.dark = False  # without power: nothing answers, and connections hang
+        self.dark = False  # without power or cut off from the nodes: nothing answers, and connections hang
 
     async def boot(self):
         self.lives += 1
@@ -220,8 +224,8 @@
         self.active, self.finished, self.ended, self.number = {}, [], {}, 0
         self.event = asyncio.Event()
         self.server = HttpServer(self.handle)
-        await self.server.start(self.port or 0)
-        self.port, self.up = self.server.port, True
+        await self.server.start(self.port)
+        self.up = True
         self.rig.record.line(f"{self.name}: up, life {self.lives}, born {self.born}")
         self.list_entry()
 
@@ -292,8 +296,15 @@
             await asyncio.sleep(0.01)
 
     async def handle(self, method, path, query, headers, body):
+        """Handles a call, unless the call or its answer meets a cut: then it is lost, and its connection hangs."""
+        while self.dark:
+            await asyncio.sleep(3600)
+        answer = await self.carry_out(path, headers, body)
         while self.dark:
             await asyncio.sleep(3600)
+        return answer
+
+    async def carry_out(self, path, headers, body):
         if headers.get("x-expect-instance", self.name) != self.name:
             return 421, {"clock-ms": self.clock_ms()}
         call = json.loads(body)
