--- a/review/standin3/standin.py
+++ b/review/standin3/standin.py
@@ -261,15 +261,16 @@
         self.beat()
         self.platform.record(f"executor {self.id} is up at {self.address[0]}:{self.address[1]}, born {self.born_ms}")
 
-    def crash(self):
-        """Ends the executor with all that it runs. Nothing is sent."""
+    def crash(self, dark=False):
+        """Ends the executor with all that it runs. Nothing is sent. A dark one doesn't even reset its connections."""
         lost = [f"{run.task}:{run.number}" for run in self.active.values()]
         for run in self.active.values():
             self.platform.on_end(self, run, "lost")
         self.platform.record(f"executor {self.id} crashes with {len(lost)} runs, the first of them {lost[:3]}")
         self.is_up = False
         self.active = {}
-        self.server.stop()
+        if not dark:
+            self.server.stop()
         self.down_since = time.monotonic()
 
     def clock_ms(self):
@@ -308,6 +309,12 @@
             self.lease_ms = max(self.lease_ms, min(deadline, self.clock_ms() + HOLD_MAX_MS))
 
     async def handle(self, method, target, headers, body):
+        life = self.born
+        answer = await self.carry_out(target, headers, body) if self.is_up else None
+        # An executor that has crashed meanwhile does not answer.
+        return answer if self.is_up and self.born == life else None
+
+    async def carry_out(self, target, headers, body):
         if target == "/health":
             return 200, {}
         expected = headers.get("x-expect-instance")
