--- a/review/standin3/standin.py
+++ b/review/standin3/standin.py
@@ -240,6 +240,7 @@
         self.platform, self.zone, self.rack = platform, zone, rack
         self.capacity = {"cpu": cpu, "mem-mb": mem, "gpu": 0}
         self.address = None
+        self.server = None
         self.id = None
         self.is_up = False
         self.seq = 0
@@ -254,6 +255,8 @@
         self.fence, self.lease_ms, self.acked, self.next_end = 0, 0, 0, 1
         self.active, self.finished, self.barred = {}, [], {}
         self.ended = asyncio.Event()
+        if self.server:
+            self.server.stop()
         self.server = Server(self.handle)
         await self.server.start(self.address)
         self.address = self.server.address
@@ -600,7 +603,7 @@
         for node in self.nodes:
             await node.close()
         for executor in self.executors:
-            if executor.is_up:
+            if executor.server:
                 executor.server.stop()
         self.store.server.stop()
 
