--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,8 +6,8 @@
 python3 - standin3/standin.py 1[1-5]/case.py <<'P'
 import sys
 
-if sys.version_info < (3, 11):
-    sys.exit("Python 3.11 or later is needed")
+if sys.version_info < (3, 9):
+    sys.exit("Python 3.9 or later is needed")
 for path in sys.argv[1:]:
     with open(path, encoding="utf-8") as file:
         compile(file.read(), path, "exec")
--- a/review/standin3/standin.py
+++ b/review/standin3/standin.py
@@ -10,14 +10,14 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import socket
 import sys
 import tempfile
 import time
-import tomllib
-from urllib.parse import parse_qsl, unquote, urlsplit
+from urllib.parse import parse_qsl, urlsplit
 
 HOLD_MAX_MS = 6000
 STOP_MS = 400
@@ -412,8 +412,8 @@
         path = os.path.join(self.folder, "node.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
-        with open(os.path.join(self.platform.root, "deploy/system.toml"), "rb") as file:
-            command = tomllib.load(file)["roles"]["entry"]["run"].split()
+        with open(os.path.join(self.platform.root, "deploy/system.toml"), encoding="utf-8") as file:
+            command = re.search(r'^run = "(.*)"$', file.read(), re.MULTILINE).group(1).split()
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         log = open(os.path.join(self.folder, "log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
@@ -619,6 +619,9 @@
 
     async def play():
         platform = Platform(folder, **deployment)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            # The processes are ended before the script is.
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             broken = await asyncio.wait_for(scenario(platform, with_trouble), 110)
             platform.record(f"RESULT: {'broken: ' + broken if broken else 'the rule held'}")
@@ -639,7 +642,7 @@
 
     try:
         code = asyncio.run(play())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}")
         code = 2
     sys.exit(code)
