Store the settings of its queue with each accepted job

A version removed the route of one accepted job and renamed that of another; neither ever began its second step, though all executors were free, and the second was shown as running for ever.

Cause: a job was stored with the name of its queue only, and seven places looked the name up in the newest config, each with an answer of its own to a name that is not there: no workers, no limit of attempts, a default rank, and so on. The config and its freshness were not at fault (a job on the third route ran), nor were the rows.

Change: the row of a job has the address and the settings that its queue had when the job was accepted, and `job_queues` decides what holds: `attempts` as accepted, so that all owners count up to one limit; the others follow the newest config while it has the queue. The scheduler asks the job, so no place can meet a queue that is gone. Waiting jobs are counted for the queue that has their address. Rows without settings take those of their queue when an owner first sees it, and wait until then; P0677, P0678 and `shard.unreachable_jobs` show jobs without a route. Earlier versions ignore the new fields.

Failed before, on with the same tests and its own interface: shard::dropped_queues::a_job_completes_after_its_queue_was_dropped, a_successor_that_never_had_the_queue_completes_its_jobs (both still running), no_run_starts_after_the_last_attempt_failed_while_the_queue_was_dropped (4 starts instead of 3), the_attempts_of_a_job_stay_as_they_were_when_it_was_accepted (failed after one run), and jobs::dropped_queues:: a_process_that_never_had_the_queue_completes_its_jobs, callers_reach_their_jobs_under_the_new_name_of_the_route (40 s without success). The other new tests need the new interface or passed before.

No write is added.

--- a/crates/plantainlever-test-support/src/model/owner_load.rs
+++ b/crates/plantainlever-test-support/src/model/owner_load.rs
@@ -9,7 +9,7 @@
 use plantainlever::shard::scheduler::{
     AcceptedJob, Command, CommandKind, CommandOutcome, Reply, StartOutcome, Timing,
 };
-use plantainlever::shard::{QueuePolicy, ShardScheduler, WorkerId};
+use plantainlever::shard::{JobQueue, QueuePolicy, ShardScheduler, WorkerId};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -175,7 +175,12 @@
         let spec = Rc::new(JobSpec { payload: String::new(), steps: vec![step], schedule: None });
         let accepted_unix_ms = now.as_millis() as u64;
         let began = Instant::now();
-        self.owner.on_job(AcceptedJob { id, queue: queue.to_owned(), accepted_unix_ms, spec });
+        self.owner.on_job(AcceptedJob {
+            id,
+            queue: JobQueue::named(queue),
+            accepted_unix_ms,
+            spec,
+        });
         self.load.changes += began.elapsed();
         count
     }
--- a/crates/plantainlever-test-support/src/model/shard_pass.rs
+++ b/crates/plantainlever-test-support/src/model/shard_pass.rs
@@ -9,7 +9,9 @@
 use plantainlever::shard::scheduler::{
     AcceptedJob, CommandKind, CommandOutcome, Reply, StartOutcome, Timing,
 };
-use plantainlever::shard::{QueuePolicy, RenewalReport, ShardScheduler, WorkerId, WorkerListing};
+use plantainlever::shard::{
+    JobQueue, QueuePolicy, RenewalReport, ShardScheduler, WorkerId, WorkerListing,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -156,5 +158,5 @@
     let spec = JobSpec { payload: String::new(), steps: vec![step], schedule: None };
     // Spreads the jobs of both queues over the order of IDs.
     let id = JobId(id.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-    AcceptedJob { id, queue: queue.to_owned(), accepted_unix_ms: 0, spec: Rc::new(spec) }
+    AcceptedJob { id, queue: JobQueue::named(queue), accepted_unix_ms: 0, spec: Rc::new(spec) }
 }
--- a/src/ops/jobs/accept.rs
+++ b/src/ops/jobs/accept.rs
@@ -9,7 +9,7 @@
 use crate::job::progress::Progress;
 use crate::job::{JobId, JobSpec, JobState};
 use crate::port::{Commit, CommitOutcome, RowStore, StoreError};
-use crate::shard::ShardId;
+use crate::shard::{JobQueue, ShardId};
 use crate::telemetry::event::shard as event;
 
 use super::layout::{self, HeartbeatRow, StoredJob};
@@ -60,7 +60,7 @@
 }
 
 impl<P: RowStore> Node<P> {
-    /// Accepts a job by writing its row. Repeating the call for a stored job returns [`Submission::Accepted`] again.
+    /// Accepts a job of a queue in the operator config by writing its row. Repeating the call for a stored job returns [`Submission::Accepted`] again.
     /// `deadline` is the local time at which the caller stops waiting.
     pub async fn submit(
         &self,
@@ -77,7 +77,8 @@
         // The decoded form is dropped before the store is called, which may take long.
         let description = {
             let accepted_unix_ms = self.clock.unix_ms();
-            let stored = StoredJob { queue: queue.to_owned(), accepted_unix_ms, spec };
+            let JobQueue { name, address, policy } = self.operator_config().job_queue(queue);
+            let stored = StoredJob { queue: name, address, policy, accepted_unix_ms, spec };
             serde_json::to_vec(&stored).unwrap_or_default()
         };
         let (bytes, limit) = (description.len(), self.cfg.max_row_bytes);
--- a/src/ops/jobs/layout.rs
+++ b/src/ops/jobs/layout.rs
@@ -8,8 +8,8 @@
 use crate::job::progress::ProgressRow;
 use crate::job::{JobId, JobSpec};
 use crate::port::RowKey;
-use crate::shard::ShardId;
 use crate::shard::scheduler::{AcceptedJob, RowId};
+use crate::shard::{JobQueue, QueueAddress, QueuePolicy, ShardId};
 
 /// Table with the number of shards; it has one row.
 pub const LAYOUT_TABLE: &str = "layout";
@@ -120,6 +120,13 @@
 pub struct StoredJob {
     /// Name of the queue that the job was submitted to.
     pub queue: String,
+    /// Address that it was sent to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<QueueAddress>,
+    /// Settings of the queue when the job was accepted, since a later config may have dropped the queue; `None` in a row
+    /// of a version that does not store them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<QueuePolicy>,
     /// Time of acceptance, in milliseconds since the Unix epoch.
     pub accepted_unix_ms: u64,
     /// Steps and schedule, as the caller submitted them.
@@ -132,7 +139,7 @@
     pub fn into_accepted(self, id: JobId) -> AcceptedJob {
         AcceptedJob {
             id,
-            queue: self.queue,
+            queue: JobQueue { name: self.queue, address: self.address, policy: self.policy },
             accepted_unix_ms: self.accepted_unix_ms,
             spec: Rc::new(self.spec),
         }
--- a/src/ops/jobs/operator_config.rs
+++ b/src/ops/jobs/operator_config.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::shard::QueuePolicy;
+use crate::shard::{ConfiguredQueues, JobQueue, QueueAddress, QueuePolicy};
 
 /// Maps requests for a host and path prefix to a queue.
 #[derive(Clone, Debug, PartialEq)]
@@ -15,6 +15,12 @@
     pub queue: String,
 }
 
+impl Route {
+    fn address(&self) -> QueueAddress {
+        QueueAddress { host: self.host.clone(), prefix: self.prefix.clone() }
+    }
+}
+
 /// The operators' settings for queues and failure domains.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct OperatorConfig {
@@ -36,4 +42,22 @@
         let route = self.routes.iter().filter(matches).max_by_key(|route| route.prefix.len())?;
         Some((route, &path[route.prefix.len()..]))
     }
+
+    /// Returns the queues with their addresses.
+    #[must_use]
+    pub fn configured_queues(&self) -> ConfiguredQueues {
+        let names = self.routes.iter().map(|route| (route.address(), route.queue.clone()));
+        ConfiguredQueues { policies: self.queues.clone(), names: names.collect() }
+    }
+
+    /// Returns a queue as it is stored with a job that it accepts.
+    #[must_use]
+    pub fn job_queue(&self, name: &str) -> JobQueue {
+        let route = self.routes.iter().find(|route| route.queue == name);
+        JobQueue {
+            name: name.to_owned(),
+            address: route.map(Route::address),
+            policy: self.queues.get(name).cloned(),
+        }
+    }
 }
--- a/src/ops/jobs/owner/load.rs
+++ b/src/ops/jobs/owner/load.rs
@@ -246,7 +246,7 @@
 
 pub(super) fn apply_operator_config<P>(node: &Node<P>, scheduler: &mut ShardScheduler) {
     let operator_config = node.operator_config();
-    scheduler.on_queues(operator_config.queues.clone());
+    scheduler.on_queues(operator_config.configured_queues());
     scheduler.on_domains_out(operator_config.domains_out.clone());
 }
 
--- a/src/ops/jobs/owner/rows.rs
+++ b/src/ops/jobs/owner/rows.rs
@@ -237,6 +237,7 @@
     let lag = owner.work.export(&owner.node, owner.claimed.shard.0, owner.claimed.epoch);
     let start_limit = owner.scheduler.borrow().start_rate_limit();
     metrics.gauge("shard.jobs", load.jobs as u64);
+    metrics.gauge("shard.unreachable_jobs", load.unreachable_jobs as u64);
     metrics.gauge("shard.waiting_steps", load.waiting_steps as u64);
     metrics.gauge("shard.runs", load.runs as u64);
     metrics.gauge("shard.workers", load.workers as u64);
@@ -244,9 +245,10 @@
     metrics.gauge("shard.usable_workers", load.usable_workers as u64);
     metrics.gauge("shard.free_cpu_millis", load.free_cpu_millis);
     event::SHARD_LOAD.emit(format_args!(
-        "shard={} jobs={} runs={} waiting={:?} workers={} usable={} unusable={:?} free_cpu={} most_free_cpu={} leftover_cpu={} filling_tasks={} filling_asked={} filling_paced={} filling_used={} suspects={} lag_ms={} start_limit={}",
+        "shard={} jobs={} unreachable_jobs={} runs={} waiting={:?} workers={} usable={} unusable={:?} free_cpu={} most_free_cpu={} leftover_cpu={} filling_tasks={} filling_asked={} filling_paced={} filling_used={} suspects={} lag_ms={} start_limit={}",
         owner.claimed.shard.0,
         load.jobs,
+        load.unreachable_jobs,
         load.runs,
         load.waiting_tasks,
         load.workers,
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -22,7 +22,7 @@
 pub mod worker_map;
 
 pub use ownership::{OwnerObserver, OwnerRow};
-pub use queue::QueuePolicy;
+pub use queue::{ConfiguredQueues, JobQueue, QueueAddress, QueuePolicy};
 pub use report::{EndCause, EndReport, RenewalReport, RunReport, WorkerListing};
 pub use scheduler::{Command, ShardScheduler, Timing};
 pub use worker::WorkerId;
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -8,10 +8,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::job::{JobId, JobTaskId, StepId};
 
-/// Operators' settings of a queue of jobs.
-#[derive(Clone, Debug, PartialEq)]
+/// Operators' settings of a queue of jobs. Stored with each accepted job.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct QueuePolicy {
     /// Pool of workers that runs the queue's tasks.
     pub service: String,
@@ -26,6 +28,49 @@
     pub target_latency_ms: u64,
 }
 
+/// Host and path prefix by which callers reach a queue.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct QueueAddress {
+    /// Value of a request's `Host` header, without the port.
+    pub host: String,
+    /// Path prefix; the rest of the path is the job's ID.
+    pub prefix: String,
+}
+
+/// Queue of a job, as it was configured when the job was accepted.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobQueue {
+    /// Name of the queue.
+    pub name: String,
+    /// Address that the job was sent to; `None` if it is not known.
+    pub address: Option<QueueAddress>,
+    /// Settings of the queue; `None` for a job that was accepted by a version that does not store them.
+    pub policy: Option<QueuePolicy>,
+}
+
+impl JobQueue {
+    /// Returns a queue of which only the name is known.
+    #[must_use]
+    pub fn named(name: &str) -> Self {
+        Self { name: name.to_owned(), address: None, policy: None }
+    }
+}
+
+/// Queues of the newest operator config.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfiguredQueues {
+    /// Settings by name of the queue.
+    pub policies: BTreeMap<String, QueuePolicy>,
+    /// Names of the queues by their addresses.
+    pub names: BTreeMap<QueueAddress, String>,
+}
+
+impl From<BTreeMap<String, QueuePolicy>> for ConfiguredQueues {
+    fn from(policies: BTreeMap<String, QueuePolicy>) -> Self {
+        Self { policies, names: BTreeMap::new() }
+    }
+}
+
 /// A step of a begun job counts as late once its latest start is more than this long ago. Estimates are rough, so a
 /// smaller delay says little.
 const LATE_AFTER_MS: u64 = 1_000;
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -16,6 +16,7 @@
 mod handover;
 mod incarnations;
 mod inherited;
+mod job_queues;
 mod pass;
 mod placing;
 mod renewals;
@@ -36,7 +37,7 @@
 
 use super::interference::{self, ImageId, Pressures};
 use super::pick::{self, UnusableCause};
-use super::queue::{QueuePolicy, Rank, WaitingTask, WaitingTasks};
+use super::queue::{JobQueue, QueuePolicy, Rank, WaitingTask, WaitingTasks};
 use super::report::WorkerListing;
 use super::times::StepTimeRatios;
 use super::worker::{Phase, Worker, WorkerId};
@@ -66,8 +67,7 @@
 /// Job of the shard that has not ended or whose end is not stored yet.
 #[derive(Debug)]
 pub(crate) struct Job {
-    /// Name of its queue.
-    queue: String,
+    queue: Rc<job_queues::SharedQueue>,
     /// When it was accepted, in milliseconds since the Unix epoch.
     accepted_unix_ms: u64,
     spec: Rc<JobSpec>,
@@ -89,8 +89,8 @@
 pub struct AcceptedJob {
     /// ID chosen by the caller.
     pub id: JobId,
-    /// Name of its queue.
-    pub queue: String,
+    /// Its queue.
+    pub queue: JobQueue,
     /// When it was accepted, in milliseconds since the Unix epoch.
     pub accepted_unix_ms: u64,
     /// Steps, schedule and payload.
@@ -114,7 +114,7 @@
     /// Workers that have, or may have, a run of the task; no entry if there is none.
     live: BTreeMap<JobTaskId, Vec<WorkerId>>,
     waiting: WaitingTasks,
-    queues: BTreeMap<String, QueuePolicy>,
+    queues: job_queues::JobQueues,
     /// Ratios of measured to estimated step times, by queue.
     times: BTreeMap<String, StepTimeRatios>,
     domains_out: BTreeSet<String>,
@@ -166,7 +166,7 @@
             workers: WorkerMap::default(),
             live: BTreeMap::new(),
             waiting: WaitingTasks::default(),
-            queues: BTreeMap::new(),
+            queues: job_queues::JobQueues::default(),
             times: BTreeMap::new(),
             domains_out: BTreeSet::new(),
             inherited: inherited::Inherited::new(claimed, predecessor_lapsed),
@@ -247,13 +247,6 @@
         self.max_row_bytes = max_row_bytes;
     }
 
-    /// Replaces the operators' settings of the queues.
-    pub fn on_queues(&mut self, queues: BTreeMap<String, QueuePolicy>) {
-        self.times.retain(|queue, _| queues.contains_key(queue));
-        self.queues = queues;
-        self.is_placement_due = true;
-    }
-
     /// Replaces the set of failure domains that are closed to new tasks. Runs there continue.
     pub fn on_domains_out(&mut self, out: BTreeSet<String>) {
         if out != self.domains_out {
@@ -353,10 +346,11 @@
         let id = job.id;
         let names = job.spec.steps.iter().map(|step| step.image.as_deref());
         let images = names.map(|name| name.map(|name| self.pressures.image(name))).collect();
+        let queue = self.queues.of_job(job.queue);
         self.jobs.insert(
             id,
             Job {
-                queue: job.queue,
+                queue,
                 accepted_unix_ms: job.accepted_unix_ms,
                 spec: job.spec,
                 images,
@@ -441,18 +435,6 @@
         self.commands.push(command);
     }
 
-    /// Number of jobs without a schedule of which no task has started, by queue.
-    #[must_use]
-    pub fn pending(&self) -> BTreeMap<String, u64> {
-        let mut pending = BTreeMap::new();
-        for job in self.jobs.values() {
-            if job.spec.schedule.is_none() && job.progress.state == JobState::Queued {
-                *pending.entry(job.queue.clone()).or_default() += 1;
-            }
-        }
-        pending
-    }
-
     /// IDs of the workers of the shard that are in the VM list or may still run something.
     #[must_use]
     pub fn worker_ids(&self) -> Vec<String> {
@@ -495,6 +477,7 @@
             best_effort: BestEffort::of(&self.workers),
             waiting_tasks: self.waiting.tasks_by_priority(),
             jobs: self.jobs.len(),
+            unreachable_jobs: self.queues.unreachable_jobs(),
             waiting_steps: self.waiting.step_count(),
             runs: self.live.len(),
             workers: self.workers.len(),
@@ -560,15 +543,15 @@
         if job.progress.state.is_final() {
             return;
         }
-        let policy = self.queues.get(&job.queue);
-        let times = self.times.get(&job.queue).copied().unwrap_or_default();
+        let times = self.times_of(job);
+        let policy = job.queue.policy();
         for (number, occurrence) in &job.progress.occurrences {
             for (index, step) in job.spec.steps.iter().enumerate() {
                 if !step.after.iter().all(|after| occurrence.is_step_done(*after)) {
                     continue;
                 }
                 let key = crate::job::StepId { job: id, occurrence: *number, step: index as u16 };
-                let rank = rank(job, policy, times, *number, index);
+                let rank = rank(job, &policy, times, *number, index);
                 for (task, progress) in occurrence.steps[index].iter().enumerate() {
                     let task = JobTaskId { step: key, index: task as u16 };
                     let may_run = self.live.contains_key(&task) || self.inherited.has(&task);
@@ -600,8 +583,11 @@
     }
 
     fn rank(&self, job: &Job, occurrence: u32, step: usize) -> Rank {
-        let times = self.times.get(&job.queue).copied().unwrap_or_default();
-        rank(job, self.queues.get(&job.queue), times, occurrence, step)
+        rank(job, &job.queue.policy(), self.times_of(job), occurrence, step)
+    }
+
+    fn times_of(&self, job: &Job) -> StepTimeRatios {
+        self.times.get(job.queue.name()).copied().unwrap_or_default()
     }
 
     fn next_run(&self, last_run: u32) -> u32 {
@@ -629,6 +615,8 @@
     pub waiting_tasks: BTreeMap<u32, usize>,
     /// Jobs that have not ended.
     pub jobs: usize,
+    /// Jobs among them whose queues are not in the newest config, so that callers can't reach them.
+    pub unreachable_jobs: usize,
     /// Steps with waiting tasks.
     pub waiting_steps: usize,
     /// Tasks that have, or may have, a run.
@@ -669,20 +657,23 @@
 /// Computes the rank of a step. Its latest start leaves time for the rest of its chain within the job's objective.
 fn rank(
     job: &Job,
-    policy: Option<&QueuePolicy>,
+    policy: &QueuePolicy,
     times: StepTimeRatios,
     occurrence: u32,
     step: usize,
 ) -> Rank {
     let due = job.spec.schedule.map_or(job.accepted_unix_ms, |s| s.due_unix_ms(occurrence));
     let chain_ms = times.unloaded_ms(job.spec.chain().as_millis() as f64);
-    let (priority, objective_ms) = policy.map_or((u32::MAX, chain_ms), |policy| {
-        (policy.priority, policy.stretch * chain_ms + policy.target_latency_ms as f64)
-    });
+    let objective_ms = policy.stretch * chain_ms + policy.target_latency_ms as f64;
     let left_ms = times.typical_ms(job.spec.chain_from(step).as_millis() as f64) as u64;
     let is_long_running = job.spec.steps[step].is_long_running;
     let start_by = (due + objective_ms as u64).saturating_sub(left_ms);
     let is_begun = job.progress.state != JobState::Queued;
     let start_by_unix_ms = (!is_long_running).then_some(start_by);
-    Rank { priority, start_by_unix_ms, objective_ms: objective_ms as u64, is_begun }
+    Rank {
+        priority: policy.priority,
+        start_by_unix_ms,
+        objective_ms: objective_ms as u64,
+        is_begun,
+    }
 }
--- a/src/shard/scheduler/ends.rs
+++ b/src/shard/scheduler/ends.rs
@@ -10,7 +10,7 @@
 use crate::shard::worker::{Run, WorkerId};
 use crate::telemetry::event::shard as event;
 
-use super::ShardScheduler;
+use super::{Job, ShardScheduler};
 
 impl ShardScheduler {
     /// Processes an end that a worker has listed.
@@ -107,7 +107,7 @@
         let Some(began) = job.step_began.remove(key) else { return };
         let estimate_ms = job.spec.steps[usize::from(key.step)].estimate().as_millis() as f64;
         let took_ms = now.saturating_sub(began).as_millis() as f64;
-        self.times.entry(job.queue.clone()).or_default().observe(took_ms, estimate_ms);
+        self.times.entry(job.queue.name().to_owned()).or_default().observe(took_ms, estimate_ms);
     }
 
     /// Stops the remaining runs of a task that has succeeded.
@@ -120,7 +120,7 @@
     fn on_failed(&mut self, now: Duration, worker_id: &WorkerId, task: &JobTaskId, run: u32) {
         let id = task.step.job;
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let attempts = self.queues.get(&job.queue).map_or(u32::MAX, |queue| queue.attempts);
+        let attempts = job.queue.policy().attempts;
         let step = &job.spec.steps[usize::from(task.step.step)];
         let Some(progress) = job.progress.task_mut(task) else { return };
         if progress.is_done {
@@ -131,13 +131,7 @@
             // A previous owner stored this failure but did not acknowledge the end.
             return self.requeue(task);
         }
-        let mut failures = progress.failed_runs.len();
-        if step.is_gang {
-            failures = (0..step.count as u16)
-                .filter_map(|index| job.progress.task(&JobTaskId { step: task.step, index }))
-                .map(|member| member.failed_runs.len())
-                .sum();
-        }
+        let failures = failures(job, task);
         job.avoid.entry(*task).or_default().push(worker_id.clone());
         self.rows.mark((id, job.progress.row_of(task)));
         event::TASK_FAILED.emit(format_args!(
@@ -215,6 +209,18 @@
     }
 }
 
+/// Number of failures that count against the attempts of a task, or of the gang that it is a member of.
+pub(super) fn failures(job: &Job, task: &JobTaskId) -> usize {
+    let step = &job.spec.steps[usize::from(task.step.step)];
+    if !step.is_gang {
+        return job.progress.task(task).map_or(0, |task| task.failed_runs.len());
+    }
+    (0..step.count as u16)
+        .filter_map(|index| job.progress.task(&JobTaskId { step: task.step, index }))
+        .map(|member| member.failed_runs.len())
+        .sum()
+}
+
 /// Logs the end of a worker's probation, if it has ended.
 pub(super) fn log_restored(worker_id: &WorkerId, restored: Option<Restored>) {
     if let Some(restored) = restored {
--- a/src/shard/scheduler/pass.rs
+++ b/src/shard/scheduler/pass.rs
@@ -29,7 +29,7 @@
 /// Step that found no worker in a pass, for the comparison with later ones.
 #[derive(Debug)]
 struct FailedStep {
-    queue: String,
+    service: String,
     image: Option<String>,
     uses_leftover_cpu: bool,
     tier: ProbeTier,
@@ -131,7 +131,7 @@
     /// Records that the current step found no worker; `is_full` if no worker has enough resources for it.
     pub(super) fn record_miss(
         &mut self,
-        queue: &str,
+        service: &str,
         step: &StepSpec,
         tier: ProbeTier,
         is_overdue: bool,
@@ -143,7 +143,7 @@
             step.required_label.is_none() && step.max_per_worker.is_none() && !step.is_gang;
         if is_unconstrained && is_full {
             self.failed.push(FailedStep {
-                queue: queue.to_owned(),
+                service: service.to_owned(),
                 image: step.image.clone(),
                 uses_leftover_cpu: step.uses_leftover_cpu,
                 tier,
@@ -158,7 +158,7 @@
     pub(super) fn begin_step(
         &mut self,
         id: &StepId,
-        queue: &str,
+        service: &str,
         step: &StepSpec,
         tier: ProbeTier,
         is_overdue: bool,
@@ -175,7 +175,7 @@
             return Some(WaitCause::Deferred);
         }
         let is_smaller_missed = self.failed.iter().any(|failed| {
-            failed.queue == queue
+            failed.service == service
                 && failed.image == step.image
                 && failed.uses_leftover_cpu == step.uses_leftover_cpu
                 && failed.tier <= tier
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -2,7 +2,7 @@
 //!
 //! Sized for a few hundred starts per second, in bursts of up to one step's tasks. One pass tries all waiting steps in
 //! rank order. A step that no worker can take does not block the steps behind it. A step is skipped if a step without
-//! further constraints found no worker in the same pass, has the same queue, image and best-effort mode, and asks for
+//! further constraints found no worker in the same pass, has the same service, image and best-effort mode, and asks for
 //! no more resources. [`super::pass`] bounds how much a pass examines.
 //!
 //! The tasks of a job run together in its home domain. A failure domain may be cut off for seconds, and the state of
@@ -82,7 +82,8 @@
                 continue;
             };
             let spec = Rc::clone(&job.spec);
-            let queue = job.queue.clone();
+            let policy = job.queue.policy();
+            let service = policy.service.as_str();
             let step = &spec.steps[usize::from(key.step)];
             // Services must not wait beside free resources, and have few starts.
             if allowed == 0 && !step.is_long_running {
@@ -97,7 +98,7 @@
             }
             let tier = self.probe_tier(&key, step, &tasks);
             let is_overdue = self.is_overdue(step, &key);
-            let mut cause = pass.begin_step(&key, &queue, step, tier, is_overdue);
+            let mut cause = pass.begin_step(&key, service, step, tier, is_overdue);
             if cause == Some(WaitCause::Deferred) && pass.is_over() {
                 self.resume_pass_at.get_or_insert(key);
             }
@@ -108,7 +109,7 @@
                 allowed = allowed.saturating_sub(started as usize);
                 if outcome != StepOutcome::Placed {
                     let is_full = outcome == StepOutcome::NoWorker;
-                    pass.record_miss(&queue, step, tier, is_overdue, is_full);
+                    pass.record_miss(service, step, tier, is_overdue, is_full);
                     cause = Some(WaitCause::NoWorker);
                 }
             }
@@ -138,7 +139,7 @@
     /// Returns the tier of a step's waiting tasks as probes: the last one that a task of it has.
     fn probe_tier(&self, key: &StepId, step: &StepSpec, tasks: &[u16]) -> ProbeTier {
         let Some(job) = self.jobs.get(&key.job) else { return ProbeTier::Any };
-        let attempts = self.queues.get(&job.queue).map_or(0, |queue| queue.attempts as usize);
+        let attempts = job.queue.policy().attempts as usize;
         let tier = |index: &u16| {
             let task = JobTaskId { step: *key, index: *index };
             let failures = job.progress.task(&task).map_or(0, |task| task.failed_runs.len());
@@ -274,7 +275,7 @@
         rack: Option<&str>,
     ) -> Vec<(i64, usize)> {
         let Some(job) = self.jobs.get(&key.job) else { return Vec::new() };
-        let Some(policy) = self.queues.get(&job.queue) else { return Vec::new() };
+        let policy = job.queue.policy();
         let req = PlacementRequest {
             service: &policy.service,
             step,
@@ -304,7 +305,7 @@
         position: usize,
     ) -> Option<i64> {
         let job = self.jobs.get(&key.job)?;
-        let policy = self.queues.get(&job.queue)?;
+        let policy = job.queue.policy();
         let req = PlacementRequest {
             service: &policy.service,
             step,
--- a/src/shard/scheduler/waits.rs
+++ b/src/shard/scheduler/waits.rs
@@ -45,14 +45,14 @@
     fn log_wait(&self, now: Duration, id: &StepId, waiting: &WaitingStep) {
         let Some(job) = self.jobs.get(&id.job) else { return };
         let step = &job.spec.steps[usize::from(id.step)];
-        let service = self.queues.get(&job.queue).map(|queue| queue.service.as_str());
+        let policy = job.queue.policy();
         let mut most_free = 0;
         let mut unusable: BTreeMap<UnusableCause, u64> = BTreeMap::new();
         for (worker_id, worker) in self.workers.iter() {
             let has_label =
                 step.required_label.as_ref().is_none_or(|l| worker.listing.labels.contains(l));
             let is_below_limit = step.max_per_worker.is_none_or(|most| worker.tasks_of(id) < most);
-            if service != Some(worker.listing.service.as_str()) || !has_label || !is_below_limit {
+            if worker.listing.service != policy.service || !has_label || !is_below_limit {
                 continue;
             }
             let free = worker.free().cpu_millis;
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -123,6 +123,10 @@
 
 /// An answer has a lower reading of the worker's clock than an earlier one, so an unknown incarnation gave it.
 pub const WORKER_CLOCK_WENT_BACK: Event = Event::new(676, Level::Warn, "worker-clock-went-back");
+/// The newest config has no queue for jobs that were accepted for it; they run on.
+pub const JOB_QUEUE_DROPPED: Event = Event::new(677, Level::Warn, "job-queue-dropped");
+/// The newest config has a queue again that jobs were accepted for.
+pub const JOB_QUEUE_RESTORED: Event = Event::new(678, Level::Info, "job-queue-restored");
 
 /// All events of this module.
 pub const ALL: &[Event] = &[
@@ -184,4 +188,6 @@
     RECOVERY_LIMIT,
     OWNER_SATURATED,
     WORKER_CLOCK_WENT_BACK,
+    JOB_QUEUE_DROPPED,
+    JOB_QUEUE_RESTORED,
 ];
--- a/tests/testsuite/shard.rs
+++ b/tests/testsuite/shard.rs
@@ -3,6 +3,7 @@
 
 mod capacity;
 mod crashes;
+mod dropped_queues;
 mod ends;
 mod incarnation_chains;
 mod incarnations;
--- a/tests/testsuite/shard/owner_chains/saturation.rs
+++ b/tests/testsuite/shard/owner_chains/saturation.rs
@@ -40,7 +40,8 @@
         JobSpec { payload: "payload".to_owned(), steps: vec![step(tasks, 1_000)], schedule: None };
     world.workers.borrow_mut().lengths.insert(id, Some(length));
     let accepted_unix_ms = START_UNIX_MS + world.now().as_millis() as u64;
-    let stored = StoredJob { queue: queue.to_owned(), accepted_unix_ms, spec };
+    let queue = queue.to_owned();
+    let stored = StoredJob { queue, address: None, policy: None, accepted_unix_ms, spec };
     let shard = ShardId(0);
     let key = layout::job_row(shard, id);
     let commit = Commit {
--- a/tests/testsuite/shard/owner_chains/scenario.rs
+++ b/tests/testsuite/shard/owner_chains/scenario.rs
@@ -401,7 +401,13 @@
 /// Stores a job as it is accepted. Its tasks take `length`, or run until they are stopped.
 pub fn submit(world: &World, id: JobId, spec: JobSpec, length: Option<Duration>) {
     world.workers.borrow_mut().lengths.insert(id, length);
-    let stored = StoredJob { queue: QUEUE.to_owned(), accepted_unix_ms: 1_000_000, spec };
+    let stored = StoredJob {
+        queue: QUEUE.to_owned(),
+        address: None,
+        policy: None,
+        accepted_unix_ms: 1_000_000,
+        spec,
+    };
     let shard = ShardId(0);
     let key = layout::job_row(shard, id);
     let commit = Commit {
--- a/tests/testsuite/shard/rig.rs
+++ b/tests/testsuite/shard/rig.rs
@@ -11,7 +11,7 @@
     AcceptedJob, Command, CommandKind, CommandOutcome, RenewalFailure, Reply, StartOutcome,
     StartRefusal,
 };
-use plantainlever::shard::{QueuePolicy, ShardScheduler, WorkerId, scheduler};
+use plantainlever::shard::{JobQueue, QueuePolicy, ShardScheduler, WorkerId, scheduler};
 
 /// Queue of all jobs in these tests.
 pub const QUEUE: &str = "plans";
@@ -470,6 +470,10 @@
     pub fleet: Fleet,
     pub store: Store,
     pub owner: ShardScheduler,
+    /// Queues of the newest config, for the next owner.
+    pub queues: BTreeMap<String, QueuePolicy>,
+    /// Queue of the jobs, as it is stored with them.
+    pub job_queue: JobQueue,
     /// Time at which the store last confirmed the ownership.
     pub confirmed: Duration,
     /// The VM list can't be read.
@@ -487,12 +491,14 @@
             fleet,
             store,
             owner,
+            queues: BTreeMap::from([(QUEUE.to_owned(), policy())]),
+            job_queue: JobQueue { policy: Some(policy()), ..JobQueue::named(QUEUE) },
             confirmed: Duration::ZERO,
             is_list_down: false,
             delayed_answers: Vec::new(),
         };
         rig.owner.limit_rows(ROW_BYTES);
-        rig.owner.on_queues(BTreeMap::from([(QUEUE.to_owned(), policy())]));
+        rig.owner.on_queues(rig.queues.clone());
         rig
     }
 
@@ -501,19 +507,26 @@
         let id = JobId(id);
         self.fleet.sizes.insert(id, spec.steps[0].committed());
         self.store.jobs.insert(id, Rc::clone(&spec));
-        self.owner.on_job(accepted(id, spec));
+        self.owner.on_job(AcceptedJob { queue: self.job_queue.clone(), ..accepted(id, spec) });
         id
     }
 
+    /// Puts a config into force.
+    pub fn configure(&mut self, queues: BTreeMap<String, QueuePolicy>) {
+        self.queues = queues;
+        self.owner.on_queues(self.queues.clone());
+    }
+
     /// Replaces the owner by a new one with the next epoch, as a claim does.
     pub fn take_over(&mut self, lapsed: Duration) {
         let epoch = self.owner.epoch() + 1;
         self.owner = ShardScheduler::new(epoch, timing(), self.fleet.now, lapsed);
         self.owner.limit_rows(ROW_BYTES);
         self.delayed_answers.clear();
-        self.owner.on_queues(BTreeMap::from([(QUEUE.to_owned(), policy())]));
+        self.owner.on_queues(self.queues.clone());
         for (id, spec) in &self.store.jobs {
-            let job = accepted(*id, Rc::clone(spec));
+            let queue = self.job_queue.clone();
+            let job = AcceptedJob { queue, ..accepted(*id, Rc::clone(spec)) };
             match self.store.rows.get(id) {
                 Some(head) => {
                     let parts = self.store.parts.get(id).cloned().unwrap_or_default();
@@ -684,7 +697,8 @@
 }
 
 pub fn accepted(id: JobId, spec: Rc<JobSpec>) -> AcceptedJob {
-    AcceptedJob { id, queue: QUEUE.to_owned(), accepted_unix_ms: 0, spec }
+    let queue = JobQueue { policy: Some(policy()), ..JobQueue::named(QUEUE) };
+    AcceptedJob { id, queue, accepted_unix_ms: 0, spec }
 }
 
 pub fn timing() -> scheduler::Timing {
