End a job whose last failure is stored when a new owner reads it

Cause: the failures of a task and the end of its job may be in different rows, or the limit may have been unknown when the last failure was counted. A new owner that reads as many failures as are allowed, and a job that has not ended, queued the task again: the same end, listed again by its worker, is known by its number and was only a reason to start once more.

Change: a job that is read with as many failures of a task as its attempts ends as failed before its tasks are queued.

Failed before: shard::dropped_queues::a_successor_starts_no_task_whose_last_failure_is_stored on, with its own interface (the job is running, not failed). How often owners are lost between these two rows was not measured.

--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -363,6 +363,7 @@
         );
         self.begin_due_occurrences(id);
         self.add_stored_suspects(id);
+        self.end_if_over_budget(id);
         self.queue_ready_tasks(id);
     }
 
--- a/src/shard/scheduler/job_queues.rs
+++ b/src/shard/scheduler/job_queues.rs
@@ -185,8 +185,9 @@
         self.is_placement_due = true;
     }
 
-    /// Ends a job of which a task has failed as often as it may. Failures are counted without a limit while it is unknown.
-    fn end_if_over_budget(&mut self, id: JobId) {
+    /// Ends a job of which a task has failed as often as it may. Failures are counted without a limit while it is unknown,
+    /// and a previous owner may have stored the last failure without the end of the job.
+    pub(super) fn end_if_over_budget(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let attempts = job.queue.policy().attempts as usize;
         if let Some((task, failures)) = most_failed(id, job)
--- a/tests/testsuite/shard/dropped_queues.rs
+++ b/tests/testsuite/shard/dropped_queues.rs
@@ -111,6 +111,22 @@
     }
 }
 
+/// Guards against a failed job that a successor starts again: its predecessor stored the last failure, but not the end of
+/// the job.
+#[test]
+fn a_successor_starts_no_task_whose_last_failure_is_stored() {
+    let mut rig = Rig::new(Fleet::new(6, 4_000));
+    let id = submit_long_task(&mut rig);
+    rig.run(Duration::from_millis(200));
+    let row = br#"{"s":"running","n":1,"o":{"0":{"t":["r"],"f":[[0,0,1],[0,0,2],[0,0,3]]}}}"#;
+    rig.store.rows.insert(id, row.to_vec());
+    let now = rig.fleet.now;
+    rig.take_over(now + Duration::from_secs(1));
+    rig.run(LONG);
+    assert_eq!(rig.starts_of(id).len(), 1);
+    assert_eq!(rig.stored_state(id), Some(JobState::Failed));
+}
+
 /// Guards against a job of a row without settings, written by an earlier version, that is lost or started without a
 /// service: it waits for its queue, and its failures meanwhile count.
 #[test]
