Count a failed run of a gang once, however many members report it

A job with a gang of four was shown as failed after its first run, though its route allows three and 11 of 12 executors were idle.

Cause: on_failed added up the failed runs of all members. They share the number of the run, so one run with four failed members counted as four failures. The same end counted twice, and several runs at once, were excluded: with one failed member and three broken ones the count was right, and there was one run number.

Change: the distinct numbers of failed runs of all members count. They are stored by number already, so rows stay as they are, and the count does not depend on the order, the number or the reader of the reports.

--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -64,7 +64,7 @@
     Running,
     /// All tasks have succeeded.
     Completed,
-    /// A task has failed as often as its queue allows; for a gang, the failures of all members count together.
+    /// A task or gang has failed in as many runs as its queue allows. A run of a gang fails once, however many members do.
     Failed,
     /// A caller has cancelled the job.
     Cancelled,
--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -134,7 +134,7 @@
 }
 
 /// Tasks that share the runs of a task: all members of its gang, otherwise the task alone.
-fn members_of(job: &Job, task: &JobTaskId) -> Vec<JobTaskId> {
+pub(super) fn members_of(job: &Job, task: &JobTaskId) -> Vec<JobTaskId> {
     let step = job.spec.steps.get(usize::from(task.step.step));
     let gang = step.filter(|step| step.is_gang).map(|step| step.count as u16);
     match gang {
--- a/src/shard/scheduler/ends.rs
+++ b/src/shard/scheduler/ends.rs
@@ -1,5 +1,6 @@
 //! Processing of ended runs: step progress, failures, and the end of jobs.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::job::progress::Occurrence;
@@ -10,6 +11,7 @@
 use crate::shard::worker::{Run, WorkerId};
 use crate::telemetry::event::shard as event;
 
+use super::crashes::members_of;
 use super::{Job, ShardScheduler};
 
 impl ShardScheduler {
@@ -209,16 +211,13 @@
     }
 }
 
-/// Number of failures that count against the attempts of a task, or of the gang that it is a member of.
+/// Number of failed runs that count against the attempts of a task, or of the gang that it is a member of. All members of
+/// a gang share a run, so one in which several of them failed counts once.
 pub(super) fn failures(job: &Job, task: &JobTaskId) -> usize {
-    let step = &job.spec.steps[usize::from(task.step.step)];
-    if !step.is_gang {
-        return job.progress.task(task).map_or(0, |task| task.failed_runs.len());
-    }
-    (0..step.count as u16)
-        .filter_map(|index| job.progress.task(&JobTaskId { step: task.step, index }))
-        .map(|member| member.failed_runs.len())
-        .sum()
+    let members = members_of(job, task);
+    let progress = members.iter().filter_map(|member| job.progress.task(member));
+    let runs: BTreeSet<u32> = progress.flat_map(|member| &member.failed_runs).copied().collect();
+    runs.len()
 }
 
 /// Logs the end of a worker's probation, if it has ended.
--- a/tests/testsuite/shard.rs
+++ b/tests/testsuite/shard.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod dropped_queues;
 mod ends;
+mod gang_failures;
 mod incarnation_chains;
 mod incarnations;
 mod interference;
