Let a gang avoid the workers on which any of its members failed

Cause: workers that the next run uses last were kept by task. If one member failed and the others were broken, only that member avoided the worker, and the others went back to it.

Change: the list is kept for the gang, under its first member, and one method of Job adds to it in all four places. It stays a preference: a gang that finds no other worker uses an avoided one.

--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -80,10 +80,27 @@
     head: rows::HeadState,
     /// Local time at which the first task of each unfinished step started.
     step_began: BTreeMap<StepId, Duration>,
-    /// Workers on which a task failed, did not start, or was throttled for long; used last for the next run.
+    /// Workers on which a task failed, did not start, or was throttled for long; used last for the next run. Those of a
+    /// gang are listed under its first member.
     avoid: BTreeMap<JobTaskId, Vec<WorkerId>>,
 }
 
+impl Job {
+    /// Lets the next run of a task, or of its gang, use a worker last.
+    fn avoid_worker(&mut self, task: &JobTaskId, worker: &WorkerId) {
+        let key = crashes::suspect_of(self, task);
+        let avoid = self.avoid.entry(key).or_default();
+        if !avoid.contains(worker) {
+            avoid.push(worker.clone());
+        }
+    }
+
+    /// Returns the workers that the next run of a task, or of its gang, uses last.
+    fn avoided_workers(&self, task: &JobTaskId) -> &[WorkerId] {
+        self.avoid.get(&crashes::suspect_of(self, task)).map_or(&[], Vec::as_slice)
+    }
+}
+
 /// Job as it was accepted.
 #[derive(Clone, Debug)]
 pub struct AcceptedJob {
--- a/src/shard/scheduler/ends.rs
+++ b/src/shard/scheduler/ends.rs
@@ -123,23 +123,23 @@
         let id = task.step.job;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let attempts = job.queue.policy().attempts;
-        let step = &job.spec.steps[usize::from(task.step.step)];
+        let is_long_running = job.spec.steps[usize::from(task.step.step)].is_long_running;
         let Some(progress) = job.progress.task_mut(task) else { return };
         if progress.is_done {
             return;
         }
         // Failures of long-running tasks are unlimited, so they are not recorded.
-        if !step.is_long_running && !progress.failed_runs.insert(run) {
+        if !is_long_running && !progress.failed_runs.insert(run) {
             // A previous owner stored this failure but did not acknowledge the end.
             return self.requeue(task);
         }
         let failures = failures(job, task);
-        job.avoid.entry(*task).or_default().push(worker_id.clone());
+        job.avoid_worker(task, worker_id);
         self.rows.mark((id, job.progress.row_of(task)));
         event::TASK_FAILED.emit(format_args!(
             "job={id} task={task} worker={worker_id} failures={failures} attempts={attempts}"
         ));
-        if failures >= attempts as usize && !step.is_long_running {
+        if failures >= attempts as usize && !is_long_running {
             event::JOB_ENDED
                 .emit(format_args!("job={id} state=failed task={task} failures={failures}"));
             self.end_job(now, id, JobState::Failed);
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -145,7 +145,7 @@
             let failures = job.progress.task(&task).map_or(0, |task| task.failed_runs.len());
             if step.is_gang || !step.is_long_running && failures + 1 >= attempts {
                 ProbeTier::Any
-            } else if failures > 0 || job.avoid.contains_key(&task) {
+            } else if failures > 0 || !job.avoided_workers(&task).is_empty() {
                 ProbeTier::Retried
             } else {
                 ProbeTier::Fresh
@@ -238,7 +238,8 @@
     /// left out, and those that the job avoids for it are used only if there is no other. So are, for a suspect, those
     /// with a run that may crash them as well.
     fn pop_best(&self, best: &mut ScoredWorkers, task: &JobTaskId) -> Option<(WorkerId, usize)> {
-        let avoid = self.jobs.get(&task.step.job).and_then(|job| job.avoid.get(task));
+        let job = self.jobs.get(&task.step.job);
+        let avoid = job.map_or(&[][..], |job| job.avoided_workers(task));
         let needs_trial = self.needs_trial(task);
         let mut passed_over = Vec::new();
         let mut found = None;
@@ -246,8 +247,7 @@
             let worker = self.workers.at(position);
             let id = &worker.listing.id;
             let has_no_run_of_task = !worker.runs.contains_key(task);
-            let is_avoided = avoid.is_some_and(|avoid| avoid.contains(id))
-                || (needs_trial && has_unproven_run(worker));
+            let is_avoided = avoid.contains(id) || (needs_trial && has_unproven_run(worker));
             if has_no_run_of_task && !is_avoided {
                 found = Some((id.clone(), position));
                 break;
@@ -644,10 +644,7 @@
     fn on_not_started(&mut self, worker_id: &WorkerId, task: &JobTaskId) {
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             // The next run prefers other workers.
-            let avoid = job.avoid.entry(*task).or_default();
-            if !avoid.contains(worker_id) {
-                avoid.push(worker_id.clone());
-            }
+            job.avoid_worker(task, worker_id);
         }
         self.drop_run(worker_id, task);
     }
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -446,10 +446,7 @@
         }
         for task in stuck {
             if let Some(job) = self.jobs.get_mut(&task.step.job) {
-                let avoid = job.avoid.entry(task).or_default();
-                if !avoid.contains(worker_id) {
-                    avoid.push(worker_id.clone());
-                }
+                job.avoid_worker(&task, worker_id);
             }
             self.stop_run(now, worker_id, &task, false);
         }
--- a/src/shard/scheduler/throttling.rs
+++ b/src/shard/scheduler/throttling.rs
@@ -84,7 +84,7 @@
         }
         for task in moved {
             if let Some(job) = self.jobs.get_mut(&task.step.job) {
-                job.avoid.entry(task).or_default().push(worker_id.clone());
+                job.avoid_worker(&task, worker_id);
             }
             event::TASK_MOVED.emit(format_args!("task={task} worker={worker_id} cause=slowed"));
             self.stop_run(now, worker_id, &task, false);
--- a/tests/testsuite/shard/gang_failures.rs
+++ b/tests/testsuite/shard/gang_failures.rs
@@ -158,3 +158,20 @@
         rig.run(Duration::from_secs(4));
     });
 }
+
+/// Guards against a gang that goes back to the worker on which it has failed, while others are idle.
+#[test]
+fn no_member_of_a_gang_returns_to_the_worker_on_which_one_has_failed() {
+    let mut rig = Rig::new(Fleet::new(4, 4_000));
+    let id = start_gang(&mut rig, Vec::new());
+    let members = members(&rig, id);
+    let (_, _, failed) = rig.starts_of(id)[1].clone();
+    end(&mut rig, &members[1], EndCause::Failed);
+    for task in &members {
+        end(&mut rig, task, EndCause::GangBroken);
+    }
+    rig.run(STORED);
+    let starts = rig.starts_of(id);
+    assert_eq!(starts.len(), 8);
+    assert!(starts[4..].iter().all(|(.., worker)| *worker != failed), "{starts:?}");
+}
