Count a run of a gang as one crash, however many of its workers crashed

Two executors crashed once, at the same moment, under a gang of four; the job was shown as failed after its only run, with 15 sound executors idle.

Cause: crashes_of collected pairs of run and worker over all members, so one run that lost two workers had two crashes, and the only suspect is given up after two.

Change: a run counts once. The limits stay: two clear crashes, three otherwise, four with doubtful ones. A member has crashed in no more runs than its gang, so BUDGET holds as for a single task.

Failed before, on: shard::gang_failures::two_workers_that_crash_in_one_run_count_as_one_crash_of_the_gang (failed, not completed) and a_gang_that_crashes_all_its_workers_is_given_up_after_two_runs (after one).

--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -25,8 +25,8 @@
 //! soon after its start. If the worker had no such run, all of its runs are recorded.
 //!
 //! A task is given up, and its job fails, after [`CLEAR_CRASHES_LIMIT`] crashes if it was the only suspect of the last
-//! one and few other workers crashed at that time, and after [`CRASHES_LIMIT`] in any case. A gang is one suspect: its members share their runs, and a crash
-//! counts once per worker. A task of any occurrence fails the whole job. Success clears a suspect, as does being active
+//! one and few other workers crashed at that time, and after [`CRASHES_LIMIT`] in any case. A gang is one suspect: its members share their runs, and a run
+//! counts once, however many workers crashed under it. A task of any occurrence fails the whole job. Success clears a suspect, as does being active
 //! for [`PROVEN_AFTER`] if it is a long-running task, which would otherwise collect unrelated crashes.
 //!
 //! To find the cause among several suspects, they are tried: see [`super::trials`].
@@ -143,18 +143,26 @@
     }
 }
 
-/// Crashes that count against a task or gang, as (run, worker): all but its first one among mass crashes, and without
-/// doubtful ones. Members of a gang on the same worker count once.
-fn crashes_of(job: &Job, task: &JobTaskId) -> BTreeSet<(u32, Rc<str>)> {
+/// Runs of a task or gang that ended with crashes, each with the workers that crashed.
+type CrashedRuns = BTreeMap<u32, BTreeSet<Rc<str>>>;
+
+/// Crashed runs that count against a task or gang: all but its first one in a mass crash, and without doubtful ones. All
+/// members of a gang share a run, so the loss of several of their workers in one run counts once.
+fn crashes_of(job: &Job, task: &JobTaskId) -> CrashedRuns {
     let members = members_of(job, task);
     let progress: Vec<_> = members.iter().filter_map(|member| job.progress.task(member)).collect();
     let crashed = progress.iter().flat_map(|progress| &progress.crashed_runs);
     let mass_crashed = || progress.iter().flat_map(|progress| &progress.mass_crashed_runs);
     let first = mass_crashed().map(|(run, _)| *run).min();
-    crashed
-        .chain(mass_crashed().filter(|(run, _)| Some(**run) != first))
-        .map(|(run, worker)| (*run, Rc::clone(worker)))
-        .collect()
+    by_run(crashed.chain(mass_crashed().filter(|(run, _)| Some(**run) != first)))
+}
+
+fn by_run<'a>(crashes: impl Iterator<Item = (&'a u32, &'a Rc<str>)>) -> CrashedRuns {
+    let mut runs = CrashedRuns::new();
+    for (run, worker) in crashes {
+        runs.entry(*run).or_default().insert(Rc::clone(worker));
+    }
+    runs
 }
 
 /// Returns true if a crash counts against a task or gang, or a doubtful one makes it a suspect. The same as a result of
@@ -181,12 +189,11 @@
     false
 }
 
-/// Doubtful crashes of a task or gang.
-fn doubtful_crashes_of(job: &Job, task: &JobTaskId) -> BTreeSet<(u32, Rc<str>)> {
+/// Doubtful crashed runs of a task or gang.
+fn doubtful_crashes_of(job: &Job, task: &JobTaskId) -> CrashedRuns {
     let members = members_of(job, task);
     let progress = members.iter().filter_map(|member| job.progress.task(member));
-    let doubtful = progress.flat_map(|progress| &progress.doubtful_crashed_runs);
-    doubtful.map(|(run, worker)| (*run, Rc::clone(worker))).collect()
+    by_run(progress.flat_map(|progress| &progress.doubtful_crashed_runs))
 }
 
 /// Returns true if a worker has a run that may still crash it.
@@ -376,8 +383,9 @@
         }
         let crashes = crashes_of(job, suspect);
         let doubtful = doubtful_crashes_of(job, suspect);
+        let all: BTreeSet<&u32> = crashes.keys().chain(doubtful.keys()).collect();
         let limit = if is_clear { CLEAR_CRASHES_LIMIT } else { CRASHES_LIMIT };
-        if crashes.len() < limit && crashes.len() + doubtful.len() < DOUBTFUL_CRASHES_LIMIT {
+        if crashes.len() < limit && all.len() < DOUBTFUL_CRASHES_LIMIT {
             return;
         }
         event::TASK_GIVEN_UP.emit(format_args!(
--- a/tests/testsuite/shard/gang_failures.rs
+++ b/tests/testsuite/shard/gang_failures.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use plantainlever::job::{JobId, JobState, JobTaskId, StepSpec};
+use plantainlever::job::{JobId, JobState, JobTaskId, StepId, StepSpec};
 use plantainlever::shard::report::EndCause;
 
 use super::rig::{Fleet, Rig, policy, spec, step};
@@ -175,3 +175,35 @@
     assert_eq!(starts.len(), 8);
     assert!(starts[4..].iter().all(|(.., worker)| *worker != failed), "{starts:?}");
 }
+
+/// Guards against a sound gang that is given up because two of its workers were lost in one run.
+#[test]
+fn two_workers_that_crash_in_one_run_count_as_one_crash_of_the_gang() {
+    let mut rig = Rig::new(Fleet::new(15, 2_000));
+    rig.fleet.restart_time = Some(Duration::from_secs(1));
+    let id = start_gang(&mut rig, Vec::new());
+    let used: BTreeSet<_> = rig.starts_of(id).into_iter().map(|(.., worker)| worker).collect();
+    assert_eq!(used.len(), 2);
+    for worker in &used {
+        rig.fleet.crash(worker);
+    }
+    rig.fleet.durations.insert(id, Duration::from_secs(4));
+    rig.run(Duration::from_secs(20));
+    assert_eq!(rig.stored_state(id), Some(JobState::Completed));
+    rig.assert_no_breach();
+}
+
+/// Guards against a gang that crashes its workers and is started without end.
+#[test]
+fn a_gang_that_crashes_all_its_workers_is_given_up_after_two_runs() {
+    let mut rig = Rig::new(Fleet::new(15, 2_000));
+    rig.fleet.restart_time = Some(Duration::from_secs(1));
+    let id = rig.submit(7, spec(vec![gang()]));
+    let members = (0..MEMBERS as u16)
+        .map(|index| JobTaskId { step: StepId { job: id, occurrence: 0, step: 0 }, index });
+    rig.fleet.deadly.extend(members);
+    rig.run(Duration::from_secs(30));
+    assert_eq!(rig.stored_state(id), Some(JobState::Failed));
+    assert_eq!(runs(&rig, id).len(), 2);
+    rig.assert_no_breach();
+}
