Look up the queue of a job by name, and count a gang once when a job is read

An owner that loads many jobs compared each with every queue that has jobs, and a gang whose members had all failed was counted once per member, each time over all members.

Cause: the queues were in one list, and most_failed collected tasks, not gangs.

Change: queues are kept by name, and a gang is collected under its first member. No behaviour changes.

The time for many queues was not measured.

--- a/src/shard/scheduler/job_queues.rs
+++ b/src/shard/scheduler/job_queues.rs
@@ -16,13 +16,14 @@
 //! a limit.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use crate::job::{JobId, JobState, JobTaskId, StepId};
 use crate::shard::queue::{ConfiguredQueues, JobQueue, QueuePolicy};
 use crate::telemetry::event::shard as event;
 
+use super::crashes::suspect_of;
 use super::ends::failures;
 use super::{Job, ShardScheduler};
 
@@ -122,45 +123,43 @@
 #[derive(Debug, Default)]
 pub(super) struct JobQueues {
     configured: ConfiguredQueues,
-    /// Queues of the jobs; some may have no jobs any more.
-    shared: Vec<Rc<SharedQueue>>,
+    /// Queues of the jobs by name; some may have no jobs any more. A name has several if the settings changed between jobs.
+    shared: BTreeMap<String, Vec<Rc<SharedQueue>>>,
 }
 
 impl JobQueues {
     /// Returns the queue of a job that was accepted with `accepted`.
     pub(super) fn of_job(&mut self, accepted: JobQueue) -> Rc<SharedQueue> {
-        let known = self.shared.iter().find(|queue| queue.accepted == accepted);
-        if let Some(queue) = known {
+        let of_name = self.shared.entry(accepted.name.clone()).or_default();
+        if let Some(queue) = of_name.iter().find(|queue| queue.accepted == accepted) {
             return Rc::clone(queue);
         }
-        self.forget_unused();
+        of_name.retain(|queue| job_count(queue) > 0);
         let queue = Rc::new(SharedQueue::new(accepted, &self.configured));
-        self.shared.push(Rc::clone(&queue));
+        of_name.push(Rc::clone(&queue));
         queue
     }
 
     /// Applies a new config. Returns the queues whose settings were unknown before.
     fn replace(&mut self, configured: ConfiguredQueues) -> Vec<Rc<SharedQueue>> {
         self.configured = configured;
-        self.forget_unused();
-        let adopted = self.shared.iter().filter(|queue| queue.update(&self.configured));
-        adopted.cloned().collect()
-    }
-
-    fn forget_unused(&mut self) {
-        self.shared.retain(|queue| job_count(queue) > 0);
+        self.shared.retain(|_, of_name| {
+            of_name.retain(|queue| job_count(queue) > 0);
+            !of_name.is_empty()
+        });
+        let queues = self.shared.values().flatten();
+        queues.filter(|queue| queue.update(&self.configured)).cloned().collect()
     }
 
     /// Returns true if a queue of this name is configured or has jobs.
     fn has(&self, name: &str) -> bool {
-        self.configured.policies.contains_key(name)
-            || self.shared.iter().any(|queue| queue.name() == name)
+        self.configured.policies.contains_key(name) || self.shared.contains_key(name)
     }
 
     /// Number of jobs whose queues callers can't reach.
     pub(super) fn unreachable_jobs(&self) -> usize {
-        let dropped = self.shared.iter().filter(|queue| !queue.is_configured.get());
-        dropped.map(job_count).sum()
+        let queues = self.shared.values().flatten();
+        queues.filter(|queue| !queue.is_configured.get()).map(job_count).sum()
     }
 }
 
@@ -230,13 +229,15 @@
     if job.progress.state.is_final() {
         return None;
     }
-    let mut failed = Vec::new();
+    let mut failed = BTreeSet::new();
     for (occurrence, begun) in &job.progress.occurrences {
         for (step, tasks) in begun.steps.iter().enumerate() {
             let key = StepId { job: id, occurrence: *occurrence, step: step as u16 };
             let tasks = tasks.iter().enumerate();
             let open = tasks.filter(|(_, task)| !task.is_done && !task.failed_runs.is_empty());
-            failed.extend(open.map(|(index, _)| JobTaskId { step: key, index: index as u16 }));
+            let open = open.map(|(index, _)| JobTaskId { step: key, index: index as u16 });
+            // A gang is counted once.
+            failed.extend(open.map(|task| suspect_of(job, &task)));
         }
     }
     let counted = failed.into_iter().map(|task| (task, failures(job, &task)));
