soak: rename the route of running jobs at times

Change: the route of the soak's jobs gets another name each fourth version, at the same address. All checks stay: jobs end, none runs twice, and none is shown as failed without cause.

--- a/crates/plantainlever-test-support/src/soak/routes.rs
+++ b/crates/plantainlever-test-support/src/soak/routes.rs
@@ -55,12 +55,17 @@
     version: u64,
 }
 
-/// Stores a configuration with the soak's own route and one for each prefix.
+/// Versions after which the route of the soak's jobs gets another name.
+const VERSIONS_PER_NAME: u64 = 4;
+
+/// Stores a configuration with the soak's own route and one for each prefix. The soak's own route is renamed at times, at
+/// the same address, which its jobs must not notice.
 pub(super) fn publish(world: &SharedWorld, version: u64, prefixes: &[&str]) {
     let routes = std::iter::once(&PREFIX).chain(prefixes);
     let routes: Vec<serde_json::Value> = routes
         .map(|prefix| {
-            serde_json::json!({ "name": if *prefix == PREFIX { "queue" } else { *prefix },
+            let own_name = format!("queue-{}", version / VERSIONS_PER_NAME);
+            serde_json::json!({ "name": if *prefix == PREFIX { own_name.as_str() } else { *prefix },
                 "host": HOST, "path-prefix": prefix, "service": "pool", "priority": 0,
                 "attempts": ATTEMPTS, "stretch": 2.0, "target-latency-ms": 1_000 })
         })
