Clearer names and comments for the settings of a job's queue

Callers saw nothing of this. Read as a newcomer would: a field and a method of SharedQueue were both called policy and meant different settings, and some comments were longer than a line. The field is accepted_policy now.

--- a/src/job/progress.rs
+++ b/src/job/progress.rs
@@ -64,7 +64,8 @@
     Running,
     /// All tasks have succeeded.
     Completed,
-    /// A task or gang has failed in as many runs as its queue allows. A run of a gang fails once, however many members do.
+    /// A task or gang has failed in as many runs as its queue allows. A run of a gang fails once, however many of its
+    /// members do.
     Failed,
     /// A caller has cancelled the job.
     Cancelled,
--- a/src/ops/jobs/accept.rs
+++ b/src/ops/jobs/accept.rs
@@ -60,8 +60,8 @@
 }
 
 impl<P: RowStore> Node<P> {
-    /// Accepts a job of a queue in the operator config by writing its row. Repeating the call for a stored job returns [`Submission::Accepted`] again.
-    /// `deadline` is the local time at which the caller stops waiting.
+    /// Accepts a job of a queue in the operator config by writing its row. Repeating the call for a stored job returns
+    /// [`Submission::Accepted`] again. `deadline` is the local time at which the caller stops waiting.
     pub async fn submit(
         &self,
         id: JobId,
--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -106,7 +106,7 @@
 pub struct AcceptedJob {
     /// ID chosen by the caller.
     pub id: JobId,
-    /// Its queue.
+    /// Its queue, as configured when the job was accepted.
     pub queue: JobQueue,
     /// When it was accepted, in milliseconds since the Unix epoch.
     pub accepted_unix_ms: u64,
--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -25,8 +25,9 @@
 //! soon after its start. If the worker had no such run, all of its runs are recorded.
 //!
 //! A task is given up, and its job fails, after [`CLEAR_CRASHES_LIMIT`] crashes if it was the only suspect of the last
-//! one and few other workers crashed at that time, and after [`CRASHES_LIMIT`] in any case. A gang is one suspect: its members share their runs, and a run
-//! counts once, however many workers crashed under it. A task of any occurrence fails the whole job. Success clears a suspect, as does being active
+//! one and few other workers crashed at that time, and after [`CRASHES_LIMIT`] in any case. A gang is one suspect:
+//! its members share their runs, and a run counts once, however many workers crashed under it. A task of any occurrence
+//! fails the whole job. Success clears a suspect, as does being active
 //! for [`PROVEN_AFTER`] if it is a long-running task, which would otherwise collect unrelated crashes.
 //!
 //! To find the cause among several suspects, they are tried: see [`super::trials`].
@@ -146,8 +147,8 @@
 /// Runs of a task or gang that ended with crashes, each with the workers that crashed.
 type CrashedRuns = BTreeMap<u32, BTreeSet<Rc<str>>>;
 
-/// Crashed runs that count against a task or gang: all but its first one in a mass crash, and without doubtful ones. All
-/// members of a gang share a run, so the loss of several of their workers in one run counts once.
+/// Crashed runs that count against a task or gang: all but its first one in a mass crash, and without doubtful ones.
+/// All members of a gang share a run, so the loss of several of their workers in one run counts once.
 fn crashes_of(job: &Job, task: &JobTaskId) -> CrashedRuns {
     let members = members_of(job, task);
     let progress: Vec<_> = members.iter().filter_map(|member| job.progress.task(member)).collect();
--- a/src/shard/scheduler/job_queues.rs
+++ b/src/shard/scheduler/job_queues.rs
@@ -11,9 +11,8 @@
 //! A queue that has the same name at another address is still the same one, unless another queue has taken its
 //! address.
 //!
-//! Versions before this one stored the name only. Such a job takes the settings that its queue has when this owner first
-//! sees it configured. Until then its service is unknown, so it does not start, and its failures are counted without
-//! a limit.
+//! Earlier versions stored only the name. Such a job takes the settings that its queue has when this owner first sees
+//! it configured. Until then its service is unknown, so it does not start, and its failures are counted without a limit.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,13 +26,13 @@
 use super::ends::failures;
 use super::{Job, ShardScheduler};
 
-/// Queue that jobs share which were accepted with the same settings.
+/// Queue of all jobs that were accepted with the same settings.
 #[derive(Debug)]
 pub(super) struct SharedQueue {
     accepted: JobQueue,
     /// Settings with which the jobs were accepted; `None` if they were not stored and the queue has not been configured
     /// since.
-    policy: RefCell<Option<QueuePolicy>>,
+    accepted_policy: RefCell<Option<QueuePolicy>>,
     /// Settings that apply now.
     in_force: RefCell<Rc<QueuePolicy>>,
     /// Name under which callers reach the queue now; its former name if they can't.
@@ -45,7 +44,7 @@
 impl SharedQueue {
     fn new(accepted: JobQueue, configured: &ConfiguredQueues) -> Self {
         let queue = Self {
-            policy: RefCell::new(accepted.policy.clone()),
+            accepted_policy: RefCell::new(accepted.policy.clone()),
             in_force: RefCell::new(Rc::new(unknown_policy())),
             current_name: RefCell::new(Rc::from(accepted.name.as_str())),
             is_configured: Cell::new(true),
@@ -65,14 +64,14 @@
         Rc::clone(&self.in_force.borrow())
     }
 
-    /// Applies a new config. Returns true if the settings of the jobs were unknown and are known now.
+    /// Applies a config. Returns true if the settings of the jobs were unknown and are known now.
     fn update(&self, configured: &ConfiguredQueues) -> bool {
         let JobQueue { name, address, .. } = &self.accepted;
         let at_address = address.as_ref().and_then(|address| configured.names.get(address));
         let is_same = at_address.is_none_or(|other| other == name);
         let newest = configured.policies.get(name).filter(|_| is_same);
         self.current_name.replace(Rc::from(at_address.unwrap_or(name).as_str()));
-        let mut accepted = self.policy.borrow_mut();
+        let mut accepted = self.accepted_policy.borrow_mut();
         let is_adopted = accepted.is_none() && newest.is_some();
         if is_adopted {
             *accepted = newest.cloned();
@@ -123,7 +122,8 @@
 #[derive(Debug, Default)]
 pub(super) struct JobQueues {
     configured: ConfiguredQueues,
-    /// Queues of the jobs by name; some may have no jobs any more. A name has several if the settings changed between jobs.
+    /// Queues of the jobs by name; some may have no jobs any more. A name has several if the settings changed between
+    /// jobs.
     shared: BTreeMap<String, Vec<Rc<SharedQueue>>>,
 }
 
@@ -184,8 +184,8 @@
         self.is_placement_due = true;
     }
 
-    /// Ends a job of which a task has failed as often as it may. Failures are counted without a limit while it is unknown,
-    /// and a previous owner may have stored the last failure without the end of the job.
+    /// Ends a job of which a task has failed as often as it may. Failures are counted without a limit while that is
+    /// unknown, and a previous owner may have stored the last failure without the end of the job.
     pub(super) fn end_if_over_budget(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let attempts = job.queue.policy().attempts as usize;
--- a/tests/testsuite/shard/dropped_queues.rs
+++ b/tests/testsuite/shard/dropped_queues.rs
@@ -111,8 +111,8 @@
     }
 }
 
-/// Guards against a failed job that a successor starts again: its predecessor stored the last failure, but not the end of
-/// the job.
+/// Guards against a failed job that a successor starts again: its predecessor stored the last failure, but not the end
+/// of the job.
 #[test]
 fn a_successor_starts_no_task_whose_last_failure_is_stored() {
     let mut rig = Rig::new(Fleet::new(6, 4_000));
@@ -148,7 +148,8 @@
     assert_eq!(rig.stored_state(id), Some(JobState::Completed));
 }
 
-/// Guards against a start after the last allowed failure of a job without settings: the limit was unknown when it failed.
+/// Guards against a start after the last allowed failure of a job without settings: the limit was unknown when it
+/// failed.
 #[test]
 fn the_failures_of_a_job_stored_without_settings_count_once_its_queue_is_back() {
     let mut rig = Rig::new(Fleet::new(8, 4_000));
--- a/tests/testsuite/shard/gang_failures.rs
+++ b/tests/testsuite/shard/gang_failures.rs
@@ -109,8 +109,8 @@
     });
 }
 
-/// Guards against a run that counts twice, or not at all, because the owner changes between the ends of its members, with
-/// and without an acknowledgement of those that were stored.
+/// Guards against a run that counts twice, or not at all, because the owner changes between the ends of its members,
+/// with and without an acknowledgement of those that were stored.
 #[test]
 fn a_failed_run_counts_once_over_a_change_of_owner() {
     for keeps_ends in [false, true] {
