Leave a restarted worker without new tasks until its late starts are stopped

A worker that does not guard its capacity may be over it (LIMIT).

Cause: a start without an answer that was settled by a stop commits no resources. The next incarnation of the worker does not know of the stop and may carry the start out until the stop is repeated, while other tasks take its room.

Change: UnusableCause::LateStart while a start may be carried out that has no run on the worker.

--- a/src/shard/pick.rs
+++ b/src/shard/pick.rs
@@ -69,6 +69,8 @@
     PreviousListed,
     /// Starts there got no answer.
     UnansweredStarts,
+    /// It may carry out a start late, which then takes its resources.
+    LateStart,
     /// It is on probation, so it gets probes only.
     Probation,
     /// A task that may crash it has started there not long ago.
@@ -99,6 +101,8 @@
         Some(UnusableCause::PreviousListed)
     } else if worker.health.unanswered_starts >= UNANSWERED_STARTS_LIMIT {
         Some(UnusableCause::UnansweredStarts)
+    } else if worker.may_start_late() {
+        Some(UnusableCause::LateStart)
     } else if worker.health.is_on_probation() {
         Some(UnusableCause::Probation)
     } else {
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -346,6 +346,13 @@
             .is_some_and(|(listed, answered)| listed != answered)
     }
 
+    /// Returns true if the newest incarnation may carry out a start that has no run in `runs`, and so commits no resources.
+    #[must_use]
+    pub fn may_start_late(&self) -> bool {
+        let mut starts = self.settled_starts.iter();
+        starts.any(|(task, start)| !start.is_barred && !self.runs.contains_key(task))
+    }
+
     /// Returns for how long the VM list has not contained the worker; zero if it does.
     #[must_use]
     pub fn unlisted_for(&self, now: Duration) -> Duration {
--- a/tests/testsuite/shard/incarnations.rs
+++ b/tests/testsuite/shard/incarnations.rs
@@ -410,3 +410,27 @@
     rig.assert_no_breach();
     assert_eq!(rig.starts_of(id).len(), 6 + lost);
 }
+
+/// Guards against a worker over its capacity: a new incarnation carries out a start late, after other tasks have taken the
+/// room that it needs.
+#[test]
+fn a_new_incarnation_gets_no_task_before_its_late_starts_are_stopped() {
+    let mut rig = rig_with_one_worker();
+    rig.fleet.get(0).start_delay = Some(Duration::from_secs(6));
+    submit(&mut rig);
+    rig.run(TICK * 2);
+    let domain = rig.fleet.get(0).listing.domain.clone();
+    rig.owner.on_domains_out([domain].into());
+    rig.run(Duration::from_secs(1));
+    rig.owner.on_domains_out([].into());
+    rig.fleet.get(0).start_delay = None;
+    // No stop arrives at the new incarnation before the start does.
+    rig.fleet.get(0).stop_delay = Some(Duration::from_secs(30));
+    let now = rig.fleet.now;
+    rig.fleet.get(0).restart(now);
+    let other = rig.submit(8, spec(vec![step(2, 2_000)]));
+    rig.fleet.durations.insert(other, RUN_TIME);
+    rig.run(Duration::from_secs(8));
+    rig.assert_no_breach();
+    assert_eq!(rig.fleet.get(0).runs.len(), 1);
+}
