Place a task only where its start may be carried out late

Cause: a start without an answer may be carried out for 12 s, by the incarnation that it was sent to or a later one, and a stop binds only the incarnation that answers it. The scheduler took such a start as settled for placing once a stop was answered, so the task ran anywhere. After a restart of the first worker nothing can keep the start from being carried out before a stop arrives. A successor knew nothing of such starts.

Change: until no copy can arrive any more, the task is placed on that worker only. The start is sent again with the same run number, which a worker that has the run answers alike. A new incarnation gets the stop first. The heartbeat names the task and its row keeps the worker, so that a successor does the same. Ruled out: an order can't be bound to one incarnation by X-Expect-Instance (it names the ID), the epoch or deadline-ms (a restarted worker begins anew).

--- a/src/shard/scheduler.rs
+++ b/src/shard/scheduler.rs
@@ -17,6 +17,7 @@
 mod incarnations;
 mod inherited;
 mod job_queues;
+mod late_starts;
 mod pass;
 mod placing;
 mod renewals;
@@ -130,6 +131,8 @@
     workers: WorkerMap,
     /// Workers that have, or may have, a run of the task; no entry if there is none.
     live: BTreeMap<JobTaskId, Vec<WorkerId>>,
+    /// Workers that may carry out a start of the task late; the same tasks as in [`Worker::late_starts`].
+    late_starts: BTreeMap<JobTaskId, BTreeSet<WorkerId>>,
     waiting: WaitingTasks,
     queues: job_queues::JobQueues,
     /// Ratios of measured to estimated step times, by queue.
@@ -158,8 +161,8 @@
     last_placement: Duration,
     /// Local time of the last check of all workers and jobs.
     last_housekeeping: Duration,
-    /// Local time of the last look for stops without an answer.
-    last_stop_check: Duration,
+    /// Local time of the last look for commands without an answer.
+    last_command_check: Duration,
     /// Local time of the last tick.
     now: Duration,
     /// Wall time of the last tick, in milliseconds since the Unix epoch; used for schedules and objectives.
@@ -182,6 +185,7 @@
             jobs: BTreeMap::new(),
             workers: WorkerMap::default(),
             live: BTreeMap::new(),
+            late_starts: BTreeMap::new(),
             waiting: WaitingTasks::default(),
             queues: job_queues::JobQueues::default(),
             times: BTreeMap::new(),
@@ -201,7 +205,7 @@
             resume_pass_at: None,
             last_placement: Duration::ZERO,
             last_housekeeping: Duration::ZERO,
-            last_stop_check: Duration::ZERO,
+            last_command_check: Duration::ZERO,
             now: claimed,
             unix_ms: 0,
         }
@@ -525,7 +529,7 @@
         self.resolve_lapsed(now, confirmed);
         self.resolve_inherited(now);
         self.log_starts_left_out(now);
-        self.repeat_stops(now);
+        self.repeat_commands(now, confirmed);
     }
 
     fn begin_scheduled_occurrences(&mut self) {
--- a/src/shard/scheduler/crashes.rs
+++ b/src/shard/scheduler/crashes.rs
@@ -370,7 +370,7 @@
         }
     }
 
-    fn is_open(&self, task: &JobTaskId) -> bool {
+    pub(super) fn is_open(&self, task: &JobTaskId) -> bool {
         let Some(job) = self.jobs.get(&task.step.job) else { return false };
         let is_open = job.progress.task(task).is_some_and(|progress| !progress.is_done);
         is_open && !job.progress.state.is_final()
--- a/src/shard/scheduler/ends.rs
+++ b/src/shard/scheduler/ends.rs
@@ -22,6 +22,7 @@
         if current_run.is_some_and(|number| number == end.run) {
             self.remove_run(worker_id, &task);
         }
+        self.bar_late_start(worker_id, &task, end.run);
         self.rows.record_end(worker_id, end.number);
         self.record_health(now, worker_id, end);
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
@@ -200,11 +201,17 @@
                 self.live.remove(task);
             }
         }
+        let is_bound = self.is_bound(task, worker_id);
         let job = self.jobs.get_mut(&task.step.job);
         if let Some(progress) = job.and_then(|job| job.progress.task_mut(task))
             && progress.worker.as_deref() == Some(worker_id.as_str())
         {
-            progress.worker = None;
+            if is_bound {
+                // A restart of the worker is no crash of the task any more.
+                progress.worker_started_unix_ms = None;
+            } else {
+                progress.worker = None;
+            }
         }
         self.is_placement_due = true;
         Some(run)
--- a/src/shard/scheduler/incarnations.rs
+++ b/src/shard/scheduler/incarnations.rs
@@ -8,17 +8,14 @@
 use std::time::Duration;
 
 use crate::job::JobTaskId;
-use crate::shard::lapse::{GrantedLease, MAX_COMMAND_DELAY, WorkerClock, longest_local_time};
-use crate::shard::worker::{Phase, Run, SettledStart, WorkerId};
+use crate::shard::lapse::{GrantedLease, WorkerClock, longest_local_time};
+use crate::shard::worker::{Phase, WorkerId};
 use crate::telemetry::event::shard as event;
 
 use super::handover::{Incarnation, ReleaseCause};
-use super::renewals::{MAX_RETRY_PAUSE, STOP_RETRY_PAUSE};
+use super::renewals::MAX_RETRY_PAUSE;
 use super::{Command, CommandKind, ShardScheduler};
 
-/// Most stops of settled starts that one check queues; the next one queues further ones.
-const MAX_SETTLED_STOPS: usize = 64;
-
 /// What shows that a worker has restarted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum RestartSign {
@@ -124,8 +121,8 @@
             .collect();
         let longest_lease = longest_local_time(self.timing.max_lease, self.timing.kill_time);
         worker.begin_incarnation(started_unix_ms, now, longest_lease);
-        if !worker.settled_starts.is_empty() {
-            self.last_stop_check = Duration::ZERO;
+        if !worker.late_starts.is_empty() {
+            self.last_command_check = Duration::ZERO;
         }
         self.rows.forget_ends(worker_id);
         for task in lost {
@@ -147,6 +144,7 @@
             run.is_stop_in_flight = false;
             run.stop_answered = None;
             run.is_confirmed = false;
+            run.may_repeat_start = false;
         }
     }
 
@@ -157,60 +155,11 @@
         for run in worker.runs.values_mut() {
             run.stop_answered = None;
         }
-        for start in worker.settled_starts.values_mut() {
+        for start in worker.late_starts.values_mut() {
             start.is_barred = false;
         }
     }
 
-    /// Records a start without an answer whose run was stopped: a later incarnation would carry it out as long as it can
-    /// arrive.
-    pub(super) fn keep_settled_start(
-        &mut self,
-        now: Duration,
-        worker_id: &WorkerId,
-        task: &JobTaskId,
-        run: &Run,
-    ) {
-        let Some(worker) = self.workers.get_mut(worker_id).filter(|_| !run.is_started) else {
-            return;
-        };
-        let start = SettledStart {
-            run: run.number,
-            arrives_until: now + MAX_COMMAND_DELAY,
-            is_barred: true,
-            is_stop_in_flight: false,
-            stop_queued_at: None,
-        };
-        worker.settled_starts.insert(*task, start);
-    }
-
-    /// Queues stops of settled starts for the incarnations that answer and have not answered one, and forgets those starts that can't
-    /// arrive any more.
-    pub(super) fn stop_settled_starts(&mut self, now: Duration) {
-        let mut left = MAX_SETTLED_STOPS;
-        for worker in self.workers.values_mut() {
-            worker.settled_starts.retain(|_, start| now < start.arrives_until);
-            let is_silent = worker.unanswered_renewals > 0;
-            if left == 0 || is_silent || worker.settled_starts.is_empty() {
-                continue;
-            }
-            let is_due = |start: &SettledStart| {
-                let is_queued = |at: Duration| now.saturating_sub(at) < STOP_RETRY_PAUSE;
-                let may_retry = !start.stop_queued_at.is_some_and(is_queued);
-                !start.is_barred && !start.is_stop_in_flight && may_retry
-            };
-            let due = worker.settled_starts.iter_mut().filter(|(_, start)| is_due(start));
-            let mut stops = Vec::new();
-            for (task, start) in due.take(left) {
-                start.is_stop_in_flight = true;
-                start.stop_queued_at = Some(now);
-                stops.push(CommandKind::Stop { task: *task, run: start.run });
-            }
-            left -= stops.len();
-            self.commands.extend(stops.into_iter().map(|kind| worker.command(kind)));
-        }
-    }
-
     /// Handles a worker at whose address another incarnation answers: the recorded one has ended, so none of its
     /// pending commands can take effect any more. The renewal that shows it was sent at `sent`.
     pub(super) fn on_replaced(&mut self, worker_id: &WorkerId, now: Duration, sent: Duration) {
@@ -225,9 +174,9 @@
         worker.answered = None;
         // Another ID answers at the address, and refuses all commands for this one.
         worker.lease = GrantedLease::default();
-        worker.settled_starts.clear();
         worker.next_renewal = now + MAX_RETRY_PAUSE;
         let left: Vec<JobTaskId> = worker.runs.keys().copied().collect();
+        self.forget_late_starts_of(worker_id);
         let age = now.saturating_sub(sent);
         self.release_inherited_of(worker_id, ReleaseCause::Replaced, age);
         for task in left {
--- a/src/shard/scheduler/inherited.rs
+++ b/src/shard/scheduler/inherited.rs
@@ -43,7 +43,8 @@
     pub silent: Vec<(WorkerId, Duration)>,
     /// Workers that have restarted and may hold leases of unknown length, with the time until these have lapsed.
     pub unknown: Vec<(WorkerId, Duration)>,
-    /// Tasks whose newest start has no answer, or one of which it is not known which incarnation gave it.
+    /// Tasks whose newest start has no answer, or one of which it is not known which incarnation gave it, and those of
+    /// which an earlier start may still be carried out.
     pub unanswered_starts: BTreeSet<JobTaskId>,
 }
 
@@ -182,12 +183,13 @@
         left
     }
 
-    /// Removes a worker and returns those of its tasks of which no run was found.
-    fn remove(&mut self, worker: &WorkerId) -> Vec<JobTaskId> {
-        let Some(recorded) = self.workers.remove(worker) else { return Vec::new() };
+    /// Removes a worker. Returns those of its tasks of which no run was found, and those whose newest start may have got
+    /// no answer.
+    fn remove(&mut self, worker: &WorkerId) -> (Vec<JobTaskId>, BTreeSet<JobTaskId>) {
+        let Some(recorded) = self.workers.remove(worker) else { return Default::default() };
         let mut left = recorded.tasks;
         left.retain(|task| self.tasks.remove(task).is_some());
-        left
+        (left, recorded.unanswered)
     }
 }
 
@@ -253,6 +255,7 @@
             let unanswered = worker.runs.iter().filter(|(_, run)| !run.is_confirmed);
             report.unanswered_starts.extend(unanswered.map(|(task, _)| *task));
         }
+        report.unanswered_starts.extend(self.bound_tasks());
         report
     }
 
@@ -329,7 +332,12 @@
         cause: ReleaseCause,
         age: Duration,
     ) {
-        let left = self.inherited.remove(worker);
+        let (left, unanswered) = self.inherited.remove(worker);
+        if cause == ReleaseCause::Listed {
+            for task in &unanswered {
+                self.inherit_late_start(worker, task);
+            }
+        }
         self.log_released(worker, &left, cause, age);
         self.record_inherited_crash(worker, &left);
         self.release_inherited(left);
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -23,6 +23,7 @@
 
 use super::crashes::has_unproven_run;
 use super::incarnations::AnsweredBy;
+use super::late_starts::EligibleWorkers;
 use super::pass::{Admission, Pass};
 use super::renewals::{new_run, set_step_attributes};
 use super::rows::PlannedStart;
@@ -179,13 +180,16 @@
         };
         let mut outcome = StepOutcome::Placed;
         let mut on_trial = BTreeSet::new();
-        for index in tasks {
-            let task = JobTaskId { step: *key, index: *index };
+        for index in self.bound_first(key, tasks) {
+            let task = JobTaskId { step: *key, index };
             let needs_trial = self.needs_trial(&task);
             let Some((best, trial)) = self.workers_for(&mut workers, key, needs_trial) else {
                 continue;
             };
             let Some((worker, position)) = self.pop_best(best, &task) else {
+                if self.eligible_workers(&task) != EligibleWorkers::Any {
+                    continue;
+                }
                 outcome = if best.is_empty() {
                     StepOutcome::NoWorker
                 } else {
@@ -236,10 +240,17 @@
 
     /// Removes the best worker for a task from `best` and returns it. Workers that already have a run of the task are
     /// left out, and those that the job avoids for it are used only if there is no other. So are, for a suspect, those
-    /// with a run that may crash them as well.
+    /// with a run that may crash them as well. A task with a late start goes to the worker of that one, or waits.
     fn pop_best(&self, best: &mut ScoredWorkers, task: &JobTaskId) -> Option<(WorkerId, usize)> {
         let job = self.jobs.get(&task.step.job);
         let avoid = job.map_or(&[][..], |job| job.avoided_workers(task));
+        match self.eligible_workers(task) {
+            EligibleWorkers::Any => {}
+            EligibleWorkers::Only(id) if !avoid.contains(id) => {
+                return self.pop_worker(best, id, task);
+            }
+            EligibleWorkers::Only(_) | EligibleWorkers::None => return None,
+        }
         let needs_trial = self.needs_trial(task);
         let mut passed_over = Vec::new();
         let mut found = None;
@@ -265,6 +276,22 @@
         found
     }
 
+    /// Removes a worker from `best` and returns it, unless it already has a run of the task.
+    fn pop_worker(
+        &self,
+        best: &mut ScoredWorkers,
+        id: &WorkerId,
+        task: &JobTaskId,
+    ) -> Option<(WorkerId, usize)> {
+        let is_wanted = |position: usize| {
+            let worker = self.workers.at(position);
+            worker.listing.id == *id && !worker.runs.contains_key(task)
+        };
+        let position = best.iter().map(|(_, position)| *position).find(|p| is_wanted(*p))?;
+        best.retain(|(_, other)| *other != position);
+        Some((id.clone(), position))
+    }
+
     /// Scores all workers that can take a task of the step, optionally on one rack only.
     fn scores(
         &self,
@@ -370,6 +397,7 @@
         if tasks.len() != step.count as usize {
             return false;
         }
+        let tasks = self.bound_first(key, tasks);
         let first = JobTaskId { step: *key, index: 0 };
         let trial = if self.needs_trial(&first) {
             let Some(trial) = self.trial_room(key).next_gang() else { return true };
@@ -386,7 +414,7 @@
             let mut placed = Vec::new();
             let mut best: ScoredWorkers =
                 self.scores(pass, key, &step, ProbeTier::Any, rack.as_deref()).into();
-            for index in tasks {
+            for index in &tasks {
                 let task = JobTaskId { step: *key, index: *index };
                 let Some((worker, position)) = self.pop_best(&mut best, &task) else { break };
                 self.reserve(now, &worker, &task, run);
@@ -529,30 +557,39 @@
     }
 
     fn send_start(&mut self, now: Duration, planned: &PlannedStart) {
-        let PlannedStart { worker: worker_id, task, run, .. } = planned;
+        if self.queue_start(now, &planned.worker, &planned.task, planned.run) {
+            self.log_start(now, planned);
+        } else {
+            self.drop_run(&planned.worker, &planned.task);
+        }
+    }
+
+    /// Queues a start command for a run. Returns false if its worker can't be granted a lease.
+    pub(super) fn queue_start(
+        &mut self,
+        now: Duration,
+        worker_id: &WorkerId,
+        task: &JobTaskId,
+        run: u32,
+    ) -> bool {
         let lease = self.lease_length(now);
-        let Some(job) = self.jobs.get(&task.step.job) else { return };
-        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let Some(job) = self.jobs.get(&task.step.job) else { return false };
+        let Some(worker) = self.workers.get_mut(worker_id) else { return false };
         let expiry_ms = worker.lease.grant_for_start(now, lease, lease / 2);
-        let Some(expiry_ms) = expiry_ms.filter(|_| !lease.is_zero()) else {
-            self.drop_run(worker_id, task);
-            return;
-        };
+        let Some(expiry_ms) = expiry_ms.filter(|_| !lease.is_zero()) else { return false };
         if let Some(current) = worker.runs.get_mut(task) {
             current.phase = Phase::Starting;
             current.phase_since = now;
+            current.start_queued = now;
+            current.start_copies += 1;
+            current.may_repeat_start = true;
         }
         let checkpoint = self.checkpoint(job, task);
-        let kind = CommandKind::Start {
-            task: *task,
-            run: *run,
-            spec: Rc::clone(&job.spec),
-            expiry_ms,
-            checkpoint,
-        };
-        let Some(worker) = self.workers.get(worker_id) else { return };
+        let spec = Rc::clone(&job.spec);
+        let kind = CommandKind::Start { task: *task, run, spec, expiry_ms, checkpoint };
+        let Some(worker) = self.workers.get(worker_id) else { return false };
         self.commands.push(worker.command(kind));
-        self.log_start(now, planned);
+        true
     }
 
     /// Returns the checkpoint from which a task resumes; all members of a gang resume from the same one.
@@ -581,8 +618,12 @@
         let CommandKind::Start { task, run, .. } = &command.kind else { return };
         let (worker_id, run) = (&command.worker, *run);
         let answered_by = self.observe_clock(now, command, sent, reply.clock_ms);
+        if reply.outcome == StartOutcome::Unknown {
+            self.record_unanswered_start(now, worker_id, task, run);
+        }
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         interference::update_shares(worker, now);
+        let is_late = worker.late_starts.get(task).is_some_and(|start| start.run == run);
         let Some(current) = worker.runs.get_mut(task).filter(|current| current.number == run)
         else {
             return;
@@ -611,11 +652,12 @@
                 worker.health.unanswered_starts += 1;
                 worker.next_renewal = worker.next_renewal.min(now);
                 event::START_UNKNOWN.emit(format_args!("task={task} run={run} worker={worker_id}"));
+                self.give_up_start_if_due(worker_id, task);
                 self.queue_speculative_run(task);
             }
             StartOutcome::NotSent => {
                 worker.health.unanswered_starts += 1;
-                self.on_not_started(worker_id, task);
+                self.on_not_started(now, worker_id, task, is_late);
             }
             StartOutcome::Refused(refusal) => {
                 event::START_REFUSED.emit(format_args!(
@@ -635,13 +677,29 @@
                         worker.next_renewal = worker.next_renewal.min(now);
                     }
                 }
-                self.on_not_started(worker_id, task);
+                self.on_not_started(now, worker_id, task, is_late);
             }
         }
     }
 
-    /// Removes a run that the worker does not have and queues its task again.
-    fn on_not_started(&mut self, worker_id: &WorkerId, task: &JobTaskId) {
+    /// Removes a run that the worker does not have and queues its task again. If another copy of the start may be carried
+    /// out (`is_late`), the run stays in doubt instead.
+    fn on_not_started(
+        &mut self,
+        now: Duration,
+        worker_id: &WorkerId,
+        task: &JobTaskId,
+        is_late: bool,
+    ) {
+        let worker = self.workers.get_mut(worker_id).filter(|_| is_late);
+        if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(task)) {
+            if run.phase == Phase::Starting {
+                run.phase = Phase::InDoubt;
+                run.phase_since = now;
+            }
+            run.may_repeat_start = false;
+            return;
+        }
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             // The next run prefers other workers.
             job.avoid_worker(task, worker_id);
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -49,8 +49,8 @@
 /// Pause before a stop without an answer is sent again.
 pub(super) const STOP_RETRY_PAUSE: Duration = Duration::from_millis(300);
 
-/// Time between two looks for such stops, which examine all runs.
-const STOP_CHECK_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two looks for commands to repeat, which examine all runs.
+const COMMAND_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
 /// Time without progress after which a task counts as stuck. Tasks take from half a second to some seconds and report
 /// progress in percent, so a running one advances several times within it. Tasks at 100 percent and, unless they are
@@ -266,12 +266,23 @@
             .collect();
         for task in gone {
             let Some(worker) = self.workers.get(worker_id) else { return };
-            let state = RunState(worker.runs.get(&task));
-            event::RUN_GONE
-                .emit(format_args!("task={task} worker={worker_id} cause=not-listed {state}"));
-            if let Some(run) = self.drop_run(worker_id, &task) {
-                self.keep_settled_start(now, worker_id, &task, &run);
+            let Some(run) = worker.runs.get(&task) else { continue };
+            event::RUN_GONE.emit(format_args!(
+                "task={task} worker={worker_id} cause=not-listed {}",
+                RunState(Some(run))
+            ));
+            let number = run.number;
+            let is_recorded =
+                worker.late_starts.get(&task).is_some_and(|start| start.run >= number);
+            if !run.is_started && !is_recorded {
+                // The start may still get no answer.
+                self.record_unanswered_start(now, worker_id, &task, number);
             }
+            self.bar_late_start(worker_id, &task, number);
+            self.drop_run(worker_id, &task);
+        }
+        if !report.is_truncated {
+            self.forget_arrived_starts(worker_id, sent);
         }
         self.stop_unanswered_starts(now, worker_id, sent);
         self.judge_probe(now, worker_id);
@@ -286,11 +297,8 @@
         listed: &RunReport,
     ) -> Option<Adoption> {
         let task = listed.task;
+        self.on_run_listed(worker_id, &task, listed.run);
         let worker = self.workers.get_mut(worker_id)?;
-        if worker.settled_starts.get(&task).is_some_and(|start| start.run == listed.run) {
-            // This start was carried out after all, and will not be again. One of an earlier run may be.
-            worker.settled_starts.remove(&task);
-        }
         let Some(run) = worker.runs.get_mut(&task) else {
             return Some(self.adopt(now, worker_id, listed));
         };
@@ -383,14 +391,23 @@
         }
     }
 
-    /// Stops runs whose start got no answer and that a later list does not contain: the start command may still arrive.
+    /// Stops runs whose start got no answer, that a later list does not contain, and whose start is not sent again: an
+    /// earlier copy may still arrive.
     fn stop_unanswered_starts(&mut self, now: Duration, worker_id: &WorkerId, sent: Duration) {
         let Some(worker) = self.workers.get(worker_id) else { return };
-        let is_lost = |run: &Run| {
-            run.phase == Phase::InDoubt && run.stop_queued_at.is_none() && run.phase_since < sent
+        let may_repeat = self.may_repeat_starts(now, worker_id, worker);
+        let is_lost = |task: &JobTaskId, run: &Run| {
+            let is_missing = run.phase == Phase::InDoubt && run.phase_since < sent;
+            is_missing
+                && run.stop_queued_at.is_none()
+                && !(may_repeat && self.may_repeat_start(task, run))
         };
-        let lost: Vec<JobTaskId> =
-            worker.runs.iter().filter(|(_, run)| is_lost(run)).map(|(task, _)| *task).collect();
+        let lost: Vec<JobTaskId> = worker
+            .runs
+            .iter()
+            .filter(|(task, run)| is_lost(task, run))
+            .map(|(task, _)| *task)
+            .collect();
         for task in lost {
             self.stop_run(now, worker_id, &task, false);
         }
@@ -491,22 +508,24 @@
                 continue;
             }
             let late_end = worker.lease.end_on_unknown_incarnation(longest_lease);
-            let is_over = |run: &Run| {
-                let is_settled = run.is_confirmed || run.phase == Phase::Reserved;
+            let is_over = |(task, run): &(&JobTaskId, &Run)| {
+                // A confirmed run may be on a later incarnation as well.
+                let is_confirmed = run.is_confirmed && !worker.late_starts.contains_key(task);
+                let is_settled = is_confirmed || run.phase == Phase::Reserved;
                 let may_start_late = !is_settled && late_end.is_some_and(|end| owned_until < end);
                 // Adopted runs may hold leases granted by a previous owner.
                 let has_earlier_lease = run.is_adopted && now < self.inherited.predecessor_lapsed;
                 !may_start_late && !has_earlier_lease
             };
-            let over = worker.runs.iter().filter(|(_, run)| is_over(run));
+            let over = worker.runs.iter().filter(is_over);
             lapsed.extend(over.map(|(task, _)| (id.clone(), *task)));
             let is_unlisted = worker.unlisted_for(now) >= UNLISTED_RETENTION;
-            let is_empty = worker.runs.values().all(is_over);
+            let is_empty = worker.runs.iter().all(|run| is_over(&run));
             if is_unlisted && is_empty && !worker.is_renewal_in_flight {
                 if !worker.is_departed {
                     departed.push(id.clone());
                 }
-                if late_end.is_none_or(|end| now >= end) && worker.settled_starts.is_empty() {
+                if late_end.is_none_or(|end| now >= end) && worker.late_starts.is_empty() {
                     forgotten.push(id.clone());
                 }
             }
@@ -538,13 +557,16 @@
         }
     }
 
-    /// Queues again the stops that got no answer.
-    pub(super) fn repeat_stops(&mut self, now: Duration) {
-        if now.saturating_sub(self.last_stop_check) < STOP_CHECK_PERIOD {
+    /// Queues again the starts and stops that got no answer. `confirmed` is the newest time at which this process was
+    /// certainly the owner.
+    pub(super) fn repeat_commands(&mut self, now: Duration, confirmed: Duration) {
+        if now.saturating_sub(self.last_command_check) < COMMAND_CHECK_PERIOD {
             return;
         }
-        self.last_stop_check = now;
-        self.stop_settled_starts(now);
+        self.last_command_check = now;
+        self.forget_lapsed_starts(now.min(confirmed));
+        self.stop_late_starts(now);
+        self.repeat_starts(now);
         let is_due = |run: &Run| {
             let is_wanted =
                 run.stop_queued_at.is_some_and(|at| now.saturating_sub(at) >= STOP_RETRY_PAUSE);
@@ -587,10 +609,11 @@
                 worker.next_renewal = worker.next_renewal.min(now);
             }
         }
-        let settled = worker.settled_starts.get_mut(task).filter(|start| start.run == *run);
-        if let Some(start) = settled.filter(|_| answered_by != AnsweredBy::Unknown) {
+        let late = worker.late_starts.get_mut(task).filter(|start| start.run <= *run);
+        if let Some(start) = late.filter(|_| answered_by != AnsweredBy::Unknown) {
             start.is_stop_in_flight = false;
             start.is_barred |= outcome == CommandOutcome::Done;
+            self.is_placement_due = true;
         }
         if outcome == CommandOutcome::Fenced {
             self.on_fenced(worker_id);
@@ -655,6 +678,9 @@
         is_adopted: false,
         is_started: false,
         is_listed: false,
+        start_queued: now,
+        start_copies: 0,
+        may_repeat_start: false,
         is_confirmed: false,
     }
 }
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -116,19 +116,27 @@
     pub is_started: bool,
     /// The worker's newest incarnation has listed the run. Until then, an earlier or a later one may have it.
     pub is_listed: bool,
+    /// Local time at which the start was last queued.
+    pub start_queued: Duration,
+    /// Copies of the start that were queued.
+    pub start_copies: u32,
+    /// The start may be sent again: the incarnation that it was made for is the newest one, and has not refused it.
+    pub may_repeat_start: bool,
     /// The worker's newest incarnation is known to have the run: it has listed the run, or its clock proves that it answered
     /// the start. Otherwise the start may be carried out late, by an incarnation that nothing has shown.
     pub is_confirmed: bool,
 }
 
-/// A start without an answer that was settled by a stop. A later incarnation does not know of the stop.
+/// Starts of a task without an answer, which the worker or a later incarnation of it may still carry out.
 #[derive(Clone, Copy, Debug)]
-pub struct SettledStart {
-    /// Number of the run.
+pub struct LateStart {
+    /// Highest number of a run whose start got no answer.
     pub run: u32,
-    /// Local time from which on the start can't be carried out any more.
+    /// Local time from which on no copy can be carried out any more.
     pub arrives_until: Duration,
-    /// The newest incarnation has answered a stop, so it will not carry out the start.
+    /// Copies that were sent of these starts.
+    pub copies: u32,
+    /// The newest incarnation has answered a stop or has listed the end of the run, so it will not carry out a copy.
     pub is_barred: bool,
     /// A stop was queued or sent to the newest incarnation and has no outcome yet.
     pub is_stop_in_flight: bool,
@@ -136,6 +144,32 @@
     pub stop_queued_at: Option<Duration>,
 }
 
+impl LateStart {
+    /// Creates the state of one copy of a start.
+    #[must_use]
+    pub fn new(run: u32, arrives_until: Duration) -> Self {
+        Self {
+            run,
+            arrives_until,
+            copies: 1,
+            is_barred: false,
+            is_stop_in_flight: false,
+            stop_queued_at: None,
+        }
+    }
+
+    /// Adds another start of the task. The copies of the same run are counted as they are sent.
+    pub fn merge(&mut self, other: Self) {
+        let arrives_until = self.arrives_until.max(other.arrives_until);
+        if other.run != self.run {
+            let copies = self.copies.saturating_add(other.copies);
+            let newest = if other.run > self.run { other } else { *self };
+            *self = Self { copies, ..newest };
+        }
+        self.arrives_until = arrives_until;
+    }
+}
+
 /// Worker in the VM list, or one that may still have runs.
 #[derive(Debug)]
 pub struct Worker {
@@ -162,8 +196,8 @@
     pub has_listed_runs: bool,
     /// Runs that occupy the worker or may do so.
     pub runs: BTreeMap<JobTaskId, Run>,
-    /// Starts that are no runs any more, but that a later incarnation would carry out.
-    pub settled_starts: BTreeMap<JobTaskId, SettledStart>,
+    /// Starts without an answer that may still be carried out, by task.
+    pub late_starts: BTreeMap<JobTaskId, LateStart>,
     /// Sum of the committed resources of `runs`.
     pub committed: Resources,
     /// Number of runs of unknown size in `runs`.
@@ -222,7 +256,7 @@
             lease: GrantedLease::default(),
             has_listed_runs: false,
             runs: BTreeMap::new(),
-            settled_starts: BTreeMap::new(),
+            late_starts: BTreeMap::new(),
             committed: Resources::default(),
             runs_of_unknown_size: 0,
             shares: BTreeMap::new(),
@@ -263,7 +297,7 @@
         self.unanswered_renewals = 0;
         self.next_renewal = now;
         self.health = Health::default();
-        for start in self.settled_starts.values_mut() {
+        for start in self.late_starts.values_mut() {
             (start.is_barred, start.is_stop_in_flight) = (false, false);
             start.stop_queued_at = None;
         }
@@ -349,7 +383,7 @@
     /// Returns true if the newest incarnation may carry out a start that has no run in `runs`, and so commits no resources.
     #[must_use]
     pub fn may_start_late(&self) -> bool {
-        let mut starts = self.settled_starts.iter();
+        let mut starts = self.late_starts.iter();
         starts.any(|(task, start)| !start.is_barred && !self.runs.contains_key(task))
     }
 
--- a/src/telemetry/event/shard.rs
+++ b/src/telemetry/event/shard.rs
@@ -127,6 +127,8 @@
 pub const JOB_QUEUE_DROPPED: Event = Event::new(677, Level::Warn, "job-queue-dropped");
 /// The newest config has a queue again that jobs were accepted for.
 pub const JOB_QUEUE_RESTORED: Event = Event::new(678, Level::Info, "job-queue-restored");
+/// A start that got no answer was sent again to the same worker.
+pub const START_REPEATED: Event = Event::new(679, Level::Info, "start-repeated");
 
 /// All events of this module.
 pub const ALL: &[Event] = &[
@@ -190,4 +192,5 @@
     WORKER_CLOCK_WENT_BACK,
     JOB_QUEUE_DROPPED,
     JOB_QUEUE_RESTORED,
+    START_REPEATED,
 ];
--- a/tests/testsuite/shard.rs
+++ b/tests/testsuite/shard.rs
@@ -10,6 +10,7 @@
 mod incarnations;
 mod interference;
 mod lapse;
+mod late_starts;
 mod many_suspects;
 mod owner_chains;
 mod owner_load;
--- a/tests/testsuite/shard/interference.rs
+++ b/tests/testsuite/shard/interference.rs
@@ -49,6 +49,9 @@
         is_started: true,
         is_listed: true,
         is_confirmed: true,
+        start_queued: Duration::ZERO,
+        start_copies: 1,
+        may_repeat_start: false,
     }
 }
 
