Name late starts among the causes for which services wait

What operators saw: P0618 of a long-running step that waits for the only worker that may carry out its start late named no cause, beside workers with free processors.

Change: WaitCause::LateStart in P0618. Tasks that wait for such a worker do not count as tasks for which no worker has room, so other steps are still tried.

--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -132,6 +132,8 @@
     SmallerStepMissed,
     /// It was left to a later pass, because the pass had examined too many workers before.
     Deferred,
+    /// Its tasks wait for the only workers that they may use, which may carry out starts of them late.
+    LateStart,
 }
 
 /// Waiting task of a step.
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -45,6 +45,8 @@
     NoWorker,
     /// The workers that can take another one already have a run of the same task.
     OnlyWorkersWithTask,
+    /// The others wait for the workers that may carry out starts of them late.
+    LateStarts,
 }
 
 /// Scores of workers, with their positions in the pass.
@@ -108,11 +110,15 @@
                 let outcome = self.place_step(now, &mut pass, &key, step, tier, &tasks);
                 let started = self.start_rate.started() - before;
                 allowed = allowed.saturating_sub(started as usize);
-                if outcome != StepOutcome::Placed {
-                    let is_full = outcome == StepOutcome::NoWorker;
-                    pass.record_miss(service, step, tier, is_overdue, is_full);
-                    cause = Some(WaitCause::NoWorker);
-                }
+                cause = match outcome {
+                    StepOutcome::Placed => None,
+                    StepOutcome::LateStarts => Some(WaitCause::LateStart),
+                    StepOutcome::NoWorker | StepOutcome::OnlyWorkersWithTask => {
+                        let is_full = outcome == StepOutcome::NoWorker;
+                        pass.record_miss(service, step, tier, is_overdue, is_full);
+                        Some(WaitCause::NoWorker)
+                    }
+                };
             }
             if let Some(cause) = cause.filter(|_| step.is_long_running) {
                 self.waiting.record_pass(&key, cause, now);
@@ -188,6 +194,7 @@
             };
             let Some((worker, position)) = self.pop_best(best, &task) else {
                 if self.eligible_workers(&task) != EligibleWorkers::Any {
+                    outcome = StepOutcome::LateStarts;
                     continue;
                 }
                 outcome = if best.is_empty() {
--- a/tests/testsuite/shard/takeover_log.rs
+++ b/tests/testsuite/shard/takeover_log.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use super::rig::{Fleet, Rig, listing, spec, step};
+use plantainlever::job::StepSpec;
+
+use super::rig::{Fleet, Rig, TICK, listing, spec, step};
 use crate::telemetry::{field, lines_of_event, log_lines_of};
 
 /// Length of the run of a task, longer than any wait in these tests.
@@ -135,6 +137,25 @@
     }
 }
 
+/// Guards against a service that waits for a late start beside free workers without a line that says so.
+#[test]
+fn a_wait_for_a_late_start_is_logged_with_its_cause() {
+    let mut rig = Rig::new(Fleet::new(1, 4_000));
+    rig.run(Duration::from_secs(1));
+    rig.fleet.get(0).start_delay = Some(RUN_TIME);
+    rig.submit(7, spec(vec![StepSpec { is_long_running: true, ..step(1, 1_000) }]));
+    rig.run(TICK * 3);
+    rig.fleet.add(listing(1, 4_000));
+    rig.owner.on_domains_out([rig.fleet.get(0).listing.domain.clone()].into());
+    let lines = log_lines_of(|| {
+        rig.run(Duration::from_secs(4));
+        rig.owner.log_long_waits(rig.fleet.now);
+    });
+    let waiting = lines_of_event(&lines, "P0618");
+    assert_eq!(waiting.len(), 1, "{waiting:?}");
+    assert!(waiting[0].contains("passes={LateStart: "), "{}", waiting[0]);
+}
+
 /// Guards against an owner whose last lease on a silent worker can't be told from its lines.
 #[test]
 fn a_silent_worker_is_logged_with_its_newest_lease() {
