Leave throttled tasks where a late start binds them

Cause: a throttled task is stopped so that it starts on another worker. A task with a late start may use no other one, so it waited, up to 12 s, and while any task waits no other one is moved. A task that had failed waited as well, because its next run avoids the worker of the failure.

Change: such a task is not moved for a throttle, does not count as one that waits for room, and runs again where it has failed, unless its job would fail with it. LateStart::is_worker_given_up says when it has to wait after all: its worker refused a start, left all copies without an answer, or the task stood still there.

--- a/src/shard/scheduler/late_starts.rs
+++ b/src/shard/scheduler/late_starts.rs
@@ -46,7 +46,7 @@
     Any,
     /// The one on which a start of the task may be carried out late.
     Only(&'a WorkerId),
-    /// None: the worker may carry out the start at any moment, or there are several such workers.
+    /// None: the worker may carry out the start at any moment or was given up, or there are several such workers.
     None,
 }
 
@@ -117,7 +117,7 @@
         };
         let start = self.workers.get(worker).and_then(|worker| worker.late_starts.get(task));
         match start {
-            Some(start) if !start.is_barred => EligibleWorkers::None,
+            Some(start) if !start.is_barred || start.is_worker_given_up => EligibleWorkers::None,
             _ => EligibleWorkers::Only(worker),
         }
     }
@@ -212,14 +212,36 @@
             .all(|member| self.runs_of_task(member).any(|(_, run)| run.number == number))
     }
 
-    /// Handles a start without an answer that is not sent again: lets the next run use the worker last.
+    /// Gives up a worker for a task if it has left all copies of its start without an answer.
     pub(super) fn give_up_start_if_due(&mut self, worker_id: &WorkerId, task: &JobTaskId) {
         let run = self.workers.get(worker_id).and_then(|worker| worker.runs.get(task));
-        if run.is_some_and(|run| run.start_copies >= MAX_START_COPIES)
-            && let Some(job) = self.jobs.get_mut(&task.step.job)
-        {
+        if run.is_none_or(|run| run.start_copies < MAX_START_COPIES) {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
             job.avoid_worker(task, worker_id);
         }
+        self.give_up_worker(worker_id, task);
+    }
+
+    /// Gives up a worker for a task that may use no other one, if that is so.
+    pub(super) fn give_up_worker(&mut self, worker_id: &WorkerId, task: &JobTaskId) {
+        let worker = self.workers.get_mut(worker_id);
+        if let Some(start) = worker.and_then(|worker| worker.late_starts.get_mut(task)) {
+            start.is_worker_given_up = true;
+        }
+    }
+
+    /// Returns true if a waiting task may use other workers than one that may carry out its start late.
+    pub(super) fn has_free_waiting_task(&self) -> bool {
+        if self.late_starts.is_empty() {
+            return !self.waiting.is_empty();
+        }
+        self.waiting.steps().any(|(step, waiting)| {
+            let mut tasks =
+                waiting.tasks.keys().map(|index| JobTaskId { step: *step, index: *index });
+            tasks.any(|task| self.eligible_workers(&task) == EligibleWorkers::Any)
+        })
     }
 
     /// Queues stops of late starts for the incarnations that answer and have not answered one.
--- a/src/shard/scheduler/placing.rs
+++ b/src/shard/scheduler/placing.rs
@@ -22,6 +22,7 @@
 use crate::telemetry::event::shard as event;
 
 use super::crashes::has_unproven_run;
+use super::ends::failures;
 use super::incarnations::AnsweredBy;
 use super::late_starts::EligibleWorkers;
 use super::pass::{Admission, Pass};
@@ -253,10 +254,11 @@
         let avoid = job.map_or(&[][..], |job| job.avoided_workers(task));
         match self.eligible_workers(task) {
             EligibleWorkers::Any => {}
-            EligibleWorkers::Only(id) if !avoid.contains(id) => {
-                return self.pop_worker(best, id, task);
+            EligibleWorkers::Only(id) if avoid.contains(id) && self.is_last_attempt(task) => {
+                return None;
             }
-            EligibleWorkers::Only(_) | EligibleWorkers::None => return None,
+            EligibleWorkers::Only(id) => return self.pop_worker(best, id, task),
+            EligibleWorkers::None => return None,
         }
         let needs_trial = self.needs_trial(task);
         let mut passed_over = Vec::new();
@@ -283,6 +285,13 @@
         found
     }
 
+    /// Returns true if the job fails with the next failure of the task or its gang.
+    fn is_last_attempt(&self, task: &JobTaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.step.job) else { return false };
+        let is_long_running = job.spec.steps[usize::from(task.step.step)].is_long_running;
+        !is_long_running && failures(job, task) + 1 >= job.queue.policy().attempts as usize
+    }
+
     /// Removes a worker from `best` and returns it, unless it already has a run of the task.
     fn pop_worker(
         &self,
@@ -711,6 +720,7 @@
             // The next run prefers other workers.
             job.avoid_worker(task, worker_id);
         }
+        self.give_up_worker(worker_id, task);
         self.drop_run(worker_id, task);
     }
 
--- a/src/shard/scheduler/renewals.rs
+++ b/src/shard/scheduler/renewals.rs
@@ -465,6 +465,7 @@
             if let Some(job) = self.jobs.get_mut(&task.step.job) {
                 job.avoid_worker(&task, worker_id);
             }
+            self.give_up_worker(worker_id, &task);
             self.stop_run(now, worker_id, &task, false);
         }
     }
--- a/src/shard/scheduler/throttling.rs
+++ b/src/shard/scheduler/throttling.rs
@@ -59,7 +59,7 @@
     /// A step ends with its slowest task. One task that is throttled for seconds beside a serving task would delay its
     /// whole job while other workers could run it at full speed.
     fn move_throttled(&mut self, now: Duration, worker_id: &WorkerId) {
-        let has_spare_workers = self.waiting.is_empty();
+        let has_spare_workers = !self.has_free_waiting_task();
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let mut moved = Vec::new();
         for (task, run) in &mut worker.runs {
@@ -82,6 +82,8 @@
                 moved.push(*task);
             }
         }
+        // A task that may use no other worker would wait.
+        moved.retain(|task| !self.is_bound(task, worker_id));
         for task in moved {
             if let Some(job) = self.jobs.get_mut(&task.step.job) {
                 job.avoid_worker(&task, worker_id);
--- a/src/shard/worker.rs
+++ b/src/shard/worker.rs
@@ -138,6 +138,9 @@
     pub copies: u32,
     /// The newest incarnation has answered a stop or has listed the end of the run, so it will not carry out a copy.
     pub is_barred: bool,
+    /// The worker has refused a later start of the task or left all of its copies without an answer, or the task stood
+    /// still there. The task waits until it may use another worker.
+    pub is_worker_given_up: bool,
     /// A stop was queued or sent to the newest incarnation and has no outcome yet.
     pub is_stop_in_flight: bool,
     /// Local time at which the last stop was queued for the newest incarnation; `None` if none was.
@@ -153,6 +156,7 @@
             arrives_until,
             copies: 1,
             is_barred: false,
+            is_worker_given_up: false,
             is_stop_in_flight: false,
             stop_queued_at: None,
         }
@@ -164,7 +168,8 @@
         if other.run != self.run {
             let copies = self.copies.saturating_add(other.copies);
             let newest = if other.run > self.run { other } else { *self };
-            *self = Self { copies, ..newest };
+            let is_worker_given_up = self.is_worker_given_up || other.is_worker_given_up;
+            *self = Self { copies, is_worker_given_up, ..newest };
         }
         self.arrives_until = arrives_until;
     }
--- a/tests/testsuite/shard/late_starts.rs
+++ b/tests/testsuite/shard/late_starts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use plantainlever::job::{JobId, StepSpec};
+use plantainlever::job::{JobId, JobState, StepSpec};
 use plantainlever::shard::lapse::{MAX_COMMAND_DELAY, longest_local_time};
 
 use super::rig::{Fleet, MAX_LEASE, Rig, STOP_TIME, TICK, listing, spec, step, worker_id};
@@ -244,3 +244,93 @@
     case.wait_for_run(MAX_COMMAND_DELAY + longest_local_time(MAX_LEASE, STOP_TIME) + MARGIN);
     case.rig.assert_no_breach();
 }
+
+/// Guards against a task that waits for another worker after a failure, which it may not use for seconds.
+#[test]
+fn a_task_that_fails_runs_again_at_once_on_the_worker_of_its_late_start() {
+    let mut case = LateStart::with_delay(Duration::from_secs(60));
+    let id = case.id;
+    case.rig.fleet.durations.insert(id, Duration::from_secs(2));
+    case.wait_for_run(Duration::from_millis(500));
+    case.rig.fleet.get(0).fails_all = true;
+    case.rig.run(Duration::from_secs(2));
+    case.rig.fleet.get(0).fails_all = false;
+    case.rig.run(Duration::from_secs(3));
+    case.rig.assert_no_breach();
+    assert!(case.rig.store.ended.contains(&id));
+    assert_eq!(case.rig.starts_of(id).len(), 2);
+}
+
+/// Guards against a job that fails by a faulty worker: the last attempt of its task waits for another one.
+#[test]
+fn the_last_attempt_of_a_task_waits_for_another_worker() {
+    let mut case = LateStart::with_delay(Duration::from_secs(60));
+    let id = case.id;
+    case.rig.fleet.durations.insert(id, Duration::from_millis(500));
+    case.rig.fleet.get(0).fails_all = true;
+    case.rig.run(MAX_COMMAND_DELAY + MARGIN * 2);
+    case.rig.assert_no_breach();
+    assert_eq!(case.rig.stored_state(id), Some(JobState::Completed));
+}
+
+/// Starts a shard with one worker that has a serving task, and beside it a best-effort task. `delay_first` leaves the first
+/// copy of the start of the latter without an answer.
+fn rig_with_best_effort_task(delay_first: bool) -> (Rig, JobId) {
+    let mut rig = Rig::new(Fleet::new(1, 8_000));
+    let serving = StepSpec {
+        is_long_running: true,
+        tail_target_ms: Some(50),
+        image: Some("service".to_owned()),
+        ..step(1, 6_000)
+    };
+    let service = rig.submit(1, spec(vec![serving]));
+    rig.fleet.durations.insert(service, RUN_TIME);
+    rig.run(Duration::from_millis(300));
+    rig.fleet.get(0).start_delay = delay_first.then_some(RUN_TIME);
+    let best_effort = StepSpec {
+        uses_leftover_cpu: true,
+        checkpoints: true,
+        image: Some("batch".to_owned()),
+        ..step(1, 1_000)
+    };
+    let job = rig.submit(2, spec(vec![best_effort]));
+    rig.fleet.durations.insert(job, RUN_TIME);
+    rig.run(TICK * 4);
+    rig.fleet.get(0).start_delay = None;
+    rig.run(Duration::from_millis(500));
+    assert_eq!(rig.starts_of(job).len(), 1);
+    (rig, job)
+}
+
+/// Slows the tasks down so much that best-effort tasks are throttled for long.
+fn throttle(rig: &mut Rig) {
+    rig.fleet.add(listing(1, 8_000));
+    rig.fleet.get(0).percent = 40;
+    rig.fleet.get(0).tail_ms = 200;
+    rig.run(Duration::from_secs(4));
+    rig.assert_no_breach();
+}
+
+/// Guards against a task that is stopped because it is throttled, and then has to wait since it may run nowhere else.
+#[test]
+fn a_throttled_task_with_a_late_start_goes_on() {
+    let (mut rig, job) = rig_with_best_effort_task(true);
+    throttle(&mut rig);
+    let runs = &rig.fleet.get(0).runs;
+    assert!(runs.iter().any(|(task, run)| task.step.job == job && run.stops_at.is_none()));
+}
+
+/// Guards against throttled tasks that are not moved to a free worker because another task waits, which may not use it.
+#[test]
+fn a_task_that_waits_for_its_late_start_does_not_keep_others_from_moving() {
+    let (mut rig, job) = rig_with_best_effort_task(false);
+    rig.fleet.get(0).start_delay = Some(RUN_TIME);
+    let waiting = rig.submit(3, spec(vec![step(1, 1_000)]));
+    rig.run(TICK * 3);
+    rig.fleet.get(0).start_delay = None;
+    rig.owner.on_domains_out([rig.fleet.get(0).listing.domain.clone()].into());
+    throttle(&mut rig);
+    let on: Vec<_> = rig.starts_of(job).into_iter().map(|(.., worker)| worker).collect();
+    assert_eq!(on, [worker_id(0), worker_id(1)]);
+    assert_eq!(rig.starts_of(waiting).len(), 0);
+}
